--- /dev/null
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/BenchMain.java
@@ -0,0 +1,38 @@
+package io.bulrushrouter.bench;
+
+import java.util.List;
+import java.util.Optional;
+
+import io.bulrushrouter.kernel.plugin.PluginRegistry;
+
+/**
+ * Runs experiments by name: {@code bench NAME...}, or lists them.
+ */
+public final class BenchMain {
+
+	private BenchMain() {
+	}
+
+	/**
+	 * Runs the named experiments.
+	 * @param args the names; none to list them
+	 */
+	public static void main(String[] args) {
+		PluginRegistry registry = PluginRegistry.ofClassPath();
+		if (args.length == 0) {
+			registry.names(Experiment.class).forEach(System.out::println);
+			return;
+		}
+		boolean held = true;
+		for (String name : List.of(args)) {
+			Optional<Experiment> experiment = registry.find(Experiment.class, name);
+			if (experiment.isEmpty()) {
+				System.err.println("no experiment named " + name);
+				System.exit(2);
+			}
+			held &= experiment.get().run(System.out);
+		}
+		System.exit(held ? 0 : 1);
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Benchmarks and experiment runs.
+ */
+package io.bulrushrouter.bench;
--- /dev/null
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The daemons and the command line.
+ */
+package io.bulrushrouter.daemon;
--- /dev/null
+++ b/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Evacuation plans, morning sheets, the reconciler and its report.
+ */
+package io.bulrushrouter.evacuation;
--- /dev/null
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Expert popularity, expert-map planning, the map switch and stragglers.
+ */
+package io.bulrushrouter.experts;
--- /dev/null
+++ b/bulrushrouter-kernel/src/main/java/io/bulrushrouter/kernel/Names.java
@@ -0,0 +1,30 @@
+package io.bulrushrouter.kernel;
+
+/**
+ * The rule that all identifiers share.
+ */
+final class Names {
+
+	/** Longest identifier, in characters. */
+	static final int MAX_LENGTH = 128;
+
+	private Names() {
+	}
+
+	static void check(String kind, String value) {
+		if (!isValid(value)) {
+			throw new BulrushException(ErrorCode.BAD_NAME, "not a valid " + kind + " name: " + value);
+		}
+	}
+
+	private static boolean isValid(String value) {
+		return value != null && !value.isEmpty() && value.length() <= MAX_LENGTH
+				&& value.chars().allMatch(Names::isAllowed);
+	}
+
+	private static boolean isAllowed(int character) {
+		return (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z')
+				|| (character >= '0' && character <= '9') || character == '.' || character == '_' || character == '-';
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-kernel/src/main/java/io/bulrushrouter/kernel/OrganisationId.java
@@ -0,0 +1,39 @@
+package io.bulrushrouter.kernel;
+
+/**
+ * An organisation whose callers send requests.
+ *
+ * @param value the name, 1 to {@value Names#MAX_LENGTH} characters of
+ * {@code [A-Za-z0-9._-]}
+ */
+public record OrganisationId(String value) implements Comparable<OrganisationId> {
+
+	/**
+	 * Checks the name.
+	 * @throws BulrushException with {@link ErrorCode#BAD_NAME} if it is malformed
+	 */
+	public OrganisationId {
+		Names.check("organisation", value);
+	}
+
+	/**
+	 * Returns the identifier with the given name.
+	 * @param value the name
+	 * @return the identifier
+	 * @throws BulrushException with {@link ErrorCode#BAD_NAME} if it is malformed
+	 */
+	public static OrganisationId of(String value) {
+		return new OrganisationId(value);
+	}
+
+	@Override
+	public int compareTo(OrganisationId other) {
+		return this.value.compareTo(other.value);
+	}
+
+	@Override
+	public String toString() {
+		return this.value;
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-kernel/src/main/java/io/bulrushrouter/kernel/plugin/PluginRegistry.java
@@ -0,0 +1,78 @@
+package io.bulrushrouter.kernel.plugin;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.ServiceLoader;
+
+import io.bulrushrouter.kernel.BulrushException;
+import io.bulrushrouter.kernel.ErrorCode;
+
+/**
+ * The plug-ins that are there, by kind and name.
+ */
+public final class PluginRegistry {
+
+	private final List<Plugin<?>> plugins;
+
+	private PluginRegistry(List<Plugin<?>> plugins) {
+		this.plugins = List.copyOf(plugins);
+	}
+
+	/**
+	 * Returns the plug-ins on the class path.
+	 * @return the registry
+	 */
+	public static PluginRegistry ofClassPath() {
+		List<Plugin<?>> found = new ArrayList<>();
+		ServiceLoader.load(PluginProvider.class).forEach((provider) -> found.addAll(provider.plugins()));
+		return new PluginRegistry(found);
+	}
+
+	/**
+	 * Returns a registry of the given plug-ins.
+	 * @param plugins the plug-ins
+	 * @return the registry
+	 */
+	public static PluginRegistry of(List<Plugin<?>> plugins) {
+		return new PluginRegistry(plugins);
+	}
+
+	/**
+	 * Finds an implementation.
+	 * @param kind the interface
+	 * @param name the name
+	 * @param <T> the kind
+	 * @return the implementation, or empty if none registered the name
+	 */
+	public <T> Optional<T> find(Class<T> kind, String name) {
+		return this.plugins.stream()
+			.filter((plugin) -> plugin.kind().equals(kind) && plugin.name().equals(name))
+			.findFirst()
+			.map((plugin) -> kind.cast(plugin.implementation()));
+	}
+
+	/**
+	 * Returns the names registered for a kind.
+	 * @param kind the interface
+	 * @return the names, sorted
+	 */
+	public List<String> names(Class<?> kind) {
+		return this.plugins.stream().filter((plugin) -> plugin.kind().equals(kind)).map(Plugin::name).sorted().toList();
+	}
+
+	/**
+	 * Returns an implementation that a setting names.
+	 * @param kind the interface
+	 * @param name the name
+	 * @param <T> the kind
+	 * @return the implementation
+	 * @throws BulrushException with {@link ErrorCode#PLUGIN_MISSING} if none registered
+	 * the name
+	 */
+	public <T> T require(Class<T> kind, String name) {
+		return find(kind, name).orElseThrow(() -> new BulrushException(ErrorCode.PLUGIN_MISSING,
+				"no " + kind.getSimpleName() + " named '" + name + "'; there are " + names(kind)));
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-kernel/src/main/java/io/bulrushrouter/kernel/settings/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Settings in INI files, checked whole against the keys that a daemon knows.
+ */
+package io.bulrushrouter.kernel.settings;
--- /dev/null
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Choice of upstream, fair queueing, limits and ejection.
+ */
+package io.bulrushrouter.routing;
--- /dev/null
+++ b/bulrushrouter-standin/src/main/java/io/bulrushrouter/standin/MemoryObjectStore.java
@@ -0,0 +1,189 @@
+package io.bulrushrouter.standin;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Predicate;
+
+import io.bulrushrouter.kernel.store.ListResult;
+import io.bulrushrouter.kernel.store.ObjectKey;
+import io.bulrushrouter.kernel.store.ObjectStore;
+import io.bulrushrouter.kernel.store.ReadResult;
+import io.bulrushrouter.kernel.store.Versioned;
+import io.bulrushrouter.kernel.store.Write;
+import io.bulrushrouter.kernel.store.WriteResult;
+
+/**
+ * The platform's object API in memory, with switches for outages and lost answers. Calls
+ * complete at once, except watches, which complete at the next write or at
+ * {@link #expireWatches()}.
+ */
+public final class MemoryObjectStore implements ObjectStore {
+
+	private static final int MAX_VALUE_BYTES = 1_000_000;
+
+	private final TreeMap<String, Versioned> objects = new TreeMap<>();
+
+	private final List<Watch> watches = new ArrayList<>();
+
+	private long lastVersion;
+
+	private boolean down;
+
+	private Predicate<Write> loseBefore = (write) -> false;
+
+	private Predicate<Write> loseAfter = (write) -> false;
+
+	private long reads;
+
+	private long writes;
+
+	/**
+	 * Switches an outage on or off: during it nothing is read or written.
+	 * @param down whether the store is down
+	 */
+	public synchronized void down(boolean down) {
+		this.down = down;
+		if (down) {
+			completeWatches((watch) -> true, new ReadResult.Unavailable("outage"));
+		}
+	}
+
+	/**
+	 * Chooses writes that are lost on their way: no effect, and no answer.
+	 * @param choice picks the writes
+	 */
+	public synchronized void loseRequests(Predicate<Write> choice) {
+		this.loseBefore = choice;
+	}
+
+	/**
+	 * Chooses writes whose answer is lost after they took effect.
+	 * @param choice picks the writes
+	 */
+	public synchronized void loseAnswers(Predicate<Write> choice) {
+		this.loseAfter = choice;
+	}
+
+	/**
+	 * Returns how many reads, lists and watches came.
+	 * @return the count
+	 */
+	public synchronized long reads() {
+		return this.reads;
+	}
+
+	/**
+	 * Returns how many writes came.
+	 * @return the count
+	 */
+	public synchronized long writes() {
+		return this.writes;
+	}
+
+	@Override
+	public synchronized CompletionStage<ReadResult> read(ObjectKey key) {
+		this.reads++;
+		if (this.down) {
+			return CompletableFuture.completedFuture(new ReadResult.Unavailable("outage"));
+		}
+		return CompletableFuture.completedFuture(current(key));
+	}
+
+	@Override
+	public CompletionStage<WriteResult> write(Write write) {
+		List<Runnable> completions = new ArrayList<>();
+		WriteResult result = apply(write, completions);
+		completions.forEach(Runnable::run);
+		return CompletableFuture.completedFuture(result);
+	}
+
+	private synchronized WriteResult apply(Write write, List<Runnable> completions) {
+		this.writes++;
+		if (this.down) {
+			return new WriteResult.Refused("outage");
+		}
+		if (write.value().length > MAX_VALUE_BYTES) {
+			return new WriteResult.Refused("value over " + MAX_VALUE_BYTES + " bytes");
+		}
+		if (this.loseBefore.test(write)) {
+			return new WriteResult.Unknown("request lost");
+		}
+		WriteResult result = commit(write, completions);
+		return this.loseAfter.test(write) ? new WriteResult.Unknown("answer lost") : result;
+	}
+
+	private WriteResult commit(Write write, List<Runnable> completions) {
+		Versioned before = this.objects.get(write.key().value());
+		long version = (before != null) ? before.version() : Write.ABSENT;
+		if (version != write.expectedVersion()) {
+			return new WriteResult.Conflict();
+		}
+		this.lastVersion++;
+		Versioned after = new Versioned(write.key(), this.lastVersion, write.writer(), write.value().clone());
+		this.objects.put(write.key().value(), after);
+		for (Iterator<Watch> iterator = this.watches.iterator(); iterator.hasNext();) {
+			Watch watch = iterator.next();
+			if (watch.key().equals(write.key())) {
+				iterator.remove();
+				completions.add(() -> watch.answer().complete(new ReadResult.Found(after)));
+			}
+		}
+		return new WriteResult.Written(this.lastVersion);
+	}
+
+	@Override
+	public synchronized CompletionStage<ReadResult> watch(ObjectKey key, long afterVersion, Duration wait) {
+		this.reads++;
+		if (this.down) {
+			return CompletableFuture.completedFuture(new ReadResult.Unavailable("outage"));
+		}
+		Versioned object = this.objects.get(key.value());
+		if (object != null && object.version() > afterVersion) {
+			return CompletableFuture.completedFuture(new ReadResult.Found(object));
+		}
+		Watch watch = new Watch(key, new CompletableFuture<>());
+		this.watches.add(watch);
+		return watch.answer();
+	}
+
+	@Override
+	public synchronized CompletionStage<ListResult> list(String prefix) {
+		this.reads++;
+		if (this.down) {
+			return CompletableFuture.completedFuture(new ListResult.Unavailable("outage"));
+		}
+		List<Versioned> found = this.objects.tailMap(prefix)
+			.values()
+			.stream()
+			.takeWhile((object) -> object.key().value().startsWith(prefix))
+			.toList();
+		return CompletableFuture.completedFuture(new ListResult.Listed(found));
+	}
+
+	/**
+	 * Ends all waiting watches as if their time had passed.
+	 */
+	public synchronized void expireWatches() {
+		completeWatches((watch) -> true, new ReadResult.Absent());
+	}
+
+	private void completeWatches(Predicate<Watch> choice, ReadResult result) {
+		List<Watch> chosen = this.watches.stream().filter(choice).toList();
+		this.watches.removeAll(chosen);
+		chosen.forEach((watch) -> watch.answer().complete(result));
+	}
+
+	private ReadResult current(ObjectKey key) {
+		Versioned object = this.objects.get(key.value());
+		return (object != null) ? new ReadResult.Found(object) : new ReadResult.Absent();
+	}
+
+	private record Watch(ObjectKey key, CompletableFuture<ReadResult> answer) {
+	}
+
+}
