--- a/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/package-info.java
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Expert popularity, expert-map planning, the map switch and stragglers.
+ * Expert popularity, expert maps and their planning, and stragglers of rank groups.
  */
 package io.bulrushrouter.experts;
--- /dev/null
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/switchover/RefusalReason.java
@@ -0,0 +1,26 @@
+package io.bulrushrouter.experts.switchover;
+
+/**
+ * Why a rank refuses a prepare or a commit.
+ */
+public enum RefusalReason {
+
+	/** A higher fencing number was seen. */
+	STALE_FENCE,
+
+	/** The rank has vowed on the attempt. */
+	VOWED,
+
+	/** An older change is undecided or waits for its step. */
+	BUSY,
+
+	/** The rank uses another map than the change starts from. */
+	OTHER_MAP,
+
+	/** The rank has reached the step of the change. */
+	TOO_LATE,
+
+	/** The rank's engine holds no stop for the attempt. */
+	NOT_ARMED
+
+}
