--- a/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/switchover/MapSwitchBalancer.java
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/switchover/MapSwitchBalancer.java
@@ -104,7 +104,7 @@
 		if (message instanceof SwitchMessage.Promise promise && phase() == Phase.PREPARING) {
 			promised(promise.rank(), out);
 		}
-		else if (message instanceof SwitchMessage.Committed committed && phase() != Phase.PREPARING) {
+		else if (message instanceof SwitchMessage.Committed committed) {
 			committed(committed.rank(), out);
 		}
 		else if (message instanceof SwitchMessage.Refusal refusal) {
@@ -121,6 +121,9 @@
 	}
 
 	private void committed(int rank, List<BalancerOutput> out) {
+		if (phase() != Phase.COMMITTING && phase() != Phase.COMMITTED) {
+			return;
+		}
 		if (phase() == Phase.COMMITTING) {
 			out.add(new BalancerOutput.Settled(this.memory.change().orElseThrow(), true, Optional.empty()));
 			this.memory = this.memory.with(Phase.COMMITTED);
@@ -145,7 +148,7 @@
 		if (this.memory.answered().cardinality() < this.ranks) {
 			return;
 		}
-		this.memory = this.memory.with(Phase.ABORTED);
+		this.memory = this.memory.with(Phase.REFUSED);
 		out.add(new BalancerOutput.Settled(this.memory.change().orElseThrow(), false,
 				Optional.of(RefusalReason.VOWED)));
 	}
@@ -159,7 +162,7 @@
 	private void sendAgain(List<BalancerOutput> out) {
 		MapSwitch change = this.memory.change().orElse(null);
 		switch (phase()) {
-			case IDLE -> {
+			case IDLE, REFUSED -> {
 			}
 			case PREPARING -> sendToSilent(
 					() -> new SwitchMessage.Prepare(this.incarnation, change, this.memory.map().orElseThrow()), out);
@@ -195,8 +198,11 @@
 		/** A rank has the switch armed. */
 		COMMITTED,
 
-		/** It is aborted. */
-		ABORTED
+		/** It is aborted; no commit was sent. */
+		ABORTED,
+
+		/** Every rank has refused the commit; the ranks abort by asking one another. */
+		REFUSED
 
 	}
 
--- a/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/switchover/MapSwitchRank.java
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/switchover/MapSwitchRank.java
@@ -106,7 +106,10 @@
 			return;
 		}
 		Optional<RefusalReason> reason = refusal(state.get(), change);
-		if (reason.isPresent()) {
+		if (state.get().committed(change.attempt())) {
+			sayCommitted(state.get(), change.attempt(), out);
+		}
+		else if (reason.isPresent()) {
 			refuse(state.get(), change.attempt(), reason.get(), out);
 			askIfOvertaken(state.get(), change.attempt(), out);
 		}
@@ -170,8 +173,7 @@
 		}
 		if (state.get().committed(attempt)) {
 			decided(attempt, true, out);
-			out.add(new RankOutput.ToBalancer(attempt.fence(),
-					new SwitchMessage.Committed(state.get().incarnation(), attempt, this.rank)));
+			sayCommitted(state.get(), attempt, out);
 			return;
 		}
 		boolean vowed = state.get().vowedOn(attempt);
@@ -179,8 +181,16 @@
 	}
 
 	private void abort(Attempt attempt, List<RankOutput> out) {
-		apply(new EngineOrder.Vow(attempt)).filter((state) -> state.vowedOn(attempt))
-			.ifPresent((state) -> release(attempt, out));
+		Optional<EngineState> state = apply(new EngineOrder.Vow(attempt));
+		if (state.isEmpty() || !state.get().vowedOn(attempt)) {
+			return;
+		}
+		if (state.get().armed(attempt)) {
+			release(attempt, out);
+		}
+		else {
+			this.memory = this.memory.without(attempt);
+		}
 	}
 
 	private void answer(SwitchMessage.Ask ask, List<RankOutput> out) {
@@ -244,7 +254,7 @@
 	}
 
 	private void decided(Attempt attempt, boolean committed, List<RankOutput> out) {
-		this.memory = Memory.EMPTY;
+		this.memory = this.memory.without(attempt);
 		out.add(new RankOutput.Decided(attempt, committed));
 	}
 
@@ -253,6 +263,11 @@
 				new SwitchMessage.Promise(state.incarnation(), attempt, this.rank)));
 	}
 
+	private void sayCommitted(EngineState state, Attempt attempt, List<RankOutput> out) {
+		out.add(new RankOutput.ToBalancer(attempt.fence(),
+				new SwitchMessage.Committed(state.incarnation(), attempt, this.rank)));
+	}
+
 	private void refuse(EngineState state, Attempt attempt, RefusalReason reason, List<RankOutput> out) {
 		out.add(new RankOutput.ToBalancer(attempt.fence(),
 				new SwitchMessage.Refusal(state.incarnation(), attempt, this.rank, reason, state.fence())));
@@ -281,6 +296,12 @@
 			return new Memory(change, this.asked, this.vowed);
 		}
 
+		Memory without(Attempt attempt) {
+			Optional<MapSwitch> other = this.loading.filter((change) -> !change.attempt().equals(attempt));
+			return this.asked.equals(attempt) ? new Memory(other, Attempt.NONE, new BitSet())
+					: new Memory(other, this.asked, this.vowed);
+		}
+
 		BitSet vowedPeers(Attempt attempt) {
 			return this.asked.equals(attempt) ? this.vowed : new BitSet();
 		}
--- /dev/null
+++ b/bulrushrouter-experts/src/test/java/io/bulrushrouter/experts/switchover/Group.java
@@ -0,0 +1,520 @@
+package io.bulrushrouter.experts.switchover;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import com.dynatrace.hash4j.hashing.HashStream64;
+import com.dynatrace.hash4j.hashing.Hashing;
+
+import io.bulrushrouter.experts.ExpertMap;
+import io.bulrushrouter.experts.GroupShape;
+
+/**
+ * A group of ranks, its balancers and the store, as the explorer steps them. Sent
+ * messages stay in the network for ever and may be delivered at any time, any number of
+ * times and in any order, which covers loss, delay, duplicates and reordering; a process
+ * that is not scheduled is paused, crashed or cut off.
+ */
+final class Group {
+
+	static final int DOWN = -1;
+
+	static final long LAST_STEP = 4;
+
+	private static final int STORE = -1;
+
+	private static final int BALANCERS = 1000;
+
+	final int ranks;
+
+	final int balancers;
+
+	final EngineRules rules;
+
+	final boolean instantLoad;
+
+	final int attempts;
+
+	private final Interner<EngineState> engines = new Interner<>();
+
+	private final Interner<MapSwitchRank.Memory> sidecars = new Interner<>();
+
+	private final Interner<BalancerMemory> balancerMemories = new Interner<>();
+
+	private final Interner<Envelope> envelopes = new Interner<>();
+
+	private final Interner<RankInput> inputs = new Interner<>();
+
+	private final Map<List<Integer>, Reaction> reactions = new HashMap<>();
+
+	Group(int ranks, int balancers, int attempts, boolean instantLoad, EngineRules rules) {
+		this.ranks = ranks;
+		this.balancers = balancers;
+		this.attempts = attempts;
+		this.instantLoad = instantLoad;
+		this.rules = rules;
+	}
+
+	State start(int restarts, int crashes) {
+		State state = new State();
+		state.engines = new int[this.ranks];
+		state.sidecars = new int[this.ranks];
+		state.seenFence = new int[this.ranks];
+		state.balancers = new int[this.balancers];
+		Arrays.fill(state.engines, this.engines.id(EngineState.ofStart(1, 0, 1)));
+		Arrays.fill(state.sidecars, this.sidecars.id(MapSwitchRank.Memory.EMPTY));
+		Arrays.fill(state.balancers, DOWN);
+		state.store = new int[] { 1, 1, 0, 0 };
+		state.restarts = restarts;
+		state.crashes = crashes;
+		state.sent = new BitSet();
+		return state;
+	}
+
+	/**
+	 * Returns a start from which all ranks have promised the first balancer's change, and
+	 * all commits are on their way.
+	 * @param restarts the restarts of sidecars to try
+	 * @param crashes the crashes of ranks to try
+	 * @return the state
+	 */
+	State promised(int restarts, int crashes) {
+		State state = startBalancer(start(restarts, crashes), 0);
+		for (int id = 0; id < state.sent.length(); id++) {
+			Object body = this.envelopes.value(id).body();
+			if (body instanceof SwitchMessage.Prepare prepare) {
+				deliver(state, id, new ArrayList<>());
+				react(state, this.envelopes.value(id).to(), new RankInput.Loaded(prepare.change()));
+			}
+			else if (body instanceof SwitchMessage.Promise) {
+				deliver(state, id, new ArrayList<>());
+			}
+		}
+		return state;
+	}
+
+	List<State> next(State state) {
+		List<State> next = new ArrayList<>();
+		for (int id = state.sent.nextSetBit(0); id >= 0; id = state.sent.nextSetBit(id + 1)) {
+			deliver(state.copy("deliver " + id), id, next);
+		}
+		for (int rank = 0; rank < this.ranks; rank++) {
+			rankEvents(state, rank, next);
+		}
+		for (int balancer = 0; balancer < this.balancers; balancer++) {
+			balancerEvents(state, balancer, next);
+		}
+		if (state.broken) {
+			next.add(reform(state.copy("reform")));
+		}
+		return next;
+	}
+
+	private void rankEvents(State state, int rank, List<State> next) {
+		if (mayJoin(state, rank)) {
+			next.add(join(state.copy("join " + rank), rank));
+		}
+		if (state.engines[rank] == DOWN) {
+			return;
+		}
+		if (mayBegin(state, rank) && engine(state, rank).nextStep() <= LAST_STEP) {
+			next.add(begin(state.copy("begin " + rank), rank));
+		}
+		if (engine(state, rank).armed().isPresent()) {
+			next.add(react(state.copy("tick " + rank), rank, new RankInput.Tick()));
+		}
+		this.sidecars.value(state.sidecars[rank])
+			.loading()
+			.ifPresent((change) -> next.add(react(state.copy("loaded " + rank), rank, new RankInput.Loaded(change))));
+		if (state.restarts > 0) {
+			State copy = state.copy("restart " + rank);
+			copy.restarts--;
+			next.add(restart(copy, rank));
+		}
+		if (state.crashes > 0) {
+			State copy = state.copy("crash " + rank);
+			copy.crashes--;
+			copy.engines[rank] = DOWN;
+			copy.broken = true;
+			next.add(copy);
+		}
+	}
+
+	private void balancerEvents(State state, int balancer, List<State> next) {
+		if (mayStart(state, balancer)) {
+			next.add(startBalancer(state.copy("start " + balancer), balancer));
+		}
+		if (state.balancers[balancer] != DOWN && phase(state, balancer) == MapSwitchBalancer.Phase.PREPARING) {
+			next.add(react(state.copy("give up " + balancer), balancer, new BalancerInput.GiveUp()));
+		}
+	}
+
+	private boolean mayStart(State state, int balancer) {
+		if (state.engines[0] == DOWN) {
+			return false;
+		}
+		return state.balancers[balancer] == DOWN || phase(state, balancer) == MapSwitchBalancer.Phase.ABORTED
+				&& this.balancerMemories.value(state.balancers[balancer]).memory().attempts() < this.attempts;
+	}
+
+	State startBalancer(State state, int balancer) {
+		if (state.balancers[balancer] == DOWN) {
+			state.balancers[balancer] = this.balancerMemories
+				.id(new BalancerMemory(engine(state, 0).incarnation(), MapSwitchBalancer.Memory.EMPTY));
+		}
+		int attempt = this.balancerMemories.value(state.balancers[balancer]).memory().attempts();
+		long version = 10L * (balancer + 1) + attempt;
+		ExpertMap map = ExpertMap.ofRoundRobin(version, GroupShape.of(1, 1, this.ranks, 1));
+		long step = Math.max(engine(state, 0).nextStep() + 1, Math.min(LAST_STEP - 1, 2 + balancer));
+		return react(state, balancer, new BalancerInput.Start(engine(state, 0).mapVersion(), map, step));
+	}
+
+	MapSwitchBalancer.Phase phase(State state, int balancer) {
+		return this.balancerMemories.value(state.balancers[balancer]).memory().phase();
+	}
+
+	EngineState engine(State state, int rank) {
+		return this.engines.value(state.engines[rank]);
+	}
+
+	boolean mayBegin(State state, int rank) {
+		EngineState own = engine(state, rank);
+		for (int peer = 0; peer < this.ranks; peer++) {
+			if (state.engines[peer] == DOWN) {
+				return false;
+			}
+			EngineState other = engine(state, peer);
+			if (other.incarnation() != own.incarnation() || other.nextStep() < own.nextStep()) {
+				return false;
+			}
+		}
+		return !this.rules.stopped(own);
+	}
+
+	State begin(State state, int rank) {
+		EngineState begun = engine(state, rank).begun();
+		state.engines[rank] = this.engines.id(begun);
+		for (int peer = 0; peer < this.ranks; peer++) {
+			EngineState other = engine(state, peer);
+			if (other.nextStep() == begun.nextStep() && other.mapVersion() != begun.mapVersion()) {
+				state.violation = Optional.of("step " + other.nextStep() + " on two maps: " + begun + " and " + other);
+			}
+		}
+		return state;
+	}
+
+	State reform(State state) {
+		state.store = state.store.clone();
+		state.store[0]++;
+		state.broken = false;
+		return state;
+	}
+
+	boolean mayJoin(State state, int rank) {
+		return state.store[0] > 1
+				&& (state.engines[rank] == DOWN || engine(state, rank).incarnation() < state.store[0]);
+	}
+
+	State join(State state, int rank) {
+		int fence = 0;
+		for (int balancer = 0; balancer < this.balancers; balancer++) {
+			fence = (state.balancers[balancer] != DOWN) ? balancer + 1 : fence;
+		}
+		state.engines[rank] = this.engines.id(EngineState.ofStart(state.store[0], fence, state.store[1]));
+		state.sidecars[rank] = this.sidecars.id(MapSwitchRank.Memory.EMPTY);
+		state.seenFence[rank] = 0;
+		return state;
+	}
+
+	State restart(State state, int rank) {
+		state.sidecars[rank] = this.sidecars.id(MapSwitchRank.Memory.EMPTY);
+		return react(state, rank, new RankInput.Started());
+	}
+
+	private void deliver(State state, int id, List<State> next) {
+		Envelope envelope = this.envelopes.value(id);
+		if (envelope.to() == STORE) {
+			next.add(record(state, (StoreWrite) envelope.body()));
+		}
+		else if (envelope.to() > BALANCERS) {
+			int balancer = envelope.to() - BALANCERS - 1;
+			if (balancer < this.balancers && state.balancers[balancer] != DOWN) {
+				next.add(react(state, balancer, new BalancerInput.Received((SwitchMessage) envelope.body())));
+			}
+		}
+		else if (state.engines[envelope.to()] != DOWN) {
+			next.add(deliver(state, envelope.to(), (SwitchMessage) envelope.body()));
+		}
+	}
+
+	private State record(State state, StoreWrite write) {
+		int fence = (int) write.change().attempt().fence();
+		int number = write.change().attempt().number();
+		boolean newer = fence > state.store[2] || fence == state.store[2] && number > state.store[3];
+		if (write.incarnation() == state.store[0] && newer) {
+			state.store = new int[] { state.store[0], (int) write.change().toVersion(), fence, number };
+		}
+		return state;
+	}
+
+	State deliver(State state, int rank, SwitchMessage message) {
+		EngineState before = engine(state, rank);
+		boolean mayChange = message instanceof SwitchMessage.Prepare || message instanceof SwitchMessage.Commit;
+		boolean same = message.incarnation() == before.incarnation();
+		boolean stale = same && mayChange && message.attempt().fence() < state.seenFence[rank];
+		if (same && message instanceof SwitchMessage.Prepare) {
+			state.seenFence[rank] = Math.max(state.seenFence[rank], (int) message.attempt().fence());
+		}
+		react(state, rank, new RankInput.Received(message));
+		if (stale && !engine(state, rank).equals(before)) {
+			state.violation = Optional.of("stale " + message + " changed " + before);
+		}
+		return state;
+	}
+
+	State react(State state, int rank, RankInput input) {
+		List<Integer> key = List.of(rank, state.engines[rank], state.sidecars[rank], this.inputs.id(input));
+		Reaction reaction = this.reactions.computeIfAbsent(key, (unused) -> reaction(state, rank, input));
+		boolean armed = engine(state, rank).armed().isPresent();
+		state.engines[rank] = reaction.engine();
+		state.sidecars[rank] = reaction.sidecar();
+		for (int id : reaction.sent()) {
+			state.sent.set(id);
+		}
+		Optional<MapSwitch> stop = engine(state, rank).armed();
+		if (!armed && stop.isPresent() && stop.get().attempt().fence() < state.seenFence[rank]) {
+			state.violation = Optional.of("stale balancer armed " + stop.get());
+		}
+		return state;
+	}
+
+	private Reaction reaction(State state, int rank, RankInput input) {
+		EngineState[] kept = { engine(state, rank) };
+		RankEngine engine = (order) -> {
+			EngineState before = kept[0];
+			kept[0] = this.rules.stored(before, order);
+			return Optional.of(this.rules.answered(before, order));
+		};
+		MapSwitchRank machine = MapSwitchRank.of(rank, this.ranks, engine, this.sidecars.value(state.sidecars[rank]));
+		List<Integer> sent = new ArrayList<>();
+		for (RankOutput output : machine.on(input)) {
+			collect(output, sent);
+			if (this.instantLoad && output instanceof RankOutput.Load load) {
+				machine.on(new RankInput.Loaded(load.change())).forEach((more) -> collect(more, sent));
+			}
+		}
+		return new Reaction(this.engines.id(kept[0]), this.sidecars.id(machine.memory()),
+				sent.stream().mapToInt(Integer::intValue).toArray());
+	}
+
+	private void collect(RankOutput output, List<Integer> sent) {
+		if (output instanceof RankOutput.ToRank toRank) {
+			sent.add(this.envelopes.id(new Envelope(toRank.rank(), toRank.message())));
+		}
+		else if (output instanceof RankOutput.ToBalancer toBalancer) {
+			sent.add(this.envelopes.id(new Envelope(BALANCERS + (int) toBalancer.fence(), toBalancer.message())));
+		}
+	}
+
+	State react(State state, int balancer, BalancerInput input) {
+		BalancerMemory before = this.balancerMemories.value(state.balancers[balancer]);
+		MapSwitchBalancer machine = MapSwitchBalancer.of(this.ranks, before.incarnation(), balancer + 1,
+				before.memory());
+		for (BalancerOutput output : machine.on(input)) {
+			if (output instanceof BalancerOutput.ToRank toRank) {
+				state.sent.set(this.envelopes.id(new Envelope(toRank.rank(), toRank.message())));
+			}
+			else if (output instanceof BalancerOutput.Settled settled && settled.committed()) {
+				state.sent.set(
+						this.envelopes.id(new Envelope(STORE, new StoreWrite(before.incarnation(), settled.change()))));
+			}
+		}
+		state.balancers[balancer] = this.balancerMemories
+			.id(new BalancerMemory(before.incarnation(), machine.memory()));
+		return state;
+	}
+
+	/**
+	 * Heals every fault, loses all messages sent so far, and runs the group fairly.
+	 * @param from the state
+	 * @param withBalancers whether the balancers run too
+	 * @return what is wrong, or empty if the group steps on
+	 */
+	Optional<String> wrongAfterHealing(State from, boolean withBalancers) {
+		State state = from.copy("heal");
+		state.sent = new BitSet();
+		for (int round = 0; round < 12; round++) {
+			if (state.broken) {
+				reform(state);
+			}
+			for (int rank = 0; rank < this.ranks; rank++) {
+				if (mayJoin(state, rank)) {
+					join(state, rank);
+				}
+				react(state, rank, new RankInput.Tick());
+			}
+			for (int balancer = 0; withBalancers && balancer < this.balancers; balancer++) {
+				if (state.balancers[balancer] != DOWN) {
+					react(state, balancer, new BalancerInput.Tick());
+				}
+			}
+			drain(state);
+			for (int rank = 0; rank < this.ranks; rank++) {
+				if (mayBegin(state, rank)) {
+					begin(state, rank);
+				}
+			}
+		}
+		return state.violation.or(() -> (slowest(state) > LAST_STEP + 2) ? Optional.empty()
+				: Optional.of("stopped for ever" + describe(state)));
+	}
+
+	private void drain(State state) {
+		while (!state.sent.isEmpty()) {
+			BitSet sent = state.sent;
+			state.sent = new BitSet();
+			for (int id = sent.nextSetBit(0); id >= 0; id = sent.nextSetBit(id + 1)) {
+				deliver(state, id, new ArrayList<>());
+			}
+		}
+	}
+
+	private long slowest(State state) {
+		long slowest = Long.MAX_VALUE;
+		for (int rank = 0; rank < this.ranks; rank++) {
+			slowest = Math.min(slowest, engine(state, rank).nextStep());
+		}
+		return slowest;
+	}
+
+	String describe(State state) {
+		StringBuilder text = new StringBuilder();
+		for (int rank = 0; rank < this.ranks; rank++) {
+			text.append("\n rank ").append(rank).append(": ");
+			text.append((state.engines[rank] != DOWN) ? engine(state, rank) : "down");
+			text.append(' ').append(this.sidecars.value(state.sidecars[rank]));
+		}
+		for (State at = state; at != null; at = at.parent) {
+			text.append("\n after ").append(name(at.event));
+		}
+		return text.toString();
+	}
+
+	private String name(String event) {
+		if (event.startsWith("deliver ")) {
+			return "deliver " + this.envelopes.value(Integer.parseInt(event.substring("deliver ".length())));
+		}
+		return event;
+	}
+
+	/** What a rank's sidecar did. */
+	private record Reaction(int engine, int sidecar, int[] sent) {
+	}
+
+	/** A message and where it goes. */
+	private record Envelope(int to, Object body) {
+	}
+
+	/** A committed map on its way to the store, by a conditional write. */
+	private record StoreWrite(long incarnation, MapSwitch change) {
+	}
+
+	/** A balancer's memory and the incarnation that it serves. */
+	private record BalancerMemory(long incarnation, MapSwitchBalancer.Memory memory) {
+	}
+
+	/** Numbers equal values. */
+	private static final class Interner<T> {
+
+		private final Map<T, Integer> ids = new HashMap<>();
+
+		private final List<T> values = new ArrayList<>();
+
+		int id(T value) {
+			Integer known = this.ids.get(value);
+			if (known != null) {
+				return known;
+			}
+			this.ids.put(value, this.values.size());
+			this.values.add(value);
+			return this.values.size() - 1;
+		}
+
+		T value(int id) {
+			return this.values.get(id);
+		}
+
+	}
+
+	/** A state of everything, as numbers of interned parts. */
+	static final class State {
+
+		int[] engines;
+
+		int[] sidecars;
+
+		int[] seenFence;
+
+		int[] balancers;
+
+		int[] store;
+
+		int restarts;
+
+		int crashes;
+
+		boolean broken;
+
+		BitSet sent;
+
+		Optional<String> violation = Optional.empty();
+
+		State parent;
+
+		String event = "start";
+
+		State copy(String newEvent) {
+			State copy = new State();
+			copy.engines = this.engines.clone();
+			copy.sidecars = this.sidecars.clone();
+			copy.seenFence = this.seenFence.clone();
+			copy.balancers = this.balancers.clone();
+			copy.store = this.store;
+			copy.restarts = this.restarts;
+			copy.crashes = this.crashes;
+			copy.broken = this.broken;
+			copy.sent = (BitSet) this.sent.clone();
+			copy.parent = this;
+			copy.event = newEvent;
+			return copy;
+		}
+
+		long fingerprint() {
+			HashStream64 hash = Hashing.komihash5_0().hashStream();
+			putLocal(hash);
+			hash.putIntArray(this.seenFence);
+			hash.putInt(this.restarts).putInt(this.crashes);
+			hash.putInt(this.store[2]).putInt(this.store[3]);
+			return hash.putLongArray(this.sent.toLongArray()).getAsLong();
+		}
+
+		/** What a healed run depends on. */
+		long localFingerprint() {
+			HashStream64 hash = Hashing.komihash5_0().hashStream();
+			putLocal(hash);
+			return hash.getAsLong();
+		}
+
+		private void putLocal(HashStream64 hash) {
+			hash.putIntArray(this.engines).putIntArray(this.sidecars).putIntArray(this.balancers);
+			hash.putInt(this.store[0]).putInt(this.store[1]).putBoolean(this.broken);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-experts/src/test/java/io/bulrushrouter/experts/switchover/LargeGroup.java
@@ -0,0 +1,227 @@
+package io.bulrushrouter.experts.switchover;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+import io.bulrushrouter.experts.ExpertMap;
+import io.bulrushrouter.experts.GroupShape;
+
+/**
+ * A group of many ranks under random faults: messages are lost, delayed, doubled and
+ * reordered, sidecars restart, balancers are replaced while the old one goes on.
+ */
+final class LargeGroup {
+
+	private static final double LOSS = 0.05;
+
+	private static final double DUPLICATE = 0.05;
+
+	private final int ranks;
+
+	private final RandomGenerator random;
+
+	private final MapSwitchRank[] sidecars;
+
+	private final EngineState[] engines;
+
+	private final List<MapSwitchBalancer> balancers = new ArrayList<>();
+
+	private final List<Sent> network = new ArrayList<>();
+
+	private boolean faults = true;
+
+	private long step;
+
+	private long mapOfStep = -1;
+
+	private long nextVersion = 2;
+
+	private int begun;
+
+	private int committed;
+
+	private int messages;
+
+	LargeGroup(int ranks, RandomGenerator random) {
+		this.ranks = ranks;
+		this.random = random;
+		this.sidecars = new MapSwitchRank[ranks];
+		this.engines = new EngineState[ranks];
+		for (int rank = 0; rank < ranks; rank++) {
+			this.engines[rank] = EngineState.ofStart(1, 0, 1);
+			this.sidecars[rank] = sidecar(rank);
+		}
+	}
+
+	private MapSwitchRank sidecar(int rank) {
+		return MapSwitchRank.of(rank, this.ranks, (order) -> {
+			this.engines[rank] = this.engines[rank].after(order);
+			return Optional.of(this.engines[rank]);
+		});
+	}
+
+	/** Runs under faults, with a new balancer every so often. */
+	void runWithFaults(int events) {
+		for (int event = 0; event < events; event++) {
+			int dice = this.random.nextInt(1000);
+			if (dice < 900) {
+				deliverOne();
+			}
+			else if (dice < 950) {
+				begin(this.random.nextInt(this.ranks));
+			}
+			else if (dice < 998) {
+				react(this.random.nextInt(this.ranks), new RankInput.Tick());
+			}
+			else {
+				disturb();
+			}
+			if (event % (events / 16) == 0) {
+				startBalancer();
+			}
+		}
+	}
+
+	private void disturb() {
+		int rank = this.random.nextInt(this.ranks);
+		int dice = this.random.nextInt(64);
+		if (dice == 0) {
+			this.sidecars[rank] = sidecar(rank);
+			react(rank, new RankInput.Started());
+		}
+		else {
+			int balancer = this.balancers.size() - 1 - this.random.nextInt(Math.min(2, this.balancers.size()));
+			react(balancer, (dice == 1) ? new BalancerInput.GiveUp() : new BalancerInput.Tick());
+		}
+	}
+
+	void startBalancer() {
+		this.balancers.add(MapSwitchBalancer.of(this.ranks, 1, this.balancers.size() + 1));
+		ExpertMap map = ExpertMap.ofRoundRobin(this.nextVersion++, GroupShape.of(1, 1, this.ranks, 1));
+		react(this.balancers.size() - 1,
+				new BalancerInput.Start(this.engines[0].nextMapVersion(), map, this.engines[0].nextStep() + 4));
+	}
+
+	/** Ends all faults and runs fairly. */
+	void runHealed(int rounds) {
+		this.network.clear();
+		runWithoutFaults(rounds);
+	}
+
+	/** Runs fairly; what was sent arrives. */
+	void runWithoutFaults(int rounds) {
+		this.faults = false;
+		for (int round = 0; round < rounds; round++) {
+			for (int rank = 0; rank < this.ranks; rank++) {
+				react(rank, new RankInput.Tick());
+			}
+			while (!this.network.isEmpty()) {
+				deliverOne();
+			}
+			for (int rank = 0; rank < this.ranks; rank++) {
+				begin(rank);
+			}
+		}
+	}
+
+	private void begin(int rank) {
+		EngineState state = this.engines[rank];
+		if (state.nextStep() != this.step || state.stopped()) {
+			return;
+		}
+		this.engines[rank] = state.begun();
+		long map = this.engines[rank].mapVersion();
+		if (this.mapOfStep >= 0 && this.mapOfStep != map) {
+			throw new AssertionError("step " + this.step + " on maps " + this.mapOfStep + " and " + map);
+		}
+		this.mapOfStep = map;
+		if (++this.begun == this.ranks) {
+			this.begun = 0;
+			this.mapOfStep = -1;
+			this.step++;
+		}
+	}
+
+	private void deliverOne() {
+		if (this.network.isEmpty()) {
+			return;
+		}
+		int index = this.random.nextInt(this.network.size());
+		Sent sent = this.network.get(index);
+		if (!this.faults || this.random.nextDouble() >= DUPLICATE) {
+			this.network.set(index, this.network.get(this.network.size() - 1));
+			this.network.remove(this.network.size() - 1);
+		}
+		if (this.faults && this.random.nextDouble() < LOSS) {
+			return;
+		}
+		if (sent.toBalancer()) {
+			react(sent.to(), new BalancerInput.Received(sent.message()));
+		}
+		else {
+			react(sent.to(), new RankInput.Received(sent.message()));
+		}
+	}
+
+	private void react(int rank, RankInput input) {
+		for (RankOutput output : this.sidecars[rank].on(input)) {
+			if (output instanceof RankOutput.ToRank toRank) {
+				send(new Sent(false, toRank.rank(), toRank.message()));
+			}
+			else if (output instanceof RankOutput.ToBalancer toBalancer) {
+				send(new Sent(true, (int) toBalancer.fence() - 1, toBalancer.message()));
+			}
+			else if (output instanceof RankOutput.Load load) {
+				react(rank, new RankInput.Loaded(load.change()));
+			}
+		}
+	}
+
+	private void react(int balancer, BalancerInput input) {
+		for (BalancerOutput output : this.balancers.get(balancer).on(input)) {
+			if (output instanceof BalancerOutput.ToRank toRank) {
+				send(new Sent(false, toRank.rank(), toRank.message()));
+			}
+			else if (output instanceof BalancerOutput.Settled settled && settled.committed()) {
+				this.committed++;
+			}
+		}
+	}
+
+	private void send(Sent sent) {
+		this.messages++;
+		this.network.add(sent);
+	}
+
+	long step() {
+		return this.step;
+	}
+
+	int committed() {
+		return this.committed;
+	}
+
+	int messages() {
+		return this.messages;
+	}
+
+	boolean allOn(long version) {
+		for (EngineState engine : this.engines) {
+			if (engine.mapVersion() != version) {
+				return false;
+			}
+		}
+		return true;
+	}
+
+	long newestVersion() {
+		return this.nextVersion - 1;
+	}
+
+	/** A message in the network. */
+	private record Sent(boolean toBalancer, int to, SwitchMessage message) {
+	}
+
+}
