--- /dev/null
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/ExpertRun.java
@@ -0,0 +1,204 @@
+package io.bulrushrouter.bench;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Arrays;
+import java.util.Deque;
+
+import io.bulrushrouter.experts.ExpertMap;
+import io.bulrushrouter.experts.GroupShape;
+import io.bulrushrouter.experts.Popularity;
+import io.bulrushrouter.experts.PopularityReport;
+import io.bulrushrouter.experts.planning.ExpertPlan;
+import io.bulrushrouter.experts.planning.ExpertPlanner;
+import io.bulrushrouter.experts.planning.ExpertPlanners;
+import io.bulrushrouter.experts.planning.GroupSkew;
+import io.bulrushrouter.experts.planning.PlanProfile;
+import io.bulrushrouter.experts.planning.PlanRequest;
+
+/**
+ * One day of one group under one planner and profile, a plan a minute.
+ */
+final class ExpertRun {
+
+	/** Weights of one expert of one layer: three matrices of 7168 x 2048 bytes. */
+	static final long EXPERT_BYTES = 3L * 7168 * 2048;
+
+	private static final double STORE_BYTES_PER_SECOND = 8e9;
+
+	private static final double TOKENS_A_RANK_AND_MINUTE = 1000 * 8 * 60;
+
+	private static final int RANKS_AN_INSTANCE = 8;
+
+	private static final int STRAGGLER_FROM_MINUTE = 13 * 60;
+
+	private static final int STRAGGLER_TO_MINUTE = 14 * 60;
+
+	private static final double STRAGGLER_SPEED = 0.7;
+
+	private static final int ATTENDED_FROM_MINUTE = 8 * 60;
+
+	private static final int ATTENDED_TO_MINUTE = 18 * 60;
+
+	private static final double NEVER = 1e9;
+
+	private final GroupShape shape;
+
+	private final ExpertPlanner planner;
+
+	private final PlanProfile profile;
+
+	private final ExpertDay day;
+
+	private final Popularity popularity;
+
+	private final Deque<Change> changes = new ArrayDeque<>();
+
+	private final double[] skews = new double[ExpertDay.MINUTES];
+
+	private final double[] bounds = new double[ExpertDay.MINUTES];
+
+	private ExpertMap map;
+
+	private double sinceMoveSeconds = NEVER;
+
+	private long bytes;
+
+	private long unattendedBytes;
+
+	private long quietBytes;
+
+	private long switches;
+
+	private long planNanos;
+
+	private long slowestPlanNanos;
+
+	ExpertRun(GroupShape shape, ExpertPlanner planner, PlanProfile profile, long seed) {
+		this.shape = shape;
+		this.planner = planner;
+		this.profile = profile;
+		this.day = new ExpertDay(shape, seed);
+		this.popularity = Popularity.of(shape, Duration.ofMinutes(1), Duration.ofMinutes(15));
+	}
+
+	/** Runs the day, from a map that was built for its first minute. */
+	ExpertRun run() {
+		double[][] first = this.day.next(0);
+		ExpertMap empty = ExpertMap.ofRoundRobin(1, this.shape);
+		this.map = ExpertPlanners.ofAnew().plan(request(empty, first, speeds(0), PlanProfile.ofLowSkew(), true)).map();
+		report(first, 0);
+		for (int minute = 1; minute < ExpertDay.MINUTES; minute++) {
+			takeEffect(minute);
+			double[][] shares = this.day.next(minute);
+			this.skews[minute] = GroupSkew.of(this.map, shares, speeds(minute));
+			this.bounds[minute] = GroupSkew.lowerBound(this.shape, shares);
+			report(shares, minute);
+			if (this.changes.isEmpty()) {
+				plan(minute);
+			}
+			this.sinceMoveSeconds += 60;
+		}
+		return this;
+	}
+
+	private void plan(int minute) {
+		boolean attended = minute >= ATTENDED_FROM_MINUTE && minute < ATTENDED_TO_MINUTE;
+		double[][] loads = new double[this.shape.layers()][];
+		Arrays.setAll(loads, this.popularity::shares);
+		PlanRequest request = request(this.map, loads, speeds(minute), this.profile, attended);
+		long begin = System.nanoTime();
+		ExpertPlan plan = this.planner.plan(request);
+		long took = System.nanoTime() - begin;
+		this.planNanos += took;
+		this.slowestPlanNanos = Math.max(this.slowestPlanNanos, took);
+		if (!plan.changes()) {
+			return;
+		}
+		this.switches++;
+		this.bytes += plan.bytes();
+		this.unattendedBytes += attended ? 0 : plan.bytes();
+		this.quietBytes += (attended || plan.skewBefore() > this.profile.emergencySkew()) ? 0 : plan.bytes();
+		this.sinceMoveSeconds = (plan.loads() > 0) ? 0 : this.sinceMoveSeconds;
+		int transferMinutes = (int) Math.ceil(request.weights().seconds(plan.loads()) / 60);
+		this.changes.add(new Change(minute + Math.max(1, transferMinutes), plan.map()));
+	}
+
+	private void takeEffect(int minute) {
+		while (!this.changes.isEmpty() && this.changes.peek().minute() <= minute) {
+			this.map = this.changes.poll().map();
+		}
+	}
+
+	private void report(double[][] shares, int minute) {
+		double tokens = TOKENS_A_RANK_AND_MINUTE * this.shape.ranks();
+		for (int layer = 0; layer < shares.length; layer++) {
+			this.popularity.observe(new PopularityReport(0, minute, layer, Duration.ofMinutes(minute).toNanos(),
+					this.day.sampled(shares[layer], tokens)));
+		}
+	}
+
+	private PlanRequest request(ExpertMap current, double[][] loads, double[] speeds, PlanProfile weighing,
+			boolean attended) {
+		int[] instances = new int[this.shape.ranks()];
+		Arrays.setAll(instances, (rank) -> rank / RANKS_AN_INSTANCE);
+		PlanRequest.WeightStore weights = new PlanRequest.WeightStore(EXPERT_BYTES, STORE_BYTES_PER_SECOND);
+		return new PlanRequest(current, loads, speeds, instances, weighing, weights, attended, this.sinceMoveSeconds);
+	}
+
+	private double[] speeds(int minute) {
+		double[] speeds = new double[this.shape.ranks()];
+		Arrays.fill(speeds, 1);
+		if (minute >= STRAGGLER_FROM_MINUTE && minute < STRAGGLER_TO_MINUTE) {
+			speeds[this.shape.ranks() / 3] = STRAGGLER_SPEED;
+		}
+		return speeds;
+	}
+
+	double[] skews() {
+		return Arrays.copyOfRange(this.skews, 1, this.skews.length);
+	}
+
+	double skew(double quantile) {
+		return quantile(this.skews, quantile);
+	}
+
+	double bound(double quantile) {
+		return quantile(this.bounds, quantile);
+	}
+
+	private static double quantile(double[] values, double quantile) {
+		double[] sorted = Arrays.copyOfRange(values, 1, values.length);
+		Arrays.sort(sorted);
+		return sorted[(int) Math.min(sorted.length - 1, Math.floor(quantile * sorted.length))];
+	}
+
+	long bytes() {
+		return this.bytes;
+	}
+
+	long unattendedBytes() {
+		return this.unattendedBytes;
+	}
+
+	long quietBytes() {
+		return this.quietBytes;
+	}
+
+	long switches() {
+		return this.switches;
+	}
+
+	double meanPlanSeconds() {
+		return this.planNanos / 1e9 / ExpertDay.MINUTES;
+	}
+
+	double slowestPlanSeconds() {
+		return this.slowestPlanNanos / 1e9;
+	}
+
+	/** A map on its way. */
+	private record Change(int minute, ExpertMap map) {
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/planning/ExpertPlanners.java
@@ -0,0 +1,56 @@
+package io.bulrushrouter.experts.planning;
+
+import java.util.List;
+
+import io.bulrushrouter.kernel.plugin.Plugin;
+import io.bulrushrouter.kernel.plugin.PluginProvider;
+
+/**
+ * The planners and profiles of this module.
+ */
+public final class ExpertPlanners implements PluginProvider {
+
+	/**
+	 * Returns the planner that keeps the map in use.
+	 * @return the planner
+	 */
+	public static ExpertPlanner ofStatic() {
+		return (request) -> LayerPlanner.kept(request,
+				GroupSkew.of(request.current(), request.loads(), request.speeds()), ExpertPlan.Reason.GOOD_ENOUGH);
+	}
+
+	/**
+	 * Returns the planner that builds maps from nothing.
+	 * @return the planner
+	 */
+	public static ExpertPlanner ofAnew() {
+		return new AnewPlanner();
+	}
+
+	/**
+	 * Returns the planner that moves replicas one at a time.
+	 * @return the planner
+	 */
+	public static ExpertPlanner ofGreedy() {
+		return new GreedyPlanner();
+	}
+
+	/**
+	 * Returns the planner that fits shares first and moves replicas where that is not
+	 * enough.
+	 * @return the planner
+	 */
+	public static ExpertPlanner ofFitted() {
+		return new FittedPlanner();
+	}
+
+	@Override
+	public List<Plugin<?>> plugins() {
+		return List.of(Plugin.of(ExpertPlanner.class, "static", ofStatic()),
+				Plugin.of(ExpertPlanner.class, "anew", ofAnew()), Plugin.of(ExpertPlanner.class, "greedy", ofGreedy()),
+				Plugin.of(ExpertPlanner.class, "fitted", ofFitted()),
+				Plugin.of(PlanProfile.class, "ash", PlanProfile.ofLowSkew()),
+				Plugin.of(PlanProfile.class, "kitchen", PlanProfile.ofLowCost()));
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/planning/GreedyPlanner.java
@@ -0,0 +1,22 @@
+package io.bulrushrouter.experts.planning;
+
+/**
+ * Moves replicas one at a time in layers above the wanted skew; all replicas of an expert
+ * take equal shares.
+ */
+final class GreedyPlanner extends LayerPlanner {
+
+	@Override
+	LayerFit planLayer(PlanRequest request, int layer, LayerFit current, boolean mayMove) {
+		PlanProfile profile = request.profile();
+		if (!mayMove || current.skew() <= profile.moveSkew()) {
+			return current;
+		}
+		LayerFit moved = copy(request, layer, true);
+		moved.fit(profile.targetSkew(), 1);
+		new LayerMoves(moved, request.instances()).lower(profile.targetSkew(),
+				request.current().shape().slotsOfLayer());
+		return (moved.skew() < current.skew()) ? moved : current;
+	}
+
+}
