Add HTTP server and client, and frames between processes

Cause: entries and sidecars need callers' HTTP, engines' HTTP and a connection of their own. The client never repeats a request by itself and tells whether a byte of it may have left, which the verdict rests on.

Before: none. Conclusion: HTTP became a module of its own so that the stand-ins can use it without depending on the frames.

--- /dev/null
+++ b/bulrushrouter-http/src/main/java/io/bulrushrouter/http/HttpCaller.java
@@ -0,0 +1,79 @@
+package io.bulrushrouter.http;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.time.Duration;
+import java.util.Map;
+
+import io.netty.channel.EventLoopGroup;
+import org.asynchttpclient.AsyncHttpClient;
+import org.asynchttpclient.DefaultAsyncHttpClient;
+import org.asynchttpclient.DefaultAsyncHttpClientConfig;
+import org.asynchttpclient.RequestBuilder;
+
+/**
+ * An HTTP client that streams answers and never repeats a request by itself.
+ */
+public final class HttpCaller implements AutoCloseable {
+
+	private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
+
+	private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(20);
+
+	private static final Duration NO_TIMEOUT = Duration.ofMillis(-1);
+
+	private final AsyncHttpClient client;
+
+	private HttpCaller(AsyncHttpClient client) {
+		this.client = client;
+	}
+
+	/**
+	 * Returns a client.
+	 * @param group the network threads, which the caller owns
+	 * @return the client
+	 */
+	public static HttpCaller of(EventLoopGroup group) {
+		var config = new DefaultAsyncHttpClientConfig.Builder().setEventLoopGroup(group)
+			.setMaxRequestRetry(0)
+			.setDisableUrlEncodingForBoundRequests(true)
+			.setFollowRedirect(false)
+			.setConnectTimeout(CONNECT_TIMEOUT)
+			.setPooledConnectionIdleTimeout(IDLE_TIMEOUT)
+			.setRequestTimeout(NO_TIMEOUT)
+			.setReadTimeout(NO_TIMEOUT)
+			.build();
+		return new HttpCaller(new DefaultAsyncHttpClient(config));
+	}
+
+	/**
+	 * Sends a request.
+	 * @param method the HTTP method
+	 * @param url the address
+	 * @param headers the headers
+	 * @param body the body; empty for none
+	 * @param listener takes the answer, on a network thread
+	 * @return the running call
+	 */
+	public HttpFlight send(String method, String url, Map<String, String> headers, byte[] body, HttpListener listener) {
+		RequestBuilder request = new RequestBuilder(method).setUrl(url);
+		headers.forEach(request::setHeader);
+		if (body.length > 0) {
+			request.setBody(body);
+		}
+		HttpFlight flight = new HttpFlight(listener);
+		this.client.executeRequest(request.build(), flight);
+		return flight;
+	}
+
+	@Override
+	public void close() {
+		try {
+			this.client.close();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-http/src/main/java/io/bulrushrouter/http/HttpExchange.java
@@ -0,0 +1,207 @@
+package io.bulrushrouter.http;
+
+import java.util.Optional;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+
+/**
+ * One request and the way to answer it, from any thread. An answer is either
+ * {@link #respond} once, or {@link #start}, any number of {@link #write}, and
+ * {@link #end} or {@link #abort}.
+ */
+public final class HttpExchange {
+
+	private final Channel channel;
+
+	private final String method;
+
+	private final String target;
+
+	private final HttpHeaders headers;
+
+	private final byte[] body;
+
+	private final boolean keepAlive;
+
+	private final int maxPendingBytes;
+
+	private final Runnable finished;
+
+	private volatile boolean done;
+
+	private volatile Runnable closeListener = () -> {
+	};
+
+	HttpExchange(Channel channel, RequestParts parts, int maxPendingBytes, Runnable finished) {
+		this.channel = channel;
+		this.method = parts.method();
+		this.target = parts.target();
+		this.headers = parts.headers();
+		this.body = parts.body();
+		this.keepAlive = parts.keepAlive();
+		this.maxPendingBytes = maxPendingBytes;
+		this.finished = finished;
+	}
+
+	/**
+	 * Returns the HTTP method.
+	 * @return the method, such as {@code POST}
+	 */
+	public String method() {
+		return this.method;
+	}
+
+	/**
+	 * Returns path and query as they came.
+	 * @return the request target
+	 */
+	public String target() {
+		return this.target;
+	}
+
+	/**
+	 * Returns the path without the query.
+	 * @return the path
+	 */
+	public String path() {
+		int query = this.target.indexOf('?');
+		return (query < 0) ? this.target : this.target.substring(0, query);
+	}
+
+	/**
+	 * Finds a header.
+	 * @param name the header's name, in any case
+	 * @return its first value, or empty
+	 */
+	public Optional<String> header(String name) {
+		return Optional.ofNullable(this.headers.get(name));
+	}
+
+	/**
+	 * Returns the body.
+	 * @return the bytes
+	 */
+	public byte[] body() {
+		return this.body;
+	}
+
+	/**
+	 * Sets what to run when the caller goes away before the answer is whole.
+	 * @param listener the action, run at most once and on a network thread
+	 */
+	public void onClosed(Runnable listener) {
+		this.closeListener = listener;
+		if (!this.channel.isActive()) {
+			connectionClosed();
+		}
+	}
+
+	/**
+	 * Sends a whole answer.
+	 * @param reply the answer
+	 */
+	public void respond(HttpReply reply) {
+		if (this.done) {
+			return;
+		}
+		ByteBuf content = Unpooled.wrappedBuffer(reply.body());
+		HttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+				HttpResponseStatus.valueOf(reply.status()), content);
+		response.headers().set(HttpHeaderNames.CONTENT_LENGTH, reply.body().length);
+		setHeaders(response, reply);
+		finish(response);
+	}
+
+	/**
+	 * Sends the head of a streamed answer.
+	 * @param head status, content type and headers
+	 */
+	public void start(HttpReply head) {
+		if (this.done) {
+			return;
+		}
+		HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1,
+				HttpResponseStatus.valueOf(head.status()));
+		response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+		setHeaders(response, head);
+		this.channel.write(response);
+	}
+
+	/**
+	 * Sends a part of a streamed answer.
+	 * @param bytes the part; kept, so the caller must not change it
+	 * @return false if the reader is so slow that too much waits, or is gone
+	 */
+	public boolean write(byte[] bytes) {
+		if (this.done) {
+			return false;
+		}
+		this.channel.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)), this.channel.voidPromise());
+		return pendingBytes() <= this.maxPendingBytes;
+	}
+
+	private long pendingBytes() {
+		var buffer = this.channel.unsafe().outboundBuffer();
+		return (buffer != null) ? buffer.totalPendingWriteBytes() : 0;
+	}
+
+	/**
+	 * Ends a streamed answer cleanly.
+	 */
+	public void end() {
+		if (!this.done) {
+			finish(LastHttpContent.EMPTY_LAST_CONTENT);
+		}
+	}
+
+	/**
+	 * Ends a streamed answer without its end mark, by closing the connection.
+	 */
+	public void abort() {
+		this.done = true;
+		this.channel.close();
+	}
+
+	private void finish(Object last) {
+		this.done = true;
+		var written = this.channel.writeAndFlush(last);
+		if (this.keepAlive) {
+			this.channel.eventLoop().execute(this.finished);
+		}
+		else {
+			written.addListener(ChannelFutureListener.CLOSE);
+		}
+	}
+
+	private void setHeaders(HttpResponse response, HttpReply reply) {
+		response.headers().set(HttpHeaderNames.CONTENT_TYPE, reply.contentType());
+		reply.headers().forEach((name, value) -> response.headers().set(name, value));
+		if (!this.keepAlive) {
+			response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+		}
+	}
+
+	void connectionClosed() {
+		if (!this.done) {
+			this.done = true;
+			this.closeListener.run();
+		}
+	}
+
+	record RequestParts(String method, String target, HttpHeaders headers, byte[] body, boolean keepAlive) {
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-http/src/main/java/io/bulrushrouter/http/HttpFlight.java
@@ -0,0 +1,115 @@
+package io.bulrushrouter.http;
+
+import java.net.InetSocketAddress;
+import java.util.Optional;
+
+import io.netty.channel.Channel;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import org.asynchttpclient.AsyncHandler;
+import org.asynchttpclient.HttpResponseBodyPart;
+import org.asynchttpclient.HttpResponseStatus;
+import org.asynchttpclient.netty.request.NettyRequest;
+
+/**
+ * A running call of {@link HttpCaller}.
+ */
+public final class HttpFlight implements AsyncHandler<Void> {
+
+	private final HttpListener listener;
+
+	private volatile boolean sent;
+
+	private volatile boolean cancelled;
+
+	private volatile Channel channel;
+
+	private int status;
+
+	private boolean finished;
+
+	HttpFlight(HttpListener listener) {
+		this.listener = listener;
+	}
+
+	/**
+	 * Gives the call up and closes its connection; the listener hears no more.
+	 */
+	public void cancel() {
+		this.cancelled = true;
+		Optional.ofNullable(this.channel).ifPresent(Channel::close);
+	}
+
+	@Override
+	public void onTcpConnectSuccess(InetSocketAddress remoteAddress, Channel connection) {
+		keep(connection);
+	}
+
+	@Override
+	public void onConnectionPooled(Channel connection) {
+		keep(connection);
+	}
+
+	@Override
+	public void onConnectionOffer(Channel connection) {
+		this.channel = null;
+	}
+
+	private void keep(Channel connection) {
+		this.channel = connection;
+		if (this.cancelled) {
+			connection.close();
+		}
+	}
+
+	@Override
+	public void onRequestSend(NettyRequest request) {
+		this.sent = true;
+	}
+
+	@Override
+	public State onStatusReceived(HttpResponseStatus responseStatus) {
+		this.status = responseStatus.getStatusCode();
+		return next();
+	}
+
+	@Override
+	public State onHeadersReceived(HttpHeaders headers) {
+		if (!this.cancelled) {
+			String contentType = headers.get(HttpHeaderNames.CONTENT_TYPE, "");
+			this.listener.head(this.status, contentType);
+		}
+		return next();
+	}
+
+	@Override
+	public State onBodyPartReceived(HttpResponseBodyPart bodyPart) {
+		byte[] bytes = bodyPart.getBodyPartBytes();
+		if (!this.cancelled && bytes.length > 0) {
+			this.listener.part(bytes);
+		}
+		return next();
+	}
+
+	private State next() {
+		return this.cancelled ? State.ABORT : State.CONTINUE;
+	}
+
+	@Override
+	public Void onCompleted() {
+		if (!this.cancelled && !this.finished) {
+			this.finished = true;
+			this.listener.end();
+		}
+		return null;
+	}
+
+	@Override
+	public void onThrowable(Throwable cause) {
+		if (!this.cancelled && !this.finished) {
+			this.finished = true;
+			this.listener.failed(this.sent, cause);
+		}
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-http/src/main/java/io/bulrushrouter/http/HttpListener.java
@@ -0,0 +1,33 @@
+package io.bulrushrouter.http;
+
+/**
+ * Takes an answer as it arrives: a head, parts, and then either an end or a failure.
+ */
+public interface HttpListener {
+
+	/**
+	 * Takes the head.
+	 * @param status the HTTP status
+	 * @param contentType the content type, empty if there is none
+	 */
+	void head(int status, String contentType);
+
+	/**
+	 * Takes a part of the body.
+	 * @param bytes the part
+	 */
+	void part(byte[] bytes);
+
+	/**
+	 * Takes the clean end.
+	 */
+	void end();
+
+	/**
+	 * Takes a failure.
+	 * @param mayHaveArrived whether a byte of the request may have reached the server
+	 * @param cause what happened
+	 */
+	void failed(boolean mayHaveArrived, Throwable cause);
+
+}
--- /dev/null
+++ b/bulrushrouter-http/src/main/java/io/bulrushrouter/http/HttpServer.java
@@ -0,0 +1,99 @@
+package io.bulrushrouter.http;
+
+import java.net.InetSocketAddress;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.util.concurrent.GlobalEventExecutor;
+
+import io.bulrushrouter.kernel.BulrushException;
+import io.bulrushrouter.kernel.ErrorCode;
+
+/**
+ * A listening HTTP/1.1 server.
+ *
+ * <pre>{@code
+ * try (HttpServer server = HttpServer.start(group, address, HttpLimits.ofDefaults(), handler)) {
+ *     server.port();
+ * }
+ * }</pre>
+ */
+public final class HttpServer implements AutoCloseable {
+
+	private static final int BACKLOG = 1024;
+
+	private final Channel channel;
+
+	private final ChannelGroup connections;
+
+	private HttpServer(Channel channel, ChannelGroup connections) {
+		this.channel = channel;
+		this.connections = connections;
+	}
+
+	/**
+	 * Starts a server.
+	 * @param group the network threads, which the caller owns
+	 * @param address where to listen; port 0 takes a free one
+	 * @param limits what a caller may take
+	 * @param handler answers requests
+	 * @return the server
+	 * @throws BulrushException with {@link ErrorCode#PORT_IN_USE} if the address is taken
+	 */
+	public static HttpServer start(EventLoopGroup group, InetSocketAddress address, HttpLimits limits,
+			HttpHandler handler) {
+		ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+		var bound = new ServerBootstrap().group(group)
+			.channel(NioServerSocketChannel.class)
+			.option(ChannelOption.SO_BACKLOG, BACKLOG)
+			.childOption(ChannelOption.TCP_NODELAY, true)
+			.childHandler(new ChannelInitializer<Channel>() {
+				@Override
+				protected void initChannel(Channel connection) {
+					connections.add(connection);
+					HttpDecoderConfig config = new HttpDecoderConfig().setMaxInitialLineLength(limits.maxLineBytes())
+						.setMaxHeaderSize(limits.maxHeaderBytes());
+					connection.pipeline().addLast(new HttpServerCodec(config), new HttpServerHandler(limits, handler));
+				}
+			})
+			.bind(address)
+			.awaitUninterruptibly();
+		if (!bound.isSuccess()) {
+			throw new BulrushException(ErrorCode.PORT_IN_USE, "cannot listen on " + address, bound.cause());
+		}
+		return new HttpServer(bound.channel(), connections);
+	}
+
+	/**
+	 * Returns the port.
+	 * @return the port it listens on
+	 */
+	public int port() {
+		return ((InetSocketAddress) this.channel.localAddress()).getPort();
+	}
+
+	/**
+	 * Stops taking new connections; those that are open stay.
+	 */
+	public void stopListening() {
+		this.channel.close().awaitUninterruptibly();
+	}
+
+	/**
+	 * Stops listening and closes all connections.
+	 */
+	@Override
+	public void close() {
+		stopListening();
+		this.connections.close().awaitUninterruptibly();
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-http/src/main/java/io/bulrushrouter/http/HttpServerHandler.java
@@ -0,0 +1,162 @@
+package io.bulrushrouter.http;
+
+import java.io.ByteArrayOutputStream;
+import java.util.ArrayDeque;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.ScheduledFuture;
+
+import io.bulrushrouter.kernel.ErrorCode;
+
+/**
+ * Gathers whole requests of one connection and hands them over one at a time.
+ */
+final class HttpServerHandler extends ChannelInboundHandlerAdapter {
+
+	private final HttpLimits limits;
+
+	private final HttpHandler handler;
+
+	private final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
+
+	private HttpRequest head;
+
+	private ByteArrayOutputStream body;
+
+	private HttpExchange current;
+
+	private ScheduledFuture<?> readTimer;
+
+	HttpServerHandler(HttpLimits limits, HttpHandler handler) {
+		this.limits = limits;
+		this.handler = handler;
+	}
+
+	@Override
+	public void channelRead(ChannelHandlerContext context, Object message) {
+		try {
+			if (message instanceof HttpRequest request) {
+				begin(context, request);
+			}
+			if (message instanceof HttpContent content && this.head != null) {
+				gather(context, content);
+			}
+		}
+		finally {
+			ReferenceCountUtil.release(message);
+		}
+	}
+
+	private void begin(ChannelHandlerContext context, HttpRequest request) {
+		this.head = request;
+		this.body = new ByteArrayOutputStream();
+		if (request.decoderResult().isFailure()) {
+			refuse(context, ErrorCode.BAD_REQUEST);
+			return;
+		}
+		if (HttpUtil.getContentLength(request, 0L) > this.limits.maxBodyBytes()) {
+			refuse(context, ErrorCode.TOO_LARGE);
+			return;
+		}
+		if (HttpUtil.is100ContinueExpected(request)) {
+			context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
+					Unpooled.EMPTY_BUFFER));
+		}
+		this.readTimer = context.executor()
+			.schedule(() -> refuse(context, ErrorCode.TIMED_OUT_READING), this.limits.readTimeout().toMillis(),
+					TimeUnit.MILLISECONDS);
+	}
+
+	private void gather(ChannelHandlerContext context, HttpContent content) {
+		if (content.decoderResult().isFailure()) {
+			refuse(context, ErrorCode.BAD_REQUEST);
+			return;
+		}
+		if (this.body.size() + content.content().readableBytes() > this.limits.maxBodyBytes()) {
+			refuse(context, ErrorCode.TOO_LARGE);
+			return;
+		}
+		append(content.content());
+		if (content instanceof LastHttpContent) {
+			HttpExchange exchange = exchange(context, HttpUtil.isKeepAlive(this.head));
+			forget();
+			deliver(exchange, () -> this.handler.handle(exchange));
+		}
+	}
+
+	private void append(ByteBuf part) {
+		byte[] bytes = new byte[part.readableBytes()];
+		part.readBytes(bytes);
+		this.body.writeBytes(bytes);
+	}
+
+	private void refuse(ChannelHandlerContext context, ErrorCode code) {
+		HttpExchange exchange = exchange(context, false);
+		forget();
+		context.channel().config().setAutoRead(false);
+		deliver(exchange, () -> this.handler.refuse(exchange, code));
+	}
+
+	private HttpExchange exchange(ChannelHandlerContext context, boolean keepAlive) {
+		var parts = new HttpExchange.RequestParts(this.head.method().name(), this.head.uri(), this.head.headers(),
+				this.body.toByteArray(), keepAlive);
+		return new HttpExchange(context.channel(), parts, this.limits.maxPendingBytes(), this::next);
+	}
+
+	private void forget() {
+		this.head = null;
+		this.body = null;
+		if (this.readTimer != null) {
+			this.readTimer.cancel(false);
+			this.readTimer = null;
+		}
+	}
+
+	private void deliver(HttpExchange exchange, Runnable action) {
+		Runnable delivery = () -> {
+			this.current = exchange;
+			action.run();
+		};
+		if (this.current == null) {
+			delivery.run();
+		}
+		else {
+			this.waiting.add(delivery);
+		}
+	}
+
+	private void next() {
+		this.current = null;
+		Runnable delivery = this.waiting.poll();
+		if (delivery != null) {
+			delivery.run();
+		}
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext context) {
+		forget();
+		this.waiting.clear();
+		if (this.current != null) {
+			this.current.connectionClosed();
+		}
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		context.close();
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-http/src/main/java/io/bulrushrouter/http/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * HTTP to callers, upstreams, the platform and operators.
+ */
+package io.bulrushrouter.http;
--- /dev/null
+++ b/bulrushrouter-wire/src/main/java/io/bulrushrouter/wire/PeerConnection.java
@@ -0,0 +1,152 @@
+package io.bulrushrouter.wire;
+
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * One connection to another process. Messages that are sent while the network thread is
+ * busy leave together.
+ */
+public final class PeerConnection extends SimpleChannelInboundHandler<ByteBuf> {
+
+	private static final Logger logger = LoggerFactory.getLogger(PeerConnection.class);
+
+	private static final AtomicLong COUNTER = new AtomicLong();
+
+	/** The most bytes that wait for a slow peer before its connection is closed. */
+	private static final long MAX_PENDING_BYTES = 64L * 1024 * 1024;
+
+	/** Frames leave once this many bytes of them are gathered. */
+	private static final int FLUSH_BYTES = 256 * 1024;
+
+	private final long id = COUNTER.incrementAndGet();
+
+	private final WireMessage.Hello own;
+
+	private final PeerHandler handler;
+
+	private final WireCodec codec = new WireCodec();
+
+	private final ConcurrentLinkedQueue<WireMessage> outbox = new ConcurrentLinkedQueue<>();
+
+	private final AtomicBoolean flushing = new AtomicBoolean();
+
+	private volatile ChannelHandlerContext context;
+
+	private volatile WireMessage.Hello peer;
+
+	PeerConnection(WireMessage.Hello own, PeerHandler handler) {
+		this.own = own;
+		this.handler = handler;
+	}
+
+	/**
+	 * Returns the connection's number.
+	 * @return a number that no other connection of the process has
+	 */
+	public long id() {
+		return this.id;
+	}
+
+	/**
+	 * Returns how the other side introduced itself.
+	 * @return its introduction; null until {@link PeerHandler#connected}
+	 */
+	public WireMessage.Hello peer() {
+		return this.peer;
+	}
+
+	/**
+	 * Sends a message.
+	 * @param message the message
+	 * @return false if the connection is gone, so that the message certainly does not
+	 * leave; true if it may
+	 */
+	public boolean send(WireMessage message) {
+		ChannelHandlerContext current = this.context;
+		if (current == null || !current.channel().isActive()) {
+			return false;
+		}
+		this.outbox.add(message);
+		if (this.flushing.compareAndSet(false, true)) {
+			current.executor().execute(this::flushOutbox);
+		}
+		return true;
+	}
+
+	/**
+	 * Closes the connection.
+	 */
+	public void close() {
+		ChannelHandlerContext current = this.context;
+		if (current != null) {
+			current.close();
+		}
+	}
+
+	private void flushOutbox() {
+		this.flushing.set(false);
+		ByteBuf batch = this.context.alloc().buffer();
+		for (WireMessage message = this.outbox.poll(); message != null; message = this.outbox.poll()) {
+			this.codec.encode(message, batch);
+			if (batch.readableBytes() >= FLUSH_BYTES) {
+				this.context.writeAndFlush(batch);
+				batch = this.context.alloc().buffer();
+			}
+		}
+		this.context.writeAndFlush(batch);
+		closeIfTooSlow();
+	}
+
+	private void closeIfTooSlow() {
+		var buffer = this.context.channel().unsafe().outboundBuffer();
+		if (buffer != null && buffer.totalPendingWriteBytes() > MAX_PENDING_BYTES) {
+			logger.warn("event=peer-too-slow peer={}", this.peer);
+			close();
+		}
+	}
+
+	@Override
+	public void channelActive(ChannelHandlerContext channelContext) {
+		this.context = channelContext;
+		send(this.own);
+	}
+
+	@Override
+	protected void channelRead0(ChannelHandlerContext channelContext, ByteBuf frame) {
+		WireMessage message = this.codec.decode(frame.nioBuffer());
+		if (message instanceof WireMessage.Hello hello) {
+			this.peer = hello;
+			this.handler.connected(this);
+		}
+		else if (this.peer != null) {
+			this.handler.received(this, message);
+		}
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext channelContext) {
+		if (this.peer != null) {
+			this.handler.closed(this);
+		}
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext channelContext, Throwable cause) {
+		logger.warn("event=peer-connection-failed peer={} cause={}", this.peer, cause.toString());
+		channelContext.close();
+	}
+
+	@Override
+	public String toString() {
+		return "connection " + this.id + " to " + this.peer;
+	}
+
+}
--- a/bulrushrouter-wire/src/main/java/io/bulrushrouter/wire/package-info.java
+++ b/bulrushrouter-wire/src/main/java/io/bulrushrouter/wire/package-info.java
@@ -1,4 +1,5 @@
 /**
- * Frames between the system's own processes, and HTTP to callers and upstreams.
+ * Frames between the system's own processes: MessagePack over TCP, each frame led by its
+ * length in four bytes.
  */
 package io.bulrushrouter.wire;
