--- /dev/null
+++ b/bulrushrouter-standin/src/main/java/io/bulrushrouter/standin/EngineStandin.java
@@ -0,0 +1,321 @@
+package io.bulrushrouter.standin;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+
+import io.bulrushrouter.http.HttpExchange;
+import io.bulrushrouter.http.HttpHandler;
+import io.bulrushrouter.http.HttpLimits;
+import io.bulrushrouter.http.HttpReply;
+import io.bulrushrouter.http.HttpServer;
+
+/**
+ * A model engine over HTTP: continuous batching by steps, a bounded prefix cache, load
+ * reports that lag, orders with or without a check of the fencing number, and a count of
+ * what ran.
+ */
+public final class EngineStandin implements HttpHandler, AutoCloseable {
+
+	/** Tells the engine how many tokens of the answer to leave out. */
+	public static final String RESUME_HEADER = "X-Resume-After-Tokens";
+
+	private static final ObjectMapper JSON = new ObjectMapper();
+
+	private static final int PREFIX_CHARACTERS = 64;
+
+	private static final int CHARACTERS_PER_TOKEN = 4;
+
+	private final EventLoop loop;
+
+	private final Profile profile;
+
+	private final HttpServer server;
+
+	private final List<Generation> waiting = new ArrayList<>();
+
+	private final List<Generation> running = new ArrayList<>();
+
+	private final Map<Long, Boolean> prefixCache;
+
+	private final Map<String, Integer> runs = new LinkedHashMap<>();
+
+	private final TreeSet<String> loaded = new TreeSet<>();
+
+	private long highestFence;
+
+	private String reportedLoad = "{}";
+
+	private EngineStandin(EventLoopGroup group, InetSocketAddress address, Profile profile) {
+		this.loop = group.next();
+		this.profile = profile;
+		this.prefixCache = new LinkedHashMap<>(16, 0.75f, true) {
+			@Override
+			protected boolean removeEldestEntry(Map.Entry<Long, Boolean> eldest) {
+				return size() > profile.prefixCacheEntries();
+			}
+		};
+		this.server = HttpServer.start(group, address, HttpLimits.ofDefaults(), this);
+		long stepMicros = TimeUnit.NANOSECONDS.toMicros(profile.step().toNanos());
+		this.loop.scheduleAtFixedRate(this::step, stepMicros, stepMicros, TimeUnit.MICROSECONDS);
+		long lagMillis = profile.loadLag().toMillis();
+		this.loop.scheduleAtFixedRate(this::refreshLoad, 0, lagMillis, TimeUnit.MILLISECONDS);
+	}
+
+	/**
+	 * Starts an engine.
+	 * @param group the network threads, which the caller owns
+	 * @param address where to listen; port 0 takes a free one
+	 * @param profile how the engine behaves
+	 * @return the engine
+	 */
+	public static EngineStandin start(EventLoopGroup group, InetSocketAddress address, Profile profile) {
+		return new EngineStandin(group, address, profile);
+	}
+
+	/**
+	 * Returns the port.
+	 * @return the port it listens on
+	 */
+	public int port() {
+		return this.server.port();
+	}
+
+	/**
+	 * Returns how often each request ran, by its {@code X-Request-Id} or prompt mark.
+	 * @return the counts
+	 */
+	public Map<String, Integer> runs() {
+		return this.loop.submit(() -> Map.copyOf(this.runs)).syncUninterruptibly().getNow();
+	}
+
+	@Override
+	public void handle(HttpExchange exchange) {
+		this.loop.execute(() -> route(exchange));
+	}
+
+	private void route(HttpExchange exchange) {
+		switch (exchange.path()) {
+			case "/v1/completions", "/v1/chat/completions" -> generate(exchange);
+			case "/health" -> exchange.respond(HttpReply.ofText(200, "ok"));
+			case "/load" -> exchange.respond(json(200, this.reportedLoad));
+			case "/v1/orders" -> order(exchange);
+			case "/standin/runs" -> exchange.respond(json(200, JSON.valueToTree(this.runs).toString()));
+			default -> exchange.respond(HttpReply.ofText(404, "no such path"));
+		}
+	}
+
+	private void generate(HttpExchange exchange) {
+		try {
+			Generation generation = new Generation(exchange, JSON.readTree(exchange.body()));
+			exchange.onClosed(() -> generation.cancelled = true);
+			this.runs.merge(exchange.header("X-Request-Id").orElse(generation.mark), 1, Integer::sum);
+			this.waiting.add(generation);
+		}
+		catch (IOException ex) {
+			exchange.respond(json(400, "{\"error\":\"bad json\"}"));
+		}
+	}
+
+	private void order(HttpExchange exchange) {
+		try {
+			JsonNode order = JSON.readTree(exchange.body());
+			long fence = order.path("fence").asLong();
+			if (this.profile.checksFence() && fence < this.highestFence) {
+				exchange.respond(json(409, "{\"fence\":" + this.highestFence + "}"));
+				return;
+			}
+			this.highestFence = Math.max(fence, this.highestFence);
+			apply(order);
+			exchange.respond(json(200, JSON.valueToTree(this.loaded).toString()));
+		}
+		catch (IOException ex) {
+			exchange.respond(json(400, "{\"error\":\"bad json\"}"));
+		}
+	}
+
+	private void apply(JsonNode order) {
+		String model = order.path("model").asText();
+		if ("load".equals(order.path("kind").asText())) {
+			this.loaded.add(model);
+		}
+		else {
+			this.loaded.remove(model);
+		}
+	}
+
+	private void step() {
+		this.waiting.removeIf((generation) -> generation.cancelled);
+		this.running.removeIf((generation) -> generation.cancelled);
+		while (this.running.size() < this.profile.maxBatch() && !this.waiting.isEmpty()) {
+			this.running.add(this.waiting.remove(0));
+		}
+		int prefillLeft = this.profile.prefillTokensPerStep();
+		for (Generation generation : List.copyOf(this.running)) {
+			prefillLeft -= generation.advance(prefillLeft);
+		}
+		this.running.removeIf((generation) -> generation.finished);
+	}
+
+	private void refreshLoad() {
+		long queuedTokens = this.waiting.stream().mapToLong((generation) -> generation.prefillLeft).sum();
+		this.reportedLoad = "{\"waiting\":" + this.waiting.size() + ",\"running\":" + this.running.size()
+				+ ",\"queuedTokens\":" + queuedTokens + ",\"stepMicros\":" + this.profile.step().toNanos() / 1_000
+				+ "}";
+	}
+
+	private static HttpReply json(int status, String text) {
+		return HttpReply.ofJson(status, text.getBytes(StandardCharsets.UTF_8));
+	}
+
+	@Override
+	public void close() {
+		this.server.close();
+	}
+
+	/**
+	 * How an engine behaves.
+	 *
+	 * @param step the time of one step, in which each running stream gets a token
+	 * @param maxBatch the most streams that run
+	 * @param prefillTokensPerStep the prompt tokens that one step can take in
+	 * @param prefixCacheEntries the most prompt prefixes that it remembers
+	 * @param loadLag how old a load report gets
+	 * @param checksFence whether it refuses orders with an old fencing number
+	 */
+	public record Profile(Duration step, int maxBatch, int prefillTokensPerStep, int prefixCacheEntries,
+			Duration loadLag, boolean checksFence) {
+
+		/**
+		 * Returns a fast engine: 5 ms steps, 64 streams, 2048 prompt tokens a step, 256
+		 * prefixes, 500 ms lag, no check.
+		 * @return the profile
+		 */
+		public static Profile ofDefaults() {
+			return new Profile(Duration.ofMillis(5), 64, 2048, 256, Duration.ofMillis(500), false);
+		}
+
+		/**
+		 * Returns the same profile with another step and batch.
+		 * @param newStep the time of one step
+		 * @param newMaxBatch the most streams that run
+		 * @return the profile
+		 */
+		public Profile withPace(Duration newStep, int newMaxBatch) {
+			return new Profile(newStep, newMaxBatch, this.prefillTokensPerStep, this.prefixCacheEntries, this.loadLag,
+					this.checksFence);
+		}
+
+	}
+
+	private final class Generation {
+
+		private final HttpExchange exchange;
+
+		private final String mark;
+
+		private final long seed;
+
+		private final int maxTokens;
+
+		private final boolean stream;
+
+		private final boolean chat;
+
+		private final StringBuilder text = new StringBuilder();
+
+		private int nextToken;
+
+		private int prefillLeft;
+
+		private boolean started;
+
+		private boolean finished;
+
+		private volatile boolean cancelled;
+
+		Generation(HttpExchange exchange, JsonNode body) {
+			this.exchange = exchange;
+			this.chat = body.has("messages");
+			String prompt = this.chat ? body.path("messages").toString() : body.path("prompt").asText();
+			this.mark = EngineText.mark(prompt);
+			this.seed = body.path("seed").asLong(System.identityHashCode(this));
+			this.maxTokens = body.path("max_tokens").asInt(16);
+			this.stream = body.path("stream").asBoolean();
+			this.nextToken = exchange.header(RESUME_HEADER).map(Integer::parseInt).orElse(0);
+			this.prefillLeft = prefill(prompt);
+		}
+
+		private int prefill(String prompt) {
+			long prefix = EngineText.hash(prompt.substring(0, Math.min(prompt.length(), PREFIX_CHARACTERS)));
+			boolean cached = EngineStandin.this.prefixCache.put(prefix, true) != null;
+			int tokens = 1 + prompt.length() / CHARACTERS_PER_TOKEN;
+			return cached ? Math.max(1, tokens - PREFIX_CHARACTERS / CHARACTERS_PER_TOKEN) : tokens;
+		}
+
+		int advance(int prefillBudget) {
+			if (this.prefillLeft > 0) {
+				int taken = Math.min(this.prefillLeft, Math.max(prefillBudget, 0));
+				this.prefillLeft -= taken;
+				return taken;
+			}
+			if (this.nextToken < this.maxTokens) {
+				emit(EngineText.token(this.mark, this.nextToken, this.seed));
+				this.nextToken++;
+			}
+			if (this.nextToken >= this.maxTokens) {
+				finish();
+			}
+			return 0;
+		}
+
+		private void emit(String token) {
+			if (!this.stream) {
+				this.text.append(token);
+				return;
+			}
+			start();
+			String delta = this.chat ? "\"delta\":{\"content\":\"" + token + "\"}" : "\"text\":\"" + token + "\"";
+			write("data: {\"choices\":[{\"index\":0," + delta + "}]}\n\n");
+		}
+
+		private void start() {
+			if (!this.started) {
+				this.started = true;
+				this.exchange.start(HttpReply.ofHead(200, "text/event-stream"));
+			}
+		}
+
+		private void write(String event) {
+			this.exchange.write(event.getBytes(StandardCharsets.UTF_8));
+		}
+
+		private void finish() {
+			this.finished = true;
+			if (this.stream) {
+				start();
+				write("data: [DONE]\n\n");
+				this.exchange.end();
+				return;
+			}
+			String choice = this.chat ? "\"message\":{\"role\":\"assistant\",\"content\":\"" + this.text + "\"}"
+					: "\"text\":\"" + this.text + "\"";
+			this.exchange.respond(json(200, "{\"choices\":[{\"index\":0," + choice
+					+ ",\"finish_reason\":\"length\"}],\"usage\":{\"completion_tokens\":" + this.maxTokens + "}}"));
+		}
+
+	}
+
+}
