Add the object API client, its stand-in server and the live list

Cause: daemons and tests need the platform over HTTP, with writes whose lost answer is told apart from a write that had no effect. HttpObjectStore sends each call once, since a repeated conditional write could meet its own effect and answer "conflict". A refused connection has no effect; a timeout or a lost connection leaves a write unknown. PlatformServer serves the same paths from MemoryObjectStore with switches for outages and lost messages.

--- /dev/null
+++ b/bulrushrouter-platform/src/test/java/io/bulrushrouter/platform/HttpObjectStoreTests.java
@@ -0,0 +1,130 @@
+package io.bulrushrouter.platform;
+
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletionStage;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import io.bulrushrouter.kernel.DataCentreId;
+import io.bulrushrouter.kernel.InstanceId;
+import io.bulrushrouter.kernel.store.ListResult;
+import io.bulrushrouter.kernel.store.LiveInstance;
+import io.bulrushrouter.kernel.store.ObjectKey;
+import io.bulrushrouter.kernel.store.ReadResult;
+import io.bulrushrouter.kernel.store.Versioned;
+import io.bulrushrouter.kernel.store.Write;
+import io.bulrushrouter.kernel.store.WriteResult;
+import io.bulrushrouter.kernel.store.WriterMark;
+import io.bulrushrouter.standin.PlatformServer;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests for {@link HttpObjectStore} and {@link PlatformLiveList} against the stand-in.
+ */
+class HttpObjectStoreTests {
+
+	private static final Duration TIMEOUT = Duration.ofSeconds(5);
+
+	private static final ObjectKey KEY = new ObjectKey("plan/north wing/ä");
+
+	private static final WriterMark MARK = new WriterMark("e 1/é");
+
+	private final PlatformServer server = PlatformServer.start();
+
+	private final HttpObjectStore store = HttpObjectStore.of(this.server.uri(), TIMEOUT);
+
+	@AfterEach
+	void close() {
+		this.store.close();
+		this.server.close();
+	}
+
+	private static <T> T join(CompletionStage<T> stage) {
+		return stage.toCompletableFuture().join();
+	}
+
+	private static byte[] bytes(String text) {
+		return text.getBytes(StandardCharsets.UTF_8);
+	}
+
+	private Versioned read() {
+		return ((ReadResult.Found) join(this.store.read(KEY))).object();
+	}
+
+	@Test
+	void carriesVersionsMarksAndConditions() {
+		assertThat(join(this.store.read(KEY))).isEqualTo(new ReadResult.Absent());
+		assertThat(join(this.store.write(Write.ofCreate(KEY, bytes("a"), MARK))))
+			.isInstanceOf(WriteResult.Written.class);
+		assertThat(join(this.store.write(Write.ofCreate(KEY, bytes("b"), MARK)))).isEqualTo(new WriteResult.Conflict());
+		Versioned first = read();
+		assertThat(first.writer()).isEqualTo(MARK);
+		assertThat(join(this.store.write(Write.ofUpdate(first, bytes("b"), MARK))))
+			.isInstanceOf(WriteResult.Written.class);
+		assertThat(join(this.store.write(Write.ofUpdate(first, bytes("c"), MARK))))
+			.isEqualTo(new WriteResult.Conflict());
+		assertThat(read().version()).isGreaterThan(first.version());
+		ListResult.Listed listed = (ListResult.Listed) join(this.store.list("plan/north w"));
+		assertThat(listed.objects()).hasSize(1);
+		assertThat(listed.objects().get(0).key()).isEqualTo(KEY);
+		assertThat(new String(listed.objects().get(0).value(), StandardCharsets.UTF_8)).isEqualTo("b");
+	}
+
+	@Test
+	void watchWaitsForAHigherVersionOrItsEnd() {
+		assertThat(join(this.store.watch(KEY, Write.ABSENT, Duration.ofMillis(1)))).isEqualTo(new ReadResult.Absent());
+		CompletionStage<ReadResult> waiting = this.store.watch(KEY, Write.ABSENT, TIMEOUT);
+		join(this.store.write(Write.ofCreate(KEY, bytes("a"), MARK)));
+		assertThat(join(waiting)).isInstanceOf(ReadResult.Found.class);
+	}
+
+	@Test
+	void tellsNoEffectFromUnknown() {
+		Write write = Write.ofCreate(KEY, bytes("a"), MARK);
+		this.server.store().down(true);
+		assertThat(join(this.store.write(write))).isInstanceOf(WriteResult.Refused.class);
+		assertThat(join(this.store.read(KEY))).isInstanceOf(ReadResult.Unavailable.class);
+		assertThat(join(this.store.list("plan/"))).isInstanceOf(ListResult.Unavailable.class);
+		this.server.store().down(false);
+		this.server.store().loseRequests((any) -> true);
+		assertThat(join(this.store.write(write))).isInstanceOf(WriteResult.Unknown.class);
+		this.server.store().loseRequests((any) -> false);
+		assertThat(join(this.store.read(KEY))).isEqualTo(new ReadResult.Absent());
+		this.server.store().loseAnswers((any) -> true);
+		long before = this.server.store().writes();
+		assertThat(join(this.store.write(write))).isInstanceOf(WriteResult.Unknown.class);
+		assertThat(this.server.store().writes() - before).isEqualTo(1);
+		assertThat(read().writer()).isEqualTo(MARK);
+	}
+
+	@Test
+	void refusedConnectionHasNoEffect() {
+		URI address = this.server.uri();
+		this.server.close();
+		try (HttpObjectStore unreached = HttpObjectStore.of(address, TIMEOUT)) {
+			assertThat(join(unreached.write(Write.ofCreate(KEY, bytes("a"), MARK))))
+				.isInstanceOf(WriteResult.Refused.class);
+			assertThat(join(unreached.read(KEY))).isInstanceOf(ReadResult.Unavailable.class);
+			assertThat(join(unreached.watch(KEY, 0, TIMEOUT))).isInstanceOf(ReadResult.Unavailable.class);
+		}
+	}
+
+	@Test
+	void liveListKeepsTheLastListThroughAnOutage() {
+		PlatformLiveList list = PlatformLiveList.of(this.store);
+		LiveInstance instance = new LiveInstance(InstanceId.of("e1"), DataCentreId.of("north"), "entry", "127.0.0.1:1",
+				false);
+		this.server.instances(List.of(instance));
+		assertThat(join(list.refresh())).isTrue();
+		assertThat(join(list.refresh())).isTrue();
+		this.server.store().down(true);
+		assertThat(join(list.refresh())).isFalse();
+		assertThat(list.instances()).containsExactly(instance);
+	}
+
+}
--- a/bulrushrouter-standin/src/main/java/io/bulrushrouter/standin/MemoryObjectStore.java
+++ b/bulrushrouter-standin/src/main/java/io/bulrushrouter/standin/MemoryObjectStore.java
@@ -53,6 +53,14 @@
 		}
 	}
 
+	/**
+	 * Tells whether there is an outage.
+	 * @return whether the store is down
+	 */
+	public synchronized boolean isDown() {
+		return this.down;
+	}
+
 	/**
 	 * Chooses writes that are lost on their way: no effect, and no answer.
 	 * @param choice picks the writes
@@ -172,6 +180,17 @@
 		completeWatches((watch) -> true, new ReadResult.Absent());
 	}
 
+	/**
+	 * Ends a waiting watch as if its time had passed.
+	 * @param answer what {@link #watch} returned
+	 */
+	public void cancel(CompletionStage<ReadResult> answer) {
+		synchronized (this) {
+			this.watches.removeIf((watch) -> watch.answer() == answer);
+		}
+		answer.toCompletableFuture().complete(new ReadResult.Absent());
+	}
+
 	private void completeWatches(Predicate<Watch> choice, ReadResult result) {
 		List<Watch> chosen = this.watches.stream().filter(choice).toList();
 		this.watches.removeAll(chosen);
--- /dev/null
+++ b/bulrushrouter-standin/src/main/java/io/bulrushrouter/standin/PlatformServer.java
@@ -0,0 +1,112 @@
+package io.bulrushrouter.standin;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpServerCodec;
+
+import io.bulrushrouter.kernel.store.LiveInstance;
+
+/**
+ * The platform's object API over HTTP on the loopback address, kept in a
+ * {@link MemoryObjectStore}.
+ *
+ * <pre>{@code
+ * try (PlatformServer platform = PlatformServer.start()) {
+ *     HttpObjectStore store = HttpObjectStore.of(platform.uri(), Duration.ofSeconds(2));
+ * }
+ * }</pre>
+ */
+public final class PlatformServer implements AutoCloseable {
+
+	private static final int MAX_REQUEST_BYTES = 2_000_000;
+
+	private final MemoryObjectStore store = new MemoryObjectStore();
+
+	private final InstanceTable instances = new InstanceTable();
+
+	private final EventLoopGroup loop = new NioEventLoopGroup(1);
+
+	private final Channel channel;
+
+	private PlatformServer(int port) {
+		this.channel = new ServerBootstrap().group(this.loop)
+			.channel(NioServerSocketChannel.class)
+			.childHandler(new ChannelInitializer<SocketChannel>() {
+
+				@Override
+				protected void initChannel(SocketChannel connection) {
+					connection.pipeline()
+						.addLast(new HttpServerCodec(), new HttpObjectAggregator(MAX_REQUEST_BYTES),
+								new PlatformHandler(PlatformServer.this.store, PlatformServer.this.instances));
+				}
+
+			})
+			.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port))
+			.syncUninterruptibly()
+			.channel();
+	}
+
+	/**
+	 * Starts the server on a port that the system picks.
+	 * @return the running server, to be closed
+	 */
+	public static PlatformServer start() {
+		return start(0);
+	}
+
+	/**
+	 * Starts the server.
+	 * @param port the port; 0 to let the system pick one
+	 * @return the running server, to be closed
+	 */
+	public static PlatformServer start(int port) {
+		return new PlatformServer(port);
+	}
+
+	/**
+	 * Returns the server's address.
+	 * @return the address, such as {@code http://127.0.0.1:41234}
+	 */
+	public URI uri() {
+		InetSocketAddress address = (InetSocketAddress) this.channel.localAddress();
+		return URI.create("http://127.0.0.1:" + address.getPort());
+	}
+
+	/**
+	 * Returns the objects behind the server, with their fault switches.
+	 * @return the store
+	 */
+	public MemoryObjectStore store() {
+		return this.store;
+	}
+
+	/**
+	 * Replaces the list of instances.
+	 * @param list the instances
+	 */
+	public void instances(List<LiveInstance> list) {
+		this.instances.replace(list);
+	}
+
+	@Override
+	public void close() {
+		if (this.loop.isShuttingDown()) {
+			return;
+		}
+		this.channel.close().syncUninterruptibly();
+		this.loop.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+	}
+
+}
