--- /dev/null
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/config/Configuration.java
@@ -0,0 +1,108 @@
+package io.bulrushrouter.daemon.config;
+
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+
+import io.bulrushrouter.kernel.BulrushException;
+import io.bulrushrouter.kernel.ErrorCode;
+import io.bulrushrouter.kernel.UpstreamId;
+
+/**
+ * One accepted configuration, whole and checked.
+ *
+ * @param organisations who may send requests
+ * @param upstreams what answers them
+ * @param operators who may administer
+ */
+public record Configuration(List<Organisation> organisations, List<Upstream> upstreams, List<Operator> operators) {
+
+	private static final ObjectMapper JSON = new ObjectMapper()
+		.enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+		.enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES);
+
+	/**
+	 * Keeps its own copies.
+	 */
+	public Configuration {
+		organisations = (organisations != null) ? List.copyOf(organisations) : List.of();
+		upstreams = (upstreams != null) ? List.copyOf(upstreams) : List.of();
+		operators = (operators != null) ? List.copyOf(operators) : List.of();
+	}
+
+	/**
+	 * Reads and checks a configuration.
+	 * @param json the JSON text as UTF-8
+	 * @return the configuration
+	 * @throws BulrushException with {@link ErrorCode#BAD_CONFIGURATION} that says what is
+	 * wrong
+	 */
+	public static Configuration ofJson(byte[] json) {
+		try {
+			return JSON.readValue(json, Configuration.class).checked();
+		}
+		catch (IOException ex) {
+			throw new BulrushException(ErrorCode.BAD_CONFIGURATION, ex.getMessage(), ex);
+		}
+	}
+
+	/**
+	 * Returns the configuration as JSON.
+	 * @return the text as UTF-8
+	 */
+	public byte[] toJson() {
+		try {
+			return JSON.writeValueAsBytes(this);
+		}
+		catch (JsonProcessingException ex) {
+			throw new BulrushException(ErrorCode.INTERNAL, "cannot write the configuration", ex);
+		}
+	}
+
+	private Configuration checked() {
+		requireUnique("organisation", this.organisations.stream().map(Organisation::name).toList());
+		requireUnique("upstream", this.upstreams.stream().map(Upstream::name).toList());
+		requireUnique("operator", this.operators.stream().map(Operator::name).toList());
+		requireUnique("key", this.organisations.stream().map(Organisation::keySha256).toList());
+		this.upstreams.forEach(Upstream::check);
+		this.organisations.forEach(Organisation::check);
+		return this;
+	}
+
+	private static void requireUnique(String kind, List<String> names) {
+		Set<String> seen = new HashSet<>();
+		for (String name : names) {
+			if (name == null || !seen.add(name)) {
+				throw new BulrushException(ErrorCode.BAD_CONFIGURATION, kind + " is missing or stands twice: " + name);
+			}
+		}
+	}
+
+	/**
+	 * Finds an upstream.
+	 * @param id its name
+	 * @return the upstream, or empty
+	 */
+	public Optional<Upstream> upstream(UpstreamId id) {
+		return this.upstreams.stream().filter((upstream) -> upstream.name().equals(id.value())).findFirst();
+	}
+
+	/**
+	 * Returns the organisations by name.
+	 * @return the organisations
+	 */
+	public Map<String, Organisation> organisationsByName() {
+		Map<String, Organisation> byName = new HashMap<>();
+		this.organisations.forEach((organisation) -> byName.put(organisation.name(), organisation));
+		return byName;
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/config/Organisation.java
@@ -0,0 +1,33 @@
+package io.bulrushrouter.daemon.config;
+
+import io.bulrushrouter.kernel.BulrushException;
+import io.bulrushrouter.kernel.ErrorCode;
+import io.bulrushrouter.kernel.OrganisationId;
+
+/**
+ * An organisation whose callers may send requests.
+ *
+ * @param name its name
+ * @param keySha256 the SHA-256 of its callers' key, in hexadecimal
+ * @param weight its share of the upstreams against other organisations
+ * @param tokensPerSecond the most tokens a second over all entries; 0 for no limit
+ */
+public record Organisation(String name, String keySha256, double weight, long tokensPerSecond) {
+
+	void check() {
+		OrganisationId.of(this.name);
+		if (this.weight <= 0 || this.tokensPerSecond < 0) {
+			throw new BulrushException(ErrorCode.BAD_CONFIGURATION,
+					"organisation " + this.name + ": weight must be above 0 and limit not below 0");
+		}
+	}
+
+	/**
+	 * Returns the organisation's identifier.
+	 * @return the identifier
+	 */
+	public OrganisationId id() {
+		return OrganisationId.of(this.name);
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/config/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The configuration that operators accept: organisations, upstreams and operators.
+ */
+package io.bulrushrouter.daemon.config;
--- /dev/null
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/node/ErrorReply.java
@@ -0,0 +1,90 @@
+package io.bulrushrouter.daemon.node;
+
+import java.util.Map;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+
+import io.bulrushrouter.http.HttpReply;
+import io.bulrushrouter.kernel.BulrushException;
+import io.bulrushrouter.kernel.ErrorCode;
+import io.bulrushrouter.kernel.Verdict;
+
+/**
+ * The answer to a request that failed: a JSON object with a stable code and whether the
+ * request may have run.
+ */
+public final class ErrorReply {
+
+	/** Tells whether the request may have run. */
+	public static final String VERDICT_HEADER = "X-Verdict";
+
+	/** Tells the stable code. */
+	public static final String CODE_HEADER = "X-Error-Code";
+
+	private static final String RETRY_AFTER_HEADER = "Retry-After";
+
+	private static final long MILLIS_PER_SECOND = 1_000;
+
+	private static final ObjectMapper JSON = new ObjectMapper();
+
+	private ErrorReply() {
+	}
+
+	/**
+	 * Returns the answer for a request that certainly did not run.
+	 * @param code why
+	 * @param message details for a person
+	 * @return the answer
+	 */
+	public static HttpReply ofNotRun(ErrorCode code, String message) {
+		return of(Verdict.ofNotRun(code), message, 0);
+	}
+
+	/**
+	 * Returns the answer for a failure of an administration act.
+	 * @param failure the failure
+	 * @return the answer
+	 */
+	public static HttpReply of(BulrushException failure) {
+		return ofNotRun(failure.code(), failure.getMessage());
+	}
+
+	/**
+	 * Returns the answer for a verdict.
+	 * @param verdict what became of the request
+	 * @param message details for a person
+	 * @param retryAfterMillis when to come back, in milliseconds; 0 if the caller may
+	 * come back at once
+	 * @return the answer
+	 */
+	public static HttpReply of(Verdict verdict, String message, long retryAfterMillis) {
+		ErrorCode code = verdict.failure().orElse(ErrorCode.INTERNAL);
+		HttpReply reply = HttpReply.ofJson(code.httpStatus(), json(verdict, code, message))
+			.withHeader(VERDICT_HEADER, verdict.text())
+			.withHeader(CODE_HEADER, code.text());
+		if (retryAfterMillis <= 0) {
+			return reply;
+		}
+		long seconds = (retryAfterMillis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND;
+		return reply.withHeader(RETRY_AFTER_HEADER, Long.toString(seconds));
+	}
+
+	/**
+	 * Returns the body of the answer, which also ends a broken stream.
+	 * @param verdict what became of the request
+	 * @param code the stable code
+	 * @param message details for a person
+	 * @return the JSON text as UTF-8
+	 */
+	public static byte[] json(Verdict verdict, ErrorCode code, String message) {
+		try {
+			return JSON.writeValueAsBytes(
+					Map.of("error", Map.of("code", code.text(), "message", message, "verdict", verdict.text())));
+		}
+		catch (JsonProcessingException ex) {
+			throw new BulrushException(ErrorCode.INTERNAL, "cannot write an error", ex);
+		}
+	}
+
+}
