--- /dev/null
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/Choosers.java
@@ -0,0 +1,137 @@
+package io.bulrushrouter.routing;
+
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+
+/**
+ * The simple ways of choosing an upstream.
+ */
+public final class Choosers {
+
+	private static final int SHOWN = 3;
+
+	private Choosers() {
+	}
+
+	/**
+	 * Returns the way that draws an upstream at random.
+	 * @return the way
+	 */
+	public static UpstreamChooser ofRandom() {
+		return (query, table, now, random) -> ofModel(query, table,
+				(upstreams) -> drawn(query, upstreams, 1, (view) -> 0, random, ChoiceReason.RANDOM));
+	}
+
+	/**
+	 * Returns the way that draws two and takes the one with fewer tokens queued. Its
+	 * source is Mitzenmacher, The Power of Two Choices in Randomized Load Balancing
+	 * (2001).
+	 * @return the way
+	 */
+	public static UpstreamChooser ofLeastLoadedOfTwo() {
+		return (query, table, now, random) -> ofModel(query, table,
+				(upstreams) -> drawn(query, upstreams, 2, Choosers::queuedTokens, random, ChoiceReason.LOWEST_COST));
+	}
+
+	/**
+	 * Returns the way that takes the upstream with the fewest tokens queued of all.
+	 * @return the way
+	 */
+	public static UpstreamChooser ofLeastLoaded() {
+		return (query, table, now, random) -> ofModel(query, table,
+				(upstreams) -> ranked(query, upstreams, Choosers::queuedTokens, random, ChoiceReason.LOWEST_COST));
+	}
+
+	/**
+	 * Returns the way that takes the upstream of highest rendezvous hash for the model's
+	 * prefix. Its source is Thaler and Ravishankar, Using Name-Based Mappings to Increase
+	 * Hit Rates (1998).
+	 * @return the way
+	 */
+	public static UpstreamChooser ofPrefixAffine() {
+		return (query, table, now, random) -> ofModel(query, table,
+				(upstreams) -> ranked(query, upstreams, (view) -> -rank(query, view), random, ChoiceReason.PREFIX));
+	}
+
+	/**
+	 * Returns the way that takes the lowest cost of all, by reports and own requests in
+	 * flight.
+	 * @return the way
+	 */
+	public static UpstreamChooser ofCombinedCost() {
+		return (query, table, now, random) -> ofModel(query, table, (upstreams) -> ranked(query, upstreams,
+				(view) -> table.costs().costMillis(view, upstreams, query, now), random, ChoiceReason.LOWEST_COST));
+	}
+
+	static Choice ofModel(RouteQuery query, UpstreamTable table, Decision decision) {
+		Optional<ModelUpstreams> upstreams = table.upstreams(query.model());
+		if (upstreams.isEmpty()) {
+			return Choice.ofNone(ChoiceReason.UNKNOWN_MODEL);
+		}
+		return decision.among(upstreams.get());
+	}
+
+	static Choice chosen(Shortlist shortlist, ChoiceReason reason) {
+		if (shortlist.isEmpty()) {
+			return Choice.ofNone(ChoiceReason.NONE_LIVE);
+		}
+		return Choice.of(shortlist.candidates(), reason);
+	}
+
+	static double rank(RouteQuery query, UpstreamView view) {
+		long hash = Hashing.komihash5_0().hashLongLongToLong(query.prefixDigest(), view.hash());
+		return (hash >>> 11) * 0x1p-53;
+	}
+
+	private static Choice drawn(RouteQuery query, ModelUpstreams upstreams, int draws, Scorer scorer,
+			RandomGenerator random, ChoiceReason reason) {
+		Shortlist shortlist = new Shortlist(draws);
+		for (int i = 0; i < draws; i++) {
+			int index = Eligible.draw(upstreams, query, random);
+			if (index >= 0) {
+				shortlist.offer(upstreams.get(index), scorer.score(upstreams.get(index)));
+			}
+		}
+		return chosen(shortlist, reason);
+	}
+
+	private static Choice ranked(RouteQuery query, ModelUpstreams upstreams, Scorer scorer, RandomGenerator random,
+			ChoiceReason reason) {
+		Shortlist shortlist = new Shortlist(SHOWN);
+		int start = random.nextInt(upstreams.size());
+		for (int i = 0; i < upstreams.size(); i++) {
+			UpstreamView view = upstreams.get((start + i) % upstreams.size());
+			if (Eligible.mayTake(view, query, random)) {
+				shortlist.offer(view, scorer.score(view));
+			}
+		}
+		return chosen(shortlist, reason);
+	}
+
+	private static double queuedTokens(UpstreamView view) {
+		return view.reportedTokens() + view.unreportedTokens();
+	}
+
+	/**
+	 * Chooses among the upstreams of a model.
+	 */
+	@FunctionalInterface
+	interface Decision {
+
+		Choice among(ModelUpstreams upstreams);
+
+	}
+
+	/**
+	 * Scores an upstream, lowest best.
+	 */
+	@FunctionalInterface
+	interface Scorer {
+
+		double score(UpstreamView view);
+
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/CostModel.java
@@ -0,0 +1,76 @@
+package io.bulrushrouter.routing;
+
+import java.util.Objects;
+
+/**
+ * The expected time to the first token at an upstream: queued prefill work, the prompt's
+ * uncached tokens, the way there, the upstream's measured slowness, and how stale all of
+ * this is.
+ *
+ * @param distance the round trip between data centres
+ * @param staleNanos the age at which a report counts half, the mean of the model's
+ * upstreams the other half, in nanoseconds
+ * @param missWeight how much more a prefill millisecond of this request counts than one
+ * of waiting, since it delays the requests behind it
+ */
+public record CostModel(DataCentreDistance distance, long staleNanos, double missWeight) {
+
+	/**
+	 * Checks the parts.
+	 */
+	public CostModel {
+		Objects.requireNonNull(distance);
+	}
+
+	/**
+	 * Returns the usual cost model.
+	 * @return the cost model
+	 */
+	public static CostModel ofDefaults() {
+		return new CostModel(DataCentreDistance.of(0.3, 1.0), 1_000_000_000L, 1.0);
+	}
+
+	/**
+	 * Returns the expected time to the first token.
+	 * @param view the upstream
+	 * @param peers the upstreams of the model
+	 * @param query the request
+	 * @param nowNanos the time, in nanoseconds
+	 * @return milliseconds
+	 */
+	public double firstTokenMillis(UpstreamView view, ModelUpstreams peers, RouteQuery query, long nowNanos) {
+		return waitMillis(view, peers, query, nowNanos) + prefillMillis(view, peers, query, nowNanos);
+	}
+
+	/**
+	 * Returns what candidates are compared by: the time to the first token, with this
+	 * request's own prefill weighted up.
+	 * @param view the upstream
+	 * @param peers the upstreams of the model
+	 * @param query the request
+	 * @param nowNanos the time, in nanoseconds
+	 * @return milliseconds
+	 */
+	public double costMillis(UpstreamView view, ModelUpstreams peers, RouteQuery query, long nowNanos) {
+		return waitMillis(view, peers, query, nowNanos)
+				+ (1 + this.missWeight) * prefillMillis(view, peers, query, nowNanos);
+	}
+
+	private double waitMillis(UpstreamView view, ModelUpstreams peers, RouteQuery query, long nowNanos) {
+		double trust = this.staleNanos / (double) (this.staleNanos + Math.max(0, view.ageNanos(nowNanos)));
+		double reported = trust * view.reportedTokens() + (1 - trust) * peers.meanReportedTokens();
+		double queued = reported + view.unreportedTokens();
+		return this.distance.millis(query.dataCentre(), view.spec().dataCentre()) + view.errorMillis(nowNanos)
+				+ queued * perToken(view, peers);
+	}
+
+	private double prefillMillis(UpstreamView view, ModelUpstreams peers, RouteQuery query, long nowNanos) {
+		int cached = Math.min(query.prefixTokens(), view.cachedTokens(query.prefixDigest(), nowNanos));
+		return (query.promptTokens() - cached) * perToken(view, peers);
+	}
+
+	private static double perToken(UpstreamView view, ModelUpstreams peers) {
+		return view.millisPerToken(peers.meanMillisPerToken()) / view.spec().weight();
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/Dispatch.java
@@ -0,0 +1,19 @@
+package io.bulrushrouter.routing;
+
+import io.bulrushrouter.kernel.OrganisationId;
+import io.bulrushrouter.kernel.Priority;
+
+/**
+ * A request that a {@link FairQueue} holds or handed out.
+ *
+ * @param item the request
+ * @param organisation its organisation
+ * @param priority its priority
+ * @param costTokens its expected cost, in tokens; 1 for a plain service
+ * @param deadlineNanos when its caller gives up, in nanoseconds
+ * @param offeredNanos when it was offered, in nanoseconds
+ * @param <T> the kind of request
+ */
+public record Dispatch<T>(T item, OrganisationId organisation, Priority priority, long costTokens, long deadlineNanos,
+		long offeredNanos) {
+}
--- /dev/null
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/HomeSetChooser.java
@@ -0,0 +1,99 @@
+package io.bulrushrouter.routing;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+import io.bulrushrouter.kernel.UpstreamId;
+
+/**
+ * Probes the few upstreams that rendezvous hashing names as home of a prompt's prefix and
+ * a few others, and takes the lowest cost among those with fresh reports. Without fresh
+ * reports it takes the lowest cost of the same few by what is known.
+ */
+public final class HomeSetChooser implements UpstreamChooser {
+
+	/** Age up to which a report counts as fresh, in nanoseconds. */
+	private static final long FRESH_NANOS = 20_000_000L;
+
+	private final int homes;
+
+	private final int others;
+
+	private HomeSetChooser(int homes, int others) {
+		this.homes = homes;
+		this.others = others;
+	}
+
+	/**
+	 * Returns the chooser.
+	 * @param homes how many home upstreams to probe
+	 * @param others how many upstreams drawn at random to probe
+	 * @return the chooser
+	 */
+	public static HomeSetChooser of(int homes, int others) {
+		return new HomeSetChooser(homes, others);
+	}
+
+	@Override
+	public List<UpstreamId> probes(RouteQuery query, UpstreamTable table, long nowNanos, RandomGenerator random) {
+		Optional<ModelUpstreams> upstreams = table.upstreams(query.model());
+		if (upstreams.isEmpty()) {
+			return List.of();
+		}
+		Shortlist shortlist = few(query, upstreams.get(), random);
+		List<UpstreamId> ids = new ArrayList<>(shortlist.size());
+		for (int i = 0; i < shortlist.size(); i++) {
+			ids.add(shortlist.view(i).id());
+		}
+		return ids;
+	}
+
+	@Override
+	public Choice choose(RouteQuery query, UpstreamTable table, long nowNanos, RandomGenerator random) {
+		return Choosers.ofModel(query, table, (upstreams) -> among(query, table, upstreams, nowNanos, random));
+	}
+
+	private Choice among(RouteQuery query, UpstreamTable table, ModelUpstreams upstreams, long nowNanos,
+			RandomGenerator random) {
+		Shortlist fresh = new Shortlist(this.homes + this.others);
+		for (int i = 0; i < upstreams.size(); i++) {
+			UpstreamView view = upstreams.get(i);
+			if (view.ageNanos(nowNanos) <= FRESH_NANOS && Eligible.mayTake(view, query, random)) {
+				fresh.offer(view, table.costs().costMillis(view, upstreams, query, nowNanos));
+			}
+		}
+		if (!fresh.isEmpty()) {
+			return Choosers.chosen(fresh, ChoiceReason.FRESHEST);
+		}
+		Shortlist few = few(query, upstreams, random);
+		Shortlist byCost = new Shortlist(this.homes + this.others);
+		for (int i = 0; i < few.size(); i++) {
+			byCost.offer(few.view(i), table.costs().costMillis(few.view(i), upstreams, query, nowNanos));
+		}
+		return Choosers.chosen(byCost, ChoiceReason.LOWEST_COST);
+	}
+
+	private Shortlist few(RouteQuery query, ModelUpstreams upstreams, RandomGenerator random) {
+		Shortlist home = new Shortlist(this.homes);
+		for (int i = 0; i < upstreams.size(); i++) {
+			UpstreamView view = upstreams.get(i);
+			if (Eligible.mayTake(view, query, random)) {
+				home.offer(view, -Choosers.rank(query, view));
+			}
+		}
+		Shortlist few = new Shortlist(this.homes + this.others);
+		for (int i = 0; i < home.size(); i++) {
+			few.offer(home.view(i), 0);
+		}
+		for (int i = 0; i < this.others; i++) {
+			int index = Eligible.draw(upstreams, query, random);
+			if (index >= 0) {
+				few.offer(upstreams.get(index), 0);
+			}
+		}
+		return few;
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/OrganisationWeights.java
@@ -0,0 +1,26 @@
+package io.bulrushrouter.routing;
+
+import io.bulrushrouter.kernel.OrganisationId;
+
+/**
+ * The organisations' weights in fair queueing.
+ */
+@FunctionalInterface
+public interface OrganisationWeights {
+
+	/**
+	 * Returns an organisation's weight.
+	 * @param organisation the organisation
+	 * @return the weight, above 0
+	 */
+	double weight(OrganisationId organisation);
+
+	/**
+	 * Returns equal weights.
+	 * @return the weights
+	 */
+	static OrganisationWeights ofEqual() {
+		return (organisation) -> 1;
+	}
+
+}
