--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/CallParser.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/CallParser.java
@@ -56,6 +56,9 @@
 
 	private static final int CHARACTERS_PER_TOKEN = 4;
 
+	/** The part of a prompt that prefix caches are matched by, in tokens. */
+	static final int PREFIX_TOKENS = PREFIX_CHARACTERS / CHARACTERS_PER_TOKEN;
+
 	private static final long SEED_MASK = 0x7fff_ffffL;
 
 	private static final ObjectMapper JSON = JsonMapper.builder()
--- /dev/null
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/EntryNode.java
@@ -0,0 +1,244 @@
+package io.bulrushrouter.daemon.entry;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import io.bulrushrouter.daemon.config.Configuration;
+import io.bulrushrouter.daemon.config.Keys;
+import io.bulrushrouter.daemon.config.Organisation;
+import io.bulrushrouter.daemon.node.Bootstrap;
+import io.bulrushrouter.daemon.node.ConfigurationSource;
+import io.bulrushrouter.daemon.node.ErrorReply;
+import io.bulrushrouter.daemon.node.OperatorsPort;
+import io.bulrushrouter.http.HttpExchange;
+import io.bulrushrouter.http.HttpHandler;
+import io.bulrushrouter.http.HttpLimits;
+import io.bulrushrouter.http.HttpServer;
+import io.bulrushrouter.kernel.BulrushException;
+import io.bulrushrouter.kernel.ErrorCode;
+import io.bulrushrouter.kernel.TimeSource;
+import io.bulrushrouter.kernel.Verdict;
+import io.bulrushrouter.kernel.duty.Duty;
+import io.bulrushrouter.kernel.plugin.PluginRegistry;
+import io.bulrushrouter.request.EntryPolicy;
+import io.bulrushrouter.request.RequestSpec;
+import io.bulrushrouter.routing.UpstreamChooser;
+import io.bulrushrouter.wire.PeerConnection;
+import io.bulrushrouter.wire.PeerHandler;
+import io.bulrushrouter.wire.PeerNetwork;
+import io.bulrushrouter.wire.WireMessage;
+
+/**
+ * A running entry.
+ */
+public final class EntryNode implements AutoCloseable {
+
+	/** The role in introductions and on the live list. */
+	public static final String ROLE = "entry";
+
+	private static final Logger logger = LoggerFactory.getLogger(EntryNode.class);
+
+	private static final int NETWORK_THREADS = 4;
+
+	private static final Duration TICK = Duration.ofMillis(5);
+
+	private static final long LIVE_LIST_MILLIS = 1_000;
+
+	private static final long DRAIN_POLL_MILLIS = 20;
+
+	private static final int RETRY_AFTER_MILLIS = 1_000;
+
+	private final EntrySettings settings;
+
+	private final Bootstrap bootstrap;
+
+	private final Duty<EntryInput> duty;
+
+	private final EntryCore core;
+
+	private final PeerNetwork peers;
+
+	private final HttpServer callers;
+
+	private final HttpServer operators;
+
+	private final ConfigurationSource configurations;
+
+	private volatile Optional<ConfigurationSource.InForce> inForce = Optional.empty();
+
+	private volatile boolean draining;
+
+	private EntryNode(EntrySettings settings) {
+		this.settings = settings;
+		UpstreamChooser chooser = PluginRegistry.ofClassPath().require(UpstreamChooser.class, settings.chooser());
+		this.bootstrap = Bootstrap.open(settings.process(), NETWORK_THREADS);
+		try {
+			RandomGenerator random = RandomGenerator.of("L64X128MixRandom");
+			long incarnation = random.nextLong();
+			WireMessage.Hello hello = new WireMessage.Hello(settings.process().name().value(), ROLE,
+					settings.process().dataCentre().value(), incarnation);
+			this.peers = PeerNetwork.of(this.bootstrap.network(), hello, new Peers(), random);
+			EntryPolicy policy = EntryPolicy.builder().maxAttempts(settings.maxAttempts()).build();
+			this.core = new EntryCore(incarnation, policy,
+					new RouteBook(settings.process().dataCentre(), chooser, random), new UpstreamLinks(this.peers),
+					TimeSource.ofSystem(), this.bootstrap.metrics());
+			this.duty = Duty.<EntryInput>builder("entry", this.core::take).tick(TICK, this.core::tick).start();
+			this.bootstrap.metrics().gauge("entry.ring.backlog", this.duty::backlog);
+			this.bootstrap.metrics().gauge("entry.in.flight", this.core::inFlight);
+			this.bootstrap.metrics().gauge("configuration.version", this.core::version);
+			HttpLimits limits = HttpLimits.ofDefaults()
+				.withMaxBodyBytes(settings.maxBodyBytes())
+				.withReadTimeout(settings.readTimeout());
+			this.operators = HttpServer.start(this.bootstrap.network(), settings.operators(), limits,
+					new OperatorsPort(this.bootstrap.metrics(), this::isReady, OperatorsPort.ofNoRest()));
+			this.callers = HttpServer.start(this.bootstrap.network(), settings.callers(), limits, new Callers());
+			this.configurations = ConfigurationSource.start(this.bootstrap.store(), this.bootstrap.network(),
+					this::adopt);
+			refreshLiveList();
+		}
+		catch (RuntimeException ex) {
+			this.bootstrap.close();
+			throw ex;
+		}
+	}
+
+	/**
+	 * Starts an entry.
+	 * @param settings its settings
+	 * @return the running entry
+	 */
+	public static EntryNode start(EntrySettings settings) {
+		EntryNode node = new EntryNode(settings);
+		logger.info("event=started role={} callers={} operators={}", ROLE, node.callers.port(), node.operators.port());
+		return node;
+	}
+
+	private void adopt(ConfigurationSource.InForce next) {
+		this.inForce = Optional.of(next);
+		this.duty.put(new EntryInput.Adopted(next));
+	}
+
+	private void refreshLiveList() {
+		this.bootstrap.liveList().refresh().thenAccept((answered) -> {
+			if (answered) {
+				this.duty.offer(new EntryInput.Instances(this.bootstrap.liveList().instances()));
+			}
+			if (!this.bootstrap.network().isShuttingDown()) {
+				this.bootstrap.network().schedule(this::refreshLiveList, LIVE_LIST_MILLIS, TimeUnit.MILLISECONDS);
+			}
+		});
+	}
+
+	/**
+	 * Tells whether the entry may be sent requests.
+	 * @return whether it has a configuration and does not drain
+	 */
+	public boolean isReady() {
+		return this.inForce.isPresent() && !this.draining;
+	}
+
+	/**
+	 * Returns the port for callers.
+	 * @return the port
+	 */
+	public int callersPort() {
+		return this.callers.port();
+	}
+
+	/**
+	 * Returns the port for operators.
+	 * @return the port
+	 */
+	public int operatorsPort() {
+		return this.operators.port();
+	}
+
+	/**
+	 * Refuses new requests and waits until all that are in flight have their answer.
+	 */
+	public void drainAndWait() {
+		this.draining = true;
+		while (this.core.inFlight() > 0 || this.duty.backlog() > 0) {
+			try {
+				Thread.sleep(DRAIN_POLL_MILLIS);
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+				return;
+			}
+		}
+	}
+
+	@Override
+	public void close() {
+		this.configurations.close();
+		this.callers.close();
+		this.operators.close();
+		this.peers.close();
+		this.duty.close();
+		this.bootstrap.close();
+	}
+
+	private final class Callers implements HttpHandler {
+
+		@Override
+		public void handle(HttpExchange exchange) {
+			Optional<ConfigurationSource.InForce> current = EntryNode.this.inForce;
+			if (EntryNode.this.draining || current.isEmpty()) {
+				ErrorCode code = EntryNode.this.draining ? ErrorCode.DRAINING : ErrorCode.NOT_READY;
+				exchange.respond(ErrorReply.of(Verdict.ofNotRun(code), "try another entry",
+						RETRY_AFTER_MILLIS));
+				return;
+			}
+			try {
+				accept(exchange, current.get().configuration());
+			}
+			catch (BulrushException ex) {
+				exchange.respond(ErrorReply.of(ex));
+			}
+		}
+
+		private void accept(HttpExchange exchange, Configuration configuration) {
+			Organisation organisation = Keys
+				.owner(exchange.header("Authorization"), configuration.organisations(), Organisation::keySha256)
+				.orElseThrow(() -> new BulrushException(ErrorCode.UNAUTHORISED, "the key is missing or unknown"));
+			RequestSpec spec = CallParser.spec(exchange, organisation.id());
+			long deadline = System.nanoTime() + CallParser.patience(exchange).toNanos();
+			if (!EntryNode.this.duty.offer(new EntryInput.CallArrived(exchange, spec, deadline))) {
+				exchange.respond(ErrorReply.of(Verdict.ofNotRun(ErrorCode.OVERLOADED),
+						"the entry is overloaded", RETRY_AFTER_MILLIS));
+			}
+		}
+
+		@Override
+		public void refuse(HttpExchange exchange, ErrorCode code) {
+			exchange.respond(ErrorReply.ofNotRun(code, "the request broke a limit or is malformed"));
+		}
+
+	}
+
+	private final class Peers implements PeerHandler {
+
+		@Override
+		public void connected(PeerConnection connection) {
+			EntryNode.this.duty.put(new EntryInput.PeerUp(connection));
+		}
+
+		@Override
+		public void received(PeerConnection connection, WireMessage message) {
+			EntryNode.this.duty.put(new EntryInput.PeerSaid(connection, message));
+		}
+
+		@Override
+		public void closed(PeerConnection connection) {
+			EntryNode.this.duty.put(new EntryInput.PeerDown(connection));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/EntrySettings.java
@@ -0,0 +1,62 @@
+package io.bulrushrouter.daemon.entry;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Set;
+
+import io.bulrushrouter.daemon.node.ProcessSettings;
+import io.bulrushrouter.kernel.settings.Settings;
+import io.bulrushrouter.routing.RoutingPlugins;
+
+/**
+ * The settings of an entry.
+ *
+ * @param process what all daemons share
+ * @param callers where callers connect
+ * @param operators where operators connect
+ * @param maxBodyBytes the longest request body
+ * @param readTimeout how long a request may take to arrive
+ * @param chooser the way of choosing an upstream
+ * @param maxAttempts the most attempts of a request
+ */
+public record EntrySettings(ProcessSettings process, InetSocketAddress callers, InetSocketAddress operators,
+		int maxBodyBytes, Duration readTimeout, String chooser, int maxAttempts) {
+
+	private static final int DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
+
+	private static final int MAX_BODY_BYTES = 12 * 1024 * 1024;
+
+	private static final Duration DEFAULT_READ_TIMEOUT = Duration.ofSeconds(10);
+
+	private static final int DEFAULT_ATTEMPTS = 3;
+
+	private static final Map<String, Set<String>> KNOWN = Map.of("process", ProcessSettings.PROCESS_KEYS, "platform",
+			ProcessSettings.PLATFORM_KEYS, "callers", Set.of("listen", "max-body-bytes", "read-timeout"), "operators",
+			Set.of("listen"), "routing", Set.of("chooser", "max-attempts"));
+
+	/**
+	 * Reads and checks the settings.
+	 * @param settings the file
+	 * @return the settings
+	 */
+	public static EntrySettings of(Settings settings) {
+		settings.requireKnown(KNOWN);
+		return new EntrySettings(ProcessSettings.of(settings),
+				settings.value("callers", "listen", ProcessSettings::socketAddress),
+				settings.value("operators", "listen", ProcessSettings::socketAddress),
+				settings.value("callers", "max-body-bytes", DEFAULT_MAX_BODY_BYTES, EntrySettings::bodyBytes),
+				settings.duration("callers", "read-timeout", DEFAULT_READ_TIMEOUT),
+				settings.find("routing", "chooser").orElse(RoutingPlugins.DEFAULT_CHOOSER),
+				settings.value("routing", "max-attempts", DEFAULT_ATTEMPTS, Integer::parseInt));
+	}
+
+	private static int bodyBytes(String text) {
+		int bytes = Integer.parseInt(text);
+		if (bytes < 1 || bytes > MAX_BODY_BYTES) {
+			throw new IllegalArgumentException("must be from 1 to " + MAX_BODY_BYTES);
+		}
+		return bytes;
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/OpenCall.java
@@ -0,0 +1,59 @@
+package io.bulrushrouter.daemon.entry;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import io.bulrushrouter.http.HttpExchange;
+import io.bulrushrouter.kernel.UpstreamId;
+import io.bulrushrouter.request.EntryCall;
+import io.bulrushrouter.request.RequestSpec;
+import io.bulrushrouter.wire.PeerConnection;
+
+/**
+ * A request that has no final answer yet.
+ */
+final class OpenCall {
+
+	final HttpExchange exchange;
+
+	final RequestSpec spec;
+
+	final EntryCall call;
+
+	final long startedNanos;
+
+	/** The attempts that are in the air, by number. */
+	final Map<Integer, OpenTry> tries = new HashMap<>();
+
+	boolean sawFirstToken;
+
+	OpenCall(HttpExchange exchange, RequestSpec spec, EntryCall call, long startedNanos) {
+		this.exchange = exchange;
+		this.spec = spec;
+		this.call = call;
+		this.startedNanos = startedNanos;
+	}
+
+	boolean uses(PeerConnection connection) {
+		return this.tries.values().stream().anyMatch((open) -> open.connection == connection);
+	}
+
+	/**
+	 * One attempt in the air.
+	 */
+	static final class OpenTry {
+
+		final UpstreamId upstream;
+
+		final PeerConnection connection;
+
+		boolean sawFirstToken;
+
+		OpenTry(UpstreamId upstream, PeerConnection connection) {
+			this.upstream = upstream;
+			this.connection = connection;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/RouteBook.java
@@ -0,0 +1,156 @@
+package io.bulrushrouter.daemon.entry;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
+
+import io.bulrushrouter.daemon.config.Configuration;
+import io.bulrushrouter.daemon.config.Upstream;
+import io.bulrushrouter.daemon.node.DecisionLog;
+import io.bulrushrouter.kernel.DataCentreId;
+import io.bulrushrouter.kernel.GroupId;
+import io.bulrushrouter.kernel.ModelId;
+import io.bulrushrouter.kernel.RequestId;
+import io.bulrushrouter.kernel.UpstreamId;
+import io.bulrushrouter.request.RequestSpec;
+import io.bulrushrouter.routing.Candidate;
+import io.bulrushrouter.routing.Choice;
+import io.bulrushrouter.routing.CostModel;
+import io.bulrushrouter.routing.EjectionSettings;
+import io.bulrushrouter.routing.LoadReport;
+import io.bulrushrouter.routing.OutlierEjection;
+import io.bulrushrouter.routing.Outcome;
+import io.bulrushrouter.routing.RouteQuery;
+import io.bulrushrouter.routing.UpstreamChooser;
+import io.bulrushrouter.routing.UpstreamSpec;
+import io.bulrushrouter.routing.UpstreamTable;
+
+/**
+ * Chooses upstreams: joins the way of choosing, what is known of the upstreams, ejection
+ * and the decision log. Owned by the entry's duty.
+ */
+final class RouteBook {
+
+	private static final int LOGGED_CANDIDATES = 4;
+
+	private final DataCentreId dataCentre;
+
+	private final UpstreamChooser chooser;
+
+	private final RandomGenerator random;
+
+	private final UpstreamTable table = UpstreamTable.of(List.of(), CostModel.ofDefaults());
+
+	private final OutlierEjection ejection = OutlierEjection.of(List.of(), EjectionSettings.ofDefaults());
+
+	private final Set<UpstreamId> unreachable = new HashSet<>();
+
+	private Set<ModelId> models = Set.of();
+
+	RouteBook(DataCentreId dataCentre, UpstreamChooser chooser, RandomGenerator random) {
+		this.dataCentre = dataCentre;
+		this.chooser = chooser;
+		this.random = random;
+	}
+
+	void configured(Configuration configuration, Set<UpstreamId> connected) {
+		List<UpstreamSpec> specs = new ArrayList<>();
+		for (Upstream upstream : configuration.upstreams()) {
+			upstream.models().forEach((model) -> specs.add(spec(upstream, model)));
+			if (!connected.contains(upstream.id())) {
+				this.unreachable.add(upstream.id());
+			}
+		}
+		this.models = specs.stream().map(UpstreamSpec::model).collect(Collectors.toSet());
+		this.table.configured(specs);
+		this.ejection.configured(specs);
+	}
+
+	private static UpstreamSpec spec(Upstream upstream, ModelId model) {
+		Optional<GroupId> group = Optional.of(upstream.group()).filter((name) -> !name.isEmpty()).map(GroupId::of);
+		return new UpstreamSpec(upstream.id(), model, DataCentreId.of(upstream.dataCentre()), group, 1);
+	}
+
+	boolean serves(ModelId model) {
+		return this.models.contains(model);
+	}
+
+	void reachable(UpstreamId upstream, boolean isReachable) {
+		if (isReachable) {
+			this.unreachable.remove(upstream);
+		}
+		else {
+			this.unreachable.add(upstream);
+		}
+	}
+
+	void leaving(UpstreamId upstream, boolean isLeaving) {
+		if (isLeaving) {
+			this.table.leaving(upstream);
+		}
+		else {
+			this.table.returned(upstream);
+		}
+		DecisionLog.of("upstream-state").with("upstream", upstream).with("leaving", isLeaving).write();
+	}
+
+	void reported(UpstreamId upstream, LoadReport report, long now) {
+		this.table.reported(upstream, report, now);
+	}
+
+	Optional<UpstreamId> pick(RequestId id, RequestSpec spec, Set<UpstreamId> excluded, long now) {
+		this.ejection.applyTo(this.table, now);
+		Set<UpstreamId> avoided = new HashSet<>(excluded);
+		avoided.addAll(this.unreachable);
+		Choice choice = this.chooser.choose(query(spec, avoided), this.table, now, this.random);
+		log(id, spec, choice);
+		return choice.upstream();
+	}
+
+	private RouteQuery query(RequestSpec spec, Set<UpstreamId> excluded) {
+		int prefixTokens = Math.min(spec.promptTokens(), CallParser.PREFIX_TOKENS);
+		return new RouteQuery(spec.model(), spec.organisation(), spec.priority(), spec.prefixDigest(), prefixTokens,
+				Math.max(1, spec.promptTokens()), this.dataCentre, excluded);
+	}
+
+	private static void log(RequestId id, RequestSpec spec, Choice choice) {
+		if (!DecisionLog.isEnabled()) {
+			return;
+		}
+		DecisionLog.of("route")
+			.with("request", id)
+			.with("organisation", spec.organisation())
+			.with("model", spec.model())
+			.with("upstream", choice.upstream().map(UpstreamId::value).orElse("-"))
+			.with("reason", choice.reason())
+			.with("candidates", costs(choice.candidates()))
+			.write();
+	}
+
+	private static String costs(List<Candidate> candidates) {
+		return candidates.stream()
+			.limit(LOGGED_CANDIDATES)
+			.map((candidate) -> candidate.upstream() + ":" + Math.round(candidate.costMillis() * 100) / 100.0)
+			.collect(Collectors.joining(","));
+	}
+
+	void sent(UpstreamId upstream, RequestSpec spec, long now) {
+		this.table.sent(upstream, query(spec, Set.of()), now);
+	}
+
+	void firstToken(UpstreamId upstream, RequestSpec spec, long now) {
+		this.table.firstToken(upstream, query(spec, Set.of()), now);
+	}
+
+	void finished(UpstreamId upstream, RequestSpec spec, boolean sawFirstToken, Outcome outcome, long now) {
+		this.table.finished(upstream, query(spec, Set.of()), sawFirstToken);
+		if (this.ejection.ended(upstream, outcome, now)) {
+			DecisionLog.of("eject").with("upstream", upstream).with("outcome", outcome).write();
+		}
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/UpstreamLinks.java
@@ -0,0 +1,100 @@
+package io.bulrushrouter.daemon.entry;
+
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import io.bulrushrouter.daemon.config.Upstream;
+import io.bulrushrouter.kernel.UpstreamId;
+import io.bulrushrouter.wire.PeerConnection;
+import io.bulrushrouter.wire.PeerNetwork;
+
+/**
+ * The entry's connections to the sidecars of the configured upstreams.
+ */
+final class UpstreamLinks {
+
+	private final PeerNetwork network;
+
+	private final Map<UpstreamId, Target> targets = new HashMap<>();
+
+	private final Map<UpstreamId, PeerConnection> connections = new HashMap<>();
+
+	UpstreamLinks(PeerNetwork network) {
+		this.network = network;
+	}
+
+	/**
+	 * Connects to new upstreams and gives up those that are gone or have moved.
+	 * @param upstreams the configured upstreams
+	 */
+	void configured(List<Upstream> upstreams) {
+		Set<UpstreamId> wanted = upstreams.stream().map(Upstream::id).collect(Collectors.toSet());
+		this.targets.entrySet().removeIf((entry) -> {
+			boolean gone = !wanted.contains(entry.getKey());
+			if (gone) {
+				entry.getValue().link().close();
+			}
+			return gone;
+		});
+		upstreams.forEach(this::connect);
+	}
+
+	private void connect(Upstream upstream) {
+		InetSocketAddress address = upstream.socketAddress();
+		Target current = this.targets.get(upstream.id());
+		if (current != null && current.address().equals(address)) {
+			return;
+		}
+		if (current != null) {
+			current.link().close();
+		}
+		this.targets.put(upstream.id(), new Target(address, this.network.connect(address)));
+	}
+
+	/**
+	 * Notes a new connection.
+	 * @param connection the connection
+	 * @return the upstream whose sidecar it leads to
+	 */
+	UpstreamId up(PeerConnection connection) {
+		UpstreamId upstream = UpstreamId.of(connection.peer().name());
+		this.connections.put(upstream, connection);
+		return upstream;
+	}
+
+	/**
+	 * Notes a lost connection.
+	 * @param connection the connection
+	 * @return the upstream that has no connection now, or empty if it has a newer one
+	 */
+	Optional<UpstreamId> down(PeerConnection connection) {
+		UpstreamId upstream = UpstreamId.of(connection.peer().name());
+		return this.connections.remove(upstream, connection) ? Optional.of(upstream) : Optional.empty();
+	}
+
+	/**
+	 * Finds the connection to an upstream's sidecar.
+	 * @param upstream the upstream
+	 * @return the connection, or empty
+	 */
+	Optional<PeerConnection> connection(UpstreamId upstream) {
+		return Optional.ofNullable(this.connections.get(upstream));
+	}
+
+	/**
+	 * Returns the upstreams that have a connection.
+	 * @return the upstreams
+	 */
+	Set<UpstreamId> connected() {
+		return Set.copyOf(this.connections.keySet());
+	}
+
+	private record Target(InetSocketAddress address, PeerNetwork.Link link) {
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/node/Bootstrap.java
@@ -0,0 +1,92 @@
+package io.bulrushrouter.daemon.node;
+
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.concurrent.DefaultThreadFactory;
+
+import io.bulrushrouter.http.HttpCaller;
+import io.bulrushrouter.platform.HttpObjectStore;
+import io.bulrushrouter.platform.PlatformLiveList;
+
+/**
+ * The threads and clients that a daemon owns, closed together.
+ */
+public final class Bootstrap implements AutoCloseable {
+
+	private final EventLoopGroup network;
+
+	private final HttpCaller caller;
+
+	private final HttpObjectStore store;
+
+	private final PlatformLiveList liveList;
+
+	private final Metrics metrics = new Metrics();
+
+	private Bootstrap(ProcessSettings settings, int threads) {
+		this.network = new NioEventLoopGroup(threads, new DefaultThreadFactory("network", true));
+		this.caller = HttpCaller.of(this.network);
+		this.store = HttpObjectStore.of(settings.platform(), settings.platformTimeout());
+		this.liveList = PlatformLiveList.of(this.store);
+	}
+
+	/**
+	 * Opens threads and clients.
+	 * @param settings what all daemons share
+	 * @param threads how many network threads
+	 * @return the resources
+	 */
+	public static Bootstrap open(ProcessSettings settings, int threads) {
+		return new Bootstrap(settings, threads);
+	}
+
+	/**
+	 * Returns the network threads.
+	 * @return the threads
+	 */
+	public EventLoopGroup network() {
+		return this.network;
+	}
+
+	/**
+	 * Returns the HTTP client.
+	 * @return the client
+	 */
+	public HttpCaller caller() {
+		return this.caller;
+	}
+
+	/**
+	 * Returns the platform's object API.
+	 * @return the client
+	 */
+	public HttpObjectStore store() {
+		return this.store;
+	}
+
+	/**
+	 * Returns the platform's list of instances.
+	 * @return the list
+	 */
+	public PlatformLiveList liveList() {
+		return this.liveList;
+	}
+
+	/**
+	 * Returns the metrics.
+	 * @return the metrics
+	 */
+	public Metrics metrics() {
+		return this.metrics;
+	}
+
+	@Override
+	public void close() {
+		this.store.close();
+		this.caller.close();
+		this.network.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/node/Metrics.java
@@ -0,0 +1,60 @@
+package io.bulrushrouter.daemon.node;
+
+import java.util.function.Supplier;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.Timer;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+
+/**
+ * A process's metrics, in Prometheus' text form at {@code /metrics}.
+ */
+public final class Metrics {
+
+	/** The path that Prometheus reads. */
+	public static final String PATH = "/metrics";
+
+	private static final String PREFIX = "bulrush.";
+
+	private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+
+	/**
+	 * Returns a counter.
+	 * @param name the metric, without the common prefix
+	 * @param tags keys and values in turn
+	 * @return the counter
+	 */
+	public Counter counter(String name, String... tags) {
+		return this.registry.counter(PREFIX + name, tags);
+	}
+
+	/**
+	 * Returns a timer with the target's percentiles.
+	 * @param name the metric, without the common prefix
+	 * @param tags keys and values in turn
+	 * @return the timer
+	 */
+	public Timer timer(String name, String... tags) {
+		return Timer.builder(PREFIX + name).tags(tags).publishPercentiles(0.5, 0.95, 0.99).register(this.registry);
+	}
+
+	/**
+	 * Shows a value that is read when the metrics are.
+	 * @param name the metric, without the common prefix
+	 * @param value reads the value
+	 */
+	public void gauge(String name, Supplier<Number> value) {
+		Gauge.builder(PREFIX + name, value).register(this.registry);
+	}
+
+	/**
+	 * Returns all metrics.
+	 * @return the text
+	 */
+	public String text() {
+		return this.registry.scrape();
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/EngineClient.java
@@ -0,0 +1,165 @@
+package io.bulrushrouter.daemon.sidecar;
+
+import java.net.URI;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+
+import io.bulrushrouter.http.HttpCaller;
+import io.bulrushrouter.http.HttpFlight;
+import io.bulrushrouter.http.HttpListener;
+import io.bulrushrouter.kernel.AttemptId;
+import io.bulrushrouter.kernel.ErrorCode;
+import io.bulrushrouter.request.CallKind;
+import io.bulrushrouter.request.RequestSpec;
+import io.bulrushrouter.request.SidecarEvent;
+
+/**
+ * Runs attempts on the upstream over HTTP and turns its answers into events.
+ */
+final class EngineClient {
+
+	private static final String REQUEST_HEADER = "X-Request-Id";
+
+	private static final String RESUME_HEADER = "X-Resume-After-Tokens";
+
+	private static final String KEY_HEADER = "Idempotency-Key";
+
+	private static final int SERVER_ERROR = 500;
+
+	private final HttpCaller caller;
+
+	private final String base;
+
+	private final Consumer<SidecarEvent> events;
+
+	private final Map<AttemptId, HttpFlight> flights = new HashMap<>();
+
+	/**
+	 * Creates a client.
+	 * @param caller sends requests
+	 * @param url the upstream's address
+	 * @param events takes events, on network threads
+	 */
+	EngineClient(HttpCaller caller, URI url, Consumer<SidecarEvent> events) {
+		this.caller = caller;
+		this.base = "http://" + url.getAuthority();
+		this.events = events;
+	}
+
+	/**
+	 * Runs an attempt.
+	 * @param attempt the attempt
+	 * @param spec what to run
+	 * @param resumeAfterTokens how many tokens of the answer to leave out
+	 */
+	void run(AttemptId attempt, RequestSpec spec, int resumeAfterTokens) {
+		Map<String, String> headers = new LinkedHashMap<>();
+		headers.put("Content-Type", "application/json");
+		headers.put(REQUEST_HEADER, attempt.request().toString());
+		spec.idempotencyKey().ifPresent((key) -> headers.put(KEY_HEADER, key));
+		if (resumeAfterTokens > 0) {
+			headers.put(RESUME_HEADER, Integer.toString(resumeAfterTokens));
+		}
+		HttpListener listener = (spec.stream() && spec.kind() == CallKind.COMPLETION) ? new StreamListener(attempt)
+				: new PlainListener(attempt);
+		this.flights.put(attempt, this.caller.send(spec.method(), this.base + spec.path(), headers,
+				spec.body(), listener));
+	}
+
+	/**
+	 * Stops an attempt.
+	 * @param attempt the attempt
+	 */
+	void cancel(AttemptId attempt) {
+		HttpFlight flight = this.flights.remove(attempt);
+		if (flight != null) {
+			flight.cancel();
+			this.events.accept(new SidecarEvent.EngineFailed(attempt, ErrorCode.CANCELLED, true));
+		}
+	}
+
+	/**
+	 * Forgets an attempt that ended.
+	 * @param attempt the attempt
+	 */
+	void ended(AttemptId attempt) {
+		this.flights.remove(attempt);
+	}
+
+	private class PlainListener implements HttpListener {
+
+		private final AttemptId attempt;
+
+		private boolean failed;
+
+		PlainListener(AttemptId attempt) {
+			this.attempt = attempt;
+		}
+
+		@Override
+		public void head(int status, String contentType) {
+			if (status >= SERVER_ERROR) {
+				this.failed = true;
+				emit(new SidecarEvent.EngineFailed(this.attempt, ErrorCode.ENGINE_ERROR, true));
+			}
+			else {
+				emit(new SidecarEvent.EngineHead(this.attempt, status, contentType));
+			}
+		}
+
+		@Override
+		public void part(byte[] bytes) {
+			data(bytes, 0);
+		}
+
+		final void data(byte[] bytes, int tokens) {
+			if (bytes.length > 0) {
+				emit(new SidecarEvent.EngineData(this.attempt, bytes, tokens));
+			}
+		}
+
+		@Override
+		public void end() {
+			emit(new SidecarEvent.EngineEnd(this.attempt));
+		}
+
+		@Override
+		public void failed(boolean mayHaveArrived, Throwable cause) {
+			ErrorCode code = mayHaveArrived ? ErrorCode.CONNECTION_LOST : ErrorCode.ENGINE_UNREACHABLE;
+			emit(new SidecarEvent.EngineFailed(this.attempt, code, mayHaveArrived));
+			this.failed = true;
+		}
+
+		private void emit(SidecarEvent event) {
+			if (!this.failed || event instanceof SidecarEvent.EngineFailed) {
+				EngineClient.this.events.accept(event);
+			}
+		}
+
+	}
+
+	private final class StreamListener extends PlainListener {
+
+		private final EventSplitter splitter = new EventSplitter();
+
+		StreamListener(AttemptId attempt) {
+			super(attempt);
+		}
+
+		@Override
+		public void part(byte[] bytes) {
+			byte[] events = this.splitter.take(bytes);
+			data(events, EventSplitter.tokens(events));
+		}
+
+		@Override
+		public void end() {
+			data(this.splitter.remainder(), 0);
+			super.end();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/SidecarCore.java
@@ -0,0 +1,219 @@
+package io.bulrushrouter.daemon.sidecar;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import io.micrometer.core.instrument.Counter;
+
+import io.bulrushrouter.daemon.node.ControlMessages;
+import io.bulrushrouter.daemon.node.DecisionLog;
+import io.bulrushrouter.daemon.node.Metrics;
+import io.bulrushrouter.kernel.AttemptId;
+import io.bulrushrouter.kernel.ErrorCode;
+import io.bulrushrouter.kernel.TimeSource;
+import io.bulrushrouter.request.CallMessage;
+import io.bulrushrouter.request.Claims;
+import io.bulrushrouter.request.SidecarAction;
+import io.bulrushrouter.request.SidecarCalls;
+import io.bulrushrouter.request.SidecarEvent;
+import io.bulrushrouter.routing.LoadReport;
+import io.bulrushrouter.wire.ControlCodec;
+import io.bulrushrouter.wire.PeerConnection;
+import io.bulrushrouter.wire.WireMessage;
+
+/**
+ * The sidecar's state, owned by one duty: carries out what {@link SidecarCalls} decides.
+ */
+final class SidecarCore {
+
+	/** The time between two load reports to an entry that sends work. */
+	private static final long REPORT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+	/** An entry gets load reports this long after its last request. */
+	private static final long INTEREST_NANOS = TimeUnit.SECONDS.toNanos(10);
+
+	private final long incarnation;
+
+	private final SidecarCalls calls;
+
+	private final EngineClient engine;
+
+	private final Claims claims;
+
+	private final TimeSource time;
+
+	private final Metrics metrics;
+
+	private final Map<Long, Entry> entries = new HashMap<>();
+
+	private final Map<SidecarAction.Decision, Counter> decisions = new HashMap<>();
+
+	private SidecarInput.EngineLoad load = new SidecarInput.EngineLoad(0, 0);
+
+	private long loadNanos;
+
+	private long reportSequence;
+
+	private boolean draining;
+
+	SidecarCore(long incarnation, SidecarCalls calls, EngineClient engine, Claims claims, TimeSource time,
+			Metrics metrics) {
+		this.incarnation = incarnation;
+		this.calls = calls;
+		this.engine = engine;
+		this.claims = claims;
+		this.time = time;
+		this.metrics = metrics;
+	}
+
+	void take(SidecarInput input) {
+		if (input instanceof SidecarInput.PeerSaid said) {
+			hear(said);
+		}
+		else if (input instanceof SidecarInput.Happened happened) {
+			happen(happened.event());
+		}
+		else if (input instanceof SidecarInput.PeerUp up) {
+			this.entries.put(up.connection().id(), new Entry(up.connection()));
+			tellState(up.connection());
+		}
+		else if (input instanceof SidecarInput.PeerDown down) {
+			this.entries.remove(down.connection().id());
+			step(new SidecarEvent.EntryLost(down.connection().id()));
+		}
+		else if (input instanceof SidecarInput.Continue next) {
+			next.action().run();
+		}
+		else if (input instanceof SidecarInput.EngineLoad newLoad) {
+			this.load = newLoad;
+			this.loadNanos = this.time.nanos();
+		}
+	}
+
+	private void hear(SidecarInput.PeerSaid said) {
+		long connection = said.connection().id();
+		if (!(said.message() instanceof WireMessage.OfCall ofCall)) {
+			return;
+		}
+		if (ofCall.message() instanceof CallMessage.Call call) {
+			Optional.ofNullable(this.entries.get(connection)).ifPresent((entry) -> entry.workNanos = this.time.nanos());
+			step(new SidecarEvent.Arrived(connection, this.incarnation, call));
+		}
+		else if (ofCall.message() instanceof CallMessage.Cancel cancel) {
+			step(new SidecarEvent.CancelArrived(connection, cancel));
+		}
+	}
+
+	private void happen(SidecarEvent event) {
+		if (event instanceof SidecarEvent.EngineEnd end) {
+			this.engine.ended(end.attempt());
+		}
+		else if (event instanceof SidecarEvent.EngineFailed failed) {
+			this.engine.ended(failed.attempt());
+		}
+		else if (event instanceof SidecarEvent.DrainSign && !this.draining) {
+			this.draining = true;
+			DecisionLog.of("drain").with("in-flight", this.calls.inFlight()).write();
+			this.entries.values().forEach((entry) -> tellState(entry.connection));
+		}
+		step(event);
+	}
+
+	private void tellState(PeerConnection connection) {
+		connection.send(ControlCodec.encode(new ControlMessages.UpstreamStateChanged(this.draining)));
+	}
+
+	void tick() {
+		long now = this.time.nanos();
+		if (this.calls.nextWakeNanos() <= now) {
+			step(new SidecarEvent.Tick());
+		}
+		if (this.claims.nextWakeNanos() <= now) {
+			this.claims.tick();
+		}
+		report(now);
+	}
+
+	private void report(long now) {
+		for (Entry entry : this.entries.values()) {
+			if (now - entry.workNanos < INTEREST_NANOS && now - entry.reportNanos >= REPORT_NANOS) {
+				entry.reportNanos = now;
+				this.reportSequence++;
+				entry.connection.send(ControlCodec.encode(new LoadReport(this.incarnation, this.reportSequence,
+						now - this.loadNanos, this.load.queuedTokens(), this.load.running(), 0, 0, List.of())));
+			}
+		}
+	}
+
+	private void step(SidecarEvent event) {
+		this.calls.on(event, this.time.nanos(), this::perform);
+	}
+
+	private void perform(SidecarAction action) {
+		if (action instanceof SidecarAction.Reply reply) {
+			Optional.ofNullable(this.entries.get(reply.connection()))
+				.ifPresent((entry) -> entry.connection.send(new WireMessage.OfCall(reply.message())));
+		}
+		else if (action instanceof SidecarAction.RunOnEngine run) {
+			this.engine.run(run.attempt(), run.spec(), run.resumeAfterTokens());
+		}
+		else if (action instanceof SidecarAction.CancelOnEngine cancel) {
+			this.engine.cancel(cancel.attempt());
+		}
+		else if (action instanceof SidecarAction.Claim claim) {
+			this.claims.claim(claim.request(),
+					(outcome) -> step(new SidecarEvent.ClaimSettled(claim.request().attempt(), outcome)));
+		}
+		else if (action instanceof SidecarAction.Release release) {
+			this.claims.release(release.request());
+		}
+		else if (action instanceof SidecarAction.Decided decided) {
+			log(decided.attempt(), decided.decision(), decided.code());
+		}
+	}
+
+	private void log(AttemptId attempt, SidecarAction.Decision decision, Optional<ErrorCode> code) {
+		this.decisions
+			.computeIfAbsent(decision, (key) -> this.metrics.counter("sidecar.decisions", "decision", key.name()))
+			.increment();
+		DecisionLog.of("admit")
+			.with("attempt", attempt)
+			.with("decision", decision)
+			.with("code", code.map(ErrorCode::text).orElse("-"))
+			.write();
+	}
+
+	/**
+	 * Returns how many runs wait or are on the engine.
+	 * @return the count
+	 */
+	int inFlight() {
+		return this.calls.inFlight();
+	}
+
+	/**
+	 * Tells whether the upstream leaves and all of its work is done.
+	 * @return whether the process may end
+	 */
+	boolean isDrained() {
+		return this.calls.isDrained();
+	}
+
+	private static final class Entry {
+
+		private final PeerConnection connection;
+
+		private long workNanos = Long.MIN_VALUE / 2;
+
+		private long reportNanos = Long.MIN_VALUE / 2;
+
+		private Entry(PeerConnection connection) {
+			this.connection = connection;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/SidecarNode.java
@@ -0,0 +1,209 @@
+package io.bulrushrouter.daemon.sidecar;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import io.bulrushrouter.daemon.node.Bootstrap;
+import io.bulrushrouter.daemon.node.OperatorsPort;
+import io.bulrushrouter.http.HttpLimits;
+import io.bulrushrouter.http.HttpServer;
+import io.bulrushrouter.kernel.TimeSource;
+import io.bulrushrouter.kernel.duty.Duty;
+import io.bulrushrouter.request.CallQueue;
+import io.bulrushrouter.request.Claims;
+import io.bulrushrouter.request.SidecarCalls;
+import io.bulrushrouter.request.SidecarEvent;
+import io.bulrushrouter.request.SidecarPolicy;
+import io.bulrushrouter.wire.PeerConnection;
+import io.bulrushrouter.wire.PeerHandler;
+import io.bulrushrouter.wire.PeerNetwork;
+import io.bulrushrouter.wire.WireMessage;
+
+/**
+ * A running sidecar.
+ */
+public final class SidecarNode implements AutoCloseable {
+
+	/** The role in introductions and on the live list. */
+	public static final String ROLE = "sidecar";
+
+	private static final Logger logger = LoggerFactory.getLogger(SidecarNode.class);
+
+	private static final int NETWORK_THREADS = 2;
+
+	private static final int QUEUE_CAPACITY = 10_000;
+
+	private static final Duration TICK = Duration.ofMillis(5);
+
+	private static final long LOAD_INTERVAL_MILLIS = 250;
+
+	private static final long DRAIN_POLL_MILLIS = 20;
+
+	private final SidecarSettings settings;
+
+	private final Bootstrap bootstrap;
+
+	private final Duty<SidecarInput> duty;
+
+	private final SidecarCore core;
+
+	private final PeerNetwork peers;
+
+	private final HttpServer operators;
+
+	private final int peerPort;
+
+	private volatile boolean drained;
+
+	private SidecarNode(SidecarSettings settings) {
+		this.settings = settings;
+		this.bootstrap = Bootstrap.open(settings.process(), NETWORK_THREADS);
+		try {
+			RandomGenerator random = RandomGenerator.of("L64X128MixRandom");
+			long incarnation = random.nextLong();
+			this.core = core(incarnation);
+			this.duty = Duty.<SidecarInput>builder("sidecar", this.core::take).tick(TICK, this::tick).start();
+			WireMessage.Hello hello = new WireMessage.Hello(settings.upstream().value(), ROLE,
+					settings.process().dataCentre().value(), incarnation);
+			this.peers = PeerNetwork.of(this.bootstrap.network(), hello, new Peers(), random);
+			this.operators = HttpServer.start(this.bootstrap.network(), settings.operators(), HttpLimits.ofDefaults(),
+					new OperatorsPort(this.bootstrap.metrics(), () -> !this.drained, OperatorsPort.ofNoRest()));
+			this.peerPort = this.peers.listen(settings.peers());
+			this.bootstrap.metrics().gauge("sidecar.ring.backlog", this.duty::backlog);
+			this.bootstrap.metrics().gauge("sidecar.in.flight", this.core::inFlight);
+			if (!settings.service()) {
+				pollLoad();
+			}
+		}
+		catch (RuntimeException ex) {
+			this.bootstrap.close();
+			throw ex;
+		}
+	}
+
+	private SidecarCore core(long incarnation) {
+		EngineClient engine = new EngineClient(this.bootstrap.caller(), this.settings.url(),
+				(event) -> this.duty.put(new SidecarInput.Happened(event)));
+		SidecarCalls calls = SidecarCalls.of(incarnation, SidecarPolicy.of(this.settings.concurrency()),
+				CallQueue.ofFifo(QUEUE_CAPACITY));
+		Claims claims = Claims.builder(this.bootstrap.store(), incarnation)
+			.executor((action) -> this.duty.put(new SidecarInput.Continue(action)))
+			.build();
+		return new SidecarCore(incarnation, calls, engine, claims, TimeSource.ofSystem(), this.bootstrap.metrics());
+	}
+
+	/**
+	 * Starts a sidecar.
+	 * @param settings its settings
+	 * @return the running sidecar
+	 */
+	public static SidecarNode start(SidecarSettings settings) {
+		SidecarNode node = new SidecarNode(settings);
+		logger.info("event=started role={} upstream={} peers={} operators={}", ROLE, settings.upstream(),
+				node.peerPort, node.operators.port());
+		return node;
+	}
+
+	private void tick() {
+		this.core.tick();
+		this.drained = this.core.isDrained();
+	}
+
+	private void pollLoad() {
+		this.bootstrap.caller()
+			.send("GET", "http://" + this.settings.url().getAuthority() + "/load", Map.of(), new byte[0],
+					new LoadListener((load) -> {
+						load.ifPresent(this.duty::offer);
+						if (!this.bootstrap.network().isShuttingDown()) {
+							this.bootstrap.network()
+								.schedule(this::pollLoad, LOAD_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+						}
+					}));
+	}
+
+	/**
+	 * Returns the port for entries and other sidecars.
+	 * @return the port
+	 */
+	public int peerPort() {
+		return this.peerPort;
+	}
+
+	/**
+	 * Returns the port for metrics and health.
+	 * @return the port
+	 */
+	public int operatorsPort() {
+		return this.operators.port();
+	}
+
+	/**
+	 * Tells the sidecar that its upstream leaves: it takes no new work from here on.
+	 */
+	public void drain() {
+		this.duty.put(new SidecarInput.Happened(new SidecarEvent.DrainSign()));
+	}
+
+	/**
+	 * Tells whether the upstream leaves and all of its work is done.
+	 * @return whether the process may end
+	 */
+	public boolean isDrained() {
+		return this.drained;
+	}
+
+	/**
+	 * Drains and waits until all work in flight is done, however long it takes.
+	 */
+	public void drainAndWait() {
+		drain();
+		long warnAt = System.nanoTime() + this.settings.drainTimeout().toNanos();
+		while (!this.drained) {
+			if (System.nanoTime() > warnAt) {
+				logger.warn("event=drain-held upstream={} in-flight={}", this.settings.upstream(),
+						this.core.inFlight());
+				warnAt += this.settings.drainTimeout().toNanos();
+			}
+			try {
+				Thread.sleep(DRAIN_POLL_MILLIS);
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+				return;
+			}
+		}
+	}
+
+	@Override
+	public void close() {
+		this.peers.close();
+		this.operators.close();
+		this.duty.close();
+		this.bootstrap.close();
+	}
+
+	private final class Peers implements PeerHandler {
+
+		@Override
+		public void connected(PeerConnection connection) {
+			SidecarNode.this.duty.put(new SidecarInput.PeerUp(connection));
+		}
+
+		@Override
+		public void received(PeerConnection connection, WireMessage message) {
+			SidecarNode.this.duty.put(new SidecarInput.PeerSaid(connection, message));
+		}
+
+		@Override
+		public void closed(PeerConnection connection) {
+			SidecarNode.this.duty.put(new SidecarInput.PeerDown(connection));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/SidecarSettings.java
@@ -0,0 +1,70 @@
+package io.bulrushrouter.daemon.sidecar;
+
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Set;
+
+import io.bulrushrouter.daemon.node.ProcessSettings;
+import io.bulrushrouter.kernel.UpstreamId;
+import io.bulrushrouter.kernel.settings.Settings;
+
+/**
+ * The settings of a sidecar.
+ *
+ * @param process what all daemons share
+ * @param peers where entries and other sidecars connect
+ * @param operators where metrics and health are served
+ * @param upstream the upstream's name
+ * @param url the upstream's address
+ * @param concurrency the most requests that run on the upstream at once
+ * @param service whether the upstream is a plain service
+ * @param checksFence whether the upstream refuses orders with an old fencing number
+ * @param drainTimeout how long a signal to stop waits for requests in flight before it
+ * warns; it never cuts them
+ */
+public record SidecarSettings(ProcessSettings process, InetSocketAddress peers, InetSocketAddress operators,
+		UpstreamId upstream, URI url, int concurrency, boolean service, boolean checksFence, Duration drainTimeout) {
+
+	private static final int MAX_CONCURRENCY = 100_000;
+
+	private static final Duration DEFAULT_DRAIN = Duration.ofMinutes(10);
+
+	private static final Map<String, Set<String>> KNOWN = Map.of("process", ProcessSettings.PROCESS_KEYS, "platform",
+			ProcessSettings.PLATFORM_KEYS, "peers", Set.of("listen"), "operators", Set.of("listen"), "upstream",
+			Set.of("name", "url", "concurrency", "kind", "checks-fence", "drain-warning"));
+
+	/**
+	 * Reads and checks the settings.
+	 * @param settings the file
+	 * @return the settings
+	 */
+	public static SidecarSettings of(Settings settings) {
+		settings.requireKnown(KNOWN);
+		return new SidecarSettings(ProcessSettings.of(settings),
+				settings.value("peers", "listen", ProcessSettings::socketAddress),
+				settings.value("operators", "listen", ProcessSettings::socketAddress),
+				settings.value("upstream", "name", UpstreamId::of),
+				settings.value("upstream", "url", ProcessSettings::httpUrl),
+				settings.integer("upstream", "concurrency", 1, MAX_CONCURRENCY),
+				settings.value("upstream", "kind", false, SidecarSettings::isService),
+				settings.value("upstream", "checks-fence", false, SidecarSettings::flag),
+				settings.duration("upstream", "drain-warning", DEFAULT_DRAIN));
+	}
+
+	private static boolean isService(String kind) {
+		if (!Set.of("engine", "service").contains(kind)) {
+			throw new IllegalArgumentException("must be engine or service");
+		}
+		return kind.equals("service");
+	}
+
+	private static boolean flag(String text) {
+		if (!Set.of("true", "false").contains(text)) {
+			throw new IllegalArgumentException("must be true or false");
+		}
+		return text.equals("true");
+	}
+
+}
