--- /dev/null
+++ b/bulrushrouter-request/src/main/java/io/bulrushrouter/request/ClaimRequest.java
@@ -0,0 +1,28 @@
+package io.bulrushrouter.request;
+
+import java.util.Objects;
+
+import io.bulrushrouter.kernel.AttemptId;
+import io.bulrushrouter.kernel.OrganisationId;
+
+/**
+ * A claim of an idempotency key by one attempt.
+ *
+ * @param attempt the attempt
+ * @param holder the incarnation of the sidecar that runs it
+ * @param organisation the caller's organisation; keys of two organisations differ
+ * @param key the idempotency key
+ * @param digest the hash of the request
+ */
+public record ClaimRequest(AttemptId attempt, long holder, OrganisationId organisation, String key, long digest) {
+
+	/**
+	 * Checks the parts.
+	 */
+	public ClaimRequest {
+		Objects.requireNonNull(attempt);
+		Objects.requireNonNull(organisation);
+		Objects.requireNonNull(key);
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-request/src/main/java/io/bulrushrouter/request/Claims.java
@@ -0,0 +1,151 @@
+package io.bulrushrouter.request;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+
+import io.bulrushrouter.kernel.TimeSource;
+import io.bulrushrouter.kernel.store.ObjectStore;
+
+/**
+ * At most once for non-idempotent requests: before one runs, its idempotency key is
+ * written to the platform, and the conditional write alone decides who may run it. Claims
+ * of one shard are written many at once. Use it from one thread, which the executor has
+ * to be of.
+ */
+public final class Claims {
+
+	private final ClaimsPolicy policy;
+
+	private final List<ClaimShard> shards = new ArrayList<>();
+
+	private Claims(Builder builder) {
+		this.policy = builder.policy;
+		for (int i = 0; i < builder.policy.shards(); i++) {
+			this.shards.add(new ClaimShard(i, builder));
+		}
+	}
+
+	/**
+	 * Returns a builder.
+	 * @param store the platform's object API
+	 * @param incarnation the process's incarnation, which marks its writes
+	 * @return the builder
+	 */
+	public static Builder builder(ObjectStore store, long incarnation) {
+		return new Builder(store, incarnation);
+	}
+
+	/**
+	 * Claims a key.
+	 * @param request the claim
+	 * @param answer takes the outcome once, on the executor
+	 */
+	public void claim(ClaimRequest request, Consumer<ClaimOutcome> answer) {
+		shardOf(request).claim(request, answer);
+	}
+
+	/**
+	 * Frees a key whose request did not run. A claim that somebody else holds by now
+	 * stays.
+	 * @param request the claim as it was granted
+	 */
+	public void release(ClaimRequest request) {
+		shardOf(request).release(request);
+	}
+
+	/**
+	 * Writes what waited for its turn.
+	 */
+	public void tick() {
+		this.shards.forEach(ClaimShard::step);
+	}
+
+	/**
+	 * Returns when the next {@link #tick()} is due.
+	 * @return the time, or {@link Long#MAX_VALUE} if nothing waits
+	 */
+	public long nextWakeNanos() {
+		return this.shards.stream().mapToLong(ClaimShard::nextWakeNanos).min().orElse(Long.MAX_VALUE);
+	}
+
+	private ClaimShard shardOf(ClaimRequest request) {
+		return this.shards.get(this.policy.shardOf(request.organisation(), request.key()));
+	}
+
+	/**
+	 * Builds {@link Claims}.
+	 */
+	public static final class Builder {
+
+		final ObjectStore store;
+
+		final long incarnation;
+
+		ClaimsPolicy policy = ClaimsPolicy.ofDefaults();
+
+		TimeSource clock = TimeSource.ofSystem();
+
+		LongSupplier epochSeconds = () -> System.currentTimeMillis() / 1000;
+
+		Executor executor = Runnable::run;
+
+		private Builder(ObjectStore store, long incarnation) {
+			this.store = Objects.requireNonNull(store);
+			this.incarnation = incarnation;
+		}
+
+		/**
+		 * Sets the layout.
+		 * @param policy the layout
+		 * @return this builder
+		 */
+		public Builder policy(ClaimsPolicy policy) {
+			this.policy = policy;
+			return this;
+		}
+
+		/**
+		 * Sets the monotonic clock.
+		 * @param clock the clock
+		 * @return this builder
+		 */
+		public Builder clock(TimeSource clock) {
+			this.clock = clock;
+			return this;
+		}
+
+		/**
+		 * Sets the wall clock, which only tells how old claims are.
+		 * @param epochSeconds the seconds since 1970
+		 * @return this builder
+		 */
+		public Builder epochSeconds(LongSupplier epochSeconds) {
+			this.epochSeconds = epochSeconds;
+			return this;
+		}
+
+		/**
+		 * Sets the executor of the thread that uses the claims.
+		 * @param executor the executor
+		 * @return this builder
+		 */
+		public Builder executor(Executor executor) {
+			this.executor = executor;
+			return this;
+		}
+
+		/**
+		 * Returns the claims.
+		 * @return the claims
+		 */
+		public Claims build() {
+			return new Claims(this);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-request/src/main/java/io/bulrushrouter/request/ClaimsPolicy.java
@@ -0,0 +1,42 @@
+package io.bulrushrouter.request;
+
+import java.time.Duration;
+
+import io.bulrushrouter.kernel.OrganisationId;
+
+/**
+ * How claims are laid out in the platform. All processes have to use the same number of
+ * shards and archives.
+ *
+ * @param shards the number of objects that new claims are written to
+ * @param archives the number of full segments that a shard keeps
+ * @param segmentClaims the claims of a full segment
+ * @param writeInterval the shortest time between two writes to a shard
+ * @param keptFor how long a claim is kept at least
+ * @param inFlightFor how long after its claim a request may still be running
+ * @param retryAfter when a caller is told to come back while the store is down
+ */
+public record ClaimsPolicy(int shards, int archives, int segmentClaims, Duration writeInterval, Duration keptFor,
+		Duration inFlightFor, Duration retryAfter) {
+
+	/**
+	 * Returns the default layout.
+	 * @return the layout
+	 */
+	public static ClaimsPolicy ofDefaults() {
+		return new ClaimsPolicy(16, 128, 700, Duration.ofMillis(100), Duration.ofMinutes(10), Duration.ofMinutes(2),
+				Duration.ofSeconds(2));
+	}
+
+	/**
+	 * Returns the shard that decides a key. Claims of one shard are best sent to one
+	 * sidecar, since it writes many at once; any other decides them as safely.
+	 * @param organisation the caller's organisation
+	 * @param key the idempotency key
+	 * @return the shard, from 0
+	 */
+	public int shardOf(OrganisationId organisation, String key) {
+		return Math.floorMod(KeyHash.of(organisation, key).high(), this.shards);
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-request/src/main/java/io/bulrushrouter/request/EngineRun.java
@@ -0,0 +1,181 @@
+package io.bulrushrouter.request;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import io.bulrushrouter.kernel.AttemptId;
+
+/**
+ * One run on the engine and the attempts that wait for its answer. What came so far is
+ * recorded, so that an equal request can join and the answer can be kept.
+ */
+final class EngineRun {
+
+	private final AttemptId id;
+
+	private final RequestSpec spec;
+
+	private final int resumeAfterTokens;
+
+	private final List<Waiter> waiters = new ArrayList<>();
+
+	private final List<AnswerCache.Part> parts = new ArrayList<>();
+
+	private Optional<SidecarEvent.EngineHead> head = Optional.empty();
+
+	private State state = State.QUEUED;
+
+	private long recordedBytes;
+
+	private boolean recording;
+
+	private boolean cancelled;
+
+	EngineRun(AttemptId id, RequestSpec spec, int resumeAfterTokens) {
+		this.id = id;
+		this.spec = spec;
+		this.resumeAfterTokens = resumeAfterTokens;
+		this.recording = resumeAfterTokens == 0;
+	}
+
+	AttemptId id() {
+		return this.id;
+	}
+
+	RequestSpec spec() {
+		return this.spec;
+	}
+
+	int resumeAfterTokens() {
+		return this.resumeAfterTokens;
+	}
+
+	List<Waiter> waiters() {
+		return this.waiters;
+	}
+
+	State state() {
+		return this.state;
+	}
+
+	void state(State state) {
+		this.state = state;
+	}
+
+	boolean cancelled() {
+		return this.cancelled;
+	}
+
+	void markCancelled() {
+		this.cancelled = true;
+	}
+
+	Optional<SidecarEvent.EngineHead> head() {
+		return this.head;
+	}
+
+	void head(SidecarEvent.EngineHead head) {
+		this.head = Optional.of(head);
+	}
+
+	List<AnswerCache.Part> parts() {
+		return this.parts;
+	}
+
+	/**
+	 * Tells whether an equal request can share the answer.
+	 * @return whether all of it was recorded so far
+	 */
+	boolean joinable() {
+		return this.recording && !this.cancelled;
+	}
+
+	void record(AnswerCache.Part part, int maxBytes) {
+		this.recordedBytes += part.bytes().length;
+		this.recording &= this.recordedBytes <= maxBytes;
+		if (this.recording) {
+			this.parts.add(part);
+		}
+		else {
+			this.parts.clear();
+		}
+	}
+
+	Optional<AnswerCache.Answer> answer() {
+		if (!this.recording || this.head.isEmpty()) {
+			return Optional.empty();
+		}
+		return Optional.of(new AnswerCache.Answer(this.spec.digest(), this.head.get().status(),
+				this.head.get().contentType(), List.copyOf(this.parts)));
+	}
+
+	/**
+	 * How far a run has come.
+	 */
+	enum State {
+
+		/** It waits for its turn. */
+		QUEUED,
+
+		/** Its key is being claimed. */
+		CLAIMING,
+
+		/** It was handed to the engine. */
+		STARTED
+
+	}
+
+	/**
+	 * An attempt that waits for the run's answer.
+	 */
+	static final class Waiter {
+
+		private final AttemptId attempt;
+
+		private final long connection;
+
+		private final long deadlineNanos;
+
+		private int sequence;
+
+		private long bytes;
+
+		Waiter(AttemptId attempt, long connection, long deadlineNanos) {
+			this.attempt = attempt;
+			this.connection = connection;
+			this.deadlineNanos = deadlineNanos;
+		}
+
+		AttemptId attempt() {
+			return this.attempt;
+		}
+
+		long connection() {
+			return this.connection;
+		}
+
+		long deadlineNanos() {
+			return this.deadlineNanos;
+		}
+
+		SidecarAction head(int status, String contentType) {
+			return reply(new CallMessage.Head(this.attempt, this.sequence++, status, contentType));
+		}
+
+		SidecarAction data(AnswerCache.Part part) {
+			this.bytes += part.bytes().length;
+			return reply(new CallMessage.Data(this.attempt, this.sequence++, part.bytes(), part.tokens()));
+		}
+
+		SidecarAction end() {
+			return reply(new CallMessage.End(this.attempt, this.sequence++, this.bytes));
+		}
+
+		SidecarAction reply(CallMessage message) {
+			return new SidecarAction.Reply(this.connection, message);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-request/src/main/java/io/bulrushrouter/request/EntryPolicy.java
@@ -0,0 +1,156 @@
+package io.bulrushrouter.request;
+
+import java.time.Duration;
+import java.util.Optional;
+
+/**
+ * The rules of attempts at the entry.
+ *
+ * @param maxAttempts the most attempts of a request, hedges included
+ * @param minRemaining the time before the deadline in which no further attempt is sent
+ * @param settleBefore how long before the deadline an attempt without an answer is
+ * cancelled, to learn whether it ran
+ * @param hedgeAfter how long an idempotent request waits before it is hedged; empty for
+ * never
+ * @param stallAfter how long the parts of an idempotent request's answer may pause before
+ * another attempt is made
+ * @param resumesStreams whether the engines resume a stream at a token offset
+ * @param maxKeptBytes how much of an answer is kept for a retry or a prefix check
+ * @param retryAfter when a refused caller is told to come back, unless the sidecar says
+ * otherwise
+ */
+public record EntryPolicy(int maxAttempts, Duration minRemaining, Duration settleBefore, Optional<Duration> hedgeAfter,
+		Duration stallAfter, boolean resumesStreams, int maxKeptBytes, Duration retryAfter) {
+
+	/**
+	 * Returns the default rules.
+	 * @return the rules
+	 */
+	public static EntryPolicy ofDefaults() {
+		return builder().build();
+	}
+
+	/**
+	 * Returns a builder that starts with the default rules.
+	 * @return the builder
+	 */
+	public static Builder builder() {
+		return new Builder();
+	}
+
+	/**
+	 * Builds an {@link EntryPolicy}.
+	 */
+	public static final class Builder {
+
+		private int maxAttempts = 3;
+
+		private Duration minRemaining = Duration.ofMillis(50);
+
+		private Duration settleBefore = Duration.ofMillis(20);
+
+		private Optional<Duration> hedgeAfter = Optional.empty();
+
+		private Duration stallAfter = Duration.ofSeconds(5);
+
+		private boolean resumesStreams = true;
+
+		private int maxKeptBytes = 1 << 20;
+
+		private Duration retryAfter = Duration.ofSeconds(1);
+
+		private Builder() {
+		}
+
+		/**
+		 * Sets the most attempts of a request.
+		 * @param maxAttempts the number, at least 1
+		 * @return this builder
+		 */
+		public Builder maxAttempts(int maxAttempts) {
+			this.maxAttempts = maxAttempts;
+			return this;
+		}
+
+		/**
+		 * Sets the time before the deadline in which no further attempt is sent.
+		 * @param minRemaining the time
+		 * @return this builder
+		 */
+		public Builder minRemaining(Duration minRemaining) {
+			this.minRemaining = minRemaining;
+			return this;
+		}
+
+		/**
+		 * Sets how long before the deadline an unanswered attempt is cancelled.
+		 * @param settleBefore the time
+		 * @return this builder
+		 */
+		public Builder settleBefore(Duration settleBefore) {
+			this.settleBefore = settleBefore;
+			return this;
+		}
+
+		/**
+		 * Sets how long an idempotent request waits before it is hedged.
+		 * @param hedgeAfter the time; empty for never
+		 * @return this builder
+		 */
+		public Builder hedgeAfter(Optional<Duration> hedgeAfter) {
+			this.hedgeAfter = hedgeAfter;
+			return this;
+		}
+
+		/**
+		 * Sets how long an answer may pause.
+		 * @param stallAfter the time
+		 * @return this builder
+		 */
+		public Builder stallAfter(Duration stallAfter) {
+			this.stallAfter = stallAfter;
+			return this;
+		}
+
+		/**
+		 * Sets whether the engines resume a stream at a token offset.
+		 * @param resumesStreams whether they do
+		 * @return this builder
+		 */
+		public Builder resumesStreams(boolean resumesStreams) {
+			this.resumesStreams = resumesStreams;
+			return this;
+		}
+
+		/**
+		 * Sets how much of an answer is kept.
+		 * @param maxKeptBytes the bytes
+		 * @return this builder
+		 */
+		public Builder maxKeptBytes(int maxKeptBytes) {
+			this.maxKeptBytes = maxKeptBytes;
+			return this;
+		}
+
+		/**
+		 * Sets when a refused caller is told to come back.
+		 * @param retryAfter the time
+		 * @return this builder
+		 */
+		public Builder retryAfter(Duration retryAfter) {
+			this.retryAfter = retryAfter;
+			return this;
+		}
+
+		/**
+		 * Returns the rules.
+		 * @return the rules
+		 */
+		public EntryPolicy build() {
+			return new EntryPolicy(this.maxAttempts, this.minRemaining, this.settleBefore, this.hedgeAfter,
+					this.stallAfter, this.resumesStreams, this.maxKeptBytes, this.retryAfter);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-request/src/main/java/io/bulrushrouter/request/OpenAttempt.java
@@ -0,0 +1,135 @@
+package io.bulrushrouter.request;
+
+import java.util.Optional;
+import java.util.TreeMap;
+
+import io.bulrushrouter.kernel.AttemptId;
+import io.bulrushrouter.kernel.UpstreamId;
+
+/**
+ * An attempt at the entry whose outcome is not known yet. It puts the parts of the answer
+ * back in order.
+ */
+final class OpenAttempt {
+
+	/** Parts that may wait for an earlier one. */
+	private static final int MAX_WAITING = 64;
+
+	private final AttemptId id;
+
+	private final UpstreamId upstream;
+
+	private final int resumeAfterTokens;
+
+	private final long sentNanos;
+
+	private final TreeMap<Integer, CallMessage> waiting = new TreeMap<>();
+
+	private Optional<Long> incarnation = Optional.empty();
+
+	private int nextSequence;
+
+	private long bytes;
+
+	private int tokens;
+
+	private long heardNanos;
+
+	private boolean cancelled;
+
+	OpenAttempt(AttemptId id, UpstreamId upstream, int resumeAfterTokens, long sentNanos) {
+		this.id = id;
+		this.upstream = upstream;
+		this.resumeAfterTokens = resumeAfterTokens;
+		this.sentNanos = sentNanos;
+		this.heardNanos = sentNanos;
+	}
+
+	AttemptId id() {
+		return this.id;
+	}
+
+	UpstreamId upstream() {
+		return this.upstream;
+	}
+
+	int resumeAfterTokens() {
+		return this.resumeAfterTokens;
+	}
+
+	long sentNanos() {
+		return this.sentNanos;
+	}
+
+	long heardNanos() {
+		return this.heardNanos;
+	}
+
+	long bytes() {
+		return this.bytes;
+	}
+
+	/**
+	 * Returns how many tokens of the whole answer this attempt and the one it resumes
+	 * have brought.
+	 * @return the tokens
+	 */
+	int tokens() {
+		return this.resumeAfterTokens + this.tokens;
+	}
+
+	boolean answering() {
+		return this.nextSequence > 0 || !this.waiting.isEmpty();
+	}
+
+	boolean cancelled() {
+		return this.cancelled;
+	}
+
+	void markCancelled() {
+		this.cancelled = true;
+	}
+
+	void bind(long upstreamIncarnation) {
+		if (this.incarnation.isEmpty()) {
+			this.incarnation = Optional.of(upstreamIncarnation);
+		}
+	}
+
+	boolean isBoundTo(long upstreamIncarnation) {
+		return this.incarnation.isEmpty() || this.incarnation.get() == upstreamIncarnation;
+	}
+
+	/**
+	 * Keeps a part of the answer until its turn.
+	 * @param sequence the part's number
+	 * @param message the part
+	 * @return false if it came before or is too far ahead
+	 */
+	boolean keep(int sequence, CallMessage message) {
+		if (sequence < this.nextSequence || this.waiting.size() >= MAX_WAITING) {
+			return false;
+		}
+		return this.waiting.putIfAbsent(sequence, message) == null;
+	}
+
+	/**
+	 * Returns the next part whose turn it is.
+	 * @param nowNanos the time
+	 * @return the part, or empty if it has not come yet
+	 */
+	Optional<CallMessage> next(long nowNanos) {
+		CallMessage message = this.waiting.remove(this.nextSequence);
+		if (message == null) {
+			return Optional.empty();
+		}
+		this.nextSequence++;
+		this.heardNanos = nowNanos;
+		if (message instanceof CallMessage.Data data) {
+			this.bytes += data.bytes().length;
+			this.tokens += data.tokens();
+		}
+		return Optional.of(message);
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-request/src/main/java/io/bulrushrouter/request/SidecarCalls.java
@@ -0,0 +1,462 @@
+package io.bulrushrouter.request;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.function.Consumer;
+
+import io.bulrushrouter.kernel.AttemptId;
+import io.bulrushrouter.kernel.ErrorCode;
+import io.bulrushrouter.request.SidecarAction.Decision;
+
+/**
+ * All attempts at one sidecar. It has the last word on what its upstream runs: an attempt
+ * is marked as started before the engine hears of it, and only an attempt without that
+ * mark is ever answered as not run. It has no clock and does no I/O. Not thread-safe.
+ */
+public final class SidecarCalls {
+
+	private final long incarnation;
+
+	private final SidecarPolicy policy;
+
+	private final CallQueue queue;
+
+	private final Guards guards;
+
+	private final RunTable runs;
+
+	private final AnswerCache<AnswerCache.ReadKey> reads;
+
+	private final AnswerCache<RunTable.ClaimKey> kept;
+
+	private final PriorityQueue<EngineRun.Waiter> deadlines = new PriorityQueue<>(
+			Comparator.comparingLong(EngineRun.Waiter::deadlineNanos));
+
+	private int active;
+
+	private boolean draining;
+
+	private long dropped;
+
+	private SidecarCalls(long incarnation, SidecarPolicy policy, CallQueue queue, Guards guards) {
+		this.incarnation = incarnation;
+		this.policy = Objects.requireNonNull(policy);
+		this.queue = Objects.requireNonNull(queue);
+		this.guards = guards;
+		this.runs = new RunTable(policy.rememberedAttempts());
+		this.reads = new AnswerCache<>(policy.keptAnswerBytes() / 2);
+		this.kept = new AnswerCache<>(policy.keptAnswerBytes() / 2);
+	}
+
+	/**
+	 * Returns a sidecar without attempts.
+	 * @param incarnation the sidecar process's incarnation, random at each start
+	 * @param policy the limits
+	 * @param queue the order in which attempts start
+	 * @return the sidecar's attempts
+	 */
+	public static SidecarCalls of(long incarnation, SidecarPolicy policy, CallQueue queue) {
+		return of(incarnation, policy, queue, Guards.ALL);
+	}
+
+	static SidecarCalls of(long incarnation, SidecarPolicy policy, CallQueue queue, Guards guards) {
+		return new SidecarCalls(incarnation, policy, queue, guards);
+	}
+
+	/**
+	 * Returns how many runs wait, claim their key or are on the engine.
+	 * @return the count
+	 */
+	public int inFlight() {
+		return this.runs.size();
+	}
+
+	/**
+	 * Tells whether the upstream leaves and all of its work is done.
+	 * @return whether it can be stopped
+	 */
+	public boolean isDrained() {
+		return this.draining && this.runs.size() == 0;
+	}
+
+	/**
+	 * Returns how many messages were dropped as repeated or meant for another
+	 * incarnation.
+	 * @return the count
+	 */
+	public long dropped() {
+		return this.dropped;
+	}
+
+	/**
+	 * Returns when the next {@link SidecarEvent.Tick} is due.
+	 * @return the time, or {@link Long#MAX_VALUE} if none is due
+	 */
+	public long nextWakeNanos() {
+		return this.deadlines.isEmpty() ? Long.MAX_VALUE : expiryNanos(this.deadlines.peek());
+	}
+
+	/**
+	 * Handles an event.
+	 * @param event what happened
+	 * @param nowNanos the time
+	 * @param actions takes what to do, in order
+	 */
+	public void on(SidecarEvent event, long nowNanos, Consumer<SidecarAction> actions) {
+		if (event instanceof SidecarEvent.Arrived arrived) {
+			arrive(arrived, nowNanos, actions);
+		}
+		else if (event instanceof SidecarEvent.CancelArrived cancel) {
+			cancel(cancel.cancel().attempt(), actions);
+		}
+		else if (event instanceof SidecarEvent.EntryLost lost) {
+			loseEntry(lost.connection(), actions);
+		}
+		else if (event instanceof SidecarEvent.ClaimSettled settled) {
+			settleClaim(settled, nowNanos, actions);
+		}
+		else if (event instanceof SidecarEvent.DrainSign) {
+			drain(actions);
+		}
+		else if (!(event instanceof SidecarEvent.Tick)) {
+			onEngine(event, actions);
+		}
+		expire(nowNanos, actions);
+		pump(nowNanos, actions);
+	}
+
+	private void arrive(SidecarEvent.Arrived arrived, long nowNanos, Consumer<SidecarAction> actions) {
+		CallMessage.Call call = arrived.call();
+		boolean foreign = this.guards.incarnation() && arrived.addressedIncarnation() != this.incarnation;
+		if (foreign || this.runs.ofWaiter(call.attempt()).isPresent()) {
+			this.dropped++;
+			return;
+		}
+		Optional<RunTable.Ended> ended = this.runs.ended(call.attempt());
+		if (ended.isPresent() && ended.get() == RunTable.Ended.SETTLED) {
+			this.dropped++;
+			return;
+		}
+		long deadline = nowNanos + Duration.ofMillis(call.remainingMillis()).toNanos();
+		EngineRun.Waiter waiter = new EngineRun.Waiter(call.attempt(), arrived.connection(), deadline);
+		if (ended.isPresent()) {
+			refuse(waiter, ErrorCode.CANCELLED, 0, actions);
+		}
+		else if (this.draining && this.guards.gate()) {
+			refuse(waiter, ErrorCode.DRAINING, 0, actions);
+		}
+		else if (expiryNanos(waiter) <= nowNanos) {
+			refuse(waiter, ErrorCode.DEADLINE_EXCEEDED, 0, actions);
+		}
+		else if (!answerFromKept(waiter, call, actions)) {
+			enqueue(waiter, call, nowNanos, actions);
+		}
+	}
+
+	private boolean answerFromKept(EngineRun.Waiter waiter, CallMessage.Call call, Consumer<SidecarAction> actions) {
+		if (!call.spec().idempotent()) {
+			return answerRepeat(waiter, call.spec(), actions);
+		}
+		if (!RunTable.isRead(call.spec()) || call.resumeAfterTokens() > 0) {
+			return false;
+		}
+		Optional<AnswerCache.Answer> answer = this.reads.find(AnswerCache.ReadKey.of(call.spec()));
+		if (answer.isPresent()) {
+			replay(waiter, answer.get(), actions);
+			return true;
+		}
+		Optional<EngineRun> equal = this.runs.equalRead(call.spec());
+		equal.ifPresent((run) -> join(waiter, run, actions));
+		return equal.isPresent();
+	}
+
+	private boolean answerRepeat(EngineRun.Waiter waiter, RequestSpec spec, Consumer<SidecarAction> actions) {
+		RunTable.ClaimKey key = RunTable.ClaimKey.of(waiter.attempt(), spec);
+		Optional<AnswerCache.Answer> answer = this.kept.find(key);
+		Optional<EngineRun> running = this.runs.ofKey(key);
+		if (!this.guards.claim() || (answer.isEmpty() && running.isEmpty())) {
+			return false;
+		}
+		long digest = answer.map(AnswerCache.Answer::digest).orElseGet(() -> running.get().spec().digest());
+		if (digest != spec.digest()) {
+			refuse(waiter, ErrorCode.KEY_REUSED, 0, actions);
+		}
+		else if (answer.isPresent()) {
+			replay(waiter, answer.get(), actions);
+		}
+		else {
+			failOne(waiter, ErrorCode.IN_FLIGHT, actions);
+		}
+		return true;
+	}
+
+	private void replay(EngineRun.Waiter waiter, AnswerCache.Answer answer, Consumer<SidecarAction> actions) {
+		this.runs.end(waiter.attempt(), RunTable.Ended.SETTLED);
+		note(waiter.attempt(), Decision.REPLAYED, Optional.empty(), actions);
+		actions.accept(waiter.head(answer.status(), answer.contentType()));
+		answer.parts().forEach((part) -> actions.accept(waiter.data(part)));
+		actions.accept(waiter.end());
+	}
+
+	private void join(EngineRun.Waiter waiter, EngineRun run, Consumer<SidecarAction> actions) {
+		this.runs.join(run, waiter);
+		this.deadlines.add(waiter);
+		note(waiter.attempt(), Decision.JOINED, Optional.empty(), actions);
+		run.head().ifPresent((head) -> {
+			actions.accept(waiter.head(head.status(), head.contentType()));
+			run.parts().forEach((part) -> actions.accept(waiter.data(part)));
+		});
+	}
+
+	private void enqueue(EngineRun.Waiter waiter, CallMessage.Call call, long nowNanos,
+			Consumer<SidecarAction> actions) {
+		if (!this.queue.offer(new CallQueue.QueuedCall(call.attempt(), call.spec()), nowNanos)) {
+			refuse(waiter, ErrorCode.OVERLOADED, this.policy.retryAfter().toMillis(), actions);
+			return;
+		}
+		EngineRun run = new EngineRun(call.attempt(), call.spec(), call.resumeAfterTokens());
+		this.runs.add(run);
+		this.runs.join(run, waiter);
+		this.deadlines.add(waiter);
+		note(call.attempt(), Decision.QUEUED, Optional.empty(), actions);
+	}
+
+	private void pump(long nowNanos, Consumer<SidecarAction> actions) {
+		while (this.active < this.policy.concurrency()) {
+			Optional<EngineRun> run = this.queue.next(nowNanos).flatMap((call) -> this.runs.find(call.attempt()));
+			if (run.isEmpty()) {
+				return;
+			}
+			this.active++;
+			if (run.get().spec().idempotent() || !this.guards.claim()) {
+				start(run.get(), actions);
+			}
+			else {
+				run.get().state(EngineRun.State.CLAIMING);
+				actions.accept(new SidecarAction.Claim(claimOf(run.get())));
+			}
+		}
+	}
+
+	private void start(EngineRun run, Consumer<SidecarAction> actions) {
+		run.state(EngineRun.State.STARTED);
+		note(run.id(), Decision.STARTED, Optional.empty(), actions);
+		actions.accept(new SidecarAction.RunOnEngine(run.id(), run.spec(), run.resumeAfterTokens()));
+	}
+
+	private ClaimRequest claimOf(EngineRun run) {
+		return new ClaimRequest(run.id(), this.incarnation, run.spec().organisation(),
+				RunTable.ClaimKey.of(run.id(), run.spec()).key(), run.spec().digest());
+	}
+
+	private void settleClaim(SidecarEvent.ClaimSettled settled, long nowNanos, Consumer<SidecarAction> actions) {
+		Optional<EngineRun> found = this.runs.find(settled.attempt())
+			.filter((run) -> run.state() == EngineRun.State.CLAIMING);
+		if (found.isEmpty()) {
+			this.dropped++;
+			return;
+		}
+		EngineRun run = found.get();
+		if (settled.outcome() instanceof ClaimOutcome.Granted) {
+			startClaimed(run, nowNanos, actions);
+		}
+		else if (settled.outcome() instanceof ClaimOutcome.Held held) {
+			failAll(run, held.recent() ? ErrorCode.IN_FLIGHT : ErrorCode.ALREADY_RAN, actions);
+		}
+		else if (settled.outcome() instanceof ClaimOutcome.Unavailable unavailable) {
+			handBack(run, ErrorCode.STORE_UNAVAILABLE, unavailable.retryAfterMillis(), actions);
+		}
+		else {
+			handBack(run, ErrorCode.KEY_REUSED, 0, actions);
+		}
+	}
+
+	private void startClaimed(EngineRun run, long nowNanos, Consumer<SidecarAction> actions) {
+		boolean late = run.waiters().stream().allMatch((waiter) -> expiryNanos(waiter) <= nowNanos);
+		if (late || (this.draining && this.guards.gate())) {
+			actions.accept(new SidecarAction.Release(claimOf(run)));
+			handBack(run, late ? ErrorCode.DEADLINE_EXCEEDED : ErrorCode.DRAINING, 0, actions);
+			return;
+		}
+		start(run, actions);
+	}
+
+	private void cancel(AttemptId attempt, Consumer<SidecarAction> actions) {
+		Optional<EngineRun> run = this.runs.ofWaiter(attempt);
+		if (run.isEmpty()) {
+			if (this.runs.ended(attempt).isEmpty()) {
+				this.runs.end(attempt, RunTable.Ended.CANCELLED_EARLY);
+			}
+			return;
+		}
+		takeBack(run.get(), waiterOf(run.get(), attempt), ErrorCode.CANCELLED, actions);
+	}
+
+	private static EngineRun.Waiter waiterOf(EngineRun run, AttemptId attempt) {
+		return run.waiters().stream().filter((waiter) -> waiter.attempt().equals(attempt)).findFirst().orElseThrow();
+	}
+
+	// Answers an attempt that is not waited for any longer.
+	private void takeBack(EngineRun run, EngineRun.Waiter waiter, ErrorCode code, Consumer<SidecarAction> actions) {
+		boolean mayRun = run.state() == EngineRun.State.STARTED || run.waiters().size() > 1;
+		leave(run, waiter, actions);
+		if (mayRun && this.guards.startedMark()) {
+			failOne(waiter, code, actions);
+		}
+		else {
+			refuse(waiter, code, 0, actions);
+		}
+	}
+
+	private void loseEntry(long connection, Consumer<SidecarAction> actions) {
+		for (EngineRun run : this.runs.all()) {
+			for (EngineRun.Waiter waiter : List.copyOf(run.waiters())) {
+				if (waiter.connection() == connection) {
+					leave(run, waiter, actions);
+				}
+			}
+		}
+	}
+
+	private void leave(EngineRun run, EngineRun.Waiter waiter, Consumer<SidecarAction> actions) {
+		this.runs.leave(run, waiter);
+		this.deadlines.remove(waiter);
+		if (!run.waiters().isEmpty()) {
+			return;
+		}
+		if (run.state() == EngineRun.State.QUEUED) {
+			this.queue.remove(run.id());
+			this.runs.remove(run);
+		}
+		else if (run.state() == EngineRun.State.STARTED && run.spec().idempotent()) {
+			run.markCancelled();
+			this.runs.hide(run);
+			actions.accept(new SidecarAction.CancelOnEngine(run.id()));
+		}
+	}
+
+	private void drain(Consumer<SidecarAction> actions) {
+		this.draining = true;
+		for (EngineRun run : this.runs.all()) {
+			if (run.state() == EngineRun.State.QUEUED && this.guards.gate()) {
+				this.queue.remove(run.id());
+				handBack(run, ErrorCode.DRAINING, 0, actions);
+			}
+		}
+	}
+
+	private void expire(long nowNanos, Consumer<SidecarAction> actions) {
+		while (!this.deadlines.isEmpty() && expiryNanos(this.deadlines.peek()) <= nowNanos) {
+			EngineRun.Waiter waiter = this.deadlines.poll();
+			this.runs.ofWaiter(waiter.attempt())
+				.filter((run) -> run.state() == EngineRun.State.QUEUED)
+				.ifPresent((run) -> takeBack(run, waiter, ErrorCode.DEADLINE_EXCEEDED, actions));
+		}
+	}
+
+	private long expiryNanos(EngineRun.Waiter waiter) {
+		return waiter.deadlineNanos() - this.policy.answerMargin().toNanos();
+	}
+
+	private void onEngine(SidecarEvent event, Consumer<SidecarAction> actions) {
+		if (event instanceof SidecarEvent.EngineHead head) {
+			started(head.attempt()).ifPresent((run) -> {
+				run.head(head);
+				run.waiters().forEach((waiter) -> actions.accept(waiter.head(head.status(), head.contentType())));
+			});
+		}
+		else if (event instanceof SidecarEvent.EngineData data) {
+			started(data.attempt()).ifPresent((run) -> passOn(run, data, actions));
+		}
+		else if (event instanceof SidecarEvent.EngineEnd end) {
+			started(end.attempt()).ifPresent((run) -> complete(run, actions));
+		}
+		else if (event instanceof SidecarEvent.EngineFailed failed) {
+			started(failed.attempt()).ifPresent((run) -> failRun(run, failed, actions));
+		}
+	}
+
+	private Optional<EngineRun> started(AttemptId attempt) {
+		Optional<EngineRun> run = this.runs.find(attempt).filter((found) -> found.state() == EngineRun.State.STARTED);
+		this.dropped += run.isEmpty() ? 1 : 0;
+		return run;
+	}
+
+	private void passOn(EngineRun run, SidecarEvent.EngineData data, Consumer<SidecarAction> actions) {
+		AnswerCache.Part part = new AnswerCache.Part(data.bytes(), data.tokens());
+		run.record(part, this.policy.maxAnswerBytes());
+		run.waiters().forEach((waiter) -> actions.accept(waiter.data(part)));
+		this.queue.served(run.spec(), data.tokens());
+	}
+
+	private void complete(EngineRun run, Consumer<SidecarAction> actions) {
+		run.answer().ifPresent((answer) -> keep(run, answer));
+		for (EngineRun.Waiter waiter : List.copyOf(run.waiters())) {
+			actions.accept(waiter.end());
+		}
+		note(run.id(), Decision.ANSWERED, Optional.empty(), actions);
+		remove(run);
+	}
+
+	private void keep(EngineRun run, AnswerCache.Answer answer) {
+		if (!run.spec().idempotent()) {
+			this.kept.keep(RunTable.ClaimKey.of(run.id(), run.spec()), answer);
+		}
+		else if (RunTable.isRead(run.spec()) && answer.status() == 200 && !run.cancelled()) {
+			this.reads.keep(AnswerCache.ReadKey.of(run.spec()), answer);
+		}
+	}
+
+	private void failRun(EngineRun run, SidecarEvent.EngineFailed failed, Consumer<SidecarAction> actions) {
+		if (failed.mayHaveRun() || run.head().isPresent()) {
+			failAll(run, failed.code(), actions);
+			return;
+		}
+		if (!run.spec().idempotent() && this.guards.claim()) {
+			actions.accept(new SidecarAction.Release(claimOf(run)));
+		}
+		handBack(run, failed.code(), 0, actions);
+	}
+
+	private void handBack(EngineRun run, ErrorCode code, long retryAfterMillis, Consumer<SidecarAction> actions) {
+		List<EngineRun.Waiter> waiters = new ArrayList<>(run.waiters());
+		remove(run);
+		waiters.forEach((waiter) -> refuse(waiter, code, retryAfterMillis, actions));
+	}
+
+	private void failAll(EngineRun run, ErrorCode code, Consumer<SidecarAction> actions) {
+		List<EngineRun.Waiter> waiters = new ArrayList<>(run.waiters());
+		remove(run);
+		waiters.forEach((waiter) -> failOne(waiter, code, actions));
+	}
+
+	private void remove(EngineRun run) {
+		this.active -= (run.state() == EngineRun.State.QUEUED) ? 0 : 1;
+		this.deadlines.removeAll(run.waiters());
+		this.runs.remove(run);
+	}
+
+	private void refuse(EngineRun.Waiter waiter, ErrorCode code, long retryAfterMillis,
+			Consumer<SidecarAction> actions) {
+		this.runs.end(waiter.attempt(), RunTable.Ended.SETTLED);
+		note(waiter.attempt(), Decision.NOT_RUN, Optional.of(code), actions);
+		actions.accept(waiter.reply(new CallMessage.NotRun(waiter.attempt(), code, retryAfterMillis)));
+	}
+
+	private void failOne(EngineRun.Waiter waiter, ErrorCode code, Consumer<SidecarAction> actions) {
+		this.runs.end(waiter.attempt(), RunTable.Ended.SETTLED);
+		note(waiter.attempt(), Decision.FAILED, Optional.of(code), actions);
+		actions.accept(waiter.reply(new CallMessage.Failed(waiter.attempt(), code)));
+	}
+
+	private static void note(AttemptId attempt, Decision decision, Optional<ErrorCode> code,
+			Consumer<SidecarAction> actions) {
+		actions.accept(new SidecarAction.Decided(attempt, decision, code));
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-request/src/main/java/io/bulrushrouter/request/SidecarEvent.java
@@ -0,0 +1,109 @@
+package io.bulrushrouter.request;
+
+import java.util.Objects;
+
+import io.bulrushrouter.kernel.AttemptId;
+import io.bulrushrouter.kernel.ErrorCode;
+
+/**
+ * What happens to the attempts at one sidecar.
+ */
+public sealed interface SidecarEvent {
+
+	/**
+	 * An entry sent an attempt.
+	 *
+	 * @param connection the entry's connection
+	 * @param addressedIncarnation the sidecar incarnation that the entry meant, as its
+	 * connection's greeting named it
+	 * @param call the attempt
+	 */
+	record Arrived(long connection, long addressedIncarnation, CallMessage.Call call) implements SidecarEvent {
+
+		/**
+		 * Checks the parts.
+		 */
+		public Arrived {
+			Objects.requireNonNull(call);
+		}
+
+	}
+
+	/**
+	 * An entry takes an attempt back.
+	 *
+	 * @param connection the entry's connection
+	 * @param cancel the attempt
+	 */
+	record CancelArrived(long connection, CallMessage.Cancel cancel) implements SidecarEvent {
+	}
+
+	/**
+	 * A connection to an entry was lost.
+	 *
+	 * @param connection the connection
+	 */
+	record EntryLost(long connection) implements SidecarEvent {
+	}
+
+	/**
+	 * The engine's status came.
+	 *
+	 * @param attempt the attempt that runs
+	 * @param status the HTTP status
+	 * @param contentType the HTTP content type
+	 */
+	record EngineHead(AttemptId attempt, int status, String contentType) implements SidecarEvent {
+	}
+
+	/**
+	 * A part of the engine's answer came.
+	 *
+	 * @param attempt the attempt that runs
+	 * @param bytes the part; in a stream it holds whole events
+	 * @param tokens the generated tokens in it
+	 */
+	record EngineData(AttemptId attempt, byte[] bytes, int tokens) implements SidecarEvent {
+	}
+
+	/**
+	 * The engine's answer is whole.
+	 *
+	 * @param attempt the attempt that ran
+	 */
+	record EngineEnd(AttemptId attempt) implements SidecarEvent {
+	}
+
+	/**
+	 * The engine ended an attempt without a whole answer, also after it was cancelled.
+	 *
+	 * @param attempt the attempt
+	 * @param code why
+	 * @param mayHaveRun false only if no byte of the request left for the engine
+	 */
+	record EngineFailed(AttemptId attempt, ErrorCode code, boolean mayHaveRun) implements SidecarEvent {
+	}
+
+	/**
+	 * The claim of a non-idempotent request's key was decided.
+	 *
+	 * @param attempt the attempt that asked for it
+	 * @param outcome what was decided
+	 */
+	record ClaimSettled(AttemptId attempt, ClaimOutcome outcome) implements SidecarEvent {
+	}
+
+	/**
+	 * The first sign that the upstream leaves: the live list, an order, a signal or its
+	 * engine's word.
+	 */
+	record DrainSign() implements SidecarEvent {
+	}
+
+	/**
+	 * Time passed.
+	 */
+	record Tick() implements SidecarEvent {
+	}
+
+}
