--- /dev/null
+++ b/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/Fleet.java
@@ -0,0 +1,156 @@
+package io.bulrushrouter.evacuation;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
+
+import io.bulrushrouter.kernel.DataCentreId;
+import io.bulrushrouter.kernel.ModelId;
+import io.bulrushrouter.kernel.OrganisationId;
+import io.bulrushrouter.kernel.UpstreamId;
+
+/**
+ * The inventory: all upstreams, and what each organisation needs.
+ */
+public final class Fleet {
+
+	private final Map<UpstreamId, FleetUpstream> upstreams;
+
+	private final Map<Target, List<FleetUpstream>> units;
+
+	private final Map<OrganisationId, List<Demand>> demands;
+
+	private final Set<DataCentreId> dataCentres;
+
+	private Fleet(Collection<FleetUpstream> upstreams, Collection<Demand> demands) {
+		this.upstreams = new TreeMap<>(
+				upstreams.stream().collect(Collectors.toMap(FleetUpstream::id, (upstream) -> upstream)));
+		this.units = this.upstreams.values()
+			.stream()
+			.collect(Collectors.groupingBy(FleetUpstream::unit, TreeMap::new, Collectors.toUnmodifiableList()));
+		this.demands = demands.stream()
+			.collect(Collectors.groupingBy(Demand::organisation, TreeMap::new, Collectors.toUnmodifiableList()));
+		this.dataCentres = upstreams.stream()
+			.map(FleetUpstream::dataCentre)
+			.collect(Collectors.toCollection(TreeSet::new));
+	}
+
+	/**
+	 * Returns the inventory of the given parts.
+	 * @param upstreams all upstreams, each once
+	 * @param demands what the organisations need; an organisation without any is unknown
+	 * @return the inventory
+	 */
+	public static Fleet of(Collection<FleetUpstream> upstreams, Collection<Demand> demands) {
+		return new Fleet(upstreams, demands);
+	}
+
+	/**
+	 * Finds an upstream.
+	 * @param id the upstream
+	 * @return its description, or empty if it is unknown
+	 */
+	public Optional<FleetUpstream> find(UpstreamId id) {
+		return Optional.ofNullable(this.upstreams.get(id));
+	}
+
+	/**
+	 * Returns all upstreams.
+	 * @return the upstreams, by name
+	 */
+	public List<FleetUpstream> upstreams() {
+		return List.copyOf(this.upstreams.values());
+	}
+
+	/**
+	 * Returns what leaves as a whole: rank groups, and upstreams that work alone.
+	 * @return the members of each unit, by name
+	 */
+	public Map<Target, List<FleetUpstream>> units() {
+		return new TreeMap<>(this.units);
+	}
+
+	/**
+	 * Returns the upstreams that a target names.
+	 * @param target an upstream or a group
+	 * @return the upstreams; empty if it is unknown
+	 */
+	public List<FleetUpstream> members(Target target) {
+		if (target.kind() == Target.Kind.UPSTREAM) {
+			return find(UpstreamId.of(target.name())).map(List::of).orElseGet(List::of);
+		}
+		return this.units.getOrDefault(target, List.of());
+	}
+
+	/**
+	 * Returns the organisations.
+	 * @return the organisations, by name
+	 */
+	public Set<OrganisationId> organisations() {
+		return new TreeSet<>(this.demands.keySet());
+	}
+
+	/**
+	 * Returns the data centres that hold upstreams.
+	 * @return the data centres, by name
+	 */
+	public Set<DataCentreId> dataCentres() {
+		return new TreeSet<>(this.dataCentres);
+	}
+
+	/**
+	 * Returns the models that an organisation needs.
+	 * @param organisation the organisation
+	 * @return the models, by name
+	 */
+	public Set<ModelId> models(OrganisationId organisation) {
+		return this.demands.getOrDefault(organisation, List.of())
+			.stream()
+			.filter((demand) -> demand.requests() > 0)
+			.map(Demand::model)
+			.collect(Collectors.toCollection(TreeSet::new));
+	}
+
+	/**
+	 * Finds where the upstreams that remain cannot carry the organisations placed there.
+	 * @param placements where each organisation's requests go
+	 * @param remains whether an upstream takes requests
+	 * @return the shortages, by data centre and model
+	 */
+	public List<Shortage> shortages(Map<OrganisationId, DataCentreId> placements, Predicate<UpstreamId> remains) {
+		Map<DataCentreId, Map<ModelId, Integer>> needed = needed(placements);
+		Map<DataCentreId, Map<ModelId, Integer>> left = new TreeMap<>();
+		this.upstreams.values()
+			.stream()
+			.filter((upstream) -> remains.test(upstream.id()))
+			.forEach((upstream) -> add(left, upstream.dataCentre(), upstream.model(), upstream.capacity()));
+		List<Shortage> shortages = new ArrayList<>();
+		needed.forEach((dataCentre, models) -> models.forEach((model, requests) -> {
+			int capacity = left.getOrDefault(dataCentre, Map.of()).getOrDefault(model, 0);
+			if (requests > capacity) {
+				shortages.add(new Shortage(dataCentre, model, requests, capacity));
+			}
+		}));
+		return shortages;
+	}
+
+	private Map<DataCentreId, Map<ModelId, Integer>> needed(Map<OrganisationId, DataCentreId> placements) {
+		Map<DataCentreId, Map<ModelId, Integer>> needed = new TreeMap<>();
+		placements.forEach((organisation, dataCentre) -> this.demands.getOrDefault(organisation, List.of())
+			.forEach((demand) -> add(needed, dataCentre, demand.model(), demand.requests())));
+		return needed;
+	}
+
+	private static void add(Map<DataCentreId, Map<ModelId, Integer>> sums, DataCentreId dataCentre, ModelId model,
+			int amount) {
+		sums.computeIfAbsent(dataCentre, (key) -> new TreeMap<>()).merge(model, amount, Integer::sum);
+	}
+
+}
--- a/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/package-info.java
+++ b/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Evacuation plans, morning sheets, the reconciler and its report.
+ * Evacuation plans, the fleet's capacity and the object that keeps what is intended.
  */
 package io.bulrushrouter.evacuation;
--- /dev/null
+++ b/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/reconcile/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The reconciler: intended against observed, and the next safe steps.
+ */
+package io.bulrushrouter.evacuation.reconcile;
