Run the whole path: entry, sidecar, engine and service in one fleet

Cause: nothing had been sent end to end. The first try hung: MessagePack's reader refuses direct network buffers on this JDK without an opened module, so every connection died at its greeting; frames are now copied out first.

Before: no request answered. After: FleetTests streams 200 answers at once through 2 entries and 15 sidecars, each checked whole and the caller's own; a repeated reservation runs once. Conclusion: the path stands.

--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/config/Configuration.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/config/Configuration.java
@@ -74,6 +74,7 @@
 		requireUnique("key", this.organisations.stream().map(Organisation::keySha256).toList());
 		this.upstreams.forEach(Upstream::check);
 		this.organisations.forEach(Organisation::check);
+		this.operators.forEach(Operator::check);
 		return this;
 	}
 
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/config/Keys.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/config/Keys.java
@@ -5,22 +5,42 @@
 import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
+import java.util.stream.Collectors;
 
 import io.bulrushrouter.kernel.BulrushException;
 import io.bulrushrouter.kernel.ErrorCode;
 
 /**
- * Finds whose key was shown. Keys are kept as SHA-256 hashes and never logged. All hashes
- * are compared, each in constant time, so that the time does not tell how near a guess
- * was.
+ * Finds whose key was shown. Keys are kept as SHA-256 hashes and never logged. A shown
+ * key is hashed, looked up by the hash's first byte, and compared with each hash there in
+ * constant time, so that the time does not tell how near a guess was.
+ *
+ * @param <T> the owners' type
  */
-public final class Keys {
+public final class Keys<T> {
 
 	private static final String SCHEME = "Bearer ";
 
-	private Keys() {
+	private final Map<Byte, List<Entry<T>>> buckets;
+
+	private Keys(Map<Byte, List<Entry<T>>> buckets) {
+		this.buckets = buckets;
+	}
+
+	/**
+	 * Returns the keys of the given owners.
+	 * @param owners those who have keys
+	 * @param keySha256 an owner's key hash, in hexadecimal
+	 * @param <T> the owners' type
+	 * @return the keys
+	 */
+	public static <T> Keys<T> of(List<T> owners, Function<T, String> keySha256) {
+		return new Keys<>(owners.stream()
+			.map((owner) -> new Entry<>(HexFormat.of().parseHex(keySha256.apply(owner)), owner))
+			.collect(Collectors.groupingBy((entry) -> entry.hash()[0])));
 	}
 
 	/**
@@ -32,37 +52,33 @@
 		return HexFormat.of().formatHex(digest(key));
 	}
 
+	static void checkHash(String owner, String keySha256) {
+		if (keySha256 == null || !keySha256.matches("[0-9a-fA-F]{64}")) {
+			throw new BulrushException(ErrorCode.BAD_CONFIGURATION, owner + ": keySha256 is not a SHA-256");
+		}
+	}
+
 	/**
 	 * Finds the owner of the key in an {@code Authorization} header.
 	 * @param authorization the header
-	 * @param owners those who have keys
-	 * @param keySha256 an owner's key hash, in hexadecimal
-	 * @param <T> the owners' type
 	 * @return the owner, or empty if the key is missing or unknown
 	 */
-	public static <T> Optional<T> owner(Optional<String> authorization, List<T> owners, Function<T, String> keySha256) {
-		if (authorization.isEmpty() || !authorization.get().startsWith(SCHEME)) {
-			return Optional.empty();
-		}
-		byte[] shown = digest(authorization.get().substring(SCHEME.length()).strip());
+	public Optional<T> owner(Optional<String> authorization) {
+		return authorization.filter((header) -> header.startsWith(SCHEME))
+			.map((header) -> digest(header.substring(SCHEME.length()).strip()))
+			.flatMap(this::owner);
+	}
+
+	private Optional<T> owner(byte[] shown) {
 		T found = null;
-		for (T owner : owners) {
-			if (MessageDigest.isEqual(shown, parse(keySha256.apply(owner)))) {
-				found = owner;
+		for (Entry<T> entry : this.buckets.getOrDefault(shown[0], List.of())) {
+			if (MessageDigest.isEqual(shown, entry.hash())) {
+				found = entry.owner();
 			}
 		}
 		return Optional.ofNullable(found);
 	}
 
-	private static byte[] parse(String hex) {
-		try {
-			return HexFormat.of().parseHex(hex);
-		}
-		catch (IllegalArgumentException ex) {
-			return new byte[0];
-		}
-	}
-
 	private static byte[] digest(String key) {
 		try {
 			return MessageDigest.getInstance("SHA-256").digest(key.getBytes(StandardCharsets.UTF_8));
@@ -72,4 +88,7 @@
 		}
 	}
 
+	private record Entry<T>(byte[] hash, T owner) {
+	}
+
 }
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/config/Operator.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/config/Operator.java
@@ -22,6 +22,10 @@
 		upstreams = (upstreams != null) ? List.copyOf(upstreams) : List.of();
 	}
 
+	void check() {
+		Keys.checkHash(this.name, this.keySha256);
+	}
+
 	/**
 	 * Tells whether the operator may touch an organisation.
 	 * @param organisation its name
--- /dev/null
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/demo/Caller.java
@@ -0,0 +1,139 @@
+package io.bulrushrouter.daemon.demo;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+import io.bulrushrouter.http.HttpCaller;
+import io.bulrushrouter.http.HttpFlight;
+import io.bulrushrouter.http.HttpListener;
+
+/**
+ * A caller of an entry, with an organisation's key.
+ *
+ * @param http sends requests
+ * @param base the entry's address
+ * @param key the organisation's key
+ */
+public record Caller(HttpCaller http, String base, String key) {
+
+	/**
+	 * Sends a request and gathers the answer.
+	 * @param method the HTTP method
+	 * @param path the path
+	 * @param headers headers beside the key
+	 * @param body the body
+	 * @return the answer, once it is whole or broken
+	 */
+	public CompletableFuture<Answer> send(String method, String path, Map<String, String> headers, String body) {
+		Map<String, String> all = new LinkedHashMap<>(headers);
+		all.put("Authorization", "Bearer " + this.key);
+		all.putIfAbsent("Content-Type", "application/json");
+		CompletableFuture<Answer> answer = new CompletableFuture<>();
+		this.http.send(method, this.base + path, all, body.getBytes(StandardCharsets.UTF_8), new Gatherer(answer));
+		return answer;
+	}
+
+	/**
+	 * Asks for a streamed completion.
+	 * @param prompt the prompt
+	 * @param tokens how many tokens
+	 * @return the answer, once it is whole or broken
+	 */
+	public CompletableFuture<Answer> stream(String prompt, int tokens) {
+		return send("POST", "/v1/completions", Map.of(), completion(prompt, tokens, true));
+	}
+
+	/**
+	 * Sends a streamed completion and hands parts to a listener.
+	 * @param prompt the prompt
+	 * @param tokens how many tokens
+	 * @param listener takes the answer
+	 * @return the running call
+	 */
+	public HttpFlight stream(String prompt, int tokens, HttpListener listener) {
+		Map<String, String> headers = Map.of("Authorization", "Bearer " + this.key, "Content-Type", "application/json");
+		byte[] body = completion(prompt, tokens, true).getBytes(StandardCharsets.UTF_8);
+		return this.http.send("POST", this.base + "/v1/completions", headers, body, listener);
+	}
+
+	/**
+	 * Returns the body of a completion.
+	 * @param prompt the prompt, without characters that JSON escapes
+	 * @param tokens how many tokens
+	 * @param stream whether to stream
+	 * @return the JSON text
+	 */
+	public static String completion(String prompt, int tokens, boolean stream) {
+		return "{\"model\":\"" + Fleet.MODEL + "\",\"prompt\":\"" + prompt + "\",\"max_tokens\":" + tokens
+				+ ",\"stream\":" + stream + "}";
+	}
+
+	/**
+	 * An answer as the caller got it.
+	 *
+	 * @param status the HTTP status; 0 if none came
+	 * @param body what came of the body
+	 * @param clean whether it came to a clean end
+	 */
+	public record Answer(int status, String body, boolean clean) {
+
+		/**
+		 * Returns the text of a streamed answer.
+		 * @return the tokens joined, without the events around them
+		 */
+		public String streamedText() {
+			StringBuilder text = new StringBuilder();
+			for (String event : this.body.split("\n\n")) {
+				int start = event.indexOf("\"text\":\"");
+				if (start >= 0) {
+					int from = start + "\"text\":\"".length();
+					text.append(event, from, event.indexOf('"', from));
+				}
+			}
+			return text.toString();
+		}
+
+	}
+
+	private static final class Gatherer implements HttpListener {
+
+		private final CompletableFuture<Answer> answer;
+
+		private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+
+		private int status;
+
+		private Gatherer(CompletableFuture<Answer> answer) {
+			this.answer = answer;
+		}
+
+		@Override
+		public void head(int headStatus, String contentType) {
+			this.status = headStatus;
+		}
+
+		@Override
+		public void part(byte[] bytes) {
+			this.body.writeBytes(bytes);
+		}
+
+		@Override
+		public void end() {
+			finish(true);
+		}
+
+		@Override
+		public void failed(boolean mayHaveArrived, Throwable cause) {
+			finish(false);
+		}
+
+		private void finish(boolean clean) {
+			this.answer.complete(new Answer(this.status, this.body.toString(StandardCharsets.UTF_8), clean));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/demo/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The demonstration: a whole fleet in one process, on loopback.
+ */
+package io.bulrushrouter.daemon.demo;
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/EntryCore.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/EntryCore.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 import io.micrometer.core.instrument.Timer;
 
@@ -55,6 +56,8 @@
 
 	private final Timer firstTokenTimer;
 
+	private final Consumer<EntryInput> inbox;
+
 	private final RetryBudget budget = RetryBudget.ofDefaults();
 
 	private final Map<Long, OpenCall> calls = new HashMap<>();
@@ -63,10 +66,13 @@
 
 	private long lastNumber;
 
-	private long version;
+	private volatile long version;
+
+	private volatile int connected;
 
 	EntryCore(long incarnation, EntryPolicy policy, RouteBook routes, UpstreamLinks links, TimeSource time,
-			Metrics metrics) {
+			Metrics metrics, Consumer<EntryInput> inbox) {
+		this.inbox = inbox;
 		this.incarnation = incarnation;
 		this.policy = policy;
 		this.routes = routes;
@@ -89,6 +95,7 @@
 		}
 		else if (input instanceof EntryInput.PeerUp up) {
 			this.routes.reachable(this.links.up(up.connection()), true);
+			this.connected = this.links.connected().size();
 		}
 		else if (input instanceof EntryInput.PeerDown down) {
 			lose(down.connection());
@@ -130,6 +137,7 @@
 				(excluded, now) -> this.routes.pick(id, arrived.spec(), excluded, now));
 		OpenCall open = new OpenCall(arrived.exchange(), arrived.spec(), call, this.time.nanos());
 		this.calls.put(id.number(), open);
+		arrived.exchange().onClosed(() -> this.inbox.accept(new EntryInput.CallerGone(id.number())));
 		step(open, new EntryEvent.Start());
 	}
 
@@ -193,6 +201,7 @@
 	private void lose(PeerConnection connection) {
 		UpstreamId upstream = UpstreamId.of(connection.peer().name());
 		this.links.down(connection).ifPresent((gone) -> this.routes.reachable(gone, false));
+		this.connected = this.links.connected().size();
 		List<OpenCall> affected = this.calls.values().stream().filter((open) -> open.uses(connection)).toList();
 		for (OpenCall open : affected) {
 			List<Integer> lost = open.tries.entrySet()
@@ -246,8 +255,8 @@
 				.ifPresent((connection) -> connection.send(new WireMessage.OfCall(cancel.cancel())));
 		}
 		else if (action instanceof EntryAction.RelayHead head) {
-			open.exchange.start(
-					HttpReply.ofHead(head.status(), head.contentType()).withHeader(REQUEST_HEADER, open.call.id().toString()));
+			open.exchange.start(HttpReply.ofHead(head.status(), head.contentType())
+				.withHeader(REQUEST_HEADER, open.call.id().toString()));
 		}
 		else if (action instanceof EntryAction.Complete) {
 			open.exchange.end();
@@ -334,6 +343,14 @@
 		return this.calls.size();
 	}
 
+	/**
+	 * Returns how many sidecars are connected.
+	 * @return the count
+	 */
+	int connected() {
+		return this.connected;
+	}
+
 	/**
 	 * Returns the configuration's version in force.
 	 * @return the version; 0 if there is none
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/EntryNode.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/EntryNode.java
@@ -1,6 +1,7 @@
 package io.bulrushrouter.daemon.entry;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
@@ -8,7 +9,6 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-import io.bulrushrouter.daemon.config.Configuration;
 import io.bulrushrouter.daemon.config.Keys;
 import io.bulrushrouter.daemon.config.Organisation;
 import io.bulrushrouter.daemon.node.Bootstrap;
@@ -71,6 +71,8 @@
 
 	private volatile Optional<ConfigurationSource.InForce> inForce = Optional.empty();
 
+	private volatile Keys<Organisation> callerKeys = Keys.of(List.of(), Organisation::keySha256);
+
 	private volatile boolean draining;
 
 	private EntryNode(EntrySettings settings) {
@@ -86,7 +88,7 @@
 			EntryPolicy policy = EntryPolicy.builder().maxAttempts(settings.maxAttempts()).build();
 			this.core = new EntryCore(incarnation, policy,
 					new RouteBook(settings.process().dataCentre(), chooser, random), new UpstreamLinks(this.peers),
-					TimeSource.ofSystem(), this.bootstrap.metrics());
+					TimeSource.ofSystem(), this.bootstrap.metrics(), (input) -> inbox().put(input));
 			this.duty = Duty.<EntryInput>builder("entry", this.core::take).tick(TICK, this.core::tick).start();
 			this.bootstrap.metrics().gauge("entry.ring.backlog", this.duty::backlog);
 			this.bootstrap.metrics().gauge("entry.in.flight", this.core::inFlight);
@@ -118,7 +120,12 @@
 		return node;
 	}
 
+	private Duty<EntryInput> inbox() {
+		return this.duty;
+	}
+
 	private void adopt(ConfigurationSource.InForce next) {
+		this.callerKeys = Keys.of(next.configuration().organisations(), Organisation::keySha256);
 		this.inForce = Optional.of(next);
 		this.duty.put(new EntryInput.Adopted(next));
 	}
@@ -142,6 +149,14 @@
 		return this.inForce.isPresent() && !this.draining;
 	}
 
+	/**
+	 * Returns how many configured upstreams' sidecars are connected.
+	 * @return the count
+	 */
+	public int connectedUpstreams() {
+		return isReady() ? this.core.connected() : 0;
+	}
+
 	/**
 	 * Returns the port for callers.
 	 * @return the port
@@ -191,27 +206,25 @@
 			Optional<ConfigurationSource.InForce> current = EntryNode.this.inForce;
 			if (EntryNode.this.draining || current.isEmpty()) {
 				ErrorCode code = EntryNode.this.draining ? ErrorCode.DRAINING : ErrorCode.NOT_READY;
-				exchange.respond(ErrorReply.of(Verdict.ofNotRun(code), "try another entry",
-						RETRY_AFTER_MILLIS));
+				exchange.respond(ErrorReply.of(Verdict.ofNotRun(code), "try another entry", RETRY_AFTER_MILLIS));
 				return;
 			}
 			try {
-				accept(exchange, current.get().configuration());
+				accept(exchange);
 			}
 			catch (BulrushException ex) {
 				exchange.respond(ErrorReply.of(ex));
 			}
 		}
 
-		private void accept(HttpExchange exchange, Configuration configuration) {
-			Organisation organisation = Keys
-				.owner(exchange.header("Authorization"), configuration.organisations(), Organisation::keySha256)
+		private void accept(HttpExchange exchange) {
+			Organisation organisation = EntryNode.this.callerKeys.owner(exchange.header("Authorization"))
 				.orElseThrow(() -> new BulrushException(ErrorCode.UNAUTHORISED, "the key is missing or unknown"));
 			RequestSpec spec = CallParser.spec(exchange, organisation.id());
 			long deadline = System.nanoTime() + CallParser.patience(exchange).toNanos();
 			if (!EntryNode.this.duty.offer(new EntryInput.CallArrived(exchange, spec, deadline))) {
-				exchange.respond(ErrorReply.of(Verdict.ofNotRun(ErrorCode.OVERLOADED),
-						"the entry is overloaded", RETRY_AFTER_MILLIS));
+				exchange.respond(ErrorReply.of(Verdict.ofNotRun(ErrorCode.OVERLOADED), "the entry is overloaded",
+						RETRY_AFTER_MILLIS));
 			}
 		}
 
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/node/LogSetup.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/node/LogSetup.java
@@ -21,7 +21,8 @@
 	/**
 	 * Sets the form of the log.
 	 * @param format {@code human}, {@code json} or {@code quiet}
-	 * @throws BulrushException with {@link ErrorCode#BAD_SETTINGS} if there is no such form
+	 * @throws BulrushException with {@link ErrorCode#BAD_SETTINGS} if there is no such
+	 * form
 	 */
 	public static void use(String format) {
 		URL file = LogSetup.class.getResource("/logback-" + format + ".xml");
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/EngineClient.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/EngineClient.java
@@ -64,8 +64,8 @@
 		}
 		HttpListener listener = (spec.stream() && spec.kind() == CallKind.COMPLETION) ? new StreamListener(attempt)
 				: new PlainListener(attempt);
-		this.flights.put(attempt, this.caller.send(spec.method(), this.base + spec.path(), headers,
-				spec.body(), listener));
+		this.flights.put(attempt,
+				this.caller.send(spec.method(), this.base + spec.path(), headers, spec.body(), listener));
 	}
 
 	/**
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/LoadListener.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/LoadListener.java
@@ -47,8 +47,8 @@
 	private Optional<SidecarInput.EngineLoad> parse() {
 		try {
 			JsonNode report = JSON.readTree(this.body.toByteArray());
-			return Optional.of(new SidecarInput.EngineLoad(report.path("queuedTokens").asLong(),
-					report.path("running").asInt()));
+			return Optional
+				.of(new SidecarInput.EngineLoad(report.path("queuedTokens").asLong(), report.path("running").asInt()));
 		}
 		catch (IOException ex) {
 			return Optional.empty();
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/SidecarNode.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/SidecarNode.java
@@ -104,8 +104,8 @@
 	 */
 	public static SidecarNode start(SidecarSettings settings) {
 		SidecarNode node = new SidecarNode(settings);
-		logger.info("event=started role={} upstream={} peers={} operators={}", ROLE, settings.upstream(),
-				node.peerPort, node.operators.port());
+		logger.info("event=started role={} upstream={} peers={} operators={}", ROLE, settings.upstream(), node.peerPort,
+				node.operators.port());
 		return node;
 	}
 
--- /dev/null
+++ b/bulrushrouter-daemon/src/test/java/io/bulrushrouter/daemon/demo/FleetTests.java
@@ -0,0 +1,102 @@
+package io.bulrushrouter.daemon.demo;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+
+import io.bulrushrouter.http.HttpCaller;
+import io.bulrushrouter.standin.EngineText;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+/**
+ * Tests for the whole path, with all daemons in one process.
+ */
+class FleetTests {
+
+	private static final int ANSWERS = 200;
+
+	private static final int TOKENS = 24;
+
+	private static EventLoopGroup network;
+
+	private static HttpCaller http;
+
+	private static Fleet fleet;
+
+	@BeforeAll
+	static void start() {
+		network = new NioEventLoopGroup(2);
+		http = HttpCaller.of(network);
+		fleet = Fleet.builder().start();
+		assertThat(fleet.awaitReady()).isTrue();
+	}
+
+	@AfterAll
+	static void stop() {
+		fleet.close();
+		http.close();
+		network.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+	}
+
+	private static Caller caller(int entry, int organisation) {
+		return new Caller(http, "http://127.0.0.1:" + fleet.entries().get(entry).callersPort(),
+				Fleet.key(organisation));
+	}
+
+	@Test
+	void streamsTwoHundredAnswersAtOnceEachWholeAndTheCallersOwn() {
+		List<CompletableFuture<Caller.Answer>> answers = new ArrayList<>();
+		for (int i = 0; i < ANSWERS; i++) {
+			answers.add(caller(i % 2, 1 + i % 10).stream("enquiry " + i, TOKENS));
+		}
+		for (int i = 0; i < ANSWERS; i++) {
+			Caller.Answer answer = answers.get(i).orTimeout(30, TimeUnit.SECONDS).join();
+			assertWithMessage("answer %s: %s", i, answer).that(answer.clean()).isTrue();
+			assertThat(EngineText.isWhole(answer.streamedText(), "enquiry " + i, TOKENS)).isTrue();
+		}
+	}
+
+	@Test
+	void answersRepeatedReadsWithTheSameText() {
+		Caller.Answer first = caller(0, 1).stream("the same enquiry", TOKENS).join();
+		Caller.Answer second = caller(1, 1).stream("the same enquiry", TOKENS).join();
+		assertThat(first.streamedText()).isNotEmpty();
+		assertThat(second.streamedText()).isEqualTo(first.streamedText());
+	}
+
+	@Test
+	void runsAReservationOnceThoughItsCallerRepeatsIt() {
+		Map<String, String> headers = Map.of("Idempotency-Key", "slot-1");
+		String body = "{\"slot\":1}";
+		for (int i = 0; i < 4; i++) {
+			caller(i % 2, 2).send("POST", "/services/booking/reservations", headers, body).join();
+		}
+		int runs = fleet.services()
+			.values()
+			.stream()
+			.mapToInt((service) -> service.runs().getOrDefault("POST /reservations " + body, 0))
+			.sum();
+		assertThat(runs).isEqualTo(1);
+	}
+
+	@Test
+	void refusesAnUnknownKeyAndAnUnknownModelAsNotRun() {
+		Caller.Answer stranger = caller(0, 99).stream("hello", 1).join();
+		assertThat(stranger.status()).isEqualTo(401);
+		assertThat(stranger.body()).contains("\"verdict\":\"not-run\"");
+		Caller.Answer unknown = caller(0, 1).send("POST", "/v1/completions", Map.of(), "{\"model\":\"none\"}").join();
+		assertThat(unknown.status()).isEqualTo(404);
+		assertThat(unknown.body()).contains("unknown-model");
+	}
+
+}
--- a/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/ExpertMap.java
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/ExpertMap.java
@@ -45,8 +45,8 @@
 	 * @param shares the share of the expert's tokens that the slot takes, in parts of
 	 * {@link #WHOLE}; copied
 	 * @return the map
-	 * @throws BulrushException with {@link ErrorCode#BAD_CONFIGURATION} if the arrays do not
-	 * fit the shape or an expert of a layer has no replica
+	 * @throws BulrushException with {@link ErrorCode#BAD_CONFIGURATION} if the arrays do
+	 * not fit the shape or an expert of a layer has no replica
 	 */
 	public static ExpertMap of(long version, GroupShape shape, short[] experts, short[] shares) {
 		int length = shape.layers() * shape.slotsOfLayer();
--- a/bulrushrouter-wire/src/main/java/io/bulrushrouter/wire/PeerConnection.java
+++ b/bulrushrouter-wire/src/main/java/io/bulrushrouter/wire/PeerConnection.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import org.slf4j.Logger;
@@ -121,7 +122,7 @@
 
 	@Override
 	protected void channelRead0(ChannelHandlerContext channelContext, ByteBuf frame) {
-		WireMessage message = this.codec.decode(frame.nioBuffer());
+		WireMessage message = this.codec.decode(ByteBufUtil.getBytes(frame));
 		if (message instanceof WireMessage.Hello hello) {
 			this.peer = hello;
 			this.handler.connected(this);
--- a/bulrushrouter-wire/src/main/java/io/bulrushrouter/wire/WireCodec.java
+++ b/bulrushrouter-wire/src/main/java/io/bulrushrouter/wire/WireCodec.java
@@ -1,7 +1,6 @@
 package io.bulrushrouter.wire;
 
 import java.io.IOException;
-import java.nio.ByteBuffer;
 import java.util.Optional;
 
 import io.netty.buffer.ByteBuf;
@@ -61,7 +60,7 @@
 		}
 	}
 
-	WireMessage decode(ByteBuffer frame) {
+	WireMessage decode(byte[] frame) {
 		try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(frame)) {
 			return unpack(unpacker);
 		}
