Add the morning sheet, the reconciler and the shortfall report

First working versions of the interfaces that the daemon calls: parsing and applying a sheet, deciding the next safe steps, and reporting where reality falls short.

--- /dev/null
+++ b/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/ConditionalObject.java
@@ -0,0 +1,123 @@
+package io.bulrushrouter.evacuation;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.BiFunction;
+import java.util.function.BiPredicate;
+
+import io.bulrushrouter.kernel.store.ObjectKey;
+import io.bulrushrouter.kernel.store.ObjectStore;
+import io.bulrushrouter.kernel.store.ReadResult;
+import io.bulrushrouter.kernel.store.Versioned;
+import io.bulrushrouter.kernel.store.Write;
+import io.bulrushrouter.kernel.store.WriteResult;
+import io.bulrushrouter.kernel.store.WriterMark;
+
+/**
+ * One JSON object in the store that changes by conditional update only. A lost answer is
+ * settled by reading: the object, or its history, holds the write's mark if the write
+ * took effect; an object that is still of the expected version is written again, which
+ * takes effect at most once.
+ *
+ * @param <T> the object's type
+ */
+final class ConditionalObject<T> {
+
+	/** How often a write whose answer was lost is sent. */
+	private static final int MAX_SENDS = 3;
+
+	private final ObjectStore store;
+
+	private final ObjectKey key;
+
+	private final Class<T> type;
+
+	private final BiPredicate<T, String> holds;
+
+	private final BiFunction<T, T, List<String>> difference;
+
+	ConditionalObject(ObjectStore store, ObjectKey key, Class<T> type, BiPredicate<T, String> holds,
+			BiFunction<T, T, List<String>> difference) {
+		this.store = store;
+		this.key = key;
+		this.type = type;
+		this.holds = holds;
+		this.difference = difference;
+	}
+
+	CompletionStage<Loaded<T>> read() {
+		return this.store.read(this.key).thenApply((result) -> {
+			if (result instanceof ReadResult.Found found) {
+				return new Loaded.Found<>(stored(found.object()));
+			}
+			if (result instanceof ReadResult.Unavailable unavailable) {
+				return new Loaded.Unavailable<>(unavailable.reason());
+			}
+			return new Loaded.Absent<>();
+		});
+	}
+
+	CompletionStage<StoreOutcome<T>> write(Stored<T> base, T value, String mark) {
+		Write write = new Write(this.key, base.version(), EvacuationJson.write(value), new WriterMark(mark));
+		return send(new Attempt<>(write, base.value(), value), 1);
+	}
+
+	private CompletionStage<StoreOutcome<T>> send(Attempt<T> attempt, int number) {
+		return this.store.write(attempt.write()).thenCompose((result) -> {
+			if (result instanceof WriteResult.Written written) {
+				return done(new StoreOutcome.Written<>(new Stored<>(written.version(), attempt.value())));
+			}
+			if (result instanceof WriteResult.Refused refused && number == 1) {
+				return done(new StoreOutcome.Unavailable<>(refused.reason()));
+			}
+			return settle(attempt, number);
+		});
+	}
+
+	private CompletionStage<StoreOutcome<T>> settle(Attempt<T> attempt, int number) {
+		return this.store.read(this.key).thenCompose((result) -> {
+			if (result instanceof ReadResult.Unavailable unavailable) {
+				return done(new StoreOutcome.Undecided<>(unavailable.reason()));
+			}
+			if (result instanceof ReadResult.Found found && found.object().version() != attempt.expectedVersion()) {
+				return done(settled(attempt, found.object()));
+			}
+			return (number < MAX_SENDS) ? send(attempt, number + 1)
+					: done(new StoreOutcome.Undecided<>("no answer to " + number + " writes"));
+		});
+	}
+
+	private StoreOutcome<T> settled(Attempt<T> attempt, Versioned object) {
+		Stored<T> current = stored(object);
+		boolean mine = object.writer().equals(attempt.write().writer())
+				|| this.holds.test(current.value(), attempt.write().writer().value());
+		return mine ? new StoreOutcome.Written<>(current)
+				: new StoreOutcome.Conflict<>(current, this.difference.apply(attempt.base(), current.value()));
+	}
+
+	private Stored<T> stored(Versioned object) {
+		return new Stored<>(object.version(), EvacuationJson.read(object.value(), this.type));
+	}
+
+	private static <T> CompletionStage<StoreOutcome<T>> done(StoreOutcome<T> outcome) {
+		return CompletableFuture.completedFuture(outcome);
+	}
+
+	/**
+	 * A write with what it was made from and of.
+	 *
+	 * @param write the write
+	 * @param base the object as it was read
+	 * @param value the object as it is to be
+	 * @param <T> the object's type
+	 */
+	private record Attempt<T>(Write write, T base, T value) {
+
+		long expectedVersion() {
+			return this.write.expectedVersion();
+		}
+
+	}
+
+}
--- a/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/Fleet.java
+++ b/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/Fleet.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -25,8 +26,12 @@
 
 	private final Map<Target, List<FleetUpstream>> units;
 
+	private final Map<Target, List<FleetUpstream>> targets;
+
 	private final Map<OrganisationId, List<Demand>> demands;
 
+	private final Map<String, OrganisationId> organisationNames;
+
 	private final Set<DataCentreId> dataCentres;
 
 	private Fleet(Collection<FleetUpstream> upstreams, Collection<Demand> demands) {
@@ -35,8 +40,13 @@
 		this.units = this.upstreams.values()
 			.stream()
 			.collect(Collectors.groupingBy(FleetUpstream::unit, TreeMap::new, Collectors.toUnmodifiableList()));
+		this.targets = new TreeMap<>(this.units);
+		this.upstreams.values().forEach((upstream) -> this.targets.put(Target.of(upstream.id()), List.of(upstream)));
 		this.demands = demands.stream()
 			.collect(Collectors.groupingBy(Demand::organisation, TreeMap::new, Collectors.toUnmodifiableList()));
+		this.organisationNames = this.demands.keySet()
+			.stream()
+			.collect(Collectors.toMap(OrganisationId::value, (organisation) -> organisation));
 		this.dataCentres = upstreams.stream()
 			.map(FleetUpstream::dataCentre)
 			.collect(Collectors.toCollection(TreeSet::new));
@@ -74,7 +84,7 @@
 	 * @return the members of each unit, by name
 	 */
 	public Map<Target, List<FleetUpstream>> units() {
-		return new TreeMap<>(this.units);
+		return Collections.unmodifiableMap(this.units);
 	}
 
 	/**
@@ -83,10 +93,7 @@
 	 * @return the upstreams; empty if it is unknown
 	 */
 	public List<FleetUpstream> members(Target target) {
-		if (target.kind() == Target.Kind.UPSTREAM) {
-			return find(UpstreamId.of(target.name())).map(List::of).orElseGet(List::of);
-		}
-		return this.units.getOrDefault(target, List.of());
+		return this.targets.getOrDefault(target, List.of());
 	}
 
 	/**
@@ -94,7 +101,25 @@
 	 * @return the organisations, by name
 	 */
 	public Set<OrganisationId> organisations() {
-		return new TreeSet<>(this.demands.keySet());
+		return Collections.unmodifiableSet(this.demands.keySet());
+	}
+
+	/**
+	 * Finds an organisation.
+	 * @param name any text
+	 * @return the organisation, or empty if it is unknown
+	 */
+	public Optional<OrganisationId> organisation(String name) {
+		return Optional.ofNullable(this.organisationNames.get(name));
+	}
+
+	/**
+	 * Finds a data centre.
+	 * @param name any text
+	 * @return the data centre, or empty if it holds no upstream
+	 */
+	public Optional<DataCentreId> dataCentre(String name) {
+		return this.dataCentres.stream().filter((dataCentre) -> dataCentre.value().equals(name)).findFirst();
 	}
 
 	/**
@@ -102,7 +127,7 @@
 	 * @return the data centres, by name
 	 */
 	public Set<DataCentreId> dataCentres() {
-		return new TreeSet<>(this.dataCentres);
+		return Collections.unmodifiableSet(this.dataCentres);
 	}
 
 	/**
--- /dev/null
+++ b/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/reconcile/MovePass.java
@@ -0,0 +1,101 @@
+package io.bulrushrouter.evacuation.reconcile;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import io.bulrushrouter.evacuation.EvacuationState;
+import io.bulrushrouter.evacuation.Fleet;
+import io.bulrushrouter.evacuation.ShortReason;
+import io.bulrushrouter.evacuation.Shortage;
+import io.bulrushrouter.kernel.DataCentreId;
+import io.bulrushrouter.kernel.OrganisationId;
+
+/**
+ * One pass over the organisations that are to move, in the plan's order.
+ */
+final class MovePass {
+
+	private final Fleet fleet;
+
+	private final ReconcilePolicy policy;
+
+	private final EvacuationState intended;
+
+	private final Observation observed;
+
+	private final long fence;
+
+	private final Map<OrganisationId, DataCentreId> placements;
+
+	MovePass(Fleet fleet, ReconcilePolicy policy, EvacuationState intended, Observation observed, long fence) {
+		this.fleet = fleet;
+		this.policy = policy;
+		this.intended = intended;
+		this.observed = observed;
+		this.fence = fence;
+		this.placements = new TreeMap<>(observed.placements());
+	}
+
+	// An organisation that is held also holds those that come after it in the order.
+	List<Step> steps() {
+		List<Step> steps = new ArrayList<>();
+		Map<OrganisationId, DataCentreId> pending = pending(this.intended, this.observed);
+		for (OrganisationId organisation : inOrder(pending)) {
+			if (steps.size() == this.policy.movesAtOnce()) {
+				break;
+			}
+			Step step = step(organisation, pending.get(organisation));
+			steps.add(step);
+			if (step instanceof Step.HoldMove) {
+				break;
+			}
+			this.placements.put(organisation, pending.get(organisation));
+		}
+		return steps;
+	}
+
+	static Map<OrganisationId, DataCentreId> pending(EvacuationState intended, Observation observed) {
+		Map<OrganisationId, DataCentreId> pending = new TreeMap<>(intended.placementsByOrganisation());
+		pending.entrySet().removeIf((entry) -> entry.getValue().equals(observed.placements().get(entry.getKey())));
+		return pending;
+	}
+
+	private List<OrganisationId> inOrder(Map<OrganisationId, DataCentreId> pending) {
+		List<OrganisationId> order = this.intended.plan().organisations();
+		return pending.keySet().stream().sorted(Comparator.comparingInt((organisation) -> {
+			int position = order.indexOf(organisation);
+			return (position >= 0) ? position : order.size();
+		})).toList();
+	}
+
+	private Step step(OrganisationId organisation, DataCentreId to) {
+		if (!this.observed.storeUp()) {
+			return new Step.HoldMove(organisation, ShortReason.STORE_DOWN, "the store does not answer", this.fence);
+		}
+		return shortage(organisation, to).<Step>map(
+				(shortage) -> new Step.HoldMove(organisation, ShortReason.NO_CAPACITY, shortage.toString(), this.fence))
+			.orElseGet(() -> new Step.MoveOrganisation(organisation, to, this.fence));
+	}
+
+	private Optional<Shortage> shortage(OrganisationId organisation, DataCentreId to) {
+		Map<OrganisationId, DataCentreId> after = new TreeMap<>(this.placements);
+		after.put(organisation, to);
+		return this.fleet.shortages(after, this.observed::running)
+			.stream()
+			.filter((shortage) -> shortage.dataCentre().equals(to)
+					&& this.fleet.models(organisation).contains(shortage.model()))
+			.filter((shortage) -> !accepted(this.intended, shortage))
+			.findFirst();
+	}
+
+	// No acceptance lets an organisation stay where nothing is left to serve it.
+	static boolean accepted(EvacuationState intended, Shortage shortage) {
+		return shortage.left() > 0
+				&& intended.acceptedShortages().stream().anyMatch((accepted) -> accepted.samePlace(shortage));
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/sheet/SheetApplication.java
@@ -0,0 +1,132 @@
+package io.bulrushrouter.evacuation.sheet;
+
+import java.time.LocalDate;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.stream.Stream;
+
+import io.bulrushrouter.evacuation.EndState;
+import io.bulrushrouter.evacuation.EvacuationState;
+import io.bulrushrouter.evacuation.Fleet;
+import io.bulrushrouter.evacuation.FleetUpstream;
+import io.bulrushrouter.evacuation.Placement;
+import io.bulrushrouter.evacuation.Shortage;
+import io.bulrushrouter.evacuation.UpstreamIntent;
+import io.bulrushrouter.kernel.DataCentreId;
+import io.bulrushrouter.kernel.OrganisationId;
+import io.bulrushrouter.kernel.UpstreamId;
+
+/**
+ * Applies a sheet to a state: a pure function, whose result is written by one conditional
+ * update.
+ *
+ * <pre>{@code
+ * SheetOutcome outcome = SheetApplication.of(fleet).apply(state, order);
+ * if (outcome instanceof SheetOutcome.Applied applied) {
+ *     store.write(read, applied.state(), order.change().mark());
+ * }
+ * }</pre>
+ */
+public final class SheetApplication {
+
+	private final Fleet fleet;
+
+	private SheetApplication(Fleet fleet) {
+		this.fleet = fleet;
+	}
+
+	/**
+	 * Returns the application to one inventory.
+	 * @param fleet the inventory
+	 * @return the application
+	 */
+	public static SheetApplication of(Fleet fleet) {
+		return new SheetApplication(fleet);
+	}
+
+	/**
+	 * Applies a sheet.
+	 * @param state the state as it was read
+	 * @param order the sheet, the operator and what he accepts
+	 * @return what comes of it
+	 */
+	public SheetOutcome apply(EvacuationState state, SheetOrder order) {
+		MorningSheet sheet = order.sheet();
+		Optional<LocalDate> applied = state.sheetDate();
+		if (applied.isPresent() && applied.get().isAfter(sheet.date())) {
+			return new SheetOutcome.StaleDay(sheet.date(), applied.get());
+		}
+		if (applied.equals(Optional.of(sheet.date())) && state.sheetDigest().equals(sheet.digest())) {
+			return new SheetOutcome.Unchanged();
+		}
+		return checked(state, order);
+	}
+
+	private SheetOutcome checked(EvacuationState state, SheetOrder order) {
+		Map<UpstreamId, UpstreamIntent> intents = intents(state, order.sheet());
+		Map<OrganisationId, DataCentreId> placements = new TreeMap<>(state.placementsByOrganisation());
+		order.sheet().rows(SheetRow.Move.class).forEach((move) -> placements.put(move.organisation(), move.to()));
+		List<Contradiction> contradictions = new PlanComparison(this.fleet, state, order, intents).contradictions();
+		boolean fatal = contradictions.stream().anyMatch((contradiction) -> !contradiction.acceptable());
+		if (fatal || (!contradictions.isEmpty() && !order.acceptRisk())) {
+			return new SheetOutcome.Contradicted(contradictions);
+		}
+		List<Shortage> shortages = shortages(order, placements, intents);
+		if (!shortages.isEmpty() && !order.acceptRisk()) {
+			return new SheetOutcome.TooLittleCapacity(shortages);
+		}
+		return applied(state, order, new Intended(intents, placements), contradictions, shortages);
+	}
+
+	private Map<UpstreamId, UpstreamIntent> intents(EvacuationState state, MorningSheet sheet) {
+		Map<UpstreamId, UpstreamIntent> intents = state.intentsByUpstream();
+		for (SheetRow.Departure row : sheet.rows(SheetRow.Departure.class)) {
+			for (FleetUpstream member : this.fleet.members(row.target())) {
+				intents.put(member.id(), new UpstreamIntent(member.id(), row.state(),
+						row.stopHour().map((hour) -> sheet.date().atTime(hour))));
+			}
+		}
+		return intents;
+	}
+
+	private List<Shortage> shortages(SheetOrder order, Map<OrganisationId, DataCentreId> placements,
+			Map<UpstreamId, UpstreamIntent> intents) {
+		Map<OrganisationId, DataCentreId> endOfDay = new TreeMap<>(order.current());
+		endOfDay.putAll(placements);
+		return this.fleet.shortages(endOfDay, (upstream) -> running(intents, upstream));
+	}
+
+	private static boolean running(Map<UpstreamId, UpstreamIntent> intents, UpstreamId upstream) {
+		UpstreamIntent intent = intents.get(upstream);
+		return intent == null || intent.state() == EndState.RUNNING;
+	}
+
+	private static SheetOutcome applied(EvacuationState state, SheetOrder order, Intended intended,
+			List<Contradiction> contradictions, List<Shortage> shortages) {
+		List<String> risks = Stream
+			.concat(contradictions.stream().map(Contradiction::toString),
+					shortages.stream().map((shortage) -> "too-little-capacity: " + shortage))
+			.toList();
+		List<Placement> placements = new ArrayList<>();
+		intended.placements()
+			.forEach((organisation, dataCentre) -> placements.add(new Placement(organisation, dataCentre)));
+		EvacuationState next = new EvacuationState(state.plan(), Optional.of(order.sheet().date()),
+				order.sheet().digest(), List.copyOf(intended.intents().values()), placements, shortages, risks,
+				state.progress(),
+				EvacuationState.appended(state.history(), order.change(), EvacuationState.MAX_HISTORY));
+		return new SheetOutcome.Applied(next, risks);
+	}
+
+	/**
+	 * What the sheet and the sheets before it intend.
+	 *
+	 * @param intents what is intended for each upstream
+	 * @param placements where organisations go
+	 */
+	private record Intended(Map<UpstreamId, UpstreamIntent> intents, Map<OrganisationId, DataCentreId> placements) {
+	}
+
+}
