Add the rounds of a plan's holder and keep progress apart

A holder's progress points in the operators' object would have made operators lose races to it. They now stand in an object of their own, with the upstreams that were seen stopped, since nobody may be left to answer for these. A round takes over by raising the placements' fencing number before its first step.

--- a/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/EvacuationState.java
+++ b/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/EvacuationState.java
@@ -24,19 +24,15 @@
  * @param placements where sheets send organisations, by name
  * @param acceptedShortages shortages that an operator accepted
  * @param risks what an operator accepted with the last sheet, for the report
- * @param progress how many upstreams remained over time, oldest first
  * @param history the changes, oldest first
  */
 public record EvacuationState(EvacuationPlan plan, Optional<LocalDate> sheetDate, String sheetDigest,
 		List<UpstreamIntent> intents, List<Placement> placements, List<Shortage> acceptedShortages, List<String> risks,
-		List<ProgressPoint> progress, List<Change> history) {
+		List<Change> history) {
 
 	/** How many changes are kept; the oldest are dropped. */
 	public static final int MAX_HISTORY = 500;
 
-	/** How many progress points are kept; the oldest are dropped. */
-	public static final int MAX_PROGRESS = 1_000;
-
 	/**
 	 * Copies the lists.
 	 */
@@ -48,7 +44,6 @@
 		placements = List.copyOf(placements);
 		acceptedShortages = List.copyOf(acceptedShortages);
 		risks = List.copyOf(risks);
-		progress = List.copyOf(progress);
 		history = List.copyOf(history);
 	}
 
@@ -59,7 +54,7 @@
 	 * @return the state
 	 */
 	public static EvacuationState of(EvacuationPlan plan, Change change) {
-		return new EvacuationState(plan, Optional.empty(), "", List.of(), List.of(), List.of(), List.of(), List.of(),
+		return new EvacuationState(plan, Optional.empty(), "", List.of(), List.of(), List.of(), List.of(),
 				List.of(change));
 	}
 
@@ -71,17 +66,7 @@
 	 */
 	public EvacuationState withPlan(EvacuationPlan changed, Change change) {
 		return new EvacuationState(changed, this.sheetDate, this.sheetDigest, this.intents, this.placements,
-				this.acceptedShortages, this.risks, this.progress, appended(this.history, change, MAX_HISTORY));
-	}
-
-	/**
-	 * Returns this state with one more progress point.
-	 * @param point how many upstreams remain now
-	 * @return the new state
-	 */
-	public EvacuationState withProgress(ProgressPoint point) {
-		return new EvacuationState(this.plan, this.sheetDate, this.sheetDigest, this.intents, this.placements,
-				this.acceptedShortages, this.risks, appended(this.progress, point, MAX_PROGRESS), this.history);
+				this.acceptedShortages, this.risks, appended(this.history, change));
 	}
 
 	/**
@@ -130,17 +115,15 @@
 	}
 
 	/**
-	 * Returns a list with one more element, cut to a length from its end.
-	 * @param list the list
-	 * @param element the element
-	 * @param max the greatest length
-	 * @param <T> the element's type
-	 * @return the new list
+	 * Returns a history with one more change, without its oldest if it is full.
+	 * @param history the changes, oldest first
+	 * @param change the change
+	 * @return the new history
 	 */
-	public static <T> List<T> appended(List<T> list, T element, int max) {
-		List<T> longer = new ArrayList<>(list);
-		longer.add(element);
-		return longer.subList(Math.max(0, longer.size() - max), longer.size());
+	public static List<Change> appended(List<Change> history, Change change) {
+		List<Change> longer = new ArrayList<>(history);
+		longer.add(change);
+		return longer.subList(Math.max(0, longer.size() - MAX_HISTORY), longer.size());
 	}
 
 }
--- a/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/EvacuationStore.java
+++ b/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/EvacuationStore.java
@@ -57,8 +57,7 @@
 	 * Writes the state if it is still as it was read.
 	 * @param read the state as it was read
 	 * @param state the new state
-	 * @param mark the mark of the change, unique, and in the new state's history unless
-	 * it only records progress
+	 * @param mark the mark of the change, unique, and in the new state's history
 	 * @return what came of it
 	 */
 	public CompletionStage<StoreOutcome<EvacuationState>> write(Stored<EvacuationState> read, EvacuationState state,
--- /dev/null
+++ b/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/HolderStore.java
@@ -0,0 +1,79 @@
+package io.bulrushrouter.evacuation;
+
+import java.util.List;
+import java.util.concurrent.CompletionStage;
+
+import io.bulrushrouter.kernel.store.ObjectKey;
+import io.bulrushrouter.kernel.store.ObjectStore;
+import io.bulrushrouter.kernel.store.Write;
+
+/**
+ * Keeps an object that holders of a plan change: the organisations' placements, or the
+ * plan's progress. The object holds the highest fencing number that changed it.
+ *
+ * @param <T> the object's type
+ */
+public final class HolderStore<T> {
+
+	/** The kind of the placements' objects. */
+	public static final String PLACEMENT_KIND = "placement";
+
+	/** The kind of the progress objects. */
+	public static final String PROGRESS_KIND = "evacuation-progress";
+
+	private final ConditionalObject<T> object;
+
+	private HolderStore(ObjectStore objects, ObjectKey key, Class<T> type) {
+		this.object = new ConditionalObject<>(objects, key, type, (value, mark) -> false, (before, after) -> List.of());
+	}
+
+	/**
+	 * Returns the store of a plan's placements, {@code placement/NAME}.
+	 * @param objects the platform's object API
+	 * @param plan the plan's name
+	 * @return the store
+	 */
+	public static HolderStore<Placements> ofPlacements(ObjectStore objects, String plan) {
+		return new HolderStore<>(objects, ObjectKey.of(PLACEMENT_KIND, plan), Placements.class);
+	}
+
+	/**
+	 * Returns the store of a plan's progress, {@code evacuation-progress/NAME}.
+	 * @param objects the platform's object API
+	 * @param plan the plan's name
+	 * @return the store
+	 */
+	public static HolderStore<EvacuationProgress> ofProgress(ObjectStore objects, String plan) {
+		return new HolderStore<>(objects, ObjectKey.of(PROGRESS_KIND, plan), EvacuationProgress.class);
+	}
+
+	/**
+	 * Reads the object.
+	 * @return the object, absent or unavailable
+	 */
+	public CompletionStage<Loaded<T>> read() {
+		return this.object.read();
+	}
+
+	/**
+	 * Creates the object.
+	 * @param value the content
+	 * @param mark the write's mark, unique
+	 * @return what came of it; a conflict if it exists
+	 */
+	public CompletionStage<StoreOutcome<T>> create(T value, String mark) {
+		return this.object.write(new Stored<>(Write.ABSENT, value), value, mark);
+	}
+
+	/**
+	 * Writes the object if it is still as it was read.
+	 * @param read the object as it was read
+	 * @param value the new content
+	 * @param mark the write's mark, unique
+	 * @return what came of it
+	 */
+	public CompletionStage<StoreOutcome<T>> write(Stored<T> read, T value, String mark) {
+		return this.object.write(read, value, mark);
+	}
+
+}
--- a/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/Placements.java
+++ b/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/Placements.java
@@ -63,4 +63,14 @@
 		return Optional.of(of(holder, changed));
 	}
 
+	/**
+	 * Returns these placements with a higher fencing number, which shuts older holders
+	 * out.
+	 * @param holder the fencing number of the new holder
+	 * @return the new placements
+	 */
+	public Placements takenOver(long holder) {
+		return new Placements(holder, this.placements);
+	}
+
 }
--- /dev/null
+++ b/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/reconcile/EvacuationRound.java
@@ -0,0 +1,202 @@
+package io.bulrushrouter.evacuation.reconcile;
+
+import java.time.LocalDateTime;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
+
+import io.bulrushrouter.evacuation.EvacuationProgress;
+import io.bulrushrouter.evacuation.EvacuationState;
+import io.bulrushrouter.evacuation.EvacuationStore;
+import io.bulrushrouter.evacuation.Fleet;
+import io.bulrushrouter.evacuation.HolderStore;
+import io.bulrushrouter.evacuation.Loaded;
+import io.bulrushrouter.evacuation.Placements;
+import io.bulrushrouter.evacuation.ProgressPoint;
+import io.bulrushrouter.evacuation.StoreOutcome;
+import io.bulrushrouter.evacuation.Stored;
+import io.bulrushrouter.kernel.UpstreamId;
+import io.bulrushrouter.kernel.store.ObjectStore;
+import io.bulrushrouter.kernel.store.Write;
+
+/**
+ * The rounds of one holder of a plan: read, observe, decide, carry out. A round waits for
+ * the store and runs on the holder's own thread. It may end after any call, and any
+ * holder's next round carries on.
+ */
+public final class EvacuationRound {
+
+	private final Fleet fleet;
+
+	private final Reconciler reconciler;
+
+	private final EvacuationStore intents;
+
+	private final HolderStore<Placements> placementStore;
+
+	private final HolderStore<EvacuationProgress> progressStore;
+
+	private final UpstreamPort port;
+
+	private final Supplier<String> marks;
+
+	private Optional<EvacuationState> state = Optional.empty();
+
+	private Stored<Placements> placements = new Stored<>(Write.ABSENT, Placements.of(0, Map.of()));
+
+	private Stored<EvacuationProgress> progress = new Stored<>(Write.ABSENT, EvacuationProgress.ofNothing());
+
+	private EvacuationRound(Fleet fleet, ReconcilePolicy policy, Ports ports, String plan) {
+		this.fleet = fleet;
+		this.reconciler = Reconciler.of(fleet, policy);
+		this.intents = EvacuationStore.of(ports.objects(), plan);
+		this.placementStore = HolderStore.ofPlacements(ports.objects(), plan);
+		this.progressStore = HolderStore.ofProgress(ports.objects(), plan);
+		this.port = ports.upstreams();
+		this.marks = ports.marks();
+	}
+
+	/**
+	 * Returns the rounds of a new holder.
+	 * @param fleet the inventory
+	 * @param policy how fast it may go
+	 * @param ports what the rounds call
+	 * @param plan the plan's name
+	 * @return the rounds
+	 */
+	public static EvacuationRound of(Fleet fleet, ReconcilePolicy policy, Ports ports, String plan) {
+		return new EvacuationRound(fleet, policy, ports, plan);
+	}
+
+	/**
+	 * Runs one round.
+	 * @param now the building's local time
+	 * @param fence the fencing number of the holder's lease
+	 * @return what it has read, decided and done; while the store does not answer, what
+	 * it last read and no orders
+	 */
+	public RoundResult run(LocalDateTime now, long fence) {
+		boolean read = read();
+		if (read && this.placements.value().fence() > fence) {
+			return result(observation(), List.of(), List.of(), true);
+		}
+		boolean ready = read && takeOver(fence);
+		Observation observed = observation();
+		if (!ready || !keepProgress(observed, now, fence)) {
+			return idle(observed.withStoreDown(), now, fence);
+		}
+		List<Step> steps = this.reconciler.steps(this.state.orElseThrow(), observed, now, fence);
+		List<StepOutcome> outcomes = carryOut(steps);
+		return result(observed, steps, outcomes, outcomes.stream().anyMatch(StepOutcome::fenced));
+	}
+
+	private RoundResult idle(Observation observed, LocalDateTime now, long fence) {
+		List<Step> held = this.state.map((known) -> this.reconciler.steps(known, observed, now, fence))
+			.orElseGet(List::of);
+		return result(observed, held, List.of(), false);
+	}
+
+	private RoundResult result(Observation observed, List<Step> steps, List<StepOutcome> outcomes, boolean fenced) {
+		return new RoundResult(this.state, observed, this.progress.value(), steps, outcomes, fenced);
+	}
+
+	private boolean read() {
+		if (!(wait(this.intents.read()) instanceof Loaded.Found<EvacuationState> found)) {
+			return false;
+		}
+		this.state = Optional.of(found.stored().value());
+		if (!(wait(this.placementStore.read()) instanceof Loaded.Found<Placements> placed)) {
+			return false;
+		}
+		this.placements = placed.stored();
+		Loaded<EvacuationProgress> seen = wait(this.progressStore.read());
+		if (seen instanceof Loaded.Found<EvacuationProgress> kept) {
+			this.progress = kept.stored();
+		}
+		return !(seen instanceof Loaded.Unavailable);
+	}
+
+	// From here on, a move by an older holder fails on its condition or its number.
+	private boolean takeOver(long fence) {
+		return this.placements.value().fence() == fence || writePlacements(this.placements.value().takenOver(fence));
+	}
+
+	private boolean writePlacements(Placements changed) {
+		StoreOutcome<Placements> outcome = wait(this.placementStore.write(this.placements, changed, this.marks.get()));
+		if (outcome instanceof StoreOutcome.Written<Placements> written) {
+			this.placements = written.stored();
+			return true;
+		}
+		return false;
+	}
+
+	private Observation observation() {
+		Map<UpstreamId, ObservedUpstream> seen = new TreeMap<>();
+		this.progress.value()
+			.stopped()
+			.forEach((id) -> seen.put(id, new ObservedUpstream(id, Phase.STOPPED, 0, Optional.empty())));
+		this.port.observe().forEach((upstream) -> seen.put(upstream.upstream(), upstream));
+		return new Observation(seen, this.placements.value().byOrganisation(), true);
+	}
+
+	private boolean keepProgress(Observation observed, LocalDateTime now, long fence) {
+		ProgressPoint point = new ProgressPoint(now, observed.remaining(this.state.orElseThrow().plan(), this.fleet));
+		EvacuationProgress changed = this.progress.value().with(fence, observed.stopped(), point);
+		if (changed.equals(this.progress.value())) {
+			return true;
+		}
+		StoreOutcome<EvacuationProgress> outcome = wait(
+				this.progressStore.write(this.progress, changed, this.marks.get()));
+		if (outcome instanceof StoreOutcome.Written<EvacuationProgress> written) {
+			this.progress = written.stored();
+			return true;
+		}
+		return false;
+	}
+
+	private List<StepOutcome> carryOut(List<Step> steps) {
+		List<StepOutcome> outcomes = new ArrayList<>();
+		for (Step step : steps) {
+			if (!(step instanceof Step.Order order)) {
+				continue;
+			}
+			StepOutcome outcome = new StepOutcome(order, carryOut(order));
+			outcomes.add(outcome);
+			if (outcome.endsRound()) {
+				break;
+			}
+		}
+		return outcomes;
+	}
+
+	private StepResult carryOut(Step.Order order) {
+		if (!(order instanceof Step.MoveOrganisation move)) {
+			return this.port.carryOut(order);
+		}
+		Optional<Placements> moved = this.placements.value().moved(move.organisation(), move.to(), move.fence());
+		if (moved.isEmpty()) {
+			return new StepResult.Fenced();
+		}
+		return writePlacements(moved.get()) ? new StepResult.Done()
+				: new StepResult.Unknown("the placements were not written");
+	}
+
+	private static <T> T wait(CompletionStage<T> stage) {
+		return stage.toCompletableFuture().join();
+	}
+
+	/**
+	 * What rounds call.
+	 *
+	 * @param objects the platform's object API
+	 * @param upstreams asks and orders upstreams
+	 * @param marks gives unique marks for writes
+	 */
+	public record Ports(ObjectStore objects, UpstreamPort upstreams, Supplier<String> marks) {
+	}
+
+}
--- a/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/reconcile/Observation.java
+++ b/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/reconcile/Observation.java
@@ -3,9 +3,13 @@
 import java.util.Collection;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.stream.Collectors;
 
+import io.bulrushrouter.evacuation.EvacuationPlan;
+import io.bulrushrouter.evacuation.Fleet;
 import io.bulrushrouter.kernel.DataCentreId;
 import io.bulrushrouter.kernel.OrganisationId;
 import io.bulrushrouter.kernel.UpstreamId;
@@ -67,4 +71,27 @@
 		return find(upstream).filter((observed) -> observed.phase() == Phase.RUNNING).isPresent();
 	}
 
+	/**
+	 * Returns the upstreams that are stopped.
+	 * @return the upstreams, by name
+	 */
+	public Set<UpstreamId> stopped() {
+		return this.upstreams.values()
+			.stream()
+			.filter((upstream) -> upstream.phase() == Phase.STOPPED)
+			.map(ObservedUpstream::upstream)
+			.collect(Collectors.toCollection(TreeSet::new));
+	}
+
+	/**
+	 * Counts the upstreams of a plan that are not stopped.
+	 * @param plan the plan
+	 * @param fleet the inventory
+	 * @return the count; an upstream that does not answer counts as there
+	 */
+	public int remaining(EvacuationPlan plan, Fleet fleet) {
+		Set<UpstreamId> stopped = stopped();
+		return (int) plan.leaving(fleet).stream().filter((upstream) -> !stopped.contains(upstream.id())).count();
+	}
+
 }
--- a/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/report/ReportInput.java
+++ b/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/report/ReportInput.java
@@ -6,6 +6,7 @@
 
 import io.bulrushrouter.evacuation.EvacuationState;
 import io.bulrushrouter.evacuation.Fleet;
+import io.bulrushrouter.evacuation.ProgressPoint;
 import io.bulrushrouter.evacuation.reconcile.Observation;
 import io.bulrushrouter.evacuation.reconcile.Step;
 
@@ -17,12 +18,13 @@
  * @param observed what is observed
  * @param steps the reconciler's steps for the same state, observation and time
  * @param now the building's local time
+ * @param progress how many upstreams remained before, oldest first
  */
-public record ReportInput(EvacuationState state, Fleet fleet, Observation observed, List<Step> steps,
-		LocalDateTime now) {
+public record ReportInput(EvacuationState state, Fleet fleet, Observation observed, List<Step> steps, LocalDateTime now,
+		List<ProgressPoint> progress) {
 
 	/**
-	 * Copies the list.
+	 * Copies the lists.
 	 */
 	public ReportInput {
 		Objects.requireNonNull(state);
@@ -30,6 +32,7 @@
 		Objects.requireNonNull(observed);
 		steps = List.copyOf(steps);
 		Objects.requireNonNull(now);
+		progress = List.copyOf(progress);
 	}
 
 }
--- a/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/report/ShortfallReport.java
+++ b/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/report/ShortfallReport.java
@@ -7,8 +7,6 @@
 
 import io.bulrushrouter.evacuation.EvacuationJson;
 import io.bulrushrouter.evacuation.ProgressPoint;
-import io.bulrushrouter.evacuation.reconcile.ObservedUpstream;
-import io.bulrushrouter.evacuation.reconcile.Phase;
 
 /**
  * Where reality falls short of what is intended: now, at the end of the day, and at the
@@ -42,31 +40,14 @@
 	 * @return the report
 	 */
 	public static ShortfallReport of(ReportInput input, ForecastSettings settings) {
-		int remaining = remaining(input);
-		BurnDown burnDown = BurnDown.of(input.state().plan(), input.fleet(), input.state().progress(),
+		int remaining = input.observed().remaining(input.state().plan(), input.fleet());
+		BurnDown burnDown = BurnDown.of(input.state().plan(), input.fleet(), input.progress(),
 				new ProgressPoint(input.now(), remaining));
 		return new ShortfallReport(input.state().plan().name(), input.now(), input.state().plan().date(),
 				input.state().sheetDate(), input.state().plan().cancelled(), remaining,
 				new ReportLines(input, settings).lines(), input.state().risks(), burnDown);
 	}
 
-	/**
-	 * Counts the upstreams of the plan that are not stopped.
-	 * @param input the state, inventory and observation
-	 * @return the count; an upstream that does not answer counts as there
-	 */
-	public static int remaining(ReportInput input) {
-		return (int) input.state()
-			.plan()
-			.leaving(input.fleet())
-			.stream()
-			.filter((upstream) -> input.observed()
-				.find(upstream.id())
-				.map(ObservedUpstream::phase)
-				.orElse(null) != Phase.STOPPED)
-			.count();
-	}
-
 	/**
 	 * Returns the lines of one horizon.
 	 * @param horizon the horizon
--- a/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/sheet/SheetApplication.java
+++ b/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/sheet/SheetApplication.java
@@ -115,8 +115,7 @@
 			.forEach((organisation, dataCentre) -> placements.add(new Placement(organisation, dataCentre)));
 		EvacuationState next = new EvacuationState(state.plan(), Optional.of(order.sheet().date()),
 				order.sheet().digest(), List.copyOf(intended.intents().values()), placements, shortages, risks,
-				state.progress(),
-				EvacuationState.appended(state.history(), order.change(), EvacuationState.MAX_HISTORY));
+				EvacuationState.appended(state.history(), order.change()));
 		return new SheetOutcome.Applied(next, risks);
 	}
 
