--- /dev/null
+++ b/bulrushrouter-platform/src/main/java/io/bulrushrouter/platform/BudgetedStore.java
@@ -0,0 +1,193 @@
+package io.bulrushrouter.platform;
+
+import java.time.Duration;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import java.util.function.UnaryOperator;
+import java.util.random.RandomGenerator;
+
+import io.bulrushrouter.kernel.TimeSource;
+import io.bulrushrouter.kernel.store.ListResult;
+import io.bulrushrouter.kernel.store.ObjectKey;
+import io.bulrushrouter.kernel.store.ObjectStore;
+import io.bulrushrouter.kernel.store.ReadResult;
+import io.bulrushrouter.kernel.store.Write;
+import io.bulrushrouter.kernel.store.WriteResult;
+
+/**
+ * An object store whose calls are counted and kept within a role's budget. A call over
+ * the budget, or within the pause after a failure, is answered at once as unavailable or
+ * refused, and is not sent.
+ *
+ * <pre>{@code
+ * BudgetedStore store = BudgetedStore.builder(http).budget(CallBudget.ENTRY).build();
+ * }</pre>
+ */
+public final class BudgetedStore implements ObjectStore {
+
+	private static final int MAX_VALUE_BYTES = 1_000_000;
+
+	private final ObjectStore store;
+
+	private final TimeSource time;
+
+	private final RandomGenerator random;
+
+	private final CallGate gate;
+
+	private CallCounts counts = CallCounts.NONE;
+
+	private BudgetedStore(Builder builder) {
+		this.store = builder.store;
+		this.time = builder.time;
+		this.random = builder.random;
+		this.gate = new CallGate(builder.budget, builder.backOff, builder.time.nanos());
+	}
+
+	/**
+	 * Returns a builder.
+	 * @param store the store to ask
+	 * @return the builder
+	 */
+	public static Builder builder(ObjectStore store) {
+		return new Builder(store);
+	}
+
+	/**
+	 * Returns the calls so far, for metrics.
+	 * @return the counts
+	 */
+	public synchronized CallCounts counts() {
+		return this.counts;
+	}
+
+	@Override
+	public CompletionStage<ReadResult> read(ObjectKey key) {
+		return call(CallKind.READ, CallCounts::withRead, () -> this.store.read(key), ReadResult.Unavailable::new,
+				(result) -> !(result instanceof ReadResult.Unavailable));
+	}
+
+	@Override
+	public CompletionStage<ReadResult> watch(ObjectKey key, long afterVersion, Duration wait) {
+		return call(CallKind.WATCH, CallCounts::withWatch, () -> this.store.watch(key, afterVersion, wait),
+				ReadResult.Unavailable::new, (result) -> !(result instanceof ReadResult.Unavailable));
+	}
+
+	@Override
+	public CompletionStage<ListResult> list(String prefix) {
+		return call(CallKind.READ, CallCounts::withRead, () -> this.store.list(prefix), ListResult.Unavailable::new,
+				(result) -> !(result instanceof ListResult.Unavailable));
+	}
+
+	@Override
+	public CompletionStage<WriteResult> write(Write write) {
+		if (write.value().length > MAX_VALUE_BYTES) {
+			return CompletableFuture.completedFuture(new WriteResult.Refused("value over " + MAX_VALUE_BYTES + " B"));
+		}
+		return call(CallKind.WRITE, CallCounts::withWrite, () -> this.store.write(write), WriteResult.Refused::new,
+				(result) -> result instanceof WriteResult.Written || result instanceof WriteResult.Conflict);
+	}
+
+	private <T> CompletionStage<T> call(CallKind kind, UnaryOperator<CallCounts> count,
+			Supplier<CompletionStage<T>> send, Function<String, T> refusal, Function<T, Boolean> wasAnswered) {
+		long sent = this.time.nanos();
+		CallGate.Admission admission = admit(kind, count, sent);
+		if (admission != CallGate.Admission.GRANTED) {
+			return CompletableFuture.completedFuture(refusal.apply("not sent: " + admission));
+		}
+		return send.get().thenApply((result) -> {
+			settle(wasAnswered.apply(result), sent);
+			return result;
+		});
+	}
+
+	private synchronized CallGate.Admission admit(CallKind kind, UnaryOperator<CallCounts> count, long nowNanos) {
+		CallGate.Admission admission = this.gate.admit(kind, nowNanos);
+		this.counts = (admission == CallGate.Admission.GRANTED) ? count.apply(this.counts)
+				: this.counts.with(admission);
+		return admission;
+	}
+
+	private synchronized void settle(boolean answered, long sentNanos) {
+		if (answered) {
+			this.gate.succeeded(sentNanos, this.time.nanos());
+		}
+		else {
+			this.counts = this.counts.withFailure();
+			this.gate.failed(sentNanos, this.time.nanos(), this.random);
+		}
+	}
+
+	/**
+	 * Builds a {@link BudgetedStore}.
+	 */
+	public static final class Builder {
+
+		private final ObjectStore store;
+
+		private CallBudget budget = CallBudget.ENTRY;
+
+		private BackOff backOff = BackOff.PLATFORM;
+
+		private TimeSource time = TimeSource.ofSystem();
+
+		private RandomGenerator random = RandomGenerator.getDefault();
+
+		private Builder(ObjectStore store) {
+			this.store = Objects.requireNonNull(store);
+		}
+
+		/**
+		 * Sets the role's budget.
+		 * @param budget the budget
+		 * @return this builder
+		 */
+		public Builder budget(CallBudget budget) {
+			this.budget = budget;
+			return this;
+		}
+
+		/**
+		 * Sets the pauses after failures.
+		 * @param backOff the pauses
+		 * @return this builder
+		 */
+		public Builder backOff(BackOff backOff) {
+			this.backOff = backOff;
+			return this;
+		}
+
+		/**
+		 * Sets the clock.
+		 * @param time the clock
+		 * @return this builder
+		 */
+		public Builder time(TimeSource time) {
+			this.time = time;
+			return this;
+		}
+
+		/**
+		 * Sets the source of the jitter.
+		 * @param random the source
+		 * @return this builder
+		 */
+		public Builder random(RandomGenerator random) {
+			this.random = random;
+			return this;
+		}
+
+		/**
+		 * Returns the store.
+		 * @return the store
+		 */
+		public BudgetedStore build() {
+			return new BudgetedStore(this);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-platform/src/main/java/io/bulrushrouter/platform/lease/DutyPlacement.java
@@ -0,0 +1,92 @@
+package io.bulrushrouter.platform.lease;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.function.Predicate;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+
+import io.bulrushrouter.kernel.DataCentreId;
+import io.bulrushrouter.kernel.InstanceId;
+import io.bulrushrouter.kernel.store.LiveInstance;
+
+/**
+ * Places duties on instances by rendezvous hashing, from the lagging list of instances.
+ * Every process computes the same order from the same list; where lists differ, several
+ * or none may hold themselves preferred, which a lease or a repeatable duty must bear.
+ *
+ * <p>
+ * When an instance comes or goes, only the duties that it gains or loses move.
+ *
+ * @see <a href="https://doi.org/10.1109/90.663936">Thaler and Ravishankar, Using
+ * Name-Based Mappings to Increase Hit Rates (1998)</a>
+ */
+public final class DutyPlacement {
+
+	private DutyPlacement() {
+	}
+
+	/**
+	 * Returns the instances in the order in which they should hold a duty.
+	 * @param duty the duty's name
+	 * @param list the instances; those that leave are left out
+	 * @return the instances, the preferred holder first
+	 */
+	public static List<LiveInstance> ranked(String duty, List<LiveInstance> list) {
+		long seed = Hashing.komihash5_0().hashCharsToLong(duty);
+		return list.stream()
+			.filter((instance) -> !instance.leaving())
+			.map((instance) -> new Scored(score(seed, instance.instance()), instance))
+			.sorted(Scored.HIGHEST_FIRST)
+			.map(Scored::instance)
+			.toList();
+	}
+
+	/**
+	 * Returns the preferred holders of a duty.
+	 * @param duty the duty's name
+	 * @param list the instances
+	 * @param count the most holders
+	 * @return the instances, the most preferred first
+	 */
+	public static List<LiveInstance> preferred(String duty, List<LiveInstance> list, int count) {
+		return ranked(duty, list).stream().limit(count).toList();
+	}
+
+	/**
+	 * Returns the preferred holders of a duty within one data centre.
+	 * @param duty the duty's name
+	 * @param dataCentre the data centre
+	 * @param list the instances of all data centres
+	 * @param count the most holders
+	 * @return the instances, the most preferred first
+	 */
+	public static List<LiveInstance> preferred(String duty, DataCentreId dataCentre, List<LiveInstance> list,
+			int count) {
+		Predicate<LiveInstance> inside = (instance) -> instance.dataCentre().equals(dataCentre);
+		return preferred(duty + "@" + dataCentre, list.stream().filter(inside).toList(), count);
+	}
+
+	/**
+	 * Tells whether an instance should hold a duty.
+	 * @param instance the instance
+	 * @param holders the preferred holders
+	 * @return whether it is among them
+	 */
+	public static boolean isAmong(InstanceId instance, List<LiveInstance> holders) {
+		return holders.stream().anyMatch((holder) -> holder.instance().equals(instance));
+	}
+
+	private static long score(long seed, InstanceId instance) {
+		return Hashing.komihash5_0().hashStream().putLong(seed).putChars(instance.value()).getAsLong();
+	}
+
+	private record Scored(long score, LiveInstance instance) {
+
+		private static final Comparator<Scored> HIGHEST_FIRST = Comparator.comparingLong(Scored::score)
+			.reversed()
+			.thenComparing((scored) -> scored.instance().instance());
+
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-platform/src/main/java/io/bulrushrouter/platform/lease/FencingNumber.java
@@ -0,0 +1,44 @@
+package io.bulrushrouter.platform.lease;
+
+/**
+ * A number that rises with each acquisition of a lease. Whoever obeys a lease's holder
+ * refuses numbers that are lower than the highest it has seen.
+ *
+ * @param value the number; {@code 0} is lower than that of any holder
+ * @see <a href=
+ * "https://martin.kleppmann.com/2016/02/08/how-to-do-distributed-locking.html">Kleppmann,
+ * How to do distributed locking (2016)</a>
+ */
+public record FencingNumber(long value) implements Comparable<FencingNumber> {
+
+	/** The number before the first acquisition. */
+	public static final FencingNumber NONE = new FencingNumber(0);
+
+	/**
+	 * Returns the number of the next acquisition.
+	 * @return the number
+	 */
+	public FencingNumber next() {
+		return new FencingNumber(this.value + 1);
+	}
+
+	/**
+	 * Tells whether this number is out of date where another was seen.
+	 * @param other the other
+	 * @return whether this number is lower
+	 */
+	public boolean isOlderThan(FencingNumber other) {
+		return this.value < other.value;
+	}
+
+	@Override
+	public int compareTo(FencingNumber other) {
+		return Long.compare(this.value, other.value);
+	}
+
+	@Override
+	public String toString() {
+		return Long.toString(this.value);
+	}
+
+}
