--- /dev/null
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/cli/StandinCommands.java
@@ -0,0 +1,83 @@
+package io.bulrushrouter.daemon.cli;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+
+import io.bulrushrouter.standin.EngineStandin;
+import io.bulrushrouter.standin.PlatformServer;
+import io.bulrushrouter.standin.ServiceStandin;
+
+/**
+ * The command that runs stand-ins of outside systems.
+ */
+final class StandinCommands {
+
+	private static final String LOOPBACK = "127.0.0.1";
+
+	private static final Duration SERVICE_DELAY = Duration.ofMillis(5);
+
+	private StandinCommands() {
+	}
+
+	static List<Command> all() {
+		return List.of(new Command("standin", "run a stand-in of the platform, an engine or a service",
+				StandinCommands::arguments, StandinCommands::run));
+	}
+
+	private static void arguments(Subparser parser) {
+		parser.addArgument("kind").choices("platform", "engine", "service").help("what to run");
+		parser.addArgument("--port").type(Integer.class).setDefault(0).help("the port on loopback; 0 for any");
+		parser.addArgument("--step-millis")
+			.type(Integer.class)
+			.setDefault(5)
+			.help("an engine's time from token to token");
+		parser.addArgument("--batch")
+			.type(Integer.class)
+			.setDefault(64)
+			.help("the streams that an engine runs at once");
+	}
+
+	private static int run(Namespace arguments) {
+		int port = arguments.getInt("port");
+		EventLoopGroup network = new NioEventLoopGroup(2);
+		return switch (arguments.getString("kind")) {
+			case "platform" -> platform(port);
+			case "engine" -> engine(network, port, arguments);
+			default -> service(network, port);
+		};
+	}
+
+	private static int platform(int port) {
+		try (PlatformServer platform = PlatformServer.start(port)) {
+			return serve(platform.uri().getPort());
+		}
+	}
+
+	private static int engine(EventLoopGroup network, int port, Namespace arguments) {
+		EngineStandin.Profile profile = EngineStandin.Profile.ofDefaults()
+			.withPace(Duration.ofMillis(arguments.getInt("step_millis")), arguments.getInt("batch"));
+		try (EngineStandin engine = EngineStandin.start(network, new InetSocketAddress(LOOPBACK, port), profile)) {
+			return serve(engine.port());
+		}
+	}
+
+	private static int service(EventLoopGroup network, int port) {
+		try (ServiceStandin service = ServiceStandin.start(network, new InetSocketAddress(LOOPBACK, port),
+				SERVICE_DELAY)) {
+			return serve(service.port());
+		}
+	}
+
+	private static int serve(int port) {
+		System.out.println("listening on " + LOOPBACK + ":" + port);
+		return Running.untilSignal(() -> {
+		});
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/cli/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The command line.
+ */
+package io.bulrushrouter.daemon.cli;
