Add administration API, evacuation duty, orders and the demo

Cause: a plan and a sheet could not be given to a running fleet. Entries serve the administration API; the one that holds the lease runs the plan's rounds; sidecars read the highest fencing number before they obey.

Before: no drain by sheet.

--- /dev/null
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/admin/AdminApi.java
@@ -0,0 +1,116 @@
+package io.bulrushrouter.daemon.admin;
+
+import java.util.Optional;
+import java.util.concurrent.CompletionException;
+
+import io.netty.handler.codec.http.QueryStringDecoder;
+
+import io.bulrushrouter.daemon.config.Keys;
+import io.bulrushrouter.daemon.config.Operator;
+import io.bulrushrouter.daemon.node.DecisionLog;
+import io.bulrushrouter.daemon.node.ErrorReply;
+import io.bulrushrouter.http.HttpExchange;
+import io.bulrushrouter.http.HttpHandler;
+import io.bulrushrouter.http.HttpReply;
+import io.bulrushrouter.kernel.BulrushException;
+import io.bulrushrouter.kernel.ErrorCode;
+import io.bulrushrouter.kernel.Verdict;
+import io.bulrushrouter.kernel.duty.Duty;
+
+/**
+ * The administration API over HTTP. Acts wait for the platform, so they run on a thread
+ * of their own, one at a time; each is written to the decision log.
+ */
+public final class AdminApi implements HttpHandler, AutoCloseable {
+
+	/** What all paths start with. */
+	public static final String PREFIX = "/admin/v1/";
+
+	private static final int CAPACITY = 256;
+
+	private static final int RETRY_AFTER_MILLIS = 1_000;
+
+	private final AdminContext context;
+
+	private final ConfigurationAdmin configurations;
+
+	private final PlanAdmin plans;
+
+	private final Duty<HttpExchange> duty;
+
+	private AdminApi(AdminContext context) {
+		this.context = context;
+		this.configurations = new ConfigurationAdmin(context);
+		this.plans = new PlanAdmin(context);
+		this.duty = Duty.<HttpExchange>builder("administration", this::act).capacity(CAPACITY).start();
+	}
+
+	/**
+	 * Starts the API.
+	 * @param context what acts need
+	 * @return the running API
+	 */
+	public static AdminApi start(AdminContext context) {
+		return new AdminApi(context);
+	}
+
+	@Override
+	public void handle(HttpExchange exchange) {
+		if (!this.duty.offer(exchange)) {
+			exchange.respond(
+					ErrorReply.of(Verdict.ofNotRun(ErrorCode.OVERLOADED), "too many acts wait", RETRY_AFTER_MILLIS));
+		}
+	}
+
+	private void act(HttpExchange exchange) {
+		Optional<Operator> operator = operator(exchange);
+		HttpReply reply = reply(exchange, operator);
+		DecisionLog.of("administration")
+			.with("operator", operator.map(Operator::name).orElse("-"))
+			.with("act", exchange.method() + " " + exchange.path())
+			.with("status", reply.status())
+			.write();
+		exchange.respond(reply);
+	}
+
+	private Optional<Operator> operator(HttpExchange exchange) {
+		return this.context.inForce()
+			.flatMap((inForce) -> Keys.of(inForce.configuration().operators(), Operator::keySha256)
+				.owner(exchange.header("Authorization")));
+	}
+
+	private HttpReply reply(HttpExchange exchange, Optional<Operator> operator) {
+		try {
+			if (operator.isEmpty()) {
+				throw new BulrushException(ErrorCode.UNAUTHORISED, "the operator's key is missing or unknown");
+			}
+			return route(new AdminAct(exchange, operator.get(), new QueryStringDecoder(exchange.target())));
+		}
+		catch (BulrushException ex) {
+			return ErrorReply.of(ex);
+		}
+		catch (CompletionException ex) {
+			return ErrorReply.of(Verdict.ofMayHaveRun(ErrorCode.INTERNAL), String.valueOf(ex.getCause()), 0);
+		}
+	}
+
+	private HttpReply route(AdminAct act) {
+		String[] parts = act.pathParts();
+		if (parts.length == 1 && parts[0].equals("status")) {
+			return HttpReply.ofJson(200, this.context.status());
+		}
+		if (parts.length == 1 && parts[0].equals("configuration")) {
+			return this.configurations.act(act);
+		}
+		if (parts.length >= 2 && parts[0].equals("plans")) {
+			return this.plans.act(act, parts[1], (parts.length > 2) ? parts[2] : "");
+		}
+		throw new BulrushException(ErrorCode.NOT_FOUND, "no such path: " + act.exchange().path());
+	}
+
+	@Override
+	public void close() {
+		this.duty.close();
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/admin/SheetAdmin.java
@@ -0,0 +1,136 @@
+package io.bulrushrouter.daemon.admin;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+import io.bulrushrouter.daemon.node.ErrorReply;
+import io.bulrushrouter.evacuation.Change;
+import io.bulrushrouter.evacuation.EvacuationJson;
+import io.bulrushrouter.evacuation.EvacuationState;
+import io.bulrushrouter.evacuation.Fleet;
+import io.bulrushrouter.evacuation.HolderStore;
+import io.bulrushrouter.evacuation.Placements;
+import io.bulrushrouter.evacuation.StoreOutcome;
+import io.bulrushrouter.evacuation.Stored;
+import io.bulrushrouter.evacuation.sheet.DateOrder;
+import io.bulrushrouter.evacuation.sheet.MorningSheet;
+import io.bulrushrouter.evacuation.sheet.SheetApplication;
+import io.bulrushrouter.evacuation.sheet.SheetError;
+import io.bulrushrouter.evacuation.sheet.SheetFormat;
+import io.bulrushrouter.evacuation.sheet.SheetOrder;
+import io.bulrushrouter.evacuation.sheet.SheetOutcome;
+import io.bulrushrouter.evacuation.sheet.SheetResult;
+import io.bulrushrouter.evacuation.sheet.SheetRow;
+import io.bulrushrouter.http.HttpReply;
+import io.bulrushrouter.kernel.BulrushException;
+import io.bulrushrouter.kernel.DataCentreId;
+import io.bulrushrouter.kernel.ErrorCode;
+import io.bulrushrouter.kernel.OrganisationId;
+
+/**
+ * Checks and applies morning sheets.
+ */
+final class SheetAdmin {
+
+	private static final int OK = 200;
+
+	private final AdminContext context;
+
+	private final PlanAdmin plans;
+
+	SheetAdmin(AdminContext context, PlanAdmin plans) {
+		this.context = context;
+		this.plans = plans;
+	}
+
+	HttpReply act(AdminAct act, String plan) {
+		Fleet fleet = this.plans.fleet();
+		SheetFormat format = SheetFormat.of(dateOrder(act));
+		SheetResult result = MorningSheet.parse(act.exchange().body(), format, fleet);
+		if (result instanceof SheetResult.Rejected rejected) {
+			return errors(rejected.errors());
+		}
+		MorningSheet sheet = ((SheetResult.Parsed) result).sheet();
+		requireScope(act, sheet);
+		Stored<EvacuationState> read = this.plans.load(plan);
+		Change change = this.plans.change(act, "sheet of " + sheet.date());
+		SheetOrder order = new SheetOrder(sheet, placements(plan), change, act.flag("accept-risk"));
+		SheetOutcome outcome = SheetApplication.of(fleet).apply(read.value(), order);
+		if (outcome instanceof SheetOutcome.Applied applied && !act.flag("check")) {
+			return apply(plan, read, applied, change);
+		}
+		return reply(outcome);
+	}
+
+	private static DateOrder dateOrder(AdminAct act) {
+		String name = act.parameter("date-order").orElse("iso").toUpperCase(Locale.ROOT).replace('-', '_');
+		try {
+			return DateOrder.valueOf(name);
+		}
+		catch (IllegalArgumentException ex) {
+			throw new BulrushException(ErrorCode.BAD_REQUEST, "no date order named " + name, ex);
+		}
+	}
+
+	private void requireScope(AdminAct act, MorningSheet sheet) {
+		sheet.rows(SheetRow.Departure.class).forEach((row) -> this.plans.requireScope(act, row.target()));
+		sheet.rows(SheetRow.Move.class).forEach((row) -> this.plans.requireScope(act, row.organisation()));
+	}
+
+	private Map<OrganisationId, DataCentreId> placements(String plan) {
+		return PlanAdmin.found(HolderStore.ofPlacements(this.context.store(), plan).read().toCompletableFuture().join())
+			.map((stored) -> stored.value())
+			.map(Placements::byOrganisation)
+			.orElse(Map.of());
+	}
+
+	private HttpReply apply(String plan, Stored<EvacuationState> read, SheetOutcome.Applied applied, Change change) {
+		StoreOutcome<EvacuationState> written = this.plans.store(plan)
+			.write(read, applied.state(), change.mark())
+			.toCompletableFuture()
+			.join();
+		return (written instanceof StoreOutcome.Written) ? reply(applied) : this.plans.written(written);
+	}
+
+	private static HttpReply errors(List<SheetError> errors) {
+		return HttpReply.ofJson(ErrorCode.BAD_SHEET.httpStatus(),
+				EvacuationJson.write(new Errors(ErrorCode.BAD_SHEET.text(), errors)));
+	}
+
+	private static HttpReply reply(SheetOutcome outcome) {
+		if (outcome instanceof SheetOutcome.Applied applied) {
+			return HttpReply.ofJson(OK, EvacuationJson.write(new Accepted("accepted", applied.risks())));
+		}
+		if (outcome instanceof SheetOutcome.Unchanged) {
+			return HttpReply.ofJson(OK, EvacuationJson.write(new Accepted("unchanged", List.of())));
+		}
+		if (outcome instanceof SheetOutcome.StaleDay stale) {
+			return ErrorReply.ofNotRun(ErrorCode.STALE_SHEET,
+					"the sheet is of " + stale.sheet() + " and that of " + stale.applied() + " was applied");
+		}
+		if (outcome instanceof SheetOutcome.Contradicted contradicted) {
+			return ErrorReply.ofNotRun(ErrorCode.PLAN_CONTRADICTED, contradicted.contradictions().toString());
+		}
+		return ErrorReply.ofNotRun(ErrorCode.PLAN_CONTRADICTED, outcome.toString());
+	}
+
+	/**
+	 * What a sheet with errors is answered with.
+	 *
+	 * @param code the stable code
+	 * @param errors all errors
+	 */
+	record Errors(String code, List<SheetError> errors) {
+	}
+
+	/**
+	 * What a sheet without errors is answered with.
+	 *
+	 * @param result {@code accepted} or {@code unchanged}
+	 * @param risks what the operator accepted
+	 */
+	record Accepted(String result, List<String> risks) {
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/admin/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The administration API, shared by many teams.
+ */
+package io.bulrushrouter.daemon.admin;
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/cli/CommandLine.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/cli/CommandLine.java
@@ -65,6 +65,7 @@
 		parser.addArgument("--version").action(Arguments.version()).help("print the version");
 		Subparsers subparsers = parser.addSubparsers().title("commands").metavar("COMMAND").dest("command");
 		List<Command> commands = new ArrayList<>(DaemonCommands.all());
+		commands.addAll(AdminCommands.all());
 		commands.addAll(StandinCommands.all());
 		commands.forEach((command) -> add(subparsers, command));
 		return parser;
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/config/Organisation.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/config/Organisation.java
@@ -1,5 +1,7 @@
 package io.bulrushrouter.daemon.config;
 
+import java.util.List;
+
 import io.bulrushrouter.kernel.BulrushException;
 import io.bulrushrouter.kernel.ErrorCode;
 import io.bulrushrouter.kernel.OrganisationId;
@@ -11,8 +13,17 @@
  * @param keySha256 the SHA-256 of its callers' key, in hexadecimal
  * @param weight its share of the upstreams against other organisations
  * @param tokensPerSecond the most tokens a second over all entries; 0 for no limit
+ * @param demands what it needs at its peak
  */
-public record Organisation(String name, String keySha256, double weight, long tokensPerSecond) {
+public record Organisation(String name, String keySha256, double weight, long tokensPerSecond,
+		List<ModelDemand> demands) {
+
+	/**
+	 * Keeps its own copies.
+	 */
+	public Organisation {
+		demands = (demands != null) ? List.copyOf(demands) : List.of();
+	}
 
 	void check() {
 		OrganisationId.of(this.name);
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/config/Upstream.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/config/Upstream.java
@@ -18,9 +18,10 @@
  * @param address its sidecar's address, {@code IP:port}
  * @param service whether it is a plain service
  * @param group the rank group that it fronts; empty if it is none
+ * @param capacity how many requests it can run at once
  */
 public record Upstream(String name, List<String> serves, String dataCentre, String address, boolean service,
-		String group) {
+		String group, int capacity) {
 
 	private static final int MAX_PORT = 65_535;
 
@@ -40,6 +41,9 @@
 			throw new BulrushException(ErrorCode.BAD_CONFIGURATION, "upstream " + this.name + " serves nothing");
 		}
 		socketAddress();
+		if (this.capacity < 1) {
+			throw new BulrushException(ErrorCode.BAD_CONFIGURATION, "upstream " + this.name + " has no capacity");
+		}
 	}
 
 	/**
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/demo/Demo.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/demo/Demo.java
@@ -1,6 +1,17 @@
 package io.bulrushrouter.daemon.demo;
 
 import java.io.PrintStream;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+
+import io.bulrushrouter.http.HttpCaller;
+import io.bulrushrouter.kernel.BulrushException;
+import io.bulrushrouter.kernel.ErrorCode;
 
 /**
  * Runs a whole fleet in one process and checks its promises by the engines' own counts.
@@ -16,11 +27,66 @@
 	 * Runs the demonstration.
 	 * @param out takes the outcome
 	 * @param json whether to print it as JSON
-	 * @param serve whether to stay up afterwards
+	 * @param serve whether to stay up afterwards, until the process is ended
 	 * @return whether all promises held
 	 */
 	public static boolean run(PrintStream out, boolean json, boolean serve) {
-		return true;
+		EventLoopGroup network = new NioEventLoopGroup(2);
+		try (HttpCaller http = HttpCaller.of(network);
+				Fleet fleet = Fleet.builder().firstEntryPort(serve ? SERVE_PORT : 0).start()) {
+			if (!fleet.awaitReady()) {
+				out.println("the fleet did not get ready");
+				return false;
+			}
+			List<DemoLine> lines = new DemoScript(fleet, http).run();
+			print(out, lines, json);
+			if (serve) {
+				stay(out);
+			}
+			return lines.stream().allMatch(DemoLine::held);
+		}
+		finally {
+			network.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+		}
+	}
+
+	private static void print(PrintStream out, List<DemoLine> lines, boolean json) {
+		if (json) {
+			out.println(toJson(lines));
+			return;
+		}
+		out.printf("%-58s %10s %10s  %s%n", "promise", "asked", "came", "held");
+		lines.forEach((line) -> out.printf("%-58s %10s %10s  %s%n", line.promise(), line.asked(), line.came(),
+				line.held() ? "yes" : "NO"));
+	}
+
+	private static String toJson(List<DemoLine> lines) {
+		try {
+			return new ObjectMapper().writeValueAsString(lines);
+		}
+		catch (JsonProcessingException ex) {
+			throw new BulrushException(ErrorCode.INTERNAL, "cannot write the outcome", ex);
+		}
+	}
+
+	private static void stay(PrintStream out) {
+		String entry = "http://127.0.0.1:" + SERVE_PORT;
+		String operators = "http://127.0.0.1:" + (SERVE_PORT + 1);
+		out.println();
+		out.println("The fleet stays up. Try:");
+		out.println("  curl -N " + entry + "/v1/completions -H 'Authorization: Bearer " + Fleet.key(1) + "' -d '"
+				+ Caller.completion("hello", 12, true) + "'");
+		out.println("  curl " + entry + "/services/booking/reservations -H 'Authorization: Bearer " + Fleet.key(2)
+				+ "' -H 'Idempotency-Key: my-slot' -d '{\"slot\":7}'");
+		out.println("  curl " + operators + "/admin/v1/plans/demo/report?format=table -H 'Authorization: Bearer "
+				+ Fleet.operatorKey() + "'");
+		out.println("  curl " + operators + "/metrics");
+		try {
+			TimeUnit.DAYS.sleep(1);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
 	}
 
 }
--- /dev/null
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/demo/DemoScript.java
@@ -0,0 +1,186 @@
+package io.bulrushrouter.daemon.demo;
+
+import java.time.LocalDate;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.bulrushrouter.http.HttpCaller;
+import io.bulrushrouter.standin.EngineText;
+
+/**
+ * What the demonstration does: streams, reservations, a morning sheet while requests run,
+ * and the death of an engine.
+ */
+final class DemoScript {
+
+	private static final int STREAMS = 120;
+
+	private static final int TOKENS = 40;
+
+	private static final int RESERVATIONS = 30;
+
+	private static final int ORGANISATIONS = 10;
+
+	private static final String LEAVING = "runner-1";
+
+	private static final String DYING = "runner-2";
+
+	private static final long ANSWER_LIMIT_SECONDS = 30;
+
+	private static final long DRAIN_LIMIT_NANOS = TimeUnit.SECONDS.toNanos(30);
+
+	private static final long POLL_MILLIS = 50;
+
+	private final Fleet fleet;
+
+	private final HttpCaller http;
+
+	private final List<DemoLine> lines = new ArrayList<>();
+
+	DemoScript(Fleet fleet, HttpCaller http) {
+		this.fleet = fleet;
+		this.http = http;
+	}
+
+	List<DemoLine> run() {
+		checkStreams("streamed answers, whole and the caller's own", streams("morning"));
+		checkReservations();
+		drainWhileRequestsRun();
+		killWhileRequestsRun();
+		return this.lines;
+	}
+
+	private Caller caller(int number) {
+		int entry = number % this.fleet.entries().size();
+		return new Caller(this.http, "http://127.0.0.1:" + this.fleet.entries().get(entry).callersPort(),
+				Fleet.key(1 + number % ORGANISATIONS));
+	}
+
+	private Caller operator() {
+		return new Caller(this.http, "http://127.0.0.1:" + this.fleet.entries().get(0).operatorsPort(),
+				Fleet.operatorKey());
+	}
+
+	private List<CompletableFuture<Caller.Answer>> streams(String batch) {
+		List<CompletableFuture<Caller.Answer>> answers = new ArrayList<>();
+		for (int i = 0; i < STREAMS; i++) {
+			answers.add(caller(i).stream(prompt(batch, i), TOKENS));
+		}
+		return answers;
+	}
+
+	private static String prompt(String batch, int number) {
+		return "enquiry " + number + " of the " + batch;
+	}
+
+	private void checkStreams(String promise, List<CompletableFuture<Caller.Answer>> answers) {
+		String batch = promise.contains("sheet") ? "sheet" : (promise.contains("engine") ? "death" : "morning");
+		int whole = 0;
+		for (int i = 0; i < answers.size(); i++) {
+			Caller.Answer answer = join(answers.get(i));
+			if (answer.clean() && EngineText.isWhole(answer.streamedText(), prompt(batch, i), TOKENS)) {
+				whole++;
+			}
+		}
+		this.lines.add(DemoLine.ofCount(promise, answers.size(), whole));
+	}
+
+	private static Caller.Answer join(CompletableFuture<Caller.Answer> answer) {
+		return answer.completeOnTimeout(new Caller.Answer(0, "", false), ANSWER_LIMIT_SECONDS, TimeUnit.SECONDS).join();
+	}
+
+	private void checkReservations() {
+		List<CompletableFuture<Caller.Answer>> answers = new ArrayList<>();
+		for (int i = 0; i < RESERVATIONS; i++) {
+			answers.add(reserve(i));
+			answers.add(reserve(i));
+		}
+		answers.forEach(DemoScript::join);
+		List<Integer> runs = new ArrayList<>();
+		for (int i = 0; i < RESERVATIONS; i++) {
+			runs.add(runsOf(i));
+		}
+		this.lines.add(DemoLine.ofCount("reservations sent twice that ran once", RESERVATIONS,
+				runs.stream().filter((count) -> count == 1).count()));
+	}
+
+	private CompletableFuture<Caller.Answer> reserve(int slot) {
+		return caller(slot).send("POST", "/services/booking/reservations", Map.of("Idempotency-Key", "slot-" + slot),
+				"{\"slot\":" + slot + "}");
+	}
+
+	private int runsOf(int slot) {
+		String call = "POST /reservations {\"slot\":" + slot + "}";
+		return this.fleet.services()
+			.values()
+			.stream()
+			.mapToInt((service) -> service.runs().getOrDefault(call, 0))
+			.sum();
+	}
+
+	private void drainWhileRequestsRun() {
+		String today = LocalDate.now().toString();
+		String plan = "{\"name\":\"demo\",\"date\":\"" + LocalDate.now().plusDays(7)
+				+ "\",\"departures\":[{\"target\":\"upstream/" + LEAVING + "\",\"by\":\"" + LocalDate.now().plusDays(7)
+				+ "\"}],\"organisations\":[],\"stops\":[],\"cancelled\":false}";
+		Caller.Answer created = join(
+				operator().send("PUT", "/admin/v1/plans/demo", Map.of("If-None-Match", "*"), plan));
+		String sheet = "date,kind,name,state,stop-hour,to,note\n" + today + ",upstream," + LEAVING
+				+ ",gone,,,demonstration\n,end,1,,,,\n";
+		List<CompletableFuture<Caller.Answer>> answers = streams("sheet");
+		Caller.Answer applied = join(operator().send("POST", "/admin/v1/plans/demo/sheet", Map.of(), sheet));
+		long start = System.nanoTime();
+		boolean stopped = awaitStopped();
+		long drainMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start);
+		this.lines.add(new DemoLine("plan created and sheet applied", "201 200",
+				created.status() + " " + applied.status(), created.status() == 201 && applied.status() == 200));
+		checkStreams("answers whole while the sheet's upstream drained", answers);
+		this.lines.add(new DemoLine(LEAVING + " stopped after its last answer (ms)", "30000",
+				Long.toString(drainMillis), stopped));
+		checkNothingNewAtLeaving();
+	}
+
+	private boolean awaitStopped() {
+		long end = System.nanoTime() + DRAIN_LIMIT_NANOS;
+		while (System.nanoTime() < end) {
+			Caller.Answer report = join(operator().send("GET", "/admin/v1/plans/demo/report", Map.of(), ""));
+			if (report.status() == 200 && report.body().contains("\"remaining\" : 0")) {
+				return true;
+			}
+			pause();
+		}
+		return false;
+	}
+
+	private static void pause() {
+		try {
+			TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private void checkNothingNewAtLeaving() {
+		Set<String> before = new TreeSet<>(this.fleet.engines().get(LEAVING).runs().keySet());
+		streams("afternoon").forEach(DemoScript::join);
+		Set<String> after = new TreeSet<>(this.fleet.engines().get(LEAVING).runs().keySet());
+		after.removeAll(before);
+		this.lines.add(DemoLine.ofCount("new requests at " + LEAVING + " after it was to leave", 0, after.size()));
+	}
+
+	private void killWhileRequestsRun() {
+		List<CompletableFuture<Caller.Answer>> answers = streams("death");
+		pause();
+		this.fleet.engines().get(DYING).close();
+		checkStreams("answers whole though an engine died", answers);
+		int cut = (int) answers.stream().filter((answer) -> !join(answer).clean()).count();
+		this.lines.add(DemoLine.ofCount("streams cut without an error event", 0, cut));
+	}
+
+}
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/demo/Fleet.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/demo/Fleet.java
@@ -15,6 +15,7 @@
 
 import io.bulrushrouter.daemon.config.Configuration;
 import io.bulrushrouter.daemon.config.Keys;
+import io.bulrushrouter.daemon.config.ModelDemand;
 import io.bulrushrouter.daemon.config.Operator;
 import io.bulrushrouter.daemon.config.Organisation;
 import io.bulrushrouter.daemon.config.Upstream;
@@ -122,7 +123,7 @@
 		this.sidecars.put(name, sidecar);
 		boolean service = kind.equals("service");
 		this.upstreams.add(new Upstream(name, List.of(service ? SERVICE : MODEL), dataCentre,
-				LOOPBACK + ":" + sidecar.peerPort(), service, ""));
+				LOOPBACK + ":" + sidecar.peerPort(), service, "", concurrency));
 	}
 
 	private Settings entrySettings(String name, String dataCentre, int callers) {
@@ -144,7 +145,8 @@
 	private void publish(int count) {
 		List<Organisation> organisations = new ArrayList<>();
 		for (int i = 1; i <= count; i++) {
-			organisations.add(new Organisation("organisation-" + i, Keys.sha256(key(i)), 1, 0));
+			organisations.add(new Organisation("organisation-" + i, Keys.sha256(key(i)), 1, 0,
+					List.of(new ModelDemand(MODEL, 8), new ModelDemand(SERVICE, 4))));
 		}
 		List<Operator> operators = List
 			.of(new Operator("demo-operator", Keys.sha256(operatorKey()), List.of("*"), List.of("*")));
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/EntryNode.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/EntryNode.java
@@ -1,20 +1,29 @@
 package io.bulrushrouter.daemon.entry;
 
+import java.time.Clock;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import io.bulrushrouter.daemon.admin.AdminApi;
+import io.bulrushrouter.daemon.admin.AdminContext;
 import io.bulrushrouter.daemon.config.Keys;
 import io.bulrushrouter.daemon.config.Organisation;
+import io.bulrushrouter.daemon.evacuation.EvacuationDuty;
+import io.bulrushrouter.daemon.evacuation.SidecarAsker;
 import io.bulrushrouter.daemon.node.Bootstrap;
 import io.bulrushrouter.daemon.node.ConfigurationSource;
 import io.bulrushrouter.daemon.node.ErrorReply;
 import io.bulrushrouter.daemon.node.OperatorsPort;
+import io.bulrushrouter.evacuation.EvacuationJson;
+import io.bulrushrouter.evacuation.reconcile.ReconcilePolicy;
 import io.bulrushrouter.http.HttpExchange;
 import io.bulrushrouter.http.HttpHandler;
 import io.bulrushrouter.http.HttpLimits;
@@ -25,6 +34,10 @@
 import io.bulrushrouter.kernel.Verdict;
 import io.bulrushrouter.kernel.duty.Duty;
 import io.bulrushrouter.kernel.plugin.PluginRegistry;
+import io.bulrushrouter.kernel.store.ObjectStore;
+import io.bulrushrouter.platform.BackOff;
+import io.bulrushrouter.platform.Delay;
+import io.bulrushrouter.platform.SettledWrites;
 import io.bulrushrouter.request.EntryPolicy;
 import io.bulrushrouter.request.RequestSpec;
 import io.bulrushrouter.routing.UpstreamChooser;
@@ -51,6 +64,8 @@
 
 	private static final long DRAIN_POLL_MILLIS = 20;
 
+	private static final int SETTLE_TRIES = 5;
+
 	private static final int RETRY_AFTER_MILLIS = 1_000;
 
 	private final EntrySettings settings;
@@ -67,6 +82,12 @@
 
 	private final HttpServer operators;
 
+	private final SidecarAsker asker = new SidecarAsker();
+
+	private final AdminApi administration;
+
+	private final EvacuationDuty evacuation;
+
 	private final ConfigurationSource configurations;
 
 	private volatile Optional<ConfigurationSource.InForce> inForce = Optional.empty();
@@ -93,11 +114,19 @@
 			this.bootstrap.metrics().gauge("entry.ring.backlog", this.duty::backlog);
 			this.bootstrap.metrics().gauge("entry.in.flight", this.core::inFlight);
 			this.bootstrap.metrics().gauge("configuration.version", this.core::version);
+			String processName = settings.process().name() + "." + Long.toHexString(incarnation);
+			ObjectStore control = SettledWrites.of(this.bootstrap.store(), SETTLE_TRIES, BackOff.PLATFORM,
+					Delay.ofSystem(), random);
+			this.administration = AdminApi.start(new AdminContext(control, () -> this.inForce, this::status, this.asker,
+					ReconcilePolicy.ofDefaults(), marks(processName), Clock.systemDefaultZone()));
+			this.evacuation = EvacuationDuty.start(new EvacuationDuty.Parts(settings.process().name(), processName,
+					this.bootstrap.store(), this.bootstrap.liveList(), this.asker, ReconcilePolicy.ofDefaults(),
+					Clock.systemDefaultZone()));
 			HttpLimits limits = HttpLimits.ofDefaults()
 				.withMaxBodyBytes(settings.maxBodyBytes())
 				.withReadTimeout(settings.readTimeout());
 			this.operators = HttpServer.start(this.bootstrap.network(), settings.operators(), limits,
-					new OperatorsPort(this.bootstrap.metrics(), this::isReady, OperatorsPort.ofNoRest()));
+					new OperatorsPort(this.bootstrap.metrics(), this::isReady, this.administration));
 			this.callers = HttpServer.start(this.bootstrap.network(), settings.callers(), limits, new Callers());
 			this.configurations = ConfigurationSource.start(this.bootstrap.store(), this.bootstrap.network(),
 					this::adopt);
@@ -120,6 +149,17 @@
 		return node;
 	}
 
+	private static Supplier<String> marks(String processName) {
+		AtomicLong counter = new AtomicLong();
+		return () -> processName + "/administration-" + counter.incrementAndGet();
+	}
+
+	private byte[] status() {
+		return EvacuationJson
+			.write(new Status(this.settings.process().name().value(), this.settings.process().dataCentre().value(),
+					isReady(), this.core.version(), this.core.inFlight(), this.core.connected()));
+	}
+
 	private Duty<EntryInput> inbox() {
 		return this.duty;
 	}
@@ -128,6 +168,7 @@
 		this.callerKeys = Keys.of(next.configuration().organisations(), Organisation::keySha256);
 		this.inForce = Optional.of(next);
 		this.duty.put(new EntryInput.Adopted(next));
+		this.evacuation.adopt(next.configuration());
 	}
 
 	private void refreshLiveList() {
@@ -192,6 +233,8 @@
 	@Override
 	public void close() {
 		this.configurations.close();
+		this.evacuation.close();
+		this.administration.close();
 		this.callers.close();
 		this.operators.close();
 		this.peers.close();
@@ -199,6 +242,20 @@
 		this.bootstrap.close();
 	}
 
+	/**
+	 * What the entry says of itself.
+	 *
+	 * @param name the process's name
+	 * @param dataCentre where it runs
+	 * @param ready whether it may be sent requests
+	 * @param configurationVersion the version in force; 0 if there is none
+	 * @param inFlight requests without a final answer
+	 * @param connectedUpstreams upstreams whose sidecars are connected
+	 */
+	public record Status(String name, String dataCentre, boolean ready, long configurationVersion, int inFlight,
+			int connectedUpstreams) {
+	}
+
 	private final class Callers implements HttpHandler {
 
 		@Override
@@ -239,16 +296,21 @@
 
 		@Override
 		public void connected(PeerConnection connection) {
+			EntryNode.this.asker.up(connection);
 			EntryNode.this.duty.put(new EntryInput.PeerUp(connection));
 		}
 
 		@Override
 		public void received(PeerConnection connection, WireMessage message) {
+			if (message instanceof WireMessage.Control control) {
+				EntryNode.this.asker.hear(control);
+			}
 			EntryNode.this.duty.put(new EntryInput.PeerSaid(connection, message));
 		}
 
 		@Override
 		public void closed(PeerConnection connection) {
+			EntryNode.this.asker.down(connection);
 			EntryNode.this.duty.put(new EntryInput.PeerDown(connection));
 		}
 
--- /dev/null
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/evacuation/EvacuationDuty.java
@@ -0,0 +1,171 @@
+package io.bulrushrouter.daemon.evacuation;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.time.LocalDateTime;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
+
+import io.bulrushrouter.daemon.config.Configuration;
+import io.bulrushrouter.daemon.node.DecisionLog;
+import io.bulrushrouter.evacuation.EvacuationStore;
+import io.bulrushrouter.evacuation.reconcile.EvacuationRound;
+import io.bulrushrouter.evacuation.reconcile.ReconcilePolicy;
+import io.bulrushrouter.evacuation.reconcile.RoundResult;
+import io.bulrushrouter.evacuation.reconcile.Step;
+import io.bulrushrouter.evacuation.reconcile.StepOutcome;
+import io.bulrushrouter.kernel.InstanceId;
+import io.bulrushrouter.kernel.TimeSource;
+import io.bulrushrouter.kernel.duty.Duty;
+import io.bulrushrouter.kernel.store.ListResult;
+import io.bulrushrouter.kernel.store.LiveInstance;
+import io.bulrushrouter.kernel.store.LiveList;
+import io.bulrushrouter.kernel.store.ObjectKey;
+import io.bulrushrouter.kernel.store.ObjectStore;
+import io.bulrushrouter.kernel.store.Versioned;
+import io.bulrushrouter.platform.lease.DutyPlacement;
+import io.bulrushrouter.platform.lease.FencingNumber;
+import io.bulrushrouter.platform.lease.Lease;
+import io.bulrushrouter.platform.lease.LeaseDriver;
+import io.bulrushrouter.platform.lease.LeaseTerms;
+
+/**
+ * The entry's part in carrying out evacuation plans: contends for the lease if the live
+ * list prefers this entry and, while it holds it, runs a round for each plan. Its thread
+ * waits for the store; nothing else runs on it.
+ */
+public final class EvacuationDuty implements AutoCloseable {
+
+	/** The lease of all plans. */
+	public static final ObjectKey LEASE = ObjectKey.of("lease", "evacuation");
+
+	private static final String DUTY = "evacuation";
+
+	private static final Duration INTERVAL = Duration.ofMillis(500);
+
+	private final Parts parts;
+
+	private final LeaseDriver lease;
+
+	private final Duty<Runnable> duty;
+
+	private final AtomicLong marks = new AtomicLong();
+
+	private final Map<String, EvacuationRound> rounds = new HashMap<>();
+
+	private Optional<Configuration> configuration = Optional.empty();
+
+	private EvacuationDuty(Parts parts) {
+		this.parts = parts;
+		this.lease = LeaseDriver.of(Lease.of(LEASE, parts.processName(), LeaseTerms.CONTROL), parts.store(),
+				TimeSource.ofSystem(), this::put);
+		this.duty = Duty.<Runnable>builder(DUTY, Runnable::run).tick(INTERVAL, this::tick).start();
+	}
+
+	/**
+	 * Starts the duty.
+	 * @param parts what it needs
+	 * @return the running duty
+	 */
+	public static EvacuationDuty start(Parts parts) {
+		return new EvacuationDuty(parts);
+	}
+
+	private void put(Runnable action) {
+		this.duty.offer(action);
+	}
+
+	/**
+	 * Hands over a configuration; rounds start anew with its inventory.
+	 * @param next the configuration
+	 */
+	public void adopt(Configuration next) {
+		put(() -> {
+			this.configuration = Optional.of(next);
+			this.rounds.clear();
+		});
+	}
+
+	private void tick() {
+		this.lease.tick(isPreferred());
+		Optional<FencingNumber> fence = this.lease.held();
+		if (fence.isEmpty()) {
+			this.rounds.clear();
+		}
+		else if (this.configuration.isPresent()) {
+			plans().forEach((plan) -> this.lease.held().ifPresent((current) -> run(plan, current)));
+		}
+	}
+
+	private boolean isPreferred() {
+		List<LiveInstance> entries = this.parts.liveList()
+			.instances()
+			.stream()
+			.filter((instance) -> instance.role().equals("entry"))
+			.toList();
+		return entries.isEmpty()
+				|| DutyPlacement.isAmong(this.parts.instance(), DutyPlacement.preferred(DUTY, entries, 1));
+	}
+
+	private List<String> plans() {
+		ListResult result = this.parts.store().list(EvacuationStore.KIND + "/").toCompletableFuture().join();
+		if (result instanceof ListResult.Listed listed) {
+			return listed.objects().stream().map(EvacuationDuty::planName).toList();
+		}
+		return List.copyOf(this.rounds.keySet());
+	}
+
+	private static String planName(Versioned object) {
+		return object.key().value().substring(EvacuationStore.KIND.length() + 1);
+	}
+
+	private void run(String plan, FencingNumber fence) {
+		EvacuationRound round = this.rounds.computeIfAbsent(plan, this::newRound);
+		RoundResult result = round.run(LocalDateTime.now(this.parts.clock()), fence.value());
+		result.outcomes().forEach((outcome) -> log(plan, outcome));
+		result.steps()
+			.stream()
+			.filter((step) -> !(step instanceof Step.Order))
+			.forEach((step) -> DecisionLog.of("evacuation-hold").with("plan", plan).with("step", step).write());
+	}
+
+	private EvacuationRound newRound(String plan) {
+		EvacuationRound.Ports ports = new EvacuationRound.Ports(this.parts.store(), new SidecarPort(this.parts.asker()),
+				() -> this.parts.processName() + "/evacuation-" + this.marks.incrementAndGet());
+		return EvacuationRound.of(Inventories.of(this.configuration.orElseThrow()), this.parts.policy(), ports, plan);
+	}
+
+	private static void log(String plan, StepOutcome outcome) {
+		DecisionLog.of("evacuation-step")
+			.with("plan", plan)
+			.with("order", outcome.order().name())
+			.with("subject", outcome.order().subject())
+			.with("fence", outcome.order().fence())
+			.with("result", outcome.result())
+			.write();
+	}
+
+	@Override
+	public void close() {
+		this.duty.close();
+	}
+
+	/**
+	 * What the duty needs.
+	 *
+	 * @param instance this entry
+	 * @param processName names this process and its incarnation
+	 * @param store the platform
+	 * @param liveList the platform's list of instances
+	 * @param asker asks sidecars
+	 * @param policy how fast plans are carried out
+	 * @param clock the building's clock
+	 */
+	public record Parts(InstanceId instance, String processName, ObjectStore store, LiveList liveList,
+			SidecarAsker asker, ReconcilePolicy policy, Clock clock) {
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/evacuation/SidecarPort.java
@@ -0,0 +1,87 @@
+package io.bulrushrouter.daemon.evacuation;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+
+import io.bulrushrouter.daemon.node.ControlMessages.ObserveUpstream;
+import io.bulrushrouter.daemon.node.ControlMessages.OrderUpstream;
+import io.bulrushrouter.daemon.node.ControlMessages.UpstreamObserved;
+import io.bulrushrouter.daemon.node.ControlMessages.UpstreamOrdered;
+import io.bulrushrouter.evacuation.reconcile.ObservedUpstream;
+import io.bulrushrouter.evacuation.reconcile.Phase;
+import io.bulrushrouter.evacuation.reconcile.Step;
+import io.bulrushrouter.evacuation.reconcile.StepResult;
+import io.bulrushrouter.evacuation.reconcile.UpstreamPort;
+import io.bulrushrouter.kernel.UpstreamId;
+
+/**
+ * Observes and orders upstreams through their sidecars. Blocks its caller until the
+ * answers are there or late.
+ *
+ * @param asker asks sidecars
+ */
+public record SidecarPort(SidecarAsker asker) implements UpstreamPort {
+
+	@Override
+	public List<ObservedUpstream> observe() {
+		Map<UpstreamId, CompletableFuture<UpstreamObserved>> answers = new HashMap<>();
+		this.asker.connected()
+			.forEach((upstream) -> answers.put(upstream,
+					this.asker.ask(upstream, ObserveUpstream::new, UpstreamObserved.class)));
+		List<ObservedUpstream> observed = new ArrayList<>();
+		answers.forEach((upstream, answer) -> answer.handle((state, failure) -> Optional.ofNullable(state))
+			.join()
+			.ifPresent((state) -> observed.add(observed(upstream, state))));
+		return observed;
+	}
+
+	private static ObservedUpstream observed(UpstreamId upstream, UpstreamObserved state) {
+		return new ObservedUpstream(upstream, Phase.valueOf(state.phase()), state.inFlight(),
+				Optional.of(state.refusal()).filter((text) -> !text.isEmpty()));
+	}
+
+	@Override
+	public StepResult carryOut(Step.Order order) {
+		Optional<UpstreamId> upstream = upstream(order);
+		if (upstream.isEmpty()) {
+			return new StepResult.Unknown("not an order to an upstream: " + order.name());
+		}
+		try {
+			return result(this.asker
+				.ask(upstream.get(), (number) -> new OrderUpstream(number, order.name(), order.fence()),
+						UpstreamOrdered.class)
+				.join());
+		}
+		catch (CompletionException ex) {
+			return new StepResult.Unknown(String.valueOf(ex.getCause()));
+		}
+	}
+
+	private static StepResult result(UpstreamOrdered answer) {
+		return switch (answer.result()) {
+			case "done" -> new StepResult.Done();
+			case "refused" -> new StepResult.Refused(answer.detail());
+			case "fenced" -> new StepResult.Fenced();
+			default -> new StepResult.Unknown(answer.detail());
+		};
+	}
+
+	private static Optional<UpstreamId> upstream(Step.Order order) {
+		if (order instanceof Step.SetLeaving leaving) {
+			return Optional.of(leaving.upstream());
+		}
+		if (order instanceof Step.Unload unload) {
+			return Optional.of(unload.upstream());
+		}
+		if (order instanceof Step.StopUpstream stop) {
+			return Optional.of(stop.upstream());
+		}
+		return Optional.empty();
+	}
+
+}
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/SidecarCore.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/SidecarCore.java
@@ -27,7 +27,7 @@
 /**
  * The sidecar's state, owned by one duty: carries out what {@link SidecarCalls} decides.
  */
-final class SidecarCore {
+final class SidecarCore implements OrderDesk.Work {
 
 	/** The time between two load reports to an entry that sends work. */
 	private static final long REPORT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
@@ -43,6 +43,8 @@
 
 	private final Claims claims;
 
+	private final OrderDesk orders;
+
 	private final TimeSource time;
 
 	private final Metrics metrics;
@@ -59,12 +61,13 @@
 
 	private boolean draining;
 
-	SidecarCore(long incarnation, SidecarCalls calls, EngineClient engine, Claims claims, TimeSource time,
-			Metrics metrics) {
+	SidecarCore(long incarnation, SidecarCalls calls, EngineClient engine, Claims claims, OrderDesk orders,
+			TimeSource time, Metrics metrics) {
 		this.incarnation = incarnation;
 		this.calls = calls;
 		this.engine = engine;
 		this.claims = claims;
+		this.orders = orders;
 		this.time = time;
 		this.metrics = metrics;
 	}
@@ -95,6 +98,9 @@
 
 	private void hear(SidecarInput.PeerSaid said) {
 		long connection = said.connection().id();
+		if (said.message() instanceof WireMessage.Control control) {
+			hearControl(said.connection(), control);
+		}
 		if (!(said.message() instanceof WireMessage.OfCall ofCall)) {
 			return;
 		}
@@ -107,6 +113,22 @@
 		}
 	}
 
+	private void hearControl(PeerConnection connection, WireMessage.Control control) {
+		if (control.topic().equals(ControlMessages.ObserveUpstream.class.getSimpleName())) {
+			var question = ControlCodec.decode(control, ControlMessages.ObserveUpstream.class);
+			connection.send(ControlCodec.encode(this.orders.observe(question, this.calls.inFlight())));
+		}
+		else if (control.topic().equals(ControlMessages.OrderUpstream.class.getSimpleName())) {
+			var order = ControlCodec.decode(control, ControlMessages.OrderUpstream.class);
+			this.orders.take(order, this, (answer) -> connection.send(ControlCodec.encode(answer)));
+		}
+	}
+
+	@Override
+	public void drain() {
+		happen(new SidecarEvent.DrainSign());
+	}
+
 	private void happen(SidecarEvent event) {
 		if (event instanceof SidecarEvent.EngineEnd end) {
 			this.engine.ended(end.attempt());
@@ -198,7 +220,8 @@
 	 * Tells whether the upstream leaves and all of its work is done.
 	 * @return whether the process may end
 	 */
-	boolean isDrained() {
+	@Override
+	public boolean isDrained() {
 		return this.calls.isDrained();
 	}
 
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/SidecarNode.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/SidecarNode.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
@@ -91,10 +92,16 @@
 				(event) -> this.duty.put(new SidecarInput.Happened(event)));
 		SidecarCalls calls = SidecarCalls.of(incarnation, SidecarPolicy.of(this.settings.concurrency()),
 				CallQueue.ofFifo(QUEUE_CAPACITY));
-		Claims claims = Claims.builder(this.bootstrap.store(), incarnation)
-			.executor((action) -> this.duty.put(new SidecarInput.Continue(action)))
-			.build();
-		return new SidecarCore(incarnation, calls, engine, claims, TimeSource.ofSystem(), this.bootstrap.metrics());
+		Claims claims = Claims.builder(this.bootstrap.store(), incarnation).executor(this::onDuty).build();
+		Optional<EngineOrderClient> orderClient = this.settings.service() ? Optional.empty()
+				: Optional.of(new EngineOrderClient(this.bootstrap.caller(), this.settings.url()));
+		OrderDesk orders = new OrderDesk(this.bootstrap.store(), orderClient, this::onDuty);
+		return new SidecarCore(incarnation, calls, engine, claims, orders, TimeSource.ofSystem(),
+				this.bootstrap.metrics());
+	}
+
+	private void onDuty(Runnable action) {
+		this.duty.put(new SidecarInput.Continue(action));
 	}
 
 	/**
--- a/bulrushrouter-standin/src/main/java/io/bulrushrouter/standin/EngineStandin.java
+++ b/bulrushrouter-standin/src/main/java/io/bulrushrouter/standin/EngineStandin.java
@@ -151,6 +151,9 @@
 		if ("load".equals(order.path("kind").asText())) {
 			this.loaded.add(model);
 		}
+		else if ("*".equals(model)) {
+			this.loaded.clear();
+		}
 		else {
 			this.loaded.remove(model);
 		}
