--- /dev/null
+++ b/bulrushrouter-standin/src/main/java/io/bulrushrouter/standin/FleetStandin.java
@@ -0,0 +1,280 @@
+package io.bulrushrouter.standin;
+
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.LongSupplier;
+
+import io.bulrushrouter.kernel.GroupId;
+import io.bulrushrouter.kernel.UpstreamId;
+
+/**
+ * Sidecars with their engines in memory, which obey whatever passes their fencing guard
+ * and count what must not happen. Engines that check refuse a number that is lower than
+ * one they obeyed; for the others the sidecar compares with the highest number that the
+ * platform has given out.
+ */
+public final class FleetStandin {
+
+	private final Map<UpstreamId, Upstream> upstreams = new TreeMap<>();
+
+	private final LongSupplier platformFence;
+
+	private boolean guarded = true;
+
+	private long begun;
+
+	private long answered;
+
+	private long cut;
+
+	private long repeated;
+
+	private long stale;
+
+	private long split;
+
+	/**
+	 * Creates an empty fleet.
+	 * @param platformFence reads the highest fencing number from the platform; negative
+	 * if the platform does not answer
+	 */
+	public FleetStandin(LongSupplier platformFence) {
+		this.platformFence = platformFence;
+	}
+
+	/**
+	 * Adds a running upstream.
+	 * @param id the upstream
+	 * @param group its rank group, or empty
+	 * @param checksFence whether its engine refuses old fencing numbers
+	 */
+	public void add(UpstreamId id, Optional<GroupId> group, boolean checksFence) {
+		this.upstreams.put(id, new Upstream(id, group, checksFence));
+	}
+
+	/**
+	 * Switches the fencing guards of sidecars and engines.
+	 * @param guarded whether they refuse old numbers
+	 */
+	public void guarded(boolean guarded) {
+		this.guarded = guarded;
+	}
+
+	/**
+	 * Lets an engine refuse all orders, or obey again.
+	 * @param id the upstream
+	 * @param reason what it says, or empty to obey
+	 */
+	public void refuse(UpstreamId id, Optional<String> reason) {
+		this.upstreams.get(id).refusal = reason;
+	}
+
+	/**
+	 * Begins a request at an upstream, and at all ranks of its group.
+	 * @param id the upstream
+	 * @return whether all their gates were open
+	 */
+	public boolean begin(UpstreamId id) {
+		List<Upstream> ranks = ranks(this.upstreams.get(id));
+		if (ranks.stream().anyMatch((rank) -> rank.state != State.RUNNING)) {
+			return false;
+		}
+		ranks.forEach((rank) -> rank.inFlight++);
+		this.begun++;
+		return true;
+	}
+
+	/**
+	 * Answers a request that was begun.
+	 * @param id the upstream
+	 * @return whether there was one
+	 */
+	public boolean finish(UpstreamId id) {
+		List<Upstream> ranks = ranks(this.upstreams.get(id));
+		if (ranks.get(0).inFlight == 0) {
+			return false;
+		}
+		ranks.forEach((rank) -> rank.inFlight--);
+		this.answered++;
+		return true;
+	}
+
+	/**
+	 * Carries out an order.
+	 * @param id the upstream
+	 * @param to the state to reach
+	 * @param fence the fencing number
+	 * @return what came of it
+	 */
+	public Answer order(UpstreamId id, State to, long fence) {
+		Upstream upstream = this.upstreams.get(id);
+		Optional<Answer> refused = refused(upstream, fence);
+		if (refused.isPresent()) {
+			return refused.get();
+		}
+		if (old(upstream, fence)) {
+			this.stale++;
+		}
+		upstream.obeyed = Math.max(upstream.obeyed, fence);
+		if (upstream.state.compareTo(to) < 0) {
+			change(upstream, to);
+		}
+		return Answer.DONE;
+	}
+
+	private Optional<Answer> refused(Upstream upstream, long fence) {
+		if (!upstream.checksFence && this.platformFence.getAsLong() < 0) {
+			return Optional.of(Answer.UNDECIDED);
+		}
+		if (this.guarded && old(upstream, fence)) {
+			return Optional.of(Answer.STALE);
+		}
+		return upstream.refusal.map((reason) -> Answer.REFUSED);
+	}
+
+	private boolean old(Upstream upstream, long fence) {
+		return fence < (upstream.checksFence ? upstream.obeyed : this.platformFence.getAsLong());
+	}
+
+	private void change(Upstream upstream, State to) {
+		if (!upstream.changes.add(to)) {
+			this.repeated++;
+		}
+		if (to != State.LEAVING) {
+			this.cut += upstream.inFlight;
+			upstream.inFlight = 0;
+			State least = (to == State.STOPPED) ? State.UNLOADED : State.LEAVING;
+			this.split += ranks(upstream).stream().filter((rank) -> rank.state.compareTo(least) < 0).count();
+		}
+		upstream.state = to;
+	}
+
+	private List<Upstream> ranks(Upstream upstream) {
+		if (upstream.group.isEmpty()) {
+			return List.of(upstream);
+		}
+		return this.upstreams.values().stream().filter((other) -> other.group.equals(upstream.group)).toList();
+	}
+
+	/**
+	 * Returns what the sidecars say.
+	 * @return one status for each upstream, by name
+	 */
+	public List<Status> statuses() {
+		List<Status> statuses = new ArrayList<>();
+		this.upstreams.values()
+			.forEach((one) -> statuses.add(new Status(one.id, one.state, one.inFlight, one.refusal)));
+		return statuses;
+	}
+
+	/**
+	 * Returns what was counted.
+	 * @return the counts
+	 */
+	public Counts counts() {
+		return new Counts(this.begun, this.answered, this.cut, this.repeated, this.stale, this.split);
+	}
+
+	/**
+	 * The states that orders name.
+	 */
+	public enum State {
+
+		/** Takes requests. */
+		RUNNING,
+
+		/** The gate is closed. */
+		LEAVING,
+
+		/** The engine holds no model. */
+		UNLOADED,
+
+		/** Stopped. */
+		STOPPED
+
+	}
+
+	/**
+	 * What came of an order.
+	 */
+	public enum Answer {
+
+		/** It is carried out, or was before. */
+		DONE,
+
+		/** The engine refuses. */
+		REFUSED,
+
+		/** The fencing number is old. */
+		STALE,
+
+		/** The sidecar cannot read the highest fencing number, and holds the order. */
+		UNDECIDED
+
+	}
+
+	/**
+	 * What a sidecar says.
+	 *
+	 * @param id the upstream
+	 * @param state its state
+	 * @param inFlight how many requests were begun and not answered
+	 * @param refusal what its engine says to orders, or empty
+	 */
+	public record Status(UpstreamId id, State state, int inFlight, Optional<String> refusal) {
+	}
+
+	/**
+	 * What was counted.
+	 *
+	 * @param begun requests that were begun
+	 * @param answered requests that were answered
+	 * @param cut requests that an unload or stop cut off
+	 * @param repeated orders that took effect again
+	 * @param stale orders with an old fencing number that were obeyed
+	 * @param split ranks that were unloaded or stopped before their group was ready
+	 */
+	public record Counts(long begun, long answered, long cut, long repeated, long stale, long split) {
+
+		/**
+		 * Counts what must not happen.
+		 * @return the number of violations
+		 */
+		public long violations() {
+			return this.cut + this.repeated + this.stale + this.split;
+		}
+
+	}
+
+	private static final class Upstream {
+
+		private final UpstreamId id;
+
+		private final Optional<GroupId> group;
+
+		private final boolean checksFence;
+
+		private final Set<State> changes = EnumSet.noneOf(State.class);
+
+		private State state = State.RUNNING;
+
+		private int inFlight;
+
+		private long obeyed;
+
+		private Optional<String> refusal = Optional.empty();
+
+		private Upstream(UpstreamId id, Optional<GroupId> group, boolean checksFence) {
+			this.id = id;
+			this.group = group;
+			this.checksFence = checksFence;
+		}
+
+	}
+
+}
