Test every fault at every step of a request and its claim

One parameterised test drives 2 entries, 3 sidecars, engines that count their runs and a store through 21 faults at 12 steps, singly and in pairs, for five kinds of request, on a simulated clock.

--- /dev/null
+++ b/bulrushrouter-request/src/test/java/io/bulrushrouter/request/Invariants.java
@@ -0,0 +1,88 @@
+package io.bulrushrouter.request;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import io.bulrushrouter.kernel.Verdict;
+
+/**
+ * What has to hold in every cell, judged by the engines' counts and the callers' records.
+ */
+final class Invariants {
+
+	/** How long after the first sign a leaving upstream may still start work. */
+	private static final long LEAVING_NANOS = 100 * SimulatedClock.MILLIS;
+
+	private Invariants() {
+	}
+
+	static List<String> violations(SimulatedSystem system) {
+		List<String> found = new ArrayList<>();
+		system.callers.forEach((caller) -> check(system, caller, found));
+		checkAtMostOnce(system, found);
+		checkLeaving(system, found);
+		return found;
+	}
+
+	private static void check(SimulatedSystem system, SimulatedCaller caller, List<String> found) {
+		long slack = system.cell.has(FaultCell.Fault.ENTRY_PAUSED) ? 2 * SimulatedSystem.PAUSE_MILLIS : 0;
+		if (caller.ends.size() != 1) {
+			found.add(caller.tag + " got " + caller.ends.size() + " final answers: " + caller.ends);
+		}
+		if (caller.endNanos > caller.deadlineNanos + slack * SimulatedClock.MILLIS) {
+			found.add(caller.tag + " got its final answer after its deadline");
+		}
+		if (caller.complete && !caller.body.toString().equals(caller.wanted())) {
+			found.add(caller.tag + " got '" + caller.body + "' for '" + caller.wanted() + "'");
+		}
+		if (!caller.wanted().startsWith(caller.body.toString())) {
+			found.add(caller.tag + " was sent '" + caller.body + "', no part of '" + caller.wanted() + "'");
+		}
+		if (caller.verdict.filter((verdict) -> verdict instanceof Verdict.NotRun).isPresent() && ran(system, caller)) {
+			found.add(caller.tag + " was told 'not run' and ran");
+		}
+		if (isCutOff(system, caller)) {
+			found.add(caller.tag + " was cut off by a drain: " + caller.ends);
+		}
+	}
+
+	// Under drains alone all requests are answered, but for those that no upstream is
+	// left
+	// for, which must not have run.
+	private static boolean isCutOff(SimulatedSystem system, SimulatedCaller caller) {
+		boolean onlyDrains = system.cell.injections()
+			.stream()
+			.allMatch((injection) -> injection.fault() == FaultCell.Fault.DRAINED
+					|| injection.fault() == FaultCell.Fault.DRAINS_RACE);
+		boolean allLeft = system.drainedAtNanos.size() == SimulatedSystem.UPSTREAMS;
+		boolean handedBack = caller.verdict.filter((verdict) -> verdict instanceof Verdict.NotRun).isPresent();
+		return onlyDrains && !caller.complete && !(allLeft && handedBack);
+	}
+
+	private static boolean ran(SimulatedSystem system, SimulatedCaller caller) {
+		return system.starts.stream().anyMatch((start) -> start.attempt().request().equals(caller.id.orElseThrow()));
+	}
+
+	private static void checkAtMostOnce(SimulatedSystem system, List<String> found) {
+		Map<String, Integer> runs = new HashMap<>();
+		system.starts
+			.forEach((start) -> start.spec().idempotencyKey().ifPresent((key) -> runs.merge(key, 1, Integer::sum)));
+		runs.forEach((key, count) -> {
+			if (count > 1) {
+				found.add(key + " ran " + count + " times");
+			}
+		});
+	}
+
+	private static void checkLeaving(SimulatedSystem system, List<String> found) {
+		for (SimulatedSystem.EngineStart start : system.starts) {
+			Long drained = system.drainedAtNanos.get(start.upstream());
+			if (drained != null && start.nanos() > drained + LEAVING_NANOS) {
+				found.add(start.upstream() + " left and was given " + start.attempt());
+			}
+		}
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-request/src/test/java/io/bulrushrouter/request/SimulatedEngine.java
@@ -0,0 +1,108 @@
+package io.bulrushrouter.request;
+
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import io.bulrushrouter.kernel.AttemptId;
+import io.bulrushrouter.kernel.ErrorCode;
+
+/**
+ * An engine that counts what it runs.
+ */
+final class SimulatedEngine {
+
+	private static final int CHUNK_TOKENS = 2;
+
+	private final SimulatedSystem system;
+
+	private final SimulatedSidecar sidecar;
+
+	private final Map<AttemptId, SidecarAction.RunOnEngine> running = new LinkedHashMap<>();
+
+	private boolean alive = true;
+
+	private long stalledUntilNanos;
+
+	SimulatedEngine(SimulatedSystem system, SimulatedSidecar sidecar) {
+		this.system = system;
+		this.sidecar = sidecar;
+	}
+
+	void run(SidecarAction.RunOnEngine run) {
+		if (!this.alive) {
+			tell(new SidecarEvent.EngineFailed(run.attempt(), ErrorCode.ENGINE_UNREACHABLE, false));
+			return;
+		}
+		this.running.put(run.attempt(), run);
+		this.system.clock.after(1, () -> begin(run));
+	}
+
+	private void begin(SidecarAction.RunOnEngine run) {
+		if (!this.running.containsKey(run.attempt())) {
+			return;
+		}
+		this.system.engineStarted(this.sidecar, run);
+		later(run, 4, () -> tell(new SidecarEvent.EngineHead(run.attempt(), 200, "text/plain")));
+		int delay = 6;
+		for (int i = run.resumeAfterTokens(); i < SimulatedCaller.TOKENS; i += CHUNK_TOKENS) {
+			int from = i;
+			later(run, delay, () -> tell(chunk(run, from)));
+			delay += 5;
+		}
+		later(run, delay, () -> {
+			this.running.remove(run.attempt());
+			tell(new SidecarEvent.EngineEnd(run.attempt()));
+		});
+	}
+
+	private static SidecarEvent chunk(SidecarAction.RunOnEngine run, int from) {
+		StringBuilder text = new StringBuilder();
+		int to = Math.min(from + CHUNK_TOKENS, SimulatedCaller.TOKENS);
+		for (int i = from; i < to; i++) {
+			text.append(SimulatedCaller.token(run.spec(), i));
+		}
+		return new SidecarEvent.EngineData(run.attempt(), text.toString().getBytes(StandardCharsets.UTF_8), to - from);
+	}
+
+	private void later(SidecarAction.RunOnEngine run, long millis, Runnable step) {
+		this.system.clock.after(millis, () -> {
+			if (!this.running.containsKey(run.attempt())) {
+				return;
+			}
+			if (this.system.clock.nowNanos() < this.stalledUntilNanos) {
+				this.system.clock.at(this.stalledUntilNanos, () -> later(run, millis, step));
+				return;
+			}
+			step.run();
+		});
+	}
+
+	private void tell(SidecarEvent event) {
+		this.sidecar.deliverToIncarnation(() -> this.sidecar.feed(event));
+	}
+
+	void cancel(AttemptId attempt) {
+		if (this.running.remove(attempt) != null) {
+			tell(new SidecarEvent.EngineFailed(attempt, ErrorCode.CANCELLED, true));
+		}
+	}
+
+	void loseSidecar() {
+		this.running.values().removeIf((run) -> run.spec().idempotent());
+	}
+
+	void stall(long millis) {
+		this.stalledUntilNanos = this.system.clock.nowNanos() + millis * SimulatedClock.MILLIS;
+	}
+
+	void die() {
+		this.alive = false;
+		List<AttemptId> lost = List.copyOf(this.running.keySet());
+		this.running.clear();
+		lost.forEach((attempt) -> tell(new SidecarEvent.EngineFailed(attempt, ErrorCode.ENGINE_ERROR, true)));
+		this.system.clock.after(100, () -> this.alive = true);
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-request/src/test/java/io/bulrushrouter/request/SimulatedProcess.java
@@ -0,0 +1,90 @@
+package io.bulrushrouter.request;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/**
+ * A process that can be paused, die and come back as another incarnation.
+ */
+abstract class SimulatedProcess {
+
+	static final long RESTART_MILLIS = 20;
+
+	final SimulatedSystem system;
+
+	long incarnation;
+
+	boolean alive = true;
+
+	private final Deque<Runnable> backlog = new ArrayDeque<>();
+
+	private long pausedUntilNanos;
+
+	private boolean draining;
+
+	SimulatedProcess(SimulatedSystem system) {
+		this.system = system;
+		this.incarnation = system.nextIncarnation();
+	}
+
+	// Runs a task in whatever incarnation is there, once it is not paused.
+	final void deliver(Runnable task) {
+		this.backlog.add(task);
+		drainBacklog();
+	}
+
+	private void drainBacklog() {
+		while (!this.backlog.isEmpty() && !this.draining && this.system.clock.nowNanos() >= this.pausedUntilNanos) {
+			Runnable task = this.backlog.poll();
+			this.draining = true;
+			if (this.alive) {
+				task.run();
+			}
+			this.draining = false;
+		}
+	}
+
+	// Runs a task unless this incarnation is gone by then.
+	final void deliverToIncarnation(Runnable task) {
+		long wanted = this.incarnation;
+		deliver(() -> {
+			if (this.incarnation == wanted) {
+				task.run();
+			}
+		});
+	}
+
+	final void wakeAt(long nanos, Runnable task) {
+		long wanted = this.incarnation;
+		this.system.clock.at(nanos, () -> {
+			if (this.incarnation == wanted) {
+				deliverToIncarnation(task);
+			}
+		});
+	}
+
+	final void pause(long millis) {
+		this.pausedUntilNanos = this.system.clock.nowNanos() + millis * SimulatedClock.MILLIS;
+		this.system.clock.at(this.pausedUntilNanos, this::drainBacklog);
+	}
+
+	final void die() {
+		if (!this.alive) {
+			return;
+		}
+		this.alive = false;
+		this.incarnation = this.system.nextIncarnation();
+		this.pausedUntilNanos = 0;
+		this.backlog.clear();
+		onDeath();
+		this.system.clock.after(RESTART_MILLIS, () -> {
+			this.alive = true;
+			onRestart();
+		});
+	}
+
+	abstract void onDeath();
+
+	abstract void onRestart();
+
+}
