--- /dev/null
+++ b/bulrushrouter-platform/src/test/java/io/bulrushrouter/platform/FaultyStore.java
@@ -0,0 +1,139 @@
+package io.bulrushrouter.platform;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
+import java.util.function.Supplier;
+
+import io.bulrushrouter.kernel.store.ListResult;
+import io.bulrushrouter.kernel.store.ObjectKey;
+import io.bulrushrouter.kernel.store.ObjectStore;
+import io.bulrushrouter.kernel.store.ReadResult;
+import io.bulrushrouter.kernel.store.Write;
+import io.bulrushrouter.kernel.store.WriteResult;
+import io.bulrushrouter.standin.MemoryObjectStore;
+
+/**
+ * One process's way to the store, on which one call goes wrong.
+ */
+public final class FaultyStore implements ObjectStore {
+
+	private final MemoryObjectStore store;
+
+	private final Fault fault;
+
+	private final int step;
+
+	private int calls;
+
+	private Runnable resumption = () -> {
+	};
+
+	private boolean paused;
+
+	private boolean killed;
+
+	/**
+	 * Creates a way to the store.
+	 * @param store the store
+	 * @param fault what goes wrong
+	 * @param step at which call, from 1
+	 */
+	public FaultyStore(MemoryObjectStore store, Fault fault, int step) {
+		this.store = store;
+		this.fault = fault;
+		this.step = step;
+	}
+
+	@Override
+	public CompletionStage<ReadResult> read(ObjectKey key) {
+		return call(() -> this.store.read(key), ReadResult.Unavailable::new);
+	}
+
+	@Override
+	public CompletionStage<WriteResult> write(Write write) {
+		return call(() -> this.store.write(write), WriteResult.Unknown::new);
+	}
+
+	@Override
+	public CompletionStage<ReadResult> watch(ObjectKey key, long afterVersion, Duration wait) {
+		return call(() -> this.store.watch(key, afterVersion, wait), ReadResult.Unavailable::new);
+	}
+
+	@Override
+	public CompletionStage<ListResult> list(String prefix) {
+		return call(() -> this.store.list(prefix), ListResult.Unavailable::new);
+	}
+
+	private <T> CompletionStage<T> call(Supplier<CompletionStage<T>> send, Function<String, T> lost) {
+		if (this.killed) {
+			return new CompletableFuture<>();
+		}
+		this.calls++;
+		if (this.calls != this.step) {
+			return send.get();
+		}
+		return switch (this.fault) {
+			case NONE -> send.get();
+			case STORE_DOWN -> {
+				this.store.down(true);
+				yield send.get();
+			}
+			case REQUEST_LOST -> CompletableFuture.completedFuture(lost.apply("request lost"));
+			case ANSWER_LOST -> send.get().thenApply((result) -> lost.apply("answer lost"));
+			case PAUSED_BEFORE -> pause(send);
+			case PAUSED_AFTER -> {
+				CompletionStage<T> answer = send.get();
+				yield pause(() -> answer);
+			}
+			case KILLED -> {
+				send.get();
+				this.killed = true;
+				yield new CompletableFuture<>();
+			}
+		};
+	}
+
+	private <T> CompletionStage<T> pause(Supplier<CompletionStage<T>> rest) {
+		CompletableFuture<T> answer = new CompletableFuture<>();
+		this.paused = true;
+		this.resumption = () -> rest.get().thenAccept(answer::complete);
+		return answer;
+	}
+
+	/**
+	 * Ends the pause: the call goes out, or its answer comes in.
+	 */
+	public void resume() {
+		this.paused = false;
+		this.resumption.run();
+		this.resumption = () -> {
+		};
+	}
+
+	/**
+	 * Tells whether the process is paused.
+	 * @return whether it is
+	 */
+	public boolean isPaused() {
+		return this.paused;
+	}
+
+	/**
+	 * Tells whether the process has ended.
+	 * @return whether it has
+	 */
+	public boolean isKilled() {
+		return this.killed;
+	}
+
+	/**
+	 * Tells whether the fault has come.
+	 * @return whether the step was reached
+	 */
+	public boolean isStruck() {
+		return this.fault != Fault.NONE && this.calls >= this.step;
+	}
+
+}
--- a/bulrushrouter-platform/src/test/java/io/bulrushrouter/platform/SettledWritesTests.java
+++ b/bulrushrouter-platform/src/test/java/io/bulrushrouter/platform/SettledWritesTests.java
@@ -74,6 +74,7 @@
 		WriteResult result = join(this.store.write(Write.ofCreate(KEY, new byte[] { 2 }, new WriterMark("mine"))));
 		assertThat(result).isInstanceOf(WriteResult.Unknown.class);
 		assertThat(found().writer()).isEqualTo(new WriterMark("other"));
+		assertThat(this.memory.writes()).isEqualTo(2);
 	}
 
 	@Test
