--- a/bulrushrouter-request/src/main/java/io/bulrushrouter/request/EntryCall.java
+++ b/bulrushrouter-request/src/main/java/io/bulrushrouter/request/EntryCall.java
@@ -1,13 +1,8 @@
 package io.bulrushrouter.request;
 
 import java.time.Duration;
-import java.util.HashSet;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Consumer;
 
 import io.bulrushrouter.kernel.AttemptId;
@@ -31,8 +26,6 @@
 
 	private final RequestSpec spec;
 
-	private final long deadlineNanos;
-
 	private final EntryPolicy policy;
 
 	private final RetryBudget budget;
@@ -43,16 +36,14 @@
 
 	private final AnswerRelay relay;
 
-	private final Map<Integer, OpenAttempt> open = new LinkedHashMap<>();
+	private final OpenAttempts open = new OpenAttempts();
 
-	private final Set<UpstreamId> tried = new HashSet<>();
+	private final AttemptTimers timers;
 
 	private Optional<OpenAttempt> winner = Optional.empty();
 
 	private Optional<Verdict> verdict = Optional.empty();
 
-	private Optional<ErrorCode> uncertain = Optional.empty();
-
 	private boolean hedged;
 
 	private boolean reruns;
@@ -65,7 +56,7 @@
 			UpstreamPicker picker, Guards guards) {
 		this.id = Objects.requireNonNull(id);
 		this.spec = Objects.requireNonNull(spec);
-		this.deadlineNanos = deadlineNanos;
+		this.timers = new AttemptTimers(spec, deadlineNanos, policy);
 		this.policy = Objects.requireNonNull(policy);
 		this.budget = Objects.requireNonNull(budget);
 		this.picker = Objects.requireNonNull(picker);
@@ -134,19 +125,7 @@
 		if (this.verdict.isPresent()) {
 			return Long.MAX_VALUE;
 		}
-		long next = this.deadlineNanos;
-		for (OpenAttempt attempt : this.open.values()) {
-			if (!attempt.answering() && !attempt.cancelled()) {
-				next = Math.min(next, settleNanos());
-			}
-			if (canStall(attempt)) {
-				next = Math.min(next, stallNanos(attempt));
-			}
-			if (canHedge()) {
-				next = Math.min(next, hedgeNanos(attempt));
-			}
-		}
-		return next;
+		return this.timers.nextWakeNanos(this.open, mayHedge());
 	}
 
 	/**
@@ -157,13 +136,13 @@
 	 */
 	public void on(EntryEvent event, long nowNanos, Consumer<EntryAction> actions) {
 		if (this.verdict.isPresent()) {
-			countDropped(event);
+			this.dropped += (event instanceof EntryEvent.Received) ? 1 : 0;
 			return;
 		}
 		if (event instanceof EntryEvent.CallerGone) {
 			abandon(actions);
 		}
-		else if (nowNanos >= this.deadlineNanos) {
+		else if (this.timers.isExpired(nowNanos)) {
 			expire(actions);
 		}
 		else {
@@ -176,8 +155,7 @@
 			start(nowNanos, actions);
 		}
 		else if (event instanceof EntryEvent.Sent sent) {
-			Optional.ofNullable(this.open.get(sent.attempt()))
-				.ifPresent((attempt) -> attempt.bind(sent.upstreamIncarnation()));
+			this.open.find(sent.attempt()).ifPresent((attempt) -> attempt.bind(sent.upstreamIncarnation()));
 		}
 		else if (event instanceof EntryEvent.Received received) {
 			receive(received, nowNanos, actions);
@@ -186,7 +164,7 @@
 			loseConnection(lost.upstream(), nowNanos, actions);
 		}
 		else if (event instanceof EntryEvent.SendFailed failed) {
-			Optional.ofNullable(this.open.get(failed.attempt()))
+			this.open.find(failed.attempt())
 				.ifPresent((attempt) -> fail(attempt, Verdict.ofNotRun(ErrorCode.ENGINE_UNREACHABLE), 0, nowNanos,
 						actions));
 		}
@@ -197,7 +175,7 @@
 
 	private void start(long nowNanos, Consumer<EntryAction> actions) {
 		this.budget.deposit();
-		Optional<UpstreamId> upstream = this.picker.pick(Set.copyOf(this.tried), nowNanos);
+		Optional<UpstreamId> upstream = this.picker.pick(this.open.tried(), nowNanos);
 		if (upstream.isEmpty()) {
 			giveUp(ErrorCode.NO_UPSTREAM, 0, actions);
 			return;
@@ -207,18 +185,17 @@
 
 	private void send(UpstreamId upstream, long nowNanos, Consumer<EntryAction> actions) {
 		this.attempts++;
-		this.tried.add(upstream);
 		int resumeAfter = (this.relay.started() && !this.reruns) ? this.relay.sentTokens() : 0;
 		AttemptId attempt = this.id.attempt(this.attempts);
-		this.open.put(this.attempts, new OpenAttempt(attempt, upstream, resumeAfter, nowNanos));
-		long remainingMillis = Duration.ofNanos(this.deadlineNanos - nowNanos).toMillis();
+		this.open.add(new OpenAttempt(attempt, upstream, resumeAfter, nowNanos));
+		long remainingMillis = Duration.ofNanos(this.timers.remainingNanos(nowNanos)).toMillis();
 		actions.accept(
 				new EntryAction.Send(upstream, new CallMessage.Call(attempt, this.spec, remainingMillis, resumeAfter)));
 	}
 
 	private void receive(EntryEvent.Received received, long nowNanos, Consumer<EntryAction> actions) {
-		OpenAttempt attempt = this.open.get(received.message().attempt().attempt());
-		if (attempt == null || !isMine(received, attempt)) {
+		OpenAttempt attempt = this.open.find(received.message().attempt().attempt()).orElse(null);
+		if (attempt == null || (this.guards.incarnation() && !attempt.isFrom(received))) {
 			this.dropped++;
 			return;
 		}
@@ -235,14 +212,6 @@
 		}
 	}
 
-	private boolean isMine(EntryEvent.Received received, OpenAttempt attempt) {
-		if (!this.guards.incarnation()) {
-			return true;
-		}
-		return received.message().attempt().equals(attempt.id()) && received.upstream().equals(attempt.upstream())
-				&& attempt.isBoundTo(received.upstreamIncarnation());
-	}
-
 	private void handBack(OpenAttempt attempt, CallMessage.NotRun notRun, long nowNanos,
 			Consumer<EntryAction> actions) {
 		if (attempt.answering()) {
@@ -253,27 +222,17 @@
 	}
 
 	private void keepPart(OpenAttempt attempt, CallMessage message, long nowNanos, Consumer<EntryAction> actions) {
-		if (!attempt.keep(sequenceOf(message), message)) {
+		if (!attempt.keep(message)) {
 			this.dropped++;
 			return;
 		}
 		Optional<CallMessage> part = attempt.next(nowNanos);
-		while (part.isPresent() && this.open.containsKey(attempt.id().attempt())) {
+		while (part.isPresent() && this.open.contains(attempt)) {
 			accept(attempt, part.get(), nowNanos, actions);
 			part = attempt.next(nowNanos);
 		}
 	}
 
-	private static int sequenceOf(CallMessage message) {
-		if (message instanceof CallMessage.Head head) {
-			return head.sequence();
-		}
-		if (message instanceof CallMessage.Data data) {
-			return data.sequence();
-		}
-		return (message instanceof CallMessage.End end) ? end.sequence() : -1;
-	}
-
 	private void accept(OpenAttempt attempt, CallMessage part, long nowNanos, Consumer<EntryAction> actions) {
 		boolean sound;
 		if (part instanceof CallMessage.Head head) {
@@ -293,7 +252,7 @@
 
 	private void win(OpenAttempt attempt, Consumer<EntryAction> actions) {
 		this.winner = Optional.of(attempt);
-		for (OpenAttempt other : List.copyOf(this.open.values())) {
+		for (OpenAttempt other : this.open.all()) {
 			if (other != attempt) {
 				drop(other, ErrorCode.CANCELLED, actions);
 			}
@@ -320,7 +279,7 @@
 	}
 
 	private void loseConnection(UpstreamId upstream, long nowNanos, Consumer<EntryAction> actions) {
-		for (OpenAttempt attempt : List.copyOf(this.open.values())) {
+		for (OpenAttempt attempt : this.open.all()) {
 			if (attempt.upstream().equals(upstream)) {
 				fail(attempt, Verdict.ofMayHaveRun(ErrorCode.CONNECTION_LOST), 0, nowNanos, actions);
 			}
@@ -329,10 +288,7 @@
 
 	private void fail(OpenAttempt attempt, Verdict outcome, long retryAfterMillis, long nowNanos,
 			Consumer<EntryAction> actions) {
-		this.open.remove(attempt.id().attempt());
-		if (outcome.mayHaveRun()) {
-			this.uncertain = outcome.failure();
-		}
+		this.open.end(attempt, outcome);
 		if (this.winner.filter((held) -> held == attempt).isPresent()) {
 			this.winner = Optional.empty();
 			this.relay.discardHeld();
@@ -341,14 +297,14 @@
 		if (attempt.cancelled()) {
 			settle(code, actions);
 		}
-		else if (this.open.isEmpty()) {
+		else if (this.open.size() == 0) {
 			goOn(attempt, outcome, retryAfterMillis, nowNanos, actions);
 		}
 	}
 
 	// Ends a request whose attempt was cancelled shortly before the deadline.
 	private void settle(ErrorCode code, Consumer<EntryAction> actions) {
-		if (this.open.isEmpty()) {
+		if (this.open.size() == 0) {
 			giveUp((code == ErrorCode.CANCELLED) ? ErrorCode.DEADLINE_EXCEEDED : code, 0, actions);
 		}
 	}
@@ -358,9 +314,9 @@
 		ErrorCode code = outcome.failure().orElseThrow();
 		boolean refusedResume = attempt.resumeAfterTokens() > 0 && code == ErrorCode.STREAM_BROKEN;
 		this.reruns |= refusedResume;
-		boolean possible = RetryRules.allows(outcome, this.spec.idempotent()) && mayTryAgain(nowNanos)
-				&& (!this.reruns || this.relay.canRerun());
-		Optional<UpstreamId> next = possible ? this.picker.pick(Set.copyOf(this.tried), nowNanos) : Optional.empty();
+		boolean possible = RetryRules.allows(outcome, this.spec.idempotent())
+				&& this.timers.allowsAnother(this.attempts, nowNanos) && (!this.reruns || this.relay.canRerun());
+		Optional<UpstreamId> next = possible ? this.picker.pick(this.open.tried(), nowNanos) : Optional.empty();
 		boolean paid = next.isPresent() && (!RetryRules.takesBudget(outcome) || this.budget.tryTake());
 		RetryDecision.Kind kind = paid ? retryKind() : RetryDecision.Kind.GIVE_UP;
 		actions.accept(new EntryAction.Decided(new RetryDecision(attempt.id(), attempt.upstream(), kind,
@@ -377,22 +333,17 @@
 		return (this.relay.started()) ? RetryDecision.Kind.RESUME : RetryDecision.Kind.RETRY;
 	}
 
-	private boolean mayTryAgain(long nowNanos) {
-		return this.attempts < this.policy.maxAttempts()
-				&& this.deadlineNanos - nowNanos >= this.policy.minRemaining().toNanos();
-	}
-
 	private void tick(long nowNanos, Consumer<EntryAction> actions) {
-		for (OpenAttempt attempt : List.copyOf(this.open.values())) {
-			if (canStall(attempt) && nowNanos >= stallNanos(attempt)) {
-				actions.accept(cancel(attempt));
+		for (OpenAttempt attempt : this.open.all()) {
+			if (this.timers.isStalled(attempt, nowNanos)) {
+				actions.accept(attempt.cancel());
 				fail(attempt, Verdict.ofMayHaveRun(ErrorCode.STREAM_BROKEN), 0, nowNanos, actions);
 			}
-			else if (!attempt.answering() && !attempt.cancelled() && nowNanos >= settleNanos()) {
+			else if (this.timers.isToSettle(attempt, nowNanos)) {
 				attempt.markCancelled();
-				actions.accept(cancel(attempt));
+				actions.accept(attempt.cancel());
 			}
-			else if (canHedge() && nowNanos >= hedgeNanos(attempt)) {
+			else if (mayHedge() && this.timers.isToHedge(attempt, nowNanos)) {
 				hedge(attempt, nowNanos, actions);
 			}
 		}
@@ -400,8 +351,8 @@
 
 	private void hedge(OpenAttempt slow, long nowNanos, Consumer<EntryAction> actions) {
 		this.hedged = true;
-		Optional<UpstreamId> next = mayTryAgain(nowNanos) ? this.picker.pick(Set.copyOf(this.tried), nowNanos)
-				: Optional.empty();
+		Optional<UpstreamId> next = this.timers.allowsAnother(this.attempts, nowNanos)
+				? this.picker.pick(this.open.tried(), nowNanos) : Optional.empty();
 		if (next.isPresent() && this.budget.tryTake()) {
 			actions.accept(new EntryAction.Decided(new RetryDecision(slow.id(), slow.upstream(),
 					RetryDecision.Kind.HEDGE, true, Optional.empty(), next)));
@@ -409,56 +360,27 @@
 		}
 	}
 
-	private boolean canHedge() {
-		return this.spec.idempotent() && this.policy.hedgeAfter().isPresent() && !this.hedged && this.open.size() == 1
-				&& this.winner.isEmpty() && !this.relay.started();
-	}
-
-	private boolean canStall(OpenAttempt attempt) {
-		return this.spec.idempotent() && attempt.answering();
-	}
-
-	private long hedgeNanos(OpenAttempt attempt) {
-		return attempt.sentNanos() + this.policy.hedgeAfter().orElseThrow().toNanos();
-	}
-
-	private long stallNanos(OpenAttempt attempt) {
-		return attempt.heardNanos() + this.policy.stallAfter().toNanos();
-	}
-
-	private long settleNanos() {
-		return this.deadlineNanos - this.policy.settleBefore().toNanos();
+	private boolean mayHedge() {
+		return !this.hedged && this.open.size() == 1 && this.winner.isEmpty() && !this.relay.started();
 	}
 
 	private void expire(Consumer<EntryAction> actions) {
-		List.copyOf(this.open.values()).forEach((attempt) -> drop(attempt, ErrorCode.DEADLINE_EXCEEDED, actions));
+		this.open.all().forEach((attempt) -> drop(attempt, ErrorCode.DEADLINE_EXCEEDED, actions));
 		giveUp(ErrorCode.DEADLINE_EXCEEDED, 0, actions);
 	}
 
 	private void abandon(Consumer<EntryAction> actions) {
-		List.copyOf(this.open.values()).forEach((attempt) -> drop(attempt, ErrorCode.CANCELLED, actions));
-		this.verdict = Optional.of(verdictOf(ErrorCode.CANCELLED));
+		this.open.all().forEach((attempt) -> drop(attempt, ErrorCode.CANCELLED, actions));
+		this.verdict = Optional.of(this.open.verdictOf(ErrorCode.CANCELLED));
 	}
 
 	private void drop(OpenAttempt attempt, ErrorCode code, Consumer<EntryAction> actions) {
-		this.open.remove(attempt.id().attempt());
-		this.uncertain = Optional.of(code);
-		actions.accept(cancel(attempt));
-	}
-
-	private static EntryAction cancel(OpenAttempt attempt) {
-		return new EntryAction.SendCancel(attempt.upstream(), new CallMessage.Cancel(attempt.id()));
-	}
-
-	private Verdict verdictOf(ErrorCode code) {
-		if (this.uncertain.isEmpty()) {
-			return Verdict.ofNotRun(code);
-		}
-		return Verdict.ofMayHaveRun((code == ErrorCode.DEADLINE_EXCEEDED) ? code : this.uncertain.get());
+		this.open.end(attempt, Verdict.ofMayHaveRun(code));
+		actions.accept(attempt.cancel());
 	}
 
 	private void giveUp(ErrorCode code, long retryAfterMillis, Consumer<EntryAction> actions) {
-		Verdict last = verdictOf(code);
+		Verdict last = this.open.verdictOf(code);
 		this.verdict = Optional.of(last);
 		if (this.relay.started()) {
 			actions.accept(new EntryAction.BreakStream(last));
@@ -468,10 +390,4 @@
 		actions.accept(new EntryAction.Reject(last, RetryRules.worthComingBack(code) ? retryAfter : 0));
 	}
 
-	private void countDropped(EntryEvent event) {
-		if (event instanceof EntryEvent.Received) {
-			this.dropped++;
-		}
-	}
-
 }
--- a/bulrushrouter-request/src/main/java/io/bulrushrouter/request/OpenAttempt.java
+++ b/bulrushrouter-request/src/main/java/io/bulrushrouter/request/OpenAttempt.java
@@ -96,23 +96,43 @@
 		}
 	}
 
-	boolean isBoundTo(long upstreamIncarnation) {
-		return this.incarnation.isEmpty() || this.incarnation.get() == upstreamIncarnation;
+	/**
+	 * Tells whether a message is about this attempt and from the process it went to.
+	 * @param received the message
+	 * @return whether it may be taken
+	 */
+	boolean isFrom(EntryEvent.Received received) {
+		return received.message().attempt().equals(this.id) && received.upstream().equals(this.upstream)
+				&& (this.incarnation.isEmpty() || this.incarnation.get() == received.upstreamIncarnation());
+	}
+
+	EntryAction cancel() {
+		return new EntryAction.SendCancel(this.upstream, new CallMessage.Cancel(this.id));
 	}
 
 	/**
 	 * Keeps a part of the answer until its turn.
-	 * @param sequence the part's number
 	 * @param message the part
 	 * @return false if it came before or is too far ahead
 	 */
-	boolean keep(int sequence, CallMessage message) {
+	boolean keep(CallMessage message) {
+		int sequence = sequenceOf(message);
 		if (sequence < this.nextSequence || this.waiting.size() >= MAX_WAITING) {
 			return false;
 		}
 		return this.waiting.putIfAbsent(sequence, message) == null;
 	}
 
+	private static int sequenceOf(CallMessage message) {
+		if (message instanceof CallMessage.Head head) {
+			return head.sequence();
+		}
+		if (message instanceof CallMessage.Data data) {
+			return data.sequence();
+		}
+		return (message instanceof CallMessage.End end) ? end.sequence() : -1;
+	}
+
 	/**
 	 * Returns the next part whose turn it is.
 	 * @param nowNanos the time
--- a/bulrushrouter-request/src/main/java/io/bulrushrouter/request/SidecarCalls.java
+++ b/bulrushrouter-request/src/main/java/io/bulrushrouter/request/SidecarCalls.java
@@ -30,9 +30,11 @@
 
 	private final RunTable runs;
 
-	private final AnswerCache<AnswerCache.ReadKey> reads;
+	private final KeptAnswers kept;
 
-	private final AnswerCache<RunTable.ClaimKey> kept;
+	private final Replies replies;
+
+	private final SharedAnswers shared;
 
 	private final PriorityQueue<EngineRun.Waiter> deadlines = new PriorityQueue<>(
 			Comparator.comparingLong(EngineRun.Waiter::deadlineNanos));
@@ -49,8 +51,9 @@
 		this.queue = Objects.requireNonNull(queue);
 		this.guards = guards;
 		this.runs = new RunTable(policy.rememberedAttempts());
-		this.reads = new AnswerCache<>(policy.keptAnswerBytes() / 2);
-		this.kept = new AnswerCache<>(policy.keptAnswerBytes() / 2);
+		this.kept = new KeptAnswers(policy.keptAnswerBytes());
+		this.replies = new Replies(this.runs);
+		this.shared = new SharedAnswers(this.runs, this.kept, this.replies, guards);
 	}
 
 	/**
@@ -145,85 +148,30 @@
 		long deadline = nowNanos + Duration.ofMillis(call.remainingMillis()).toNanos();
 		EngineRun.Waiter waiter = new EngineRun.Waiter(call.attempt(), arrived.connection(), deadline);
 		if (ended.isPresent()) {
-			refuse(waiter, ErrorCode.CANCELLED, 0, actions);
+			this.replies.notRun(waiter, ErrorCode.CANCELLED, 0, actions);
 		}
 		else if (this.draining && this.guards.gate()) {
-			refuse(waiter, ErrorCode.DRAINING, 0, actions);
+			this.replies.notRun(waiter, ErrorCode.DRAINING, 0, actions);
 		}
 		else if (expiryNanos(waiter) <= nowNanos) {
-			refuse(waiter, ErrorCode.DEADLINE_EXCEEDED, 0, actions);
+			this.replies.notRun(waiter, ErrorCode.DEADLINE_EXCEEDED, 0, actions);
 		}
-		else if (!answerFromKept(waiter, call, actions)) {
+		else if (!this.shared.answer(waiter, call, actions)) {
 			enqueue(waiter, call, nowNanos, actions);
 		}
-	}
-
-	private boolean answerFromKept(EngineRun.Waiter waiter, CallMessage.Call call, Consumer<SidecarAction> actions) {
-		if (!call.spec().idempotent()) {
-			return answerRepeat(waiter, call.spec(), actions);
-		}
-		if (!RunTable.isRead(call.spec()) || call.resumeAfterTokens() > 0) {
-			return false;
-		}
-		Optional<AnswerCache.Answer> answer = this.reads.find(AnswerCache.ReadKey.of(call.spec()));
-		if (answer.isPresent()) {
-			replay(waiter, answer.get(), actions);
-			return true;
-		}
-		Optional<EngineRun> equal = this.runs.equalRead(call.spec());
-		equal.ifPresent((run) -> join(waiter, run, actions));
-		return equal.isPresent();
-	}
-
-	private boolean answerRepeat(EngineRun.Waiter waiter, RequestSpec spec, Consumer<SidecarAction> actions) {
-		RunTable.ClaimKey key = RunTable.ClaimKey.of(waiter.attempt(), spec);
-		Optional<AnswerCache.Answer> answer = this.kept.find(key);
-		Optional<EngineRun> running = this.runs.ofKey(key);
-		if (!this.guards.claim() || (answer.isEmpty() && running.isEmpty())) {
-			return false;
-		}
-		long digest = answer.map(AnswerCache.Answer::digest).orElseGet(() -> running.get().spec().digest());
-		if (digest != spec.digest()) {
-			refuse(waiter, ErrorCode.KEY_REUSED, 0, actions);
-		}
-		else if (answer.isPresent()) {
-			replay(waiter, answer.get(), actions);
-		}
-		else {
-			failOne(waiter, ErrorCode.IN_FLIGHT, actions);
-		}
-		return true;
-	}
-
-	private void replay(EngineRun.Waiter waiter, AnswerCache.Answer answer, Consumer<SidecarAction> actions) {
-		this.runs.end(waiter.attempt(), RunTable.Ended.SETTLED);
-		note(waiter.attempt(), Decision.REPLAYED, Optional.empty(), actions);
-		actions.accept(waiter.head(answer.status(), answer.contentType()));
-		answer.parts().forEach((part) -> actions.accept(waiter.data(part)));
-		actions.accept(waiter.end());
-	}
-
-	private void join(EngineRun.Waiter waiter, EngineRun run, Consumer<SidecarAction> actions) {
-		this.runs.join(run, waiter);
-		this.deadlines.add(waiter);
-		note(waiter.attempt(), Decision.JOINED, Optional.empty(), actions);
-		run.head().ifPresent((head) -> {
-			actions.accept(waiter.head(head.status(), head.contentType()));
-			run.parts().forEach((part) -> actions.accept(waiter.data(part)));
-		});
+		this.runs.ofWaiter(call.attempt()).ifPresent((run) -> this.deadlines.add(waiter));
 	}
 
 	private void enqueue(EngineRun.Waiter waiter, CallMessage.Call call, long nowNanos,
 			Consumer<SidecarAction> actions) {
 		if (!this.queue.offer(new CallQueue.QueuedCall(call.attempt(), call.spec()), nowNanos)) {
-			refuse(waiter, ErrorCode.OVERLOADED, this.policy.retryAfter().toMillis(), actions);
+			this.replies.notRun(waiter, ErrorCode.OVERLOADED, this.policy.retryAfter().toMillis(), actions);
 			return;
 		}
 		EngineRun run = new EngineRun(call.attempt(), call.spec(), call.resumeAfterTokens());
 		this.runs.add(run);
 		this.runs.join(run, waiter);
-		this.deadlines.add(waiter);
-		note(call.attempt(), Decision.QUEUED, Optional.empty(), actions);
+		this.replies.note(call.attempt(), Decision.QUEUED, actions);
 	}
 
 	private void pump(long nowNanos, Consumer<SidecarAction> actions) {
@@ -245,7 +193,7 @@
 
 	private void start(EngineRun run, Consumer<SidecarAction> actions) {
 		run.state(EngineRun.State.STARTED);
-		note(run.id(), Decision.STARTED, Optional.empty(), actions);
+		this.replies.note(run.id(), Decision.STARTED, actions);
 		actions.accept(new SidecarAction.RunOnEngine(run.id(), run.spec(), run.resumeAfterTokens()));
 	}
 
@@ -306,10 +254,10 @@
 		boolean mayRun = run.state() == EngineRun.State.STARTED || run.waiters().size() > 1;
 		leave(run, waiter, actions);
 		if (mayRun && this.guards.startedMark()) {
-			failOne(waiter, code, actions);
+			this.replies.failed(waiter, code, actions);
 		}
 		else {
-			refuse(waiter, code, 0, actions);
+			this.replies.notRun(waiter, code, 0, actions);
 		}
 	}
 
@@ -395,23 +343,14 @@
 	}
 
 	private void complete(EngineRun run, Consumer<SidecarAction> actions) {
-		run.answer().ifPresent((answer) -> keep(run, answer));
+		this.kept.keep(run);
 		for (EngineRun.Waiter waiter : List.copyOf(run.waiters())) {
 			actions.accept(waiter.end());
 		}
-		note(run.id(), Decision.ANSWERED, Optional.empty(), actions);
+		this.replies.note(run.id(), Decision.ANSWERED, actions);
 		remove(run);
 	}
 
-	private void keep(EngineRun run, AnswerCache.Answer answer) {
-		if (!run.spec().idempotent()) {
-			this.kept.keep(RunTable.ClaimKey.of(run.id(), run.spec()), answer);
-		}
-		else if (RunTable.isRead(run.spec()) && answer.status() == 200 && !run.cancelled()) {
-			this.reads.keep(AnswerCache.ReadKey.of(run.spec()), answer);
-		}
-	}
-
 	private void failRun(EngineRun run, SidecarEvent.EngineFailed failed, Consumer<SidecarAction> actions) {
 		if (failed.mayHaveRun() || run.head().isPresent()) {
 			failAll(run, failed.code(), actions);
@@ -426,13 +365,13 @@
 	private void handBack(EngineRun run, ErrorCode code, long retryAfterMillis, Consumer<SidecarAction> actions) {
 		List<EngineRun.Waiter> waiters = new ArrayList<>(run.waiters());
 		remove(run);
-		waiters.forEach((waiter) -> refuse(waiter, code, retryAfterMillis, actions));
+		waiters.forEach((waiter) -> this.replies.notRun(waiter, code, retryAfterMillis, actions));
 	}
 
 	private void failAll(EngineRun run, ErrorCode code, Consumer<SidecarAction> actions) {
 		List<EngineRun.Waiter> waiters = new ArrayList<>(run.waiters());
 		remove(run);
-		waiters.forEach((waiter) -> failOne(waiter, code, actions));
+		waiters.forEach((waiter) -> this.replies.failed(waiter, code, actions));
 	}
 
 	private void remove(EngineRun run) {
@@ -441,22 +380,4 @@
 		this.runs.remove(run);
 	}
 
-	private void refuse(EngineRun.Waiter waiter, ErrorCode code, long retryAfterMillis,
-			Consumer<SidecarAction> actions) {
-		this.runs.end(waiter.attempt(), RunTable.Ended.SETTLED);
-		note(waiter.attempt(), Decision.NOT_RUN, Optional.of(code), actions);
-		actions.accept(waiter.reply(new CallMessage.NotRun(waiter.attempt(), code, retryAfterMillis)));
-	}
-
-	private void failOne(EngineRun.Waiter waiter, ErrorCode code, Consumer<SidecarAction> actions) {
-		this.runs.end(waiter.attempt(), RunTable.Ended.SETTLED);
-		note(waiter.attempt(), Decision.FAILED, Optional.of(code), actions);
-		actions.accept(waiter.reply(new CallMessage.Failed(waiter.attempt(), code)));
-	}
-
-	private static void note(AttemptId attempt, Decision decision, Optional<ErrorCode> code,
-			Consumer<SidecarAction> actions) {
-		actions.accept(new SidecarAction.Decided(attempt, decision, code));
-	}
-
 }
