--- a/bulrushrouter-request/src/main/java/io/bulrushrouter/request/ClaimShard.java
+++ b/bulrushrouter-request/src/main/java/io/bulrushrouter/request/ClaimShard.java
@@ -149,14 +149,15 @@
 		loadArchives();
 	}
 
+	// A write that takes effect proves that all decisions of its batch rest on the newest
+	// claims; without a write they have to be read.
 	private void decide() {
 		Map<KeyHash, ClaimRecord> changes = new HashMap<>();
 		List<ClaimOutcome> outcomes = new ArrayList<>();
 		for (Operation operation : this.batch) {
 			outcomes.add(decide(operation, changes));
 		}
-		boolean refuses = outcomes.stream().anyMatch((outcome) -> !(outcome instanceof ClaimOutcome.Granted));
-		if (refuses && !this.fresh) {
+		if (changes.isEmpty() && !this.fresh) {
 			this.loaded = false;
 			proceed();
 		}
