Find dead upstreams at once, and check the demo's drain for real

Cause: (1) the demo read the burn-down's last planned point as 'nothing remains', so it never waited for the drain, and 9 requests then still reached the leaving runner: the check was wrong, not the gate. It now reads the report's own count. (2) After an engine died, its sidecar's fast refusals counted as declined, so entries kept choosing it and spent their retry budget: 6 to 10 of 120 streams were cut. Ruled out: the resume itself.

--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/cli/DaemonCommands.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/cli/DaemonCommands.java
@@ -51,6 +51,10 @@
 			.action(Arguments.storeTrue())
 			.help("stay up after the run and print requests to try");
 		parser.addArgument("--json").action(Arguments.storeTrue()).help("print the outcome as JSON");
+		parser.addArgument("--log-format")
+			.choices("quiet", "human", "json")
+			.setDefault("quiet")
+			.help("the decision log's form");
 	}
 
 	private static int entry(Namespace arguments) {
@@ -95,7 +99,7 @@
 	}
 
 	private static int demo(Namespace arguments) {
-		LogSetup.use("quiet");
+		LogSetup.use(arguments.getString("log_format"));
 		return Demo.run(System.out, arguments.getBoolean("json"), arguments.getBoolean("serve")) ? ExitCode.DONE
 				: ExitCode.FAILED;
 	}
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/demo/DemoScript.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/demo/DemoScript.java
@@ -9,6 +9,9 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+
 import io.bulrushrouter.http.HttpCaller;
 import io.bulrushrouter.standin.EngineText;
 
@@ -18,6 +21,10 @@
  */
 final class DemoScript {
 
+	private static final ObjectMapper JSON = new ObjectMapper();
+
+	private static final int OK = 200;
+
 	private static final int STREAMS = 120;
 
 	private static final int TOKENS = 40;
@@ -149,7 +156,7 @@
 		long end = System.nanoTime() + DRAIN_LIMIT_NANOS;
 		while (System.nanoTime() < end) {
 			Caller.Answer report = join(operator().send("GET", "/admin/v1/plans/demo/report", Map.of(), ""));
-			if (report.status() == 200 && report.body().contains("\"remaining\" : 0")) {
+			if (report.status() == OK && remaining(report.body()) == 0) {
 				return true;
 			}
 			pause();
@@ -157,6 +164,15 @@
 		return false;
 	}
 
+	private static int remaining(String report) {
+		try {
+			return JSON.readTree(report).path("remaining").asInt(-1);
+		}
+		catch (JsonProcessingException ex) {
+			return -1;
+		}
+	}
+
 	private static void pause() {
 		try {
 			TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/demo/Fleet.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/demo/Fleet.java
@@ -44,6 +44,9 @@
 
 	private static final String LOOPBACK = "127.0.0.1";
 
+	/** Two entries share the streams of an upstream that dies. */
+	private static final int RETRY_BURST = 64;
+
 	private static final Duration READY_TIMEOUT = Duration.ofSeconds(20);
 
 	private final EventLoopGroup network = new NioEventLoopGroup(4);
@@ -129,7 +132,7 @@
 	private Settings entrySettings(String name, String dataCentre, int callers) {
 		int operators = (callers > 0) ? callers + 1 : 0;
 		String ini = common(name, dataCentre) + "[callers]\nlisten = 127.0.0.1:" + callers
-				+ "\n[operators]\nlisten = 127.0.0.1:" + operators + "\n";
+				+ "\n[operators]\nlisten = 127.0.0.1:" + operators + "\n[routing]\nretry-burst = " + RETRY_BURST + "\n";
 		return Settings.ofReader("demo entry " + name, new StringReader(ini));
 	}
 
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/EntryCore.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/EntryCore.java
@@ -58,7 +58,7 @@
 
 	private final Consumer<EntryInput> inbox;
 
-	private final RetryBudget budget = RetryBudget.ofDefaults();
+	private final RetryBudget budget;
 
 	private final Map<Long, OpenCall> calls = new HashMap<>();
 
@@ -70,11 +70,12 @@
 
 	private volatile int connected;
 
-	EntryCore(long incarnation, EntryPolicy policy, RouteBook routes, UpstreamLinks links, TimeSource time,
-			Metrics metrics, Consumer<EntryInput> inbox) {
+	EntryCore(long incarnation, EntryPolicy policy, RetryBudget budget, RouteBook routes, UpstreamLinks links,
+			TimeSource time, Metrics metrics, Consumer<EntryInput> inbox) {
 		this.inbox = inbox;
 		this.incarnation = incarnation;
 		this.policy = policy;
+		this.budget = budget;
 		this.routes = routes;
 		this.links = links;
 		this.time = time;
@@ -158,6 +159,7 @@
 		else if (control.topic().equals(ControlMessages.UpstreamStateChanged.class.getSimpleName())) {
 			var state = ControlCodec.decode(control, ControlMessages.UpstreamStateChanged.class);
 			this.routes.leaving(upstream, state.leaving());
+			this.routes.healthy(upstream, state.healthy());
 		}
 	}
 
@@ -183,8 +185,9 @@
 		else if (message instanceof CallMessage.End) {
 			endTry(open, message.attempt().attempt(), Outcome.ANSWERED);
 		}
-		else if (message instanceof CallMessage.NotRun) {
-			endTry(open, message.attempt().attempt(), Outcome.DECLINED);
+		else if (message instanceof CallMessage.NotRun notRun) {
+			boolean failed = notRun.code() == ErrorCode.ENGINE_UNREACHABLE;
+			endTry(open, message.attempt().attempt(), failed ? Outcome.FAILED : Outcome.DECLINED);
 		}
 		else if (message instanceof CallMessage.Failed) {
 			endTry(open, message.attempt().attempt(), Outcome.FAILED);
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/EntryNode.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/EntryNode.java
@@ -40,6 +40,7 @@
 import io.bulrushrouter.platform.SettledWrites;
 import io.bulrushrouter.request.EntryPolicy;
 import io.bulrushrouter.request.RequestSpec;
+import io.bulrushrouter.request.RetryBudget;
 import io.bulrushrouter.routing.UpstreamChooser;
 import io.bulrushrouter.wire.PeerConnection;
 import io.bulrushrouter.wire.PeerHandler;
@@ -108,6 +109,7 @@
 			this.peers = PeerNetwork.of(this.bootstrap.network(), hello, new Peers(), random);
 			EntryPolicy policy = EntryPolicy.builder().maxAttempts(settings.maxAttempts()).build();
 			this.core = new EntryCore(incarnation, policy,
+					RetryBudget.of(RetryBudget.DEFAULT_RATIO, settings.retryBurst()),
 					new RouteBook(settings.process().dataCentre(), chooser, random), new UpstreamLinks(this.peers),
 					TimeSource.ofSystem(), this.bootstrap.metrics(), (input) -> inbox().put(input));
 			this.duty = Duty.<EntryInput>builder("entry", this.core::take).tick(TICK, this.core::tick).start();
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/EntrySettings.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/EntrySettings.java
@@ -7,6 +7,7 @@
 
 import io.bulrushrouter.daemon.node.ProcessSettings;
 import io.bulrushrouter.kernel.settings.Settings;
+import io.bulrushrouter.request.RetryBudget;
 import io.bulrushrouter.routing.RoutingPlugins;
 
 /**
@@ -19,9 +20,10 @@
  * @param readTimeout how long a request may take to arrive
  * @param chooser the way of choosing an upstream
  * @param maxAttempts the most attempts of a request
+ * @param retryBurst the most further attempts at once, over all requests
  */
 public record EntrySettings(ProcessSettings process, InetSocketAddress callers, InetSocketAddress operators,
-		int maxBodyBytes, Duration readTimeout, String chooser, int maxAttempts) {
+		int maxBodyBytes, Duration readTimeout, String chooser, int maxAttempts, int retryBurst) {
 
 	private static final int DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
 
@@ -31,9 +33,11 @@
 
 	private static final int DEFAULT_ATTEMPTS = 3;
 
+	private static final int DEFAULT_BURST = (int) RetryBudget.DEFAULT_BURST;
+
 	private static final Map<String, Set<String>> KNOWN = Map.of("process", ProcessSettings.PROCESS_KEYS, "platform",
 			ProcessSettings.PLATFORM_KEYS, "callers", Set.of("listen", "max-body-bytes", "read-timeout"), "operators",
-			Set.of("listen"), "routing", Set.of("chooser", "max-attempts"));
+			Set.of("listen"), "routing", Set.of("chooser", "max-attempts", "retry-burst"));
 
 	/**
 	 * Reads and checks the settings.
@@ -48,7 +52,8 @@
 				settings.value("callers", "max-body-bytes", DEFAULT_MAX_BODY_BYTES, EntrySettings::bodyBytes),
 				settings.duration("callers", "read-timeout", DEFAULT_READ_TIMEOUT),
 				settings.find("routing", "chooser").orElse(RoutingPlugins.DEFAULT_CHOOSER),
-				settings.value("routing", "max-attempts", DEFAULT_ATTEMPTS, Integer::parseInt));
+				settings.value("routing", "max-attempts", DEFAULT_ATTEMPTS, Integer::parseInt),
+				settings.value("routing", "retry-burst", DEFAULT_BURST, Integer::parseInt));
 	}
 
 	private static int bodyBytes(String text) {
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/RouteBook.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/RouteBook.java
@@ -49,6 +49,8 @@
 
 	private final Set<UpstreamId> unreachable = new HashSet<>();
 
+	private final Set<UpstreamId> unhealthy = new HashSet<>();
+
 	private Set<ModelId> models = Set.of();
 
 	RouteBook(DataCentreId dataCentre, UpstreamChooser chooser, RandomGenerator random) {
@@ -88,6 +90,13 @@
 		}
 	}
 
+	void healthy(UpstreamId upstream, boolean isHealthy) {
+		boolean changed = isHealthy ? this.unhealthy.remove(upstream) : this.unhealthy.add(upstream);
+		if (changed) {
+			DecisionLog.of("upstream-health").with("upstream", upstream).with("healthy", isHealthy).write();
+		}
+	}
+
 	void leaving(UpstreamId upstream, boolean isLeaving) {
 		if (isLeaving) {
 			this.table.leaving(upstream);
@@ -106,6 +115,7 @@
 		this.ejection.applyTo(this.table, now);
 		Set<UpstreamId> avoided = new HashSet<>(excluded);
 		avoided.addAll(this.unreachable);
+		avoided.addAll(this.unhealthy);
 		Choice choice = this.chooser.choose(query(spec, avoided), this.table, now, this.random);
 		log(id, spec, choice);
 		return choice.upstream();
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/node/ControlMessages.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/node/ControlMessages.java
@@ -9,11 +9,12 @@
 	}
 
 	/**
-	 * Sidecar to entries: the upstream leaves or has returned.
+	 * Sidecar to entries: the upstream leaves, has died or has returned.
 	 *
 	 * @param leaving whether it leaves
+	 * @param healthy whether it can be reached
 	 */
-	public record UpstreamStateChanged(boolean leaving) {
+	public record UpstreamStateChanged(boolean leaving, boolean healthy) {
 	}
 
 	/**
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/LoadListener.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/ProbeListener.java
@@ -3,7 +3,6 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.Optional;
-import java.util.function.Consumer;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -11,21 +10,22 @@
 import io.bulrushrouter.http.HttpListener;
 
 /**
- * Takes an engine's load report.
+ * Takes the answer to a probe of the upstream: whether it lives and, from an engine, its
+ * load.
  */
-final class LoadListener implements HttpListener {
+final class ProbeListener implements HttpListener {
 
 	private static final ObjectMapper JSON = new ObjectMapper();
 
 	private static final int OK = 200;
 
-	private final Consumer<Optional<SidecarInput.EngineLoad>> consumer;
+	private final Outcome consumer;
 
 	private final ByteArrayOutputStream body = new ByteArrayOutputStream();
 
 	private int status;
 
-	LoadListener(Consumer<Optional<SidecarInput.EngineLoad>> consumer) {
+	ProbeListener(Outcome consumer) {
 		this.consumer = consumer;
 	}
 
@@ -41,7 +41,7 @@
 
 	@Override
 	public void end() {
-		this.consumer.accept((this.status == OK) ? parse() : Optional.empty());
+		this.consumer.accept(this.status == OK, (this.status == OK) ? parse() : Optional.empty());
 	}
 
 	private Optional<SidecarInput.EngineLoad> parse() {
@@ -57,7 +57,22 @@
 
 	@Override
 	public void failed(boolean mayHaveArrived, Throwable cause) {
-		this.consumer.accept(Optional.empty());
+		this.consumer.accept(false, Optional.empty());
+	}
+
+	/**
+	 * Takes the outcome of a probe.
+	 */
+	@FunctionalInterface
+	interface Outcome {
+
+		/**
+		 * Takes the outcome.
+		 * @param answered whether the upstream answered well
+		 * @param load its load, if it told it
+		 */
+		void accept(boolean answered, Optional<SidecarInput.EngineLoad> load);
+
 	}
 
 }
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/SidecarCore.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/SidecarCore.java
@@ -61,6 +61,8 @@
 
 	private boolean draining;
 
+	private boolean healthy = true;
+
 	SidecarCore(long incarnation, SidecarCalls calls, EngineClient engine, Claims claims, OrderDesk orders,
 			TimeSource time, Metrics metrics) {
 		this.incarnation = incarnation;
@@ -90,6 +92,9 @@
 		else if (input instanceof SidecarInput.Continue next) {
 			next.action().run();
 		}
+		else if (input instanceof SidecarInput.Health health) {
+			become(health.healthy());
+		}
 		else if (input instanceof SidecarInput.EngineLoad newLoad) {
 			this.load = newLoad;
 			this.loadNanos = this.time.nanos();
@@ -135,6 +140,9 @@
 		}
 		else if (event instanceof SidecarEvent.EngineFailed failed) {
 			this.engine.ended(failed.attempt());
+			if (failed.code() == ErrorCode.ENGINE_UNREACHABLE) {
+				become(false);
+			}
 		}
 		else if (event instanceof SidecarEvent.DrainSign && !this.draining) {
 			this.draining = true;
@@ -144,8 +152,16 @@
 		step(event);
 	}
 
+	private void become(boolean isHealthy) {
+		if (isHealthy != this.healthy) {
+			this.healthy = isHealthy;
+			DecisionLog.of("upstream-health").with("healthy", isHealthy).write();
+			this.entries.values().forEach((entry) -> tellState(entry.connection));
+		}
+	}
+
 	private void tellState(PeerConnection connection) {
-		connection.send(ControlCodec.encode(new ControlMessages.UpstreamStateChanged(this.draining)));
+		connection.send(ControlCodec.encode(new ControlMessages.UpstreamStateChanged(this.draining, this.healthy)));
 	}
 
 	void tick() {
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/SidecarInput.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/SidecarInput.java
@@ -24,6 +24,9 @@
 	record EngineLoad(long queuedTokens, int running) implements SidecarInput {
 	}
 
+	record Health(boolean healthy) implements SidecarInput {
+	}
+
 	record Continue(Runnable action) implements SidecarInput {
 	}
 
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/SidecarNode.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/SidecarNode.java
@@ -41,7 +41,7 @@
 
 	private static final Duration TICK = Duration.ofMillis(5);
 
-	private static final long LOAD_INTERVAL_MILLIS = 250;
+	private static final long PROBE_INTERVAL_MILLIS = 250;
 
 	private static final long DRAIN_POLL_MILLIS = 20;
 
@@ -77,9 +77,7 @@
 			this.peerPort = this.peers.listen(settings.peers());
 			this.bootstrap.metrics().gauge("sidecar.ring.backlog", this.duty::backlog);
 			this.bootstrap.metrics().gauge("sidecar.in.flight", this.core::inFlight);
-			if (!settings.service()) {
-				pollLoad();
-			}
+			pollUpstream();
 		}
 		catch (RuntimeException ex) {
 			this.bootstrap.close();
@@ -121,16 +119,19 @@
 		this.drained = this.core.isDrained();
 	}
 
-	private void pollLoad() {
+	private void pollUpstream() {
+		String path = this.settings.service() ? "/health" : "/load";
 		this.bootstrap.caller()
-			.send("GET", "http://" + this.settings.url().getAuthority() + "/load", Map.of(), new byte[0],
-					new LoadListener((load) -> {
-						load.ifPresent(this.duty::offer);
-						if (!this.bootstrap.network().isShuttingDown()) {
-							this.bootstrap.network()
-								.schedule(this::pollLoad, LOAD_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
-						}
-					}));
+			.send("GET", "http://" + this.settings.url().getAuthority() + path, Map.of(), new byte[0],
+					new ProbeListener(this::probed));
+	}
+
+	private void probed(boolean answered, Optional<SidecarInput.EngineLoad> load) {
+		this.duty.offer(new SidecarInput.Health(answered));
+		load.ifPresent(this.duty::offer);
+		if (!this.bootstrap.network().isShuttingDown()) {
+			this.bootstrap.network().schedule(this::pollUpstream, PROBE_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+		}
 	}
 
 	/**
