Queue fairly over organisations in the sidecar

Cause: the sidecar started attempts in the order in which they came, so one organisation's burst delayed all others. It now uses the routing module's fair queue; what that sheds, also of others that wait, is answered 'not run' with a time to come back.

Before: first in, first out.

--- /dev/null
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/FairCallQueue.java
@@ -0,0 +1,99 @@
+package io.bulrushrouter.daemon.sidecar;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+
+import io.bulrushrouter.kernel.AttemptId;
+import io.bulrushrouter.request.CallKind;
+import io.bulrushrouter.request.CallQueue;
+import io.bulrushrouter.request.RequestSpec;
+import io.bulrushrouter.routing.Dispatch;
+import io.bulrushrouter.routing.FairQueue;
+import io.bulrushrouter.routing.FairQueueSettings;
+import io.bulrushrouter.routing.Offer;
+
+/**
+ * Starts a sidecar's attempts in the order of weighted fair queueing over organisations.
+ */
+final class FairCallQueue implements CallQueue {
+
+	/** What a completion is expected to generate until it is known, in tokens. */
+	private static final long EXPECTED_TOKENS = 64;
+
+	private final FairQueue<QueuedCall> queue;
+
+	private final Map<AttemptId, QueuedCall> waiting = new HashMap<>();
+
+	private final Map<AttemptId, Running> running = new HashMap<>();
+
+	FairCallQueue(FairQueueSettings settings, long nowNanos) {
+		this.queue = FairQueue.of(settings, nowNanos);
+	}
+
+	@Override
+	public List<Refusal> offer(QueuedCall call, long nowNanos) {
+		RequestSpec spec = call.spec();
+		this.waiting.put(call.attempt(), call);
+		Offer<QueuedCall> offer = this.queue.offer(call, spec.organisation(), spec.priority(), cost(spec),
+				call.deadlineNanos(), nowNanos);
+		return offer.shed().stream().map(this::refusal).toList();
+	}
+
+	private Refusal refusal(Offer.Shed<QueuedCall> shed) {
+		this.waiting.remove(shed.item().attempt());
+		long millis = Math.max(1, TimeUnit.NANOSECONDS.toMillis(shed.retryAfterNanos()));
+		return new Refusal(shed.item().attempt(), OptionalLong.of(millis));
+	}
+
+	private static long cost(RequestSpec spec) {
+		return (spec.kind() == CallKind.SERVICE) ? 1 : spec.promptTokens() + EXPECTED_TOKENS;
+	}
+
+	@Override
+	public Optional<QueuedCall> next(long nowNanos) {
+		Optional<Dispatch<QueuedCall>> next = this.queue.next(nowNanos);
+		next.ifPresent((dispatch) -> {
+			this.waiting.remove(dispatch.item().attempt());
+			this.running.put(dispatch.item().attempt(), new Running(dispatch));
+		});
+		return next.map(Dispatch::item);
+	}
+
+	@Override
+	public void remove(AttemptId attempt) {
+		Optional.ofNullable(this.waiting.remove(attempt)).ifPresent(this.queue::remove);
+	}
+
+	@Override
+	public void served(AttemptId attempt, int tokens) {
+		Optional.ofNullable(this.running.get(attempt)).ifPresent((run) -> run.tokens += tokens);
+	}
+
+	@Override
+	public void finished(AttemptId attempt, long nowNanos) {
+		Optional.ofNullable(this.running.remove(attempt))
+			.ifPresent((run) -> this.queue.finished(run.dispatch, run.servedTokens(), nowNanos));
+	}
+
+	private static final class Running {
+
+		private final Dispatch<QueuedCall> dispatch;
+
+		private long tokens;
+
+		private Running(Dispatch<QueuedCall> dispatch) {
+			this.dispatch = dispatch;
+		}
+
+		private long servedTokens() {
+			RequestSpec spec = this.dispatch.item().spec();
+			return (spec.kind() == CallKind.SERVICE) ? 1 : spec.promptTokens() + this.tokens;
+		}
+
+	}
+
+}
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/SidecarNode.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/SidecarNode.java
@@ -15,11 +15,12 @@
 import io.bulrushrouter.http.HttpServer;
 import io.bulrushrouter.kernel.TimeSource;
 import io.bulrushrouter.kernel.duty.Duty;
-import io.bulrushrouter.request.CallQueue;
 import io.bulrushrouter.request.Claims;
 import io.bulrushrouter.request.SidecarCalls;
 import io.bulrushrouter.request.SidecarEvent;
 import io.bulrushrouter.request.SidecarPolicy;
+import io.bulrushrouter.routing.FairQueueSettings;
+import io.bulrushrouter.routing.OrganisationWeights;
 import io.bulrushrouter.wire.PeerConnection;
 import io.bulrushrouter.wire.PeerHandler;
 import io.bulrushrouter.wire.PeerNetwork;
@@ -37,8 +38,6 @@
 
 	private static final int NETWORK_THREADS = 2;
 
-	private static final int QUEUE_CAPACITY = 10_000;
-
 	private static final Duration TICK = Duration.ofMillis(5);
 
 	private static final long PROBE_INTERVAL_MILLIS = 250;
@@ -89,7 +88,8 @@
 		EngineClient engine = new EngineClient(this.bootstrap.caller(), this.settings.url(),
 				(event) -> this.duty.put(new SidecarInput.Happened(event)));
 		SidecarCalls calls = SidecarCalls.of(incarnation, SidecarPolicy.of(this.settings.concurrency()),
-				CallQueue.ofFifo(QUEUE_CAPACITY));
+				new FairCallQueue(FairQueueSettings.of(this.settings.concurrency(), OrganisationWeights.ofEqual()),
+						System.nanoTime()));
 		Claims claims = Claims.builder(this.bootstrap.store(), incarnation).executor(this::onDuty).build();
 		Optional<EngineOrderClient> orderClient = this.settings.service() ? Optional.empty()
 				: Optional.of(new EngineOrderClient(this.bootstrap.caller(), this.settings.url()));
--- a/bulrushrouter-request/src/main/java/io/bulrushrouter/request/CallQueue.java
+++ b/bulrushrouter-request/src/main/java/io/bulrushrouter/request/CallQueue.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import io.bulrushrouter.kernel.AttemptId;
 
@@ -15,9 +17,10 @@
 	 * Takes an attempt in.
 	 * @param call the attempt
 	 * @param nowNanos the time
-	 * @return false if the attempt has to be refused
+	 * @return the attempts that have to be refused now, which may be this one or others
+	 * that waited
 	 */
-	boolean offer(QueuedCall call, long nowNanos);
+	List<Refusal> offer(QueuedCall call, long nowNanos);
 
 	/**
 	 * Takes out the attempt that starts next.
@@ -34,10 +37,18 @@
 
 	/**
 	 * Accounts for work that an engine did.
-	 * @param spec the request that it was done for
+	 * @param attempt the attempt that it was done for
 	 * @param tokens the generated tokens
 	 */
-	default void served(RequestSpec spec, int tokens) {
+	default void served(AttemptId attempt, int tokens) {
+	}
+
+	/**
+	 * Notes that an attempt that was started has ended.
+	 * @param attempt the attempt
+	 * @param nowNanos the time
+	 */
+	default void finished(AttemptId attempt, long nowNanos) {
 	}
 
 	/**
@@ -54,8 +65,19 @@
 	 *
 	 * @param attempt the attempt
 	 * @param spec what to run
+	 * @param deadlineNanos when its caller gives up
+	 */
+	record QueuedCall(AttemptId attempt, RequestSpec spec, long deadlineNanos) {
+	}
+
+	/**
+	 * An attempt that has to be refused before it starts.
+	 *
+	 * @param attempt the attempt
+	 * @param retryAfterMillis when its caller should find room, in milliseconds; empty if
+	 * not known
 	 */
-	record QueuedCall(AttemptId attempt, RequestSpec spec) {
+	record Refusal(AttemptId attempt, OptionalLong retryAfterMillis) {
 	}
 
 	/**
@@ -72,8 +94,12 @@
 		}
 
 		@Override
-		public boolean offer(QueuedCall call, long nowNanos) {
-			return this.calls.size() < this.capacity && this.calls.add(call);
+		public List<Refusal> offer(QueuedCall call, long nowNanos) {
+			if (this.calls.size() >= this.capacity) {
+				return List.of(new Refusal(call.attempt(), OptionalLong.empty()));
+			}
+			this.calls.add(call);
+			return List.of();
 		}
 
 		@Override
--- a/bulrushrouter-request/src/main/java/io/bulrushrouter/request/SidecarCalls.java
+++ b/bulrushrouter-request/src/main/java/io/bulrushrouter/request/SidecarCalls.java
@@ -41,6 +41,8 @@
 
 	private int active;
 
+	private long nowNanos;
+
 	private boolean draining;
 
 	private long dropped;
@@ -111,6 +113,7 @@
 	 * @param actions takes what to do, in order
 	 */
 	public void on(SidecarEvent event, long nowNanos, Consumer<SidecarAction> actions) {
+		this.nowNanos = nowNanos;
 		if (event instanceof SidecarEvent.Arrived arrived) {
 			arrive(arrived, nowNanos, actions);
 		}
@@ -164,14 +167,19 @@
 
 	private void enqueue(EngineRun.Waiter waiter, CallMessage.Call call, long nowNanos,
 			Consumer<SidecarAction> actions) {
-		if (!this.queue.offer(new CallQueue.QueuedCall(call.attempt(), call.spec()), nowNanos)) {
-			this.replies.notRun(waiter, ErrorCode.OVERLOADED, this.policy.retryAfter().toMillis(), actions);
-			return;
-		}
 		EngineRun run = new EngineRun(call.attempt(), call.spec(), call.resumeAfterTokens());
 		this.runs.add(run);
 		this.runs.join(run, waiter);
 		this.replies.note(call.attempt(), Decision.QUEUED, actions);
+		this.queue.offer(new CallQueue.QueuedCall(call.attempt(), call.spec(), waiter.deadlineNanos()), nowNanos)
+			.forEach((refusal) -> refuse(refusal, actions));
+	}
+
+	private void refuse(CallQueue.Refusal refusal, Consumer<SidecarAction> actions) {
+		long retryAfterMillis = refusal.retryAfterMillis().orElse(this.policy.retryAfter().toMillis());
+		this.runs.find(refusal.attempt())
+			.filter((run) -> run.state() == EngineRun.State.QUEUED)
+			.ifPresent((run) -> handBack(run, ErrorCode.OVERLOADED, retryAfterMillis, actions));
 	}
 
 	private void pump(long nowNanos, Consumer<SidecarAction> actions) {
@@ -339,7 +347,7 @@
 		AnswerCache.Part part = new AnswerCache.Part(data.bytes(), data.tokens());
 		run.record(part, this.policy.maxAnswerBytes());
 		run.waiters().forEach((waiter) -> actions.accept(waiter.data(part)));
-		this.queue.served(run.spec(), data.tokens());
+		this.queue.served(run.id(), data.tokens());
 	}
 
 	private void complete(EngineRun run, Consumer<SidecarAction> actions) {
@@ -375,7 +383,10 @@
 	}
 
 	private void remove(EngineRun run) {
-		this.active -= (run.state() == EngineRun.State.QUEUED) ? 0 : 1;
+		if (run.state() != EngineRun.State.QUEUED) {
+			this.active--;
+			this.queue.finished(run.id(), this.nowNanos);
+		}
 		this.deadlines.removeAll(run.waiters());
 		this.runs.remove(run);
 	}
