--- /dev/null
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/path/FirstTokenListener.java
@@ -0,0 +1,53 @@
+package io.bulrushrouter.bench.path;
+
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import org.HdrHistogram.Histogram;
+
+import io.bulrushrouter.http.HttpListener;
+
+/**
+ * Records the time to the first part of an answer, in microseconds.
+ */
+final class FirstTokenListener implements HttpListener {
+
+	private final long startNanos = System.nanoTime();
+
+	private final Histogram histogram;
+
+	private final CountDownLatch done;
+
+	private boolean first = true;
+
+	FirstTokenListener(Histogram histogram, CountDownLatch done) {
+		this.histogram = histogram;
+		this.done = done;
+	}
+
+	@Override
+	public void head(int status, String contentType) {
+		if (status != 200) {
+			throw new IllegalStateException("status " + status);
+		}
+	}
+
+	@Override
+	public void part(byte[] bytes) {
+		if (this.first) {
+			this.first = false;
+			this.histogram.recordValue(TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - this.startNanos));
+		}
+	}
+
+	@Override
+	public void end() {
+		this.done.countDown();
+	}
+
+	@Override
+	public void failed(boolean mayHaveArrived, Throwable cause) {
+		System.err.println("an answer failed: " + cause);
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/path/PathLatency.java
@@ -0,0 +1,121 @@
+package io.bulrushrouter.bench.path;
+
+import java.io.PrintStream;
+import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+
+import io.bulrushrouter.bench.Experiment;
+import io.bulrushrouter.daemon.demo.Caller;
+import io.bulrushrouter.daemon.demo.Fleet;
+import io.bulrushrouter.http.HttpCaller;
+import io.bulrushrouter.standin.EngineStandin;
+
+/**
+ * Time to the first token through entry and sidecar beside a direct call of the same
+ * engines, request by request in turn, at 500 requests a second in all on each path.
+ */
+final class PathLatency implements Experiment {
+
+	private static final int REQUESTS_PER_SECOND = 500;
+
+	private static final int WARM_UP = 3_000;
+
+	private static final int REQUESTS = 10_000;
+
+	private static final int TOKENS = 4;
+
+	private static final double MEDIAN_BOUND_MILLIS = 1;
+
+	private static final double TAIL_BOUND_MILLIS = 3;
+
+	private static final double MICROS_PER_MILLI = 1_000;
+
+	@Override
+	public boolean run(PrintStream out) {
+		EngineStandin.Profile profile = EngineStandin.Profile.ofDefaults().withPace(Duration.ofMillis(1), 64);
+		EventLoopGroup network = new NioEventLoopGroup(2);
+		try (HttpCaller http = HttpCaller.of(network); Fleet fleet = Fleet.builder().profile(profile).start()) {
+			if (!fleet.awaitReady()) {
+				return false;
+			}
+			measure(fleet, http, WARM_UP, new ConcurrentHistogram(3), new ConcurrentHistogram(3));
+			Histogram direct = new ConcurrentHistogram(3);
+			Histogram routed = new ConcurrentHistogram(3);
+			AllocatedBytes before = AllocatedBytes.now();
+			long sentBefore = sent(fleet);
+			measure(fleet, http, REQUESTS, direct, routed);
+			print(out, direct, routed);
+			out.printf("| allocated bytes per request, entry and sidecar | | | %d |%n",
+					before.until(AllocatedBytes.now()) / REQUESTS);
+			out.printf("| frame bytes per request, both ways | | | %d |%n", (sent(fleet) - sentBefore) / REQUESTS);
+			return added(direct, routed, 50) < MEDIAN_BOUND_MILLIS && added(direct, routed, 99) < TAIL_BOUND_MILLIS;
+		}
+		finally {
+			network.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+		}
+	}
+
+	private static long sent(Fleet fleet) {
+		long entries = fleet.entries().stream().mapToLong((entry) -> entry.sent().requestBytes()).sum();
+		return entries + fleet.sidecars().values().stream().mapToLong((sidecar) -> sidecar.sent().requestBytes()).sum();
+	}
+
+	private static void measure(Fleet fleet, HttpCaller http, int requests, Histogram direct, Histogram routed) {
+		CountDownLatch done = new CountDownLatch(2 * requests);
+		long intervalNanos = TimeUnit.SECONDS.toNanos(1) / REQUESTS_PER_SECOND;
+		int[] ports = fleet.engines().values().stream().mapToInt(EngineStandin::port).toArray();
+		long start = System.nanoTime();
+		for (int i = 0; i < requests; i++) {
+			pauseUntil(start + i * intervalNanos);
+			String engine = "http://127.0.0.1:" + ports[i % ports.length];
+			String entry = "http://127.0.0.1:" + fleet.entries().get(i % 2).callersPort();
+			send(new Caller(http, engine, ""), "direct " + requests + " " + i, direct, done);
+			pauseUntil(start + i * intervalNanos + intervalNanos / 2);
+			send(new Caller(http, entry, Fleet.key(1 + i % 10)), "routed " + requests + " " + i, routed, done);
+		}
+		await(done);
+	}
+
+	private static void send(Caller caller, String prompt, Histogram histogram, CountDownLatch done) {
+		caller.stream(prompt, TOKENS, new FirstTokenListener(histogram, done));
+	}
+
+	private static void pauseUntil(long nanos) {
+		for (long left = nanos - System.nanoTime(); left > 0; left = nanos - System.nanoTime()) {
+			LockSupport.parkNanos(left);
+		}
+	}
+
+	private static void await(CountDownLatch done) {
+		try {
+			if (!done.await(60, TimeUnit.SECONDS)) {
+				throw new IllegalStateException(done.getCount() + " answers are missing");
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private static double added(Histogram direct, Histogram routed, double percentile) {
+		return (routed.getValueAtPercentile(percentile) - direct.getValueAtPercentile(percentile)) / MICROS_PER_MILLI;
+	}
+
+	private static void print(PrintStream out, Histogram direct, Histogram routed) {
+		out.println("| time to first token (ms) | direct | routed | added |");
+		out.println("| --- | --- | --- | --- |");
+		for (double percentile : new double[] { 50, 95, 99 }) {
+			out.printf("| percentile %.0f | %.2f | %.2f | %.2f |%n", percentile,
+					direct.getValueAtPercentile(percentile) / MICROS_PER_MILLI,
+					routed.getValueAtPercentile(percentile) / MICROS_PER_MILLI, added(direct, routed, percentile));
+		}
+	}
+
+}
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/EntryNode.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/EntryNode.java
@@ -45,6 +45,7 @@
 import io.bulrushrouter.wire.PeerConnection;
 import io.bulrushrouter.wire.PeerHandler;
 import io.bulrushrouter.wire.PeerNetwork;
+import io.bulrushrouter.wire.WireCounters;
 import io.bulrushrouter.wire.WireMessage;
 
 /**
@@ -113,6 +114,8 @@
 					new RouteBook(settings.process().dataCentre(), chooser, random), new UpstreamLinks(this.peers),
 					TimeSource.ofSystem(), this.bootstrap.metrics(), (input) -> inbox().put(input));
 			this.duty = Duty.<EntryInput>builder("entry", this.core::take).tick(TICK, this.core::tick).start();
+			this.bootstrap.metrics().gauge("wire.sent.request.bytes", () -> this.peers.counters().requestBytes());
+			this.bootstrap.metrics().gauge("wire.sent.control.bytes", () -> this.peers.counters().controlBytes());
 			this.bootstrap.metrics().gauge("entry.ring.backlog", this.duty::backlog);
 			this.bootstrap.metrics().gauge("entry.in.flight", this.core::inFlight);
 			this.bootstrap.metrics().gauge("configuration.version", this.core::version);
@@ -232,6 +235,14 @@
 		}
 	}
 
+	/**
+	 * Returns what the process has sent to other processes.
+	 * @return the counters
+	 */
+	public WireCounters sent() {
+		return this.peers.counters();
+	}
+
 	@Override
 	public void close() {
 		this.configurations.close();
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/SidecarNode.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/SidecarNode.java
@@ -24,6 +24,7 @@
 import io.bulrushrouter.wire.PeerConnection;
 import io.bulrushrouter.wire.PeerHandler;
 import io.bulrushrouter.wire.PeerNetwork;
+import io.bulrushrouter.wire.WireCounters;
 import io.bulrushrouter.wire.WireMessage;
 
 /**
@@ -74,6 +75,8 @@
 			this.operators = HttpServer.start(this.bootstrap.network(), settings.operators(), HttpLimits.ofDefaults(),
 					new OperatorsPort(this.bootstrap.metrics(), () -> !this.drained, OperatorsPort.ofNoRest()));
 			this.peerPort = this.peers.listen(settings.peers());
+			this.bootstrap.metrics().gauge("wire.sent.request.bytes", () -> this.peers.counters().requestBytes());
+			this.bootstrap.metrics().gauge("wire.sent.control.bytes", () -> this.peers.counters().controlBytes());
 			this.bootstrap.metrics().gauge("sidecar.ring.backlog", this.duty::backlog);
 			this.bootstrap.metrics().gauge("sidecar.in.flight", this.core::inFlight);
 			pollUpstream();
@@ -187,6 +190,14 @@
 		}
 	}
 
+	/**
+	 * Returns what the process has sent to other processes.
+	 * @return the counters
+	 */
+	public WireCounters sent() {
+		return this.peers.counters();
+	}
+
 	@Override
 	public void close() {
 		this.peers.close();
--- a/bulrushrouter-wire/src/main/java/io/bulrushrouter/wire/PeerConnection.java
+++ b/bulrushrouter-wire/src/main/java/io/bulrushrouter/wire/PeerConnection.java
@@ -33,6 +33,8 @@
 
 	private final PeerHandler handler;
 
+	private final WireCounters counters;
+
 	private final WireCodec codec = new WireCodec();
 
 	private final ConcurrentLinkedQueue<WireMessage> outbox = new ConcurrentLinkedQueue<>();
@@ -43,7 +45,8 @@
 
 	private volatile WireMessage.Hello peer;
 
-	PeerConnection(WireMessage.Hello own, PeerHandler handler) {
+	PeerConnection(WireMessage.Hello own, PeerHandler handler, WireCounters counters) {
+		this.counters = counters;
 		this.own = own;
 		this.handler = handler;
 	}
@@ -96,7 +99,9 @@
 		this.flushing.set(false);
 		ByteBuf batch = this.context.alloc().buffer();
 		for (WireMessage message = this.outbox.poll(); message != null; message = this.outbox.poll()) {
+			int before = batch.readableBytes();
 			this.codec.encode(message, batch);
+			this.counters.sent(message, batch.readableBytes() - before);
 			if (batch.readableBytes() >= FLUSH_BYTES) {
 				this.context.writeAndFlush(batch);
 				batch = this.context.alloc().buffer();
--- a/bulrushrouter-wire/src/main/java/io/bulrushrouter/wire/PeerNetwork.java
+++ b/bulrushrouter-wire/src/main/java/io/bulrushrouter/wire/PeerNetwork.java
@@ -47,6 +47,8 @@
 
 	private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
 
+	private final WireCounters counters = new WireCounters();
+
 	private volatile Channel listener;
 
 	private volatile boolean closed;
@@ -91,6 +93,14 @@
 		return ((InetSocketAddress) this.listener.localAddress()).getPort();
 	}
 
+	/**
+	 * Returns what was sent.
+	 * @return the counters
+	 */
+	public WireCounters counters() {
+		return this.counters;
+	}
+
 	/**
 	 * Connects to an address and keeps reconnecting until the link is closed.
 	 * @param address the other process's address
@@ -137,7 +147,8 @@
 				PeerNetwork.this.connections.add(channel);
 				channel.pipeline()
 					.addLast(new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES),
-							new PeerConnection(PeerNetwork.this.own, PeerNetwork.this.handler));
+							new PeerConnection(PeerNetwork.this.own, PeerNetwork.this.handler,
+									PeerNetwork.this.counters));
 			}
 		};
 	}
