--- /dev/null
+++ b/bulrushrouter-evacuation/src/test/java/io/bulrushrouter/evacuation/reconcile/EvacuationRoundTests.java
@@ -0,0 +1,97 @@
+package io.bulrushrouter.evacuation.reconcile;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.MethodSource;
+
+import io.bulrushrouter.standin.FleetStandin;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+/**
+ * Tests for {@link EvacuationRound}: every fault at every call.
+ */
+class EvacuationRoundTests {
+
+	private static final Map<Fault, Integer> CELLS = new EnumMap<>(Fault.class);
+
+	// As many calls as two rounds make.
+	private static final int OTHER_CALLS = 16;
+
+	@AfterAll
+	static void printCells() {
+		System.out.println("evacuation fault cells run: " + CELLS + ", in all "
+				+ CELLS.values().stream().mapToInt(Integer::intValue).sum());
+	}
+
+	private static int callsWithoutFault(FaultCell.Kind kind) {
+		FaultRun run = FaultRun.of(FaultCell.ofNone(kind));
+		assertThat(run.violations()).isEmpty();
+		return run.calls();
+	}
+
+	private static void check(FaultCell cell) {
+		CELLS.merge(cell.fault(), 1, Integer::sum);
+		assertWithMessage("%s", cell).that(FaultRun.of(cell).violations()).isEmpty();
+	}
+
+	static Stream<Arguments> faults() {
+		return Stream.of(Fault.values())
+			.filter((fault) -> fault != Fault.NONE && fault != Fault.PAUSED_AND_OTHER_KILLED)
+			.flatMap((fault) -> Stream.of(FaultCell.Kind.values()).map((kind) -> Arguments.of(fault, kind)));
+	}
+
+	@ParameterizedTest
+	@MethodSource("faults")
+	void keepsItsPromisesUnderAFaultAtEveryCall(Fault fault, FaultCell.Kind kind) {
+		int calls = callsWithoutFault(kind);
+		for (int call = 1; call <= calls; call++) {
+			check(new FaultCell(fault, call, 0, kind));
+		}
+	}
+
+	@ParameterizedTest
+	@EnumSource(FaultCell.Kind.class)
+	void keepsItsPromisesWhileHoldersRace(FaultCell.Kind kind) {
+		int calls = callsWithoutFault(kind);
+		for (int call = 1; call <= calls; call++) {
+			for (int other = 1; other <= OTHER_CALLS; other++) {
+				check(new FaultCell(Fault.PAUSED_AND_OTHER_KILLED, call, other, kind));
+			}
+		}
+	}
+
+	private static FleetStandin.Counts pausedWithGuards(FaultCell.Kind kind, boolean sidecars, boolean engines) {
+		List<FleetStandin.Counts> all = new ArrayList<>();
+		for (int call = 1; call <= callsWithoutFault(kind); call++) {
+			FaultRun run = FaultRun.of(new FaultCell(Fault.PAUSED, call, 0, kind)).guards(sidecars, engines);
+			run.violations();
+			all.add(run.counts());
+		}
+		return all.stream().max(Comparator.comparingLong(FleetStandin.Counts::staleAtEngine)).orElseThrow();
+	}
+
+	@Test
+	void enginesThatCheckRefuseWhatSidecarsWouldLetPass() {
+		assertThat(pausedWithGuards(FaultCell.Kind.ENGINES_CHECK, false, true).staleAtEngine()).isEqualTo(0);
+		assertThat(pausedWithGuards(FaultCell.Kind.ENGINES_CHECK, false, false).staleAtEngine()).isGreaterThan(0L);
+		assertThat(pausedWithGuards(FaultCell.Kind.PLAIN, false, true).staleAtEngine()).isGreaterThan(0L);
+	}
+
+	@Test
+	void makesFewCalls() {
+		assertThat(callsWithoutFault(FaultCell.Kind.PLAIN)).isLessThan(200);
+	}
+
+}
