--- a/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/ExpertDay.java
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/experts/ExpertDay.java
@@ -1,4 +1,4 @@
-package io.bulrushrouter.bench;
+package io.bulrushrouter.bench.experts;
 
 import java.util.SplittableRandom;
 import java.util.stream.IntStream;
@@ -11,26 +11,29 @@
  */
 final class ExpertDay {
 
-	/** Minutes of the day. */
-	static final int MINUTES = 24 * 60;
+	/** Ticks of a minute. */
+	static final int TICKS_A_MINUTE = 2;
+
+	/** Ticks of the day. */
+	static final int TICKS = 24 * 60 * TICKS_A_MINUTE;
 
 	private static final double ZIPF_EXPONENT = 1.0;
 
-	private static final int ANCHOR_MINUTES = 4 * 60;
+	private static final int ANCHOR_TICKS = 4 * 60 * TICKS_A_MINUTE;
 
 	private static final double MOVED_PART = 0.25;
 
 	private static final double NOISE_DEVIATION = 0.1;
 
-	private static final double NOISE_MINUTES = 30;
+	private static final double NOISE_TICKS = 30 * TICKS_A_MINUTE;
 
-	private static final double BURSTS_A_LAYER_AND_MINUTE = 1.0 / 120;
+	private static final double BURSTS_A_LAYER_AND_TICK = 1.0 / (120 * TICKS_A_MINUTE);
 
 	private static final double BURST_FACTOR = 4;
 
-	private static final int BURST_MINUTES = 10;
+	private static final int BURST_TICKS = 10 * TICKS_A_MINUTE;
 
-	private static final int BURST_RAMP_MINUTES = 2;
+	private static final int BURST_RAMP_TICKS = 2 * TICKS_A_MINUTE;
 
 	private final GroupShape shape;
 
@@ -45,7 +48,7 @@
 	ExpertDay(GroupShape shape, long seed) {
 		this.shape = shape;
 		this.random = new SplittableRandom(seed);
-		this.places = new int[MINUTES / ANCHOR_MINUTES + 2][shape.layers()][];
+		this.places = new int[TICKS / ANCHOR_TICKS + 2][shape.layers()][];
 		this.noise = new double[shape.layers()][shape.experts()];
 		this.burstEnd = new int[shape.layers()][shape.experts()];
 		for (int layer = 0; layer < shape.layers(); layer++) {
@@ -72,17 +75,17 @@
 	}
 
 	/**
-	 * Moves on by a minute. Minutes are taken in order.
-	 * @param minute the minute of the day
+	 * Moves on by a tick. Ticks are taken in order.
+	 * @param tick the tick of the day
 	 * @return the share of each expert, by layer and expert
 	 */
-	double[][] next(int minute) {
+	double[][] next(int tick) {
 		double[][] shares = new double[this.shape.layers()][this.shape.experts()];
-		int anchor = minute / ANCHOR_MINUTES;
-		double passed = (minute % ANCHOR_MINUTES) / (double) ANCHOR_MINUTES;
+		int anchor = tick / ANCHOR_TICKS;
+		double passed = (tick % ANCHOR_TICKS) / (double) ANCHOR_TICKS;
 		for (int layer = 0; layer < shares.length; layer++) {
-			if (this.random.nextDouble() < BURSTS_A_LAYER_AND_MINUTE) {
-				this.burstEnd[layer][this.random.nextInt(this.shape.experts())] = minute + BURST_MINUTES;
+			if (this.random.nextDouble() < BURSTS_A_LAYER_AND_TICK) {
+				this.burstEnd[layer][this.random.nextInt(this.shape.experts())] = tick + BURST_TICKS;
 			}
 			double sum = 0;
 			for (int expert = 0; expert < shares[layer].length; expert++) {
@@ -90,7 +93,7 @@
 				double to = Math.log(1 + this.places[anchor + 1][layer][expert]);
 				double place = from + passed * (to - from);
 				shares[layer][expert] = Math.exp(-ZIPF_EXPONENT * place + nextNoise(layer, expert))
-						* burst(this.burstEnd[layer][expert] - minute);
+						* burst(this.burstEnd[layer][expert] - tick);
 				sum += shares[layer][expert];
 			}
 			for (int expert = 0; expert < shares[layer].length; expert++) {
@@ -101,7 +104,7 @@
 	}
 
 	private double nextNoise(int layer, int expert) {
-		double kept = Math.exp(-1 / NOISE_MINUTES);
+		double kept = Math.exp(-1 / NOISE_TICKS);
 		double added = NOISE_DEVIATION * Math.sqrt(1 - kept * kept) * gaussian();
 		this.noise[layer][expert] = kept * this.noise[layer][expert] + added;
 		return this.noise[layer][expert];
@@ -111,15 +114,15 @@
 		if (left <= 0) {
 			return 1;
 		}
-		int passed = BURST_MINUTES - left;
-		double height = Math.min(1, Math.min(passed + 1, left) / (double) BURST_RAMP_MINUTES);
+		int passed = BURST_TICKS - left;
+		double height = Math.min(1, Math.min(passed + 1, left) / (double) BURST_RAMP_TICKS);
 		return 1 + (BURST_FACTOR - 1) * height;
 	}
 
 	/**
-	 * Returns the tokens that reports of a minute show.
+	 * Returns the tokens that reports of a tick show.
 	 * @param shares the shares of a layer
-	 * @param tokens the tokens of the minute
+	 * @param tokens the tokens of the tick
 	 * @return the tokens of each expert, with sampling noise
 	 */
 	int[] sampled(double[] shares, double tokens) {
--- a/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/ExpertRun.java
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/experts/ExpertRun.java
@@ -1,4 +1,4 @@
-package io.bulrushrouter.bench;
+package io.bulrushrouter.bench.experts;
 
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -17,7 +17,7 @@
 import io.bulrushrouter.experts.planning.PlanRequest;
 
 /**
- * One day of one group under one planner and profile, a plan a minute.
+ * One day of one group under one planner and profile, a plan a tick.
  */
 final class ExpertRun {
 
@@ -26,19 +26,21 @@
 
 	private static final double STORE_BYTES_PER_SECOND = 8e9;
 
-	private static final double TOKENS_A_RANK_AND_MINUTE = 1000 * 8 * 60;
+	private static final double TOKENS_A_RANK_AND_TICK = 1000.0 * 8 * 60 / ExpertDay.TICKS_A_MINUTE;
 
 	private static final int RANKS_AN_INSTANCE = 8;
 
-	private static final int STRAGGLER_FROM_MINUTE = 13 * 60;
+	private static final int STRAGGLER_FROM_TICK = 13 * 60 * ExpertDay.TICKS_A_MINUTE;
 
-	private static final int STRAGGLER_TO_MINUTE = 14 * 60;
+	private static final int STRAGGLER_TO_TICK = 14 * 60 * ExpertDay.TICKS_A_MINUTE;
 
 	private static final double STRAGGLER_SPEED = 0.7;
 
-	private static final int ATTENDED_FROM_MINUTE = 8 * 60;
+	private static final int ATTENDED_FROM_TICK = 8 * 60 * ExpertDay.TICKS_A_MINUTE;
 
-	private static final int ATTENDED_TO_MINUTE = 18 * 60;
+	private static final int ATTENDED_TO_TICK = 18 * 60 * ExpertDay.TICKS_A_MINUTE;
+
+	private static final double TICK_SECONDS = 60.0 / ExpertDay.TICKS_A_MINUTE;
 
 	private static final double NEVER = 1e9;
 
@@ -54,9 +56,9 @@
 
 	private final Deque<Change> changes = new ArrayDeque<>();
 
-	private final double[] skews = new double[ExpertDay.MINUTES];
+	private final double[] skews = new double[ExpertDay.TICKS];
 
-	private final double[] bounds = new double[ExpertDay.MINUTES];
+	private final double[] bounds = new double[ExpertDay.TICKS];
 
 	private ExpertMap map;
 
@@ -79,34 +81,34 @@
 		this.planner = planner;
 		this.profile = profile;
 		this.day = new ExpertDay(shape, seed);
-		this.popularity = Popularity.of(shape, Duration.ofMinutes(1), Duration.ofMinutes(15));
+		this.popularity = Popularity.of(shape, Duration.ofSeconds(15), Duration.ofMinutes(5));
 	}
 
-	/** Runs the day, from a map that was built for its first minute. */
+	/** Runs the day, from a map that was built for its first tick. */
 	ExpertRun run() {
 		double[][] first = this.day.next(0);
 		ExpertMap empty = ExpertMap.ofRoundRobin(1, this.shape);
 		this.map = ExpertPlanners.ofAnew().plan(request(empty, first, speeds(0), PlanProfile.ofLowSkew(), true)).map();
 		report(first, 0);
-		for (int minute = 1; minute < ExpertDay.MINUTES; minute++) {
-			takeEffect(minute);
-			double[][] shares = this.day.next(minute);
-			this.skews[minute] = GroupSkew.of(this.map, shares, speeds(minute));
-			this.bounds[minute] = GroupSkew.lowerBound(this.shape, shares);
-			report(shares, minute);
+		for (int tick = 1; tick < ExpertDay.TICKS; tick++) {
+			takeEffect(tick);
+			double[][] shares = this.day.next(tick);
+			this.skews[tick] = GroupSkew.of(this.map, shares, speeds(tick));
+			this.bounds[tick] = GroupSkew.lowerBound(this.shape, shares);
+			report(shares, tick);
 			if (this.changes.isEmpty()) {
-				plan(minute);
+				plan(tick);
 			}
-			this.sinceMoveSeconds += 60;
+			this.sinceMoveSeconds += TICK_SECONDS;
 		}
 		return this;
 	}
 
-	private void plan(int minute) {
-		boolean attended = minute >= ATTENDED_FROM_MINUTE && minute < ATTENDED_TO_MINUTE;
+	private void plan(int tick) {
+		boolean attended = tick >= ATTENDED_FROM_TICK && tick < ATTENDED_TO_TICK;
 		double[][] loads = new double[this.shape.layers()][];
 		Arrays.setAll(loads, this.popularity::shares);
-		PlanRequest request = request(this.map, loads, speeds(minute), this.profile, attended);
+		PlanRequest request = request(this.map, loads, speeds(tick), this.profile, attended);
 		long begin = System.nanoTime();
 		ExpertPlan plan = this.planner.plan(request);
 		long took = System.nanoTime() - begin;
@@ -120,21 +122,22 @@
 		this.unattendedBytes += attended ? 0 : plan.bytes();
 		this.quietBytes += (attended || plan.skewBefore() > this.profile.emergencySkew()) ? 0 : plan.bytes();
 		this.sinceMoveSeconds = (plan.loads() > 0) ? 0 : this.sinceMoveSeconds;
-		int transferMinutes = (int) Math.ceil(request.weights().seconds(plan.loads()) / 60);
-		this.changes.add(new Change(minute + Math.max(1, transferMinutes), plan.map()));
+		int transferTicks = (int) Math.ceil(request.weights().seconds(plan.loads()) / TICK_SECONDS);
+		this.changes.add(new Change(tick + Math.max(1, transferTicks), plan.map()));
 	}
 
-	private void takeEffect(int minute) {
-		while (!this.changes.isEmpty() && this.changes.peek().minute() <= minute) {
+	private void takeEffect(int tick) {
+		while (!this.changes.isEmpty() && this.changes.peek().tick() <= tick) {
 			this.map = this.changes.poll().map();
 		}
 	}
 
-	private void report(double[][] shares, int minute) {
-		double tokens = TOKENS_A_RANK_AND_MINUTE * this.shape.ranks();
+	private void report(double[][] shares, int tick) {
+		double tokens = TOKENS_A_RANK_AND_TICK * this.shape.ranks();
 		for (int layer = 0; layer < shares.length; layer++) {
-			this.popularity.observe(new PopularityReport(0, minute, layer, Duration.ofMinutes(minute).toNanos(),
-					this.day.sampled(shares[layer], tokens)));
+			this.popularity.observe(
+					new PopularityReport(0, tick, layer, Duration.ofSeconds(Math.round(tick * TICK_SECONDS)).toNanos(),
+							this.day.sampled(shares[layer], tokens)));
 		}
 	}
 
@@ -146,10 +149,10 @@
 		return new PlanRequest(current, loads, speeds, instances, weighing, weights, attended, this.sinceMoveSeconds);
 	}
 
-	private double[] speeds(int minute) {
+	private double[] speeds(int tick) {
 		double[] speeds = new double[this.shape.ranks()];
 		Arrays.fill(speeds, 1);
-		if (minute >= STRAGGLER_FROM_MINUTE && minute < STRAGGLER_TO_MINUTE) {
+		if (tick >= STRAGGLER_FROM_TICK && tick < STRAGGLER_TO_TICK) {
 			speeds[this.shape.ranks() / 3] = STRAGGLER_SPEED;
 		}
 		return speeds;
@@ -190,7 +193,7 @@
 	}
 
 	double meanPlanSeconds() {
-		return this.planNanos / 1e9 / ExpertDay.MINUTES;
+		return this.planNanos / 1e9 / ExpertDay.TICKS;
 	}
 
 	double slowestPlanSeconds() {
@@ -198,7 +201,7 @@
 	}
 
 	/** A map on its way. */
-	private record Change(int minute, ExpertMap map) {
+	private record Change(int tick, ExpertMap map) {
 	}
 
 }
--- /dev/null
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/experts/PlanCost.java
@@ -0,0 +1,78 @@
+package io.bulrushrouter.bench.experts;
+
+import java.io.PrintStream;
+import java.lang.management.ManagementFactory;
+import java.util.Arrays;
+import java.util.Locale;
+
+import io.bulrushrouter.experts.ExpertMap;
+import io.bulrushrouter.experts.GroupShape;
+import io.bulrushrouter.experts.planning.ExpertPlan;
+import io.bulrushrouter.experts.planning.ExpertPlanners;
+import io.bulrushrouter.experts.planning.PlanProfile;
+import io.bulrushrouter.experts.planning.PlanRequest;
+
+/**
+ * Processor time and memory of one plan where every layer has to move: the loads are
+ * those of hours after the map was built.
+ */
+final class PlanCost {
+
+	private static final double MOST_SECONDS = 1;
+
+	private static final int WARM_UPS = 3;
+
+	private static final int DRIFT_TICKS = 6 * 60 * ExpertDay.TICKS_A_MINUTE;
+
+	private PlanCost() {
+	}
+
+	/**
+	 * Prints the cost for growing groups.
+	 * @param out takes the table
+	 * @return whether the largest group is planned within a second
+	 */
+	static boolean print(PrintStream out) {
+		out.println("| ranks | experts | layers | slots a rank | seconds of one core | MB allocated | expert loads |");
+		out.println("|---|---|---|---|---|---|---|");
+		row(out, GroupShape.of(58, 256, 64, 5));
+		row(out, GroupShape.of(58, 256, 128, 3));
+		row(out, GroupShape.of(29, 256, 256, 2));
+		row(out, GroupShape.of(58, 128, 256, 2));
+		return row(out, GroupShape.of(58, 256, 256, 2)) < MOST_SECONDS;
+	}
+
+	private static double row(PrintStream out, GroupShape shape) {
+		ExpertDay day = new ExpertDay(shape, 1);
+		double[][] loads = day.next(0);
+		ExpertMap empty = ExpertMap.ofRoundRobin(1, shape);
+		ExpertMap map = ExpertPlanners.ofAnew().plan(request(empty, loads)).map();
+		PlanRequest drifted = request(map, day.next(DRIFT_TICKS));
+		ExpertPlan plan = null;
+		double seconds = 0;
+		double megabytes = 0;
+		for (int run = 0; run <= WARM_UPS; run++) {
+			long bytes = allocated();
+			long begin = System.nanoTime();
+			plan = ExpertPlanners.ofFitted().plan(drifted);
+			seconds = (System.nanoTime() - begin) / 1e9;
+			megabytes = (allocated() - bytes) / 1e6;
+		}
+		out.printf(Locale.ROOT, "| %d | %d | %d | %d | %.3f | %.0f | %d |%n", shape.ranks(), shape.experts(),
+				shape.layers(), shape.slots(), seconds, megabytes, plan.loads());
+		return seconds;
+	}
+
+	private static long allocated() {
+		return ((com.sun.management.ThreadMXBean) ManagementFactory.getThreadMXBean())
+			.getThreadAllocatedBytes(Thread.currentThread().getId());
+	}
+
+	private static PlanRequest request(ExpertMap map, double[][] loads) {
+		double[] speeds = new double[map.shape().ranks()];
+		Arrays.fill(speeds, 1);
+		PlanRequest.WeightStore weights = new PlanRequest.WeightStore(ExpertRun.EXPERT_BYTES, 1e12);
+		return new PlanRequest(map, loads, speeds, new int[speeds.length], PlanProfile.ofLowSkew(), weights, true, 1e9);
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/experts/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The experiment on planners of expert maps.
+ */
+package io.bulrushrouter.bench.experts;
--- a/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/planning/AnewPlanner.java
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/planning/AnewPlanner.java
@@ -5,17 +5,13 @@
  */
 final class AnewPlanner extends LayerPlanner {
 
-	private static final int SWEEPS = 30;
-
 	@Override
-	LayerFit planLayer(PlanRequest request, int layer, LayerFit current, boolean mayMove) {
+	LayerFit planLayer(PlanRequest request, int layer, LayerFit current, LoadBudget budget) {
 		PlanProfile profile = request.profile();
-		if (!mayMove || current.skew() <= profile.moveSkew()) {
+		if (budget.isEmpty() || current.skew() <= profile.moveSkew()) {
 			return current;
 		}
-		LayerFit built = LayerBuilder.build(request.current().shape(), request.loads()[layer], request.speeds());
-		built.fit(1 + (profile.targetSkew() - 1) / 2, SWEEPS);
-		return built;
+		return LayerBuilder.build(request.current().shape(), request.loads()[layer], request.speeds());
 	}
 
 }
--- a/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/planning/FittedPlanner.java
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/planning/FittedPlanner.java
@@ -1,6 +1,5 @@
 package io.bulrushrouter.experts.planning;
 
-import java.util.ArrayList;
 import java.util.List;
 
 /**
@@ -11,10 +10,12 @@
 
 	private static final int SWEEPS = 30;
 
+	private static final int MOST_MOVES = 24;
+
 	private static final double WORTH_CHANGING = 0.5;
 
 	@Override
-	LayerFit planLayer(PlanRequest request, int layer, LayerFit current, boolean mayMove) {
+	LayerFit planLayer(PlanRequest request, int layer, LayerFit current, LoadBudget budget) {
 		PlanProfile profile = request.profile();
 		double skew = current.skew();
 		if (skew <= profile.shareSkew()) {
@@ -22,23 +23,41 @@
 		}
 		LayerFit fitted = copy(request, layer, false);
 		double reached = fitted.fit(1 + (profile.shareSkew() - 1) / 4, SWEEPS);
-		if (mayMove && reached > profile.moveSkew()) {
-			new LayerMoves(fitted, request.instances()).lower(profile.targetSkew(),
-					request.current().shape().slotsOfLayer());
-			return fitted;
+		if (!budget.isEmpty() && reached > profile.moveSkew()) {
+			return moved(request, layer, current, fitted, budget);
 		}
 		boolean worth = skew - reached > WORTH_CHANGING * (profile.shareSkew() - 1);
 		return worth ? fitted : current;
 	}
 
+	@Override
+	int mostLoads(PlanRequest request) {
+		PlanRequest.WeightStore weights = request.weights();
+		return (int) (request.profile().transferSeconds() / weights.seconds(1));
+	}
+
+	private static LayerFit moved(PlanRequest request, int layer, LayerFit current, LayerFit fitted,
+			LoadBudget budget) {
+		PlanProfile profile = request.profile();
+		LayerFit moved = fitted.copy();
+		int moves = Math.min(MOST_MOVES, budget.left());
+		new LayerMoves(moved, request.instances()).lower(profile.targetSkew(), moves);
+		if (moved.skew() <= profile.moveSkew() && budget.take(moved.loads(current))) {
+			return moved;
+		}
+		LayerFit built = LayerBuilder.buildNear(request.current().shape(), request.loads()[layer], request.speeds(),
+				current);
+		if (built.skew() < moved.skew() && budget.take(built.loads(current))) {
+			return built;
+		}
+		return budget.take(moved.loads(current)) ? moved : fitted;
+	}
+
 	@Override
 	ExpertPlan planWithoutMoves(PlanRequest request, double skewBefore) {
 		PlanRequest still = new PlanRequest(request.current(), request.loads(), request.speeds(), request.instances(),
 				request.profile(), request.weights(), request.attended(), -1);
-		List<LayerFit> after = new ArrayList<>();
-		for (int layer = 0; layer < request.loads().length; layer++) {
-			after.add(planLayer(still, layer, copy(request, layer, false), false));
-		}
+		List<LayerFit> after = planLayers(still, layers(still, false), LoadBudget.of(0));
 		return decide(still, skewBefore, after);
 	}
 
--- a/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/planning/GreedyPlanner.java
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/planning/GreedyPlanner.java
@@ -7,9 +7,9 @@
 final class GreedyPlanner extends LayerPlanner {
 
 	@Override
-	LayerFit planLayer(PlanRequest request, int layer, LayerFit current, boolean mayMove) {
+	LayerFit planLayer(PlanRequest request, int layer, LayerFit current, LoadBudget budget) {
 		PlanProfile profile = request.profile();
-		if (!mayMove || current.skew() <= profile.moveSkew()) {
+		if (budget.isEmpty() || current.skew() <= profile.moveSkew()) {
 			return current;
 		}
 		LayerFit moved = copy(request, layer, true);
--- a/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/planning/LayerFit.java
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/planning/LayerFit.java
@@ -13,9 +13,7 @@
  */
 final class LayerFit {
 
-	private static final int MAX_SWEEPS = 60;
-
-	private static final double LEAST_GAIN = 1e-4;
+	private static final double LEAST_GAIN = 1e-5;
 
 	private final int ranks;
 
@@ -92,6 +90,38 @@
 		return fit;
 	}
 
+	/**
+	 * Returns a copy that can be changed alone.
+	 * @return the copy
+	 */
+	LayerFit copy() {
+		GroupShape shape = new GroupShape(1, this.loads.length, this.ranks, this.slots);
+		LayerFit copy = new LayerFit(shape, this.loads, this.speeds, this.equalShares);
+		for (int at = 0; at < this.expertOf.length; at++) {
+			if (this.expertOf[at] != ExpertMap.EMPTY) {
+				copy.put(at, this.expertOf[at]);
+				copy.setTokens(at, this.tokens[at]);
+			}
+		}
+		return copy;
+	}
+
+	/**
+	 * Returns the expert weights that ranks load to change to this layer.
+	 * @param from the layer to change from
+	 * @return the count
+	 */
+	int loads(LayerFit from) {
+		int loads = 0;
+		for (int at = 0; at < this.expertOf.length; at++) {
+			int expert = this.expertOf[at];
+			if (expert != ExpertMap.EMPTY && !from.holds(at / this.slots, expert)) {
+				loads++;
+			}
+		}
+		return loads;
+	}
+
 	int ranks() {
 		return this.ranks;
 	}
@@ -181,7 +211,7 @@
 		this.expertOf[at] = ExpertMap.EMPTY;
 	}
 
-	private void setTokens(int at, double value) {
+	void setTokens(int at, double value) {
 		this.rankTokens[at / this.slots] += value - this.tokens[at];
 		this.tokens[at] = value;
 	}
@@ -193,20 +223,66 @@
 	 * @return the skew reached
 	 */
 	double fit(double goal, int sweeps) {
-		double before = Double.POSITIVE_INFINITY;
-		for (int sweep = 0; sweep < Math.min(sweeps, MAX_SWEEPS); sweep++) {
+		double before = squares();
+		for (int sweep = 0; sweep < sweeps; sweep++) {
 			for (int expert = 0; expert < this.loads.length; expert++) {
 				fill(expert);
 			}
-			double after = skew();
-			if (after <= goal || this.equalShares || before - after < LEAST_GAIN) {
-				return after;
+			double after = squares();
+			if (this.equalShares || before - after < LEAST_GAIN * after || skew() <= goal) {
+				break;
 			}
 			before = after;
 		}
 		return skew();
 	}
 
+	/**
+	 * Returns the sum of the ranks' squared times, weighted by their speeds, which is
+	 * least where the times are equal.
+	 * @return the sum
+	 */
+	double squares() {
+		double sum = 0;
+		for (int rank = 0; rank < this.ranks; rank++) {
+			sum += time(rank) * this.rankTokens[rank];
+		}
+		return sum;
+	}
+
+	/**
+	 * Fits the shares of the experts on a rank.
+	 * @param rank the rank
+	 */
+	void fitAround(int rank) {
+		for (int slot = 0; slot < this.slots; slot++) {
+			int expert = this.expertOf[rank * this.slots + slot];
+			if (expert != ExpertMap.EMPTY) {
+				fill(expert);
+			}
+		}
+	}
+
+	/**
+	 * Returns a copy of the tokens of all slots, for {@link #restore}.
+	 * @return the tokens
+	 */
+	double[] tokens() {
+		return this.tokens.clone();
+	}
+
+	/**
+	 * Gives all slots their tokens of before.
+	 * @param before the tokens
+	 */
+	void restore(double[] before) {
+		for (int at = 0; at < before.length; at++) {
+			if (before[at] != this.tokens[at]) {
+				setTokens(at, before[at]);
+			}
+		}
+	}
+
 	/**
 	 * Fills the tokens of one expert into its ranks.
 	 * @param expert the expert
--- a/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/planning/LayerMoves.java
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/planning/LayerMoves.java
@@ -5,26 +5,35 @@
 import io.bulrushrouter.experts.ExpertMap;
 
 /**
- * Lowers the skew of a layer by few moves: each gives an expert of the slowest rank one
- * more replica on a fast rank, in an empty slot or in that of a replica that is needed
- * least. The last replica of an expert is never taken away.
+ * Lowers the skew of a layer by few moves: each gives an expert of a slow rank one more
+ * replica on a fast rank, in an empty slot or in that of a replica that is needed least.
+ * Moves are tried out on the layer itself, and the one that lowers the sum of squares
+ * most is kept. The last replica of an expert is never taken away.
  */
 final class LayerMoves {
 
-	private static final int CANDIDATE_RANKS = 12;
+	private static final int HOT_RANKS = 4;
 
-	private static final int CANDIDATE_EXPERTS = 3;
+	private static final int COLD_RANKS = 16;
 
-	private static final int SWEEPS_A_MOVE = 4;
+	private static final int SWEEPS_A_MOVE = 6;
 
-	private static final double SAME_INSTANCE_PENALTY = 0.02;
+	private static final int SWEEPS_AT_END = 30;
 
-	private static final double LEAST_GAIN = 1e-6;
+	private static final double SAME_INSTANCE_PENALTY = 1e-5;
+
+	private static final double LEAST_GAIN = 1e-5;
 
 	private final LayerFit fit;
 
 	private final int[] instances;
 
+	private int bestExpert;
+
+	private int bestSlot;
+
+	private double bestSquares;
+
 	LayerMoves(LayerFit fit, int[] instances) {
 		this.fit = fit;
 		this.instances = instances;
@@ -38,66 +47,66 @@
 	 */
 	int lower(double target, int most) {
 		int moves = 0;
-		double skew = this.fit.skew();
-		int withoutGain = 0;
-		while (moves < most && skew > target && withoutGain < 6) {
-			if (!moveOnce()) {
-				return moves;
-			}
+		while (moves < most && this.fit.skew() > target && moveOnce()) {
 			moves++;
-			double after = this.fit.fit(target, SWEEPS_A_MOVE);
-			withoutGain = (after < skew - LEAST_GAIN) ? 0 : withoutGain + 1;
-			skew = Math.min(skew, after);
+			this.fit.fit(target, SWEEPS_A_MOVE);
 		}
+		this.fit.fit(target, SWEEPS_AT_END);
 		return moves;
 	}
 
 	private boolean moveOnce() {
-		int hot = slowestRank();
-		int[] cold = fastestRanks();
-		int bestExpert = -1;
-		int bestSlot = -1;
-		double bestScore = 0;
-		for (int expert : heaviestExperts(hot)) {
-			for (int rank : cold) {
-				if (expert < 0 || this.fit.holds(rank, expert)) {
-					continue;
-				}
-				int slot = leastNeededSlot(rank, expert);
-				double score = (slot < 0) ? 0 : gain(hot, expert, rank, slot);
-				if (score > bestScore) {
-					bestScore = score;
-					bestExpert = expert;
-					bestSlot = slot;
+		int[] hot = ranksByTime(HOT_RANKS, -1);
+		int[] cold = ranksByTime(COLD_RANKS, 1);
+		this.bestSlot = -1;
+		this.bestSquares = this.fit.squares() * (1 - LEAST_GAIN);
+		double[] tokens = this.fit.tokens();
+		for (int from : hot) {
+			for (int slot = 0; slot < this.fit.slots(); slot++) {
+				int expert = this.fit.expertAt(from * this.fit.slots() + slot);
+				if (expert != ExpertMap.EMPTY && this.fit.tokensAt(from * this.fit.slots() + slot) > 0) {
+					tryRanks(expert, from, cold, tokens);
 				}
 			}
 		}
-		if (bestSlot < 0) {
+		if (this.bestSlot < 0) {
 			return false;
 		}
-		replace(bestSlot, bestExpert);
+		replace(this.bestSlot, this.bestExpert);
 		return true;
 	}
 
-	private double gain(int hot, int expert, int rank, int slot) {
-		double room = this.fit.time(hot) - this.fit.time(rank);
-		double useful = Math.min(tokensOn(hot, expert), room / 2);
-		double lost = this.fit.tokensAt(slot);
-		double penalty = sharesInstance(rank, expert) ? SAME_INSTANCE_PENALTY * this.fit.mean() : 0;
-		return useful - lost / 2 - penalty;
+	private void tryRanks(int expert, int from, int[] cold, double[] tokens) {
+		for (int to : cold) {
+			if (this.fit.time(to) >= this.fit.time(from) || this.fit.holds(to, expert)) {
+				continue;
+			}
+			int slot = leastNeededSlot(to, expert);
+			if (slot >= 0) {
+				tryMove(expert, from, to, slot, tokens);
+			}
+		}
 	}
 
-	private double tokensOn(int rank, int expert) {
-		for (int slot = 0; slot < this.fit.slots(); slot++) {
-			int at = rank * this.fit.slots() + slot;
-			if (this.fit.expertAt(at) == expert) {
-				return this.fit.tokensAt(at);
-			}
+	private void tryMove(int expert, int from, int to, int slot, double[] tokens) {
+		double penalty = sharesInstance(to, expert) ? 1 + SAME_INSTANCE_PENALTY : 1;
+		int evicted = replace(slot, expert);
+		this.fit.fitAround(from);
+		this.fit.fitAround(to);
+		double squares = this.fit.squares() * penalty;
+		if (squares < this.bestSquares) {
+			this.bestSquares = squares;
+			this.bestExpert = expert;
+			this.bestSlot = slot;
+		}
+		this.fit.remove(slot);
+		if (evicted != ExpertMap.EMPTY) {
+			this.fit.put(slot, evicted);
 		}
-		return 0;
+		this.fit.restore(tokens);
 	}
 
-	private void replace(int at, int expert) {
+	private int replace(int at, int expert) {
 		int evicted = this.fit.expertAt(at);
 		if (evicted != ExpertMap.EMPTY) {
 			this.fit.remove(at);
@@ -105,23 +114,17 @@
 		}
 		this.fit.put(at, expert);
 		this.fit.fill(expert);
+		return evicted;
 	}
 
-	private int slowestRank() {
-		int slowest = 0;
-		for (int rank = 1; rank < this.fit.ranks(); rank++) {
-			slowest = (this.fit.time(rank) > this.fit.time(slowest)) ? rank : slowest;
-		}
-		return slowest;
-	}
-
-	private int[] fastestRanks() {
-		int[] best = new int[Math.min(CANDIDATE_RANKS, this.fit.ranks())];
+	private int[] ranksByTime(int count, int sign) {
+		int[] best = new int[Math.min(count, this.fit.ranks())];
 		Arrays.fill(best, -1);
 		for (int rank = 0; rank < this.fit.ranks(); rank++) {
 			int candidate = rank;
 			for (int index = 0; index < best.length && candidate >= 0; index++) {
-				if (best[index] < 0 || this.fit.time(candidate) < this.fit.time(best[index])) {
+				boolean before = best[index] < 0 || sign * this.fit.time(candidate) < sign * this.fit.time(best[index]);
+				if (before) {
 					int swap = best[index];
 					best[index] = candidate;
 					candidate = swap;
@@ -131,28 +134,6 @@
 		return best;
 	}
 
-	private int[] heaviestExperts(int rank) {
-		int[] best = new int[CANDIDATE_EXPERTS];
-		double[] tokens = new double[CANDIDATE_EXPERTS];
-		Arrays.fill(best, -1);
-		for (int slot = 0; slot < this.fit.slots(); slot++) {
-			int at = rank * this.fit.slots() + slot;
-			int expert = this.fit.expertAt(at);
-			double value = this.fit.tokensAt(at);
-			for (int index = 0; index < best.length && expert >= 0; index++) {
-				if (best[index] < 0 || value > tokens[index]) {
-					int swapExpert = best[index];
-					double swapTokens = tokens[index];
-					best[index] = expert;
-					tokens[index] = value;
-					expert = swapExpert;
-					value = swapTokens;
-				}
-			}
-		}
-		return best;
-	}
-
 	private int leastNeededSlot(int rank, int expert) {
 		int best = -1;
 		for (int slot = 0; slot < this.fit.slots(); slot++) {
--- a/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/planning/LayerPlanner.java
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/planning/LayerPlanner.java
@@ -1,7 +1,9 @@
 package io.bulrushrouter.experts.planning;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
+import java.util.stream.IntStream;
 
 import io.bulrushrouter.experts.ExpertMap;
 import io.bulrushrouter.experts.GroupShape;
@@ -15,14 +17,9 @@
 	public ExpertPlan plan(PlanRequest request) {
 		List<LayerFit> before = layers(request, false);
 		double skewBefore = skew(before);
-		boolean mayMove = request.mayMove(skewBefore);
-		List<LayerFit> after = new ArrayList<>();
-		boolean changed = false;
-		for (int layer = 0; layer < before.size(); layer++) {
-			LayerFit planned = planLayer(request, layer, before.get(layer), mayMove);
-			changed |= planned != before.get(layer);
-			after.add(planned);
-		}
+		LoadBudget budget = LoadBudget.of(request.mayMove(skewBefore) ? mostLoads(request) : 0);
+		List<LayerFit> after = planLayers(request, before, budget);
+		boolean changed = IntStream.range(0, after.size()).anyMatch((layer) -> after.get(layer) != before.get(layer));
 		if (!changed) {
 			return kept(request, skewBefore, ExpertPlan.Reason.GOOD_ENOUGH);
 		}
@@ -34,10 +31,35 @@
 	 * @param request the request
 	 * @param layer the layer
 	 * @param current the layer on the map in use, not to be changed
-	 * @param mayMove whether weights may move
+	 * @param budget the loads that are left
 	 * @return the layer to change to, or {@code current}
 	 */
-	abstract LayerFit planLayer(PlanRequest request, int layer, LayerFit current, boolean mayMove);
+	abstract LayerFit planLayer(PlanRequest request, int layer, LayerFit current, LoadBudget budget);
+
+	/**
+	 * Returns the most loads of one plan.
+	 * @param request the request
+	 * @return the count
+	 */
+	int mostLoads(PlanRequest request) {
+		return Integer.MAX_VALUE;
+	}
+
+	/**
+	 * Plans all layers, those first whose slowest rank is furthest above the mean.
+	 * @param request the request
+	 * @param before the layers on the map in use
+	 * @param budget the loads that are left
+	 * @return the layers to change to
+	 */
+	List<LayerFit> planLayers(PlanRequest request, List<LayerFit> before, LoadBudget budget) {
+		List<LayerFit> after = new ArrayList<>(before);
+		IntStream.range(0, before.size())
+			.boxed()
+			.sorted(Comparator.comparingDouble((layer) -> before.get(layer).mean() - before.get(layer).slowest()))
+			.forEach((layer) -> after.set(layer, planLayer(request, layer, before.get(layer), budget)));
+		return after;
+	}
 
 	/**
 	 * Returns a plan that pays without the moves that do not.
--- a/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/planning/PlanProfile.java
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/planning/PlanProfile.java
@@ -14,16 +14,19 @@
  * @param costWeight the cost of a second of weight transfer
  * @param horizonSeconds how long a plan is expected to hold, in seconds
  * @param moveSecondsApart the least time between two plans that move weights, in seconds
+ * @param transferSeconds the longest transfer of one plan, in seconds; what does not fit
+ * is left to the next plans
  */
 public record PlanProfile(String name, double shareSkew, double moveSkew, double targetSkew, double emergencySkew,
-		boolean movesUnattended, double skewWeight, double costWeight, double horizonSeconds, double moveSecondsApart) {
+		boolean movesUnattended, double skewWeight, double costWeight, double horizonSeconds, double moveSecondsApart,
+		double transferSeconds) {
 
 	/**
 	 * Returns the profile that weighs skew more.
 	 * @return the profile
 	 */
 	public static PlanProfile ofLowSkew() {
-		return new PlanProfile("ash", 1.02, 1.04, 1.02, 1.3, true, 4, 1, 900, 60);
+		return new PlanProfile("ash", 1.01, 1.03, 1.01, 1.3, true, 4, 1, 900, 30, 25);
 	}
 
 	/**
@@ -31,7 +34,7 @@
 	 * @return the profile
 	 */
 	public static PlanProfile ofLowCost() {
-		return new PlanProfile("kitchen", 1.05, 1.18, 1.12, 1.6, false, 1, 1, 3600, 900);
+		return new PlanProfile("kitchen", 1.02, 1.12, 1.05, 1.4, false, 1, 1, 3600, 900, 120);
 	}
 
 }
