--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/cli/StandinCommands.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/cli/StandinCommands.java
@@ -1,14 +1,20 @@
 package io.bulrushrouter.daemon.cli;
 
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
 
+import io.bulrushrouter.daemon.config.Configuration;
+import io.bulrushrouter.daemon.node.ConfigurationSource;
+import io.bulrushrouter.kernel.store.Write;
+import io.bulrushrouter.kernel.store.WriterMark;
 import io.bulrushrouter.standin.EngineStandin;
 import io.bulrushrouter.standin.PlatformServer;
 import io.bulrushrouter.standin.ServiceStandin;
@@ -33,6 +39,9 @@
 	private static void arguments(Subparser parser) {
 		parser.addArgument("kind").choices("platform", "engine", "service").help("what to run");
 		parser.addArgument("--port").type(Integer.class).setDefault(0).help("the port on loopback; 0 for any");
+		parser.addArgument("--configuration")
+			.metavar("FILE")
+			.help("the configuration that the platform holds at first, as JSON");
 		parser.addArgument("--step-millis")
 			.type(Integer.class)
 			.setDefault(5)
@@ -47,14 +56,19 @@
 		int port = arguments.getInt("port");
 		EventLoopGroup network = new NioEventLoopGroup(2);
 		return switch (arguments.getString("kind")) {
-			case "platform" -> platform(port);
+			case "platform" -> platform(port, Optional.ofNullable(arguments.getString("configuration")));
 			case "engine" -> engine(network, port, arguments);
 			default -> service(network, port);
 		};
 	}
 
-	private static int platform(int port) {
+	private static int platform(int port, Optional<String> configuration) {
+		Optional<byte[]> json = configuration.map(Path::of)
+			.map(CommandFiles::read)
+			.map((bytes) -> Configuration.ofJson(bytes).toJson());
 		try (PlatformServer platform = PlatformServer.start(port)) {
+			json.ifPresent((bytes) -> platform.store()
+				.write(Write.ofCreate(ConfigurationSource.KEY, bytes, new WriterMark("standin"))));
 			return serve(platform.uri().getPort());
 		}
 	}
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/EntryNode.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/EntryNode.java
@@ -118,6 +118,7 @@
 			this.bootstrap.metrics().gauge("wire.sent.control.bytes", () -> this.peers.counters().controlBytes());
 			this.bootstrap.metrics().gauge("entry.ring.backlog", this.duty::backlog);
 			this.bootstrap.metrics().gauge("entry.in.flight", this.core::inFlight);
+			this.bootstrap.metrics().gauge("entry.connected.upstreams", this.core::connected);
 			this.bootstrap.metrics().gauge("configuration.version", this.core::version);
 			String processName = settings.process().name() + "." + Long.toHexString(incarnation);
 			ObjectStore control = SettledWrites.of(this.bootstrap.store(), SETTLE_TRIES, BackOff.PLATFORM,
