Spread configurations by relays, a tree and comparisons

Cause: an accepted configuration must be in force at all nodes within 19 s and must never revert, also after restarts with the platform down. ConfigurationNode adopts a higher version only, whole and checked. Relays (two a data centre, by rendezvous hashing, no lease: a second reader does no harm) watch the platform; digests go down a tree of fan-out 4; once a second each node compares with a random peer, one in four of another data centre. A node that starts serves once the platform or three ready peers named the highest version they know and it has that version.

Transmission time is not simulated.

Each guard removed on a working copy turned the tests red: adopts lower versions (7 cells, "expected to be in strict order"), serves without sponsors, serves below the known version (8), counts peers that are not ready, outage taken as the platform's word, no comparisons (202), no check.

--- /dev/null
+++ b/bulrushrouter-platform/src/main/java/io/bulrushrouter/platform/configuration/CompressedBody.java
@@ -0,0 +1,52 @@
+package io.bulrushrouter.platform.configuration;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.Optional;
+import java.util.zip.GZIPInputStream;
+import java.util.zip.GZIPOutputStream;
+
+/**
+ * The gzip form in which a configuration is kept and spread.
+ */
+public final class CompressedBody {
+
+	/** The longest content that is expanded, in bytes. */
+	public static final int MAX_CONTENT_BYTES = 8_000_000;
+
+	private CompressedBody() {
+	}
+
+	/**
+	 * Compresses a configuration.
+	 * @param content the content
+	 * @return the body
+	 */
+	public static byte[] compress(byte[] content) {
+		ByteArrayOutputStream body = new ByteArrayOutputStream();
+		try (GZIPOutputStream gzip = new GZIPOutputStream(body)) {
+			gzip.write(content);
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException("writing to memory failed", ex);
+		}
+		return body.toByteArray();
+	}
+
+	/**
+	 * Expands a body.
+	 * @param body the body
+	 * @return the content, or empty if the body is damaged or its content too long
+	 */
+	public static Optional<byte[]> expand(byte[] body) {
+		try (GZIPInputStream gzip = new GZIPInputStream(new ByteArrayInputStream(body))) {
+			byte[] content = gzip.readNBytes(MAX_CONTENT_BYTES + 1);
+			return Optional.of(content).filter((whole) -> whole.length <= MAX_CONTENT_BYTES);
+		}
+		catch (IOException ex) {
+			return Optional.empty();
+		}
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-platform/src/main/java/io/bulrushrouter/platform/configuration/SpreadTerms.java
@@ -0,0 +1,38 @@
+package io.bulrushrouter.platform.configuration;
+
+import java.time.Duration;
+
+/**
+ * The sizes and times of the spread.
+ *
+ * @param relays how many nodes of a data centre watch the platform
+ * @param fanOut how many nodes a node tells of a new version
+ * @param comparison the time between two comparisons with a random peer
+ * @param joining the time between two rounds of questions while a node is not ready
+ * @param requestTimeout when a document that was asked for and did not come may be asked
+ * for again
+ * @param statusRepeat the time after which a node repeats its status to the relays
+ * @param sponsors how many ready peers a node hears before it serves without the
+ * platform's word; fewer where it knows of fewer than twice as many
+ */
+public record SpreadTerms(int relays, int fanOut, Duration comparison, Duration joining, Duration requestTimeout,
+		Duration statusRepeat, int sponsors) {
+
+	/** The terms that daemons use. */
+	public static final SpreadTerms DEFAULT = new SpreadTerms(2, 4, Duration.ofSeconds(1), Duration.ofSeconds(1),
+			Duration.ofMillis(500), Duration.ofSeconds(30), 3);
+
+	/**
+	 * Checks the parts.
+	 */
+	public SpreadTerms {
+		if (relays < 1 || fanOut < 1 || sponsors < 1) {
+			throw new IllegalArgumentException("relays, fan-out and sponsors must be at least 1");
+		}
+	}
+
+	int sponsorsAmong(int peers) {
+		return Math.min(this.sponsors, Math.max(1, (peers + 1) / 2));
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-platform/src/test/java/io/bulrushrouter/platform/configuration/ConfigurationFaultTests.java
@@ -0,0 +1,181 @@
+package io.bulrushrouter.platform.configuration;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+import io.bulrushrouter.kernel.InstanceId;
+import io.bulrushrouter.kernel.store.ReadResult;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Each fault at each moment of a spread: no node goes back to an older version, and all
+ * reach the newest once the fault is mended.
+ */
+class ConfigurationFaultTests {
+
+	private static final int NODES = 66;
+
+	private static final Duration REACH = Duration.ofSeconds(40);
+
+	private static final AtomicInteger cells = new AtomicInteger();
+
+	@AfterAll
+	static void printCells() {
+		System.out.println("configuration fault cells run: " + cells.get());
+	}
+
+	static Stream<Cell> cells() {
+		return Stream.of(Fault.values())
+			.flatMap((fault) -> IntStream.of(0, 4, 6, 8, 12, 40, 500, 1500)
+				.boxed()
+				.flatMap((millis) -> IntStream.range(0, 4).mapToObj((seed) -> new Cell(fault, millis, seed))));
+	}
+
+	@ParameterizedTest
+	@MethodSource("cells")
+	void neverReverts(Cell cell) {
+		cells.incrementAndGet();
+		SpreadSimulation simulation = new SpreadSimulation(NODES, SpreadTerms.DEFAULT, cell.seed());
+		simulation.loss(0.02);
+		simulation.accept(SpreadSimulation.text("first"));
+		simulation.runFor(Duration.ofSeconds(25));
+		long second = simulation.accept(SpreadSimulation.text("second"));
+		simulation.runFor(Duration.ofMillis(cell.millis()));
+		Set<SpreadSimulation.SimulatedNode> seen = new HashSet<>(simulation.alive());
+		cell.fault().strike(simulation);
+		seen.addAll(simulation.alive());
+		simulation.runFor(Duration.ofSeconds(10));
+		List<SpreadSimulation.SimulatedNode> late = restartSome(simulation, cell.seed());
+		seen.addAll(late);
+		simulation.runFor(Duration.ofSeconds(20));
+		seen.forEach(ConfigurationFaultTests::assertNeverReverted);
+		cell.fault().mend(simulation);
+		assertThat(simulation.timeToAll(second, REACH).isPresent()).isTrue();
+		long third = simulation.accept(SpreadSimulation.text("third"));
+		assertThat(simulation.timeToAll(third, REACH).isPresent()).isTrue();
+		seen.forEach(ConfigurationFaultTests::assertNeverReverted);
+		late.forEach((node) -> assertThat(node.versionWhenReady()).isAtLeast(node.earlier().orElseThrow().version()));
+	}
+
+	private static List<SpreadSimulation.SimulatedNode> restartSome(SpreadSimulation simulation, int seed) {
+		return simulation.alive()
+			.stream()
+			.filter((node) -> (node.id().hashCode() + seed) % 7 == 0)
+			.map((node) -> simulation.restart(node.id()))
+			.toList();
+	}
+
+	private static void assertNeverReverted(SpreadSimulation.SimulatedNode node) {
+		assertThat(node.versions()).isInStrictOrder();
+		assertThat(node.versionWhenReady()).isAtLeast(node.heardWhenReady());
+	}
+
+	@Test
+	void nobodyServesWithoutThePlatformOrReadyPeers() {
+		SpreadSimulation simulation = new SpreadSimulation(NODES, SpreadTerms.DEFAULT, 1);
+		simulation.accept(SpreadSimulation.text("first"));
+		simulation.runFor(Duration.ofSeconds(5));
+		simulation.store().down(true);
+		List<InstanceId> all = simulation.alive().stream().map(SpreadSimulation.SimulatedNode::id).toList();
+		all.forEach(simulation::restart);
+		simulation.runFor(Duration.ofSeconds(60));
+		assertThat(simulation.alive().stream().noneMatch(SpreadSimulation.SimulatedNode::isReady)).isTrue();
+		simulation.store().down(false);
+		assertThat(simulation.timeToAll(1, REACH).isPresent()).isTrue();
+	}
+
+	@Test
+	void waitsForAVersionThatIsOnlyHeardOf() {
+		InstanceId self = InstanceId.of("a");
+		ConfigurationNode node = ConfigurationNode.of(self, Set.of("main"), (document) -> Optional.empty(),
+				SpreadTerms.DEFAULT);
+		SpreadSimulation simulation = new SpreadSimulation(NODES, SpreadTerms.DEFAULT, 1);
+		PeerView view = simulation.alive().get(0).view();
+		node.onMessage(self, new ConfigurationMessage.Document("main", 4, new byte[0]), 0, view);
+		for (int peer = 0; peer < 9; peer++) {
+			List<ScopeState> states = List.of(new ScopeState("main", 4, 4));
+			node.onMessage(InstanceId.of("u" + peer), new ConfigurationMessage.Digest(false, false, states), 0, view);
+			assertThat(node.isReady()).isFalse();
+		}
+		for (int peer = 0; peer < 9; peer++) {
+			assertThat(node.isReady()).isFalse();
+			List<ScopeState> states = List.of(new ScopeState("main", 4, (peer == 1) ? 5 : 4));
+			node.onMessage(InstanceId.of("p" + peer), new ConfigurationMessage.Digest(true, false, states), 0, view);
+		}
+		node.onMessage(self, new ConfigurationMessage.Document("main", 5, new byte[0]), 0, view);
+		assertThat(node.isReady()).isTrue();
+	}
+
+	@Test
+	void outageIsNoWordOfThePlatform() {
+		RelayWatch watch = RelayWatch.of("main");
+		assertThat(watch.next(false, 0).orElseThrow()).isEqualTo(RelayWatch.Ask.READ);
+		assertThat(watch.answered(new ReadResult.Unavailable("outage"), 0).isPresent()).isFalse();
+		long later = Duration.ofSeconds(2).toNanos();
+		assertThat(watch.next(false, later).orElseThrow()).isEqualTo(RelayWatch.Ask.READ);
+		assertThat(watch.answered(new ReadResult.Absent(), later).orElseThrow().document().isPresent()).isFalse();
+		assertThat(watch.next(false, later).isPresent()).isFalse();
+		assertThat(watch.next(true, later).orElseThrow()).isEqualTo(RelayWatch.Ask.WATCH);
+		assertThat(watch.answered(new ReadResult.Absent(), later).isPresent()).isFalse();
+	}
+
+	record Cell(Fault fault, int millis, int seed) {
+
+	}
+
+	enum Fault {
+
+		STORE_DOWN, RELAYS_DIE, HALF_RESTARTS, ENTRIES_CUT_FROM_RELAYS, RELAYS_CUT_FROM_STORE, DATA_CENTRE_CUT_OFF,
+		HEAVY_LOSS, STORE_DOWN_AND_RELAYS_RESTART;
+
+		void strike(SpreadSimulation simulation) {
+			List<InstanceId> relays = simulation.relays();
+			switch (this) {
+				case STORE_DOWN -> simulation.store().down(true);
+				case RELAYS_DIE -> relays.forEach(simulation::kill);
+				case HALF_RESTARTS -> simulation.alive()
+					.stream()
+					.map(SpreadSimulation.SimulatedNode::id)
+					.filter((id) -> id.hashCode() % 2 == 0)
+					.forEach(simulation::restart);
+				case ENTRIES_CUT_FROM_RELAYS ->
+					simulation.cut((from, to) -> relays.contains(from) != relays.contains(to));
+				case RELAYS_CUT_FROM_STORE -> simulation.cutFromStore((node) -> !node.equals(relays.get(0)));
+				case DATA_CENTRE_CUT_OFF -> {
+					Set<InstanceId> inside = new HashSet<>(simulation.alive()
+						.stream()
+						.filter((node) -> node.centre() == 1)
+						.map(SpreadSimulation.SimulatedNode::id)
+						.toList());
+					simulation.cut((from, to) -> inside.contains(from) != inside.contains(to));
+				}
+				case HEAVY_LOSS -> simulation.loss(0.4);
+				case STORE_DOWN_AND_RELAYS_RESTART -> {
+					simulation.store().down(true);
+					relays.forEach(simulation::restart);
+				}
+			}
+		}
+
+		void mend(SpreadSimulation simulation) {
+			simulation.store().down(false);
+			simulation.cut((from, to) -> false);
+			simulation.cutFromStore((node) -> false);
+			simulation.loss(0.02);
+		}
+
+	}
+
+}
