Bring engines to the ordered state under fencing numbers

Cause: an engine may not check who orders it, so the sidecar has to. EngineOrders holds a new order until a read of the lease that began after it shows no higher fencing number, commands the engine one step at a time, reads back and repeats. For an engine that does not check, no command goes out while one without an answer, also of an earlier run of the sidecar, may still take effect. Which engines check is a setting; anything but "checks" means that it does not.

1,008 fault cells (2 kinds of engine, 7 faults, 12 calls, 6 moments at which another holder takes over while the old one goes on sending) end in the newer order with no old number obeyed, also after the engine restarts.

--- /dev/null
+++ b/bulrushrouter-platform/src/main/java/io/bulrushrouter/platform/order/EngineOrder.java
@@ -0,0 +1,23 @@
+package io.bulrushrouter.platform.order;
+
+import java.util.Objects;
+
+import io.bulrushrouter.platform.lease.FencingNumber;
+
+/**
+ * What a lease's holder wants an engine's state to be.
+ *
+ * @param fence the holder's fencing number
+ * @param wanted the whole state
+ */
+public record EngineOrder(FencingNumber fence, EngineState wanted) {
+
+	/**
+	 * Checks the parts.
+	 */
+	public EngineOrder {
+		Objects.requireNonNull(fence);
+		Objects.requireNonNull(wanted);
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-platform/src/main/java/io/bulrushrouter/platform/order/OrderAction.java
@@ -0,0 +1,56 @@
+package io.bulrushrouter.platform.order;
+
+import io.bulrushrouter.kernel.ModelId;
+import io.bulrushrouter.platform.lease.FencingNumber;
+
+/**
+ * What the sidecar does next about its engine's orders.
+ */
+public sealed interface OrderAction {
+
+	/**
+	 * Nothing for now.
+	 */
+	record Idle() implements OrderAction {
+	}
+
+	/**
+	 * Read the highest fencing number from the platform.
+	 */
+	record ReadFence() implements OrderAction {
+	}
+
+	/**
+	 * Read the engine's state.
+	 */
+	record Observe() implements OrderAction {
+	}
+
+	/**
+	 * Have the engine load a model.
+	 *
+	 * @param model the model
+	 * @param fence the number to send along
+	 */
+	record Load(ModelId model, FencingNumber fence) implements OrderAction {
+	}
+
+	/**
+	 * Have the engine unload a model.
+	 *
+	 * @param model the model
+	 * @param fence the number to send along
+	 */
+	record Unload(ModelId model, FencingNumber fence) implements OrderAction {
+	}
+
+	/**
+	 * Have the engine change its role.
+	 *
+	 * @param role the role
+	 * @param fence the number to send along
+	 */
+	record ChangeRole(EngineRole role, FencingNumber fence) implements OrderAction {
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-platform/src/test/java/io/bulrushrouter/platform/order/EngineOrdersFaultTests.java
@@ -0,0 +1,201 @@
+package io.bulrushrouter.platform.order;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.TreeSet;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
+
+import io.bulrushrouter.kernel.ModelId;
+import io.bulrushrouter.kernel.store.ObjectKey;
+import io.bulrushrouter.kernel.store.ReadResult;
+import io.bulrushrouter.kernel.store.Write;
+import io.bulrushrouter.kernel.store.WriterMark;
+import io.bulrushrouter.platform.Fault;
+import io.bulrushrouter.platform.FaultyStore;
+import io.bulrushrouter.platform.ManualClock;
+import io.bulrushrouter.platform.lease.FencingNumber;
+import io.bulrushrouter.standin.MemoryObjectStore;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Orders to both kinds of engine under each fault at each of the sidecar's first calls,
+ * with a paused holder whose orders come late.
+ */
+class EngineOrdersFaultTests {
+
+	private static final ObjectKey LEASE = ObjectKey.of("lease", "orders");
+
+	private static final Duration TICK = Duration.ofMillis(250);
+
+	private static final int TICKS = 800;
+
+	private static final int MEND_TICKS = 100;
+
+	private static final EngineState OLD = state(EngineRole.GENERAL, "a", "b");
+
+	private static final EngineState NEW = state(EngineRole.PREFILL, "b", "c");
+
+	private static final AtomicInteger cells = new AtomicInteger();
+
+	private final ManualClock clock = new ManualClock();
+
+	private final MemoryObjectStore memory = new MemoryObjectStore();
+
+	@AfterAll
+	static void printCells() {
+		System.out.println("order fault cells run: " + cells.get());
+	}
+
+	private static EngineState state(EngineRole role, String... models) {
+		return new EngineState(Stream.of(models).map(ModelId::of).collect(Collectors.toCollection(TreeSet::new)), role);
+	}
+
+	private void fence(int number) {
+		ReadResult before = this.memory.read(LEASE).toCompletableFuture().join();
+		long version = (before instanceof ReadResult.Found found) ? found.object().version() : Write.ABSENT;
+		byte[] value = (number + " held h" + number).getBytes(StandardCharsets.UTF_8);
+		this.memory.write(new Write(LEASE, version, value, new WriterMark("h" + number)));
+	}
+
+	static Stream<Cell> cells() {
+		return Stream.of(FenceChecking.values())
+			.flatMap((checking) -> Stream.of(Fault.values())
+				.flatMap((fault) -> IntStream.rangeClosed(1, 12)
+					.boxed()
+					.flatMap((step) -> Stream.of(0, 4, 7, 10, 40, 200)
+						.map((takeOver) -> new Cell(checking, fault, step, takeOver)))));
+	}
+
+	@ParameterizedTest
+	@MethodSource("cells")
+	void obeysNoOldHolderAndReachesTheOrder(Cell cell) {
+		cells.incrementAndGet();
+		FakeEngine engine = new FakeEngine(cell.checking(), cell.fault(), cell.step());
+		FaultyStore store = new FaultyStore(this.memory, cell.fault(), cell.step() / 4 + 1);
+		fence(1);
+		EngineOrdersDriver sidecar = sidecar(cell.checking(), engine, store);
+		EngineOrder older = new EngineOrder(new FencingNumber(1), OLD);
+		EngineOrder newer = new EngineOrder(new FencingNumber(2), NEW);
+		for (int tick = 0; tick < TICKS; tick++) {
+			if (tick == cell.takeOver()) {
+				this.memory.down(false);
+				fence(2);
+			}
+			// The old holder is paused for a while and then goes on with what it had
+			// decided, before and after the first order of the new one.
+			if (tick < cell.takeOver() || tick % 7 == 0) {
+				sidecar.take(older);
+			}
+			if (tick > cell.takeOver() + 30) {
+				sidecar.take(newer);
+			}
+			sidecar.tick();
+			if (engine.takesSidecarDown() || store.isKilled()) {
+				store = new FaultyStore(this.memory, Fault.NONE, 0);
+				sidecar = sidecar(cell.checking(), engine, store);
+			}
+			if (tick % MEND_TICKS == MEND_TICKS - 1) {
+				this.memory.down(false);
+				store.resume();
+				engine.deliverLate();
+			}
+			if (tick == TICKS / 2) {
+				engine.restart();
+			}
+			this.clock.advance(TICK);
+		}
+		assertThat(engine.obeyed()).isInOrder();
+		assertThat(engine.state()).isEqualTo(NEW);
+		assertThat(sidecar.take(newer)).isEqualTo(EngineOrders.Receipt.REACHED);
+		assertThat(sidecar.take(older)).isEqualTo(EngineOrders.Receipt.STALE);
+		if (cell.takeOver() == 0) {
+			assertThat(engine.obeyed()).doesNotContain(1L);
+		}
+	}
+
+	private EngineOrdersDriver sidecar(FenceChecking checking, FakeEngine engine, FaultyStore store) {
+		EngineOrders orders = EngineOrders.of(checking, OrderTerms.DEFAULT, this.clock.nanos());
+		return EngineOrdersDriver.of(orders, engine, store, LEASE, this.clock, Runnable::run);
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "checks, CHECKS", "' Checks ', CHECKS", "does-not, DOES_NOT_CHECK", "'', DOES_NOT_CHECK",
+			"unknown, DOES_NOT_CHECK", "yes, DOES_NOT_CHECK" })
+	void whatIsNotKnownToCheckDoesNot(String setting, FenceChecking meaning) {
+		assertThat(FenceChecking.of(setting)).isEqualTo(meaning);
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "CHECKS", "DOES_NOT_CHECK" })
+	void holdsAnOrderUntilAReadThatBeganAfterIt(FenceChecking checking) {
+		EngineOrders orders = EngineOrders.of(checking, OrderTerms.DEFAULT, this.clock.nanos());
+		EngineOrder first = new EngineOrder(new FencingNumber(1), OLD);
+		EngineOrder second = new EngineOrder(new FencingNumber(1), NEW);
+		assertThat(orders.next(this.clock.nanos())).isInstanceOf(OrderAction.Idle.class);
+		assertThat(orders.take(first)).isEqualTo(EngineOrders.Receipt.HELD);
+		assertThat(orders.next(this.clock.nanos())).isInstanceOf(OrderAction.ReadFence.class);
+		assertThat(orders.take(second)).isEqualTo(EngineOrders.Receipt.HELD);
+		assertThat(orders.fenceRead(Optional.of(new FencingNumber(1)), this.clock.nanos()).isPresent()).isFalse();
+		assertThat(orders.next(this.clock.nanos())).isInstanceOf(OrderAction.ReadFence.class);
+		assertThat(orders.fenceRead(Optional.empty(), this.clock.nanos()).orElseThrow())
+			.isEqualTo(EngineOrders.Receipt.HELD);
+		assertThat(orders.next(this.clock.nanos())).isInstanceOf(OrderAction.Idle.class);
+		this.clock.advance(OrderTerms.DEFAULT.retry());
+		assertThat(orders.next(this.clock.nanos())).isInstanceOf(OrderAction.ReadFence.class);
+		assertThat(orders.fenceRead(Optional.of(new FencingNumber(2)), this.clock.nanos()).orElseThrow())
+			.isEqualTo(EngineOrders.Receipt.STALE);
+		this.clock.advance(Duration.ofMinutes(1));
+		assertThat(orders.next(this.clock.nanos())).isInstanceOf(OrderAction.Idle.class);
+	}
+
+	@Test
+	void anEngineThatSawAHigherNumberEndsTheOrder() {
+		EngineOrders orders = EngineOrders.of(FenceChecking.CHECKS, OrderTerms.DEFAULT, this.clock.nanos());
+		EngineOrder order = new EngineOrder(new FencingNumber(1), OLD);
+		orders.take(order);
+		orders.next(this.clock.nanos());
+		orders.fenceRead(Optional.of(new FencingNumber(1)), this.clock.nanos());
+		orders.next(this.clock.nanos());
+		orders.observed(Optional.of(FakeEngine.EMPTY), this.clock.nanos());
+		assertThat(orders.next(this.clock.nanos())).isInstanceOf(OrderAction.Load.class);
+		orders.answered(CommandOutcome.STALE, this.clock.nanos());
+		assertThat(orders.next(this.clock.nanos())).isInstanceOf(OrderAction.ReadFence.class);
+		orders.fenceRead(Optional.of(new FencingNumber(2)), this.clock.nanos());
+		assertThat(orders.next(this.clock.nanos())).isInstanceOf(OrderAction.Idle.class);
+		assertThat(orders.take(order)).isEqualTo(EngineOrders.Receipt.STALE);
+	}
+
+	@Test
+	void readsBackAndPursuesNoOrderThatANewerOneFollows() {
+		EngineOrders orders = EngineOrders.of(FenceChecking.CHECKS, OrderTerms.DEFAULT, this.clock.nanos());
+		orders.take(new EngineOrder(new FencingNumber(1), OLD));
+		orders.next(this.clock.nanos());
+		orders.fenceRead(Optional.of(new FencingNumber(1)), this.clock.nanos());
+		orders.next(this.clock.nanos());
+		orders.observed(Optional.of(FakeEngine.EMPTY), this.clock.nanos());
+		orders.next(this.clock.nanos());
+		orders.answered(CommandOutcome.DONE, this.clock.nanos());
+		assertThat(orders.next(this.clock.nanos())).isInstanceOf(OrderAction.Observe.class);
+		orders.observed(Optional.of(FakeEngine.EMPTY), this.clock.nanos());
+		orders.take(new EngineOrder(new FencingNumber(2), NEW));
+		orders.next(this.clock.nanos());
+		orders.fenceRead(Optional.empty(), this.clock.nanos());
+		assertThat(orders.next(this.clock.nanos())).isInstanceOf(OrderAction.Idle.class);
+	}
+
+	record Cell(FenceChecking checking, Fault fault, int step, int takeOver) {
+
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-platform/src/test/java/io/bulrushrouter/platform/order/FakeEngine.java
@@ -0,0 +1,139 @@
+package io.bulrushrouter.platform.order;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+import io.bulrushrouter.kernel.ModelId;
+import io.bulrushrouter.platform.Fault;
+import io.bulrushrouter.platform.lease.FencingNumber;
+
+/**
+ * An engine on whose way one call goes wrong.
+ */
+final class FakeEngine implements EngineAdapter {
+
+	static final EngineState EMPTY = new EngineState(new TreeSet<>(), EngineRole.GENERAL);
+
+	private final FenceChecking checking;
+
+	private final Fault fault;
+
+	private final int step;
+
+	private final List<Long> obeyed = new ArrayList<>();
+
+	private EngineState state = EMPTY;
+
+	private FencingNumber highest = FencingNumber.NONE;
+
+	private Optional<Runnable> late = Optional.empty();
+
+	private boolean sidecarKilled;
+
+	private int calls;
+
+	private int changes;
+
+	FakeEngine(FenceChecking checking, Fault fault, int step) {
+		this.checking = checking;
+		this.fault = fault;
+		this.step = step;
+	}
+
+	@Override
+	public CompletionStage<Optional<EngineState>> observe() {
+		this.calls++;
+		if (this.calls == this.step && (this.fault == Fault.REQUEST_LOST || this.fault == Fault.ANSWER_LOST)) {
+			return CompletableFuture.completedFuture(Optional.empty());
+		}
+		return this.sidecarKilled ? new CompletableFuture<>()
+				: CompletableFuture.completedFuture(Optional.of(this.state));
+	}
+
+	@Override
+	public CompletionStage<CommandOutcome> carryOut(OrderAction command) {
+		this.calls++;
+		if (this.calls != this.step) {
+			return CompletableFuture.completedFuture(apply(command));
+		}
+		return switch (this.fault) {
+			case REQUEST_LOST -> CompletableFuture.completedFuture(CommandOutcome.UNKNOWN);
+			case ANSWER_LOST -> {
+				apply(command);
+				yield CompletableFuture.completedFuture(CommandOutcome.UNKNOWN);
+			}
+			case PAUSED_BEFORE -> {
+				this.late = Optional.of(() -> apply(command));
+				yield CompletableFuture.completedFuture(CommandOutcome.UNKNOWN);
+			}
+			case KILLED -> {
+				this.late = Optional.of(() -> apply(command));
+				this.sidecarKilled = true;
+				yield new CompletableFuture<>();
+			}
+			default -> CompletableFuture.completedFuture(apply(command));
+		};
+	}
+
+	private CommandOutcome apply(OrderAction command) {
+		FencingNumber fence = fenceOf(command);
+		if (this.checking == FenceChecking.CHECKS && fence.isOlderThan(this.highest)) {
+			return CommandOutcome.STALE;
+		}
+		this.highest = (fence.isOlderThan(this.highest)) ? this.highest : fence;
+		this.obeyed.add(fence.value());
+		TreeSet<ModelId> models = new TreeSet<>(this.state.models());
+		EngineState before = this.state;
+		if (command instanceof OrderAction.Load load) {
+			models.add(load.model());
+		}
+		else if (command instanceof OrderAction.Unload unload) {
+			models.remove(unload.model());
+		}
+		EngineRole role = (command instanceof OrderAction.ChangeRole change) ? change.role() : before.role();
+		this.state = new EngineState(models, role);
+		this.changes += this.state.equals(before) ? 0 : 1;
+		return CommandOutcome.DONE;
+	}
+
+	private static FencingNumber fenceOf(OrderAction command) {
+		if (command instanceof OrderAction.Load load) {
+			return load.fence();
+		}
+		return (command instanceof OrderAction.Unload unload) ? unload.fence()
+				: ((OrderAction.ChangeRole) command).fence();
+	}
+
+	void restart() {
+		this.state = EMPTY;
+		this.highest = FencingNumber.NONE;
+	}
+
+	void deliverLate() {
+		this.late.ifPresent(Runnable::run);
+		this.late = Optional.empty();
+	}
+
+	boolean takesSidecarDown() {
+		boolean killed = this.sidecarKilled;
+		this.sidecarKilled = false;
+		return killed;
+	}
+
+	EngineState state() {
+		return this.state;
+	}
+
+	List<Long> obeyed() {
+		return this.obeyed;
+	}
+
+	int changes() {
+		return this.changes;
+	}
+
+}
