Measure retries and claims at the target size

The budget held at most a fixed 10 tokens before, which at 400 entries allowed 1.445 times the load in one second; it now holds what the requests of the last seconds put in, at least 2.

Shards with home sidecars are the default layout.

--- /dev/null
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/request/ClaimsExperiment.java
@@ -0,0 +1,119 @@
+package io.bulrushrouter.bench.request;
+
+import java.io.PrintStream;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.SplittableRandom;
+import java.util.function.LongConsumer;
+
+import io.bulrushrouter.bench.Experiment;
+import io.bulrushrouter.kernel.OrganisationId;
+import io.bulrushrouter.kernel.RequestId;
+import io.bulrushrouter.kernel.store.ObjectKey;
+import io.bulrushrouter.kernel.store.Write;
+import io.bulrushrouter.kernel.store.WriterMark;
+import io.bulrushrouter.request.ClaimOutcome;
+import io.bulrushrouter.request.ClaimRequest;
+import io.bulrushrouter.request.Claims;
+import io.bulrushrouter.request.ClaimsPolicy;
+
+/**
+ * Calls of the platform for claims of idempotency keys: an object a key, shards that any
+ * sidecar writes, and shards that are written by one home sidecar each.
+ */
+final class ClaimsExperiment implements Experiment {
+
+	/** The most writes a second that claims may take at any load. */
+	private static final double MAX_WRITES_PER_SECOND = 200;
+
+	/** The most claims a second that the target asks for: all requests at the peak. */
+	private static final int PEAK = 2_100;
+
+	private static final int SECONDS = 10;
+
+	private static final int SIDECARS = 120;
+
+	private static final long SEED = 1;
+
+	@Override
+	public boolean run(PrintStream out) {
+		out.println("| claims/s | way | writes/s | reads/s | calls a claim | KB/s written | p95 ms | refused |");
+		out.println("|---|---|---|---|---|---|---|---|");
+		boolean held = true;
+		for (int rate : List.of(10, 100, 400, PEAK)) {
+			report(out, rate, "object a key", objectPerKey(rate));
+			if (rate < PEAK) {
+				report(out, rate, "shards, any sidecar", shards(rate, SIDECARS));
+			}
+			CountingStore home = report(out, rate, "shards, home sidecar", shards(rate, 1));
+			held &= home.writes() <= MAX_WRITES_PER_SECOND * SECONDS && home.refused() == 0;
+		}
+		out.println();
+		out.println("Bound " + (held ? "holds" : "is missed") + ": " + MAX_WRITES_PER_SECOND
+				+ " writes a second at a home, none refused.");
+		return held;
+	}
+
+	private static CountingStore report(PrintStream out, int rate, String way, CountingStore store) {
+		double claims = (double) rate * SECONDS;
+		out.println(String.format(Locale.ROOT, "| %d | %s | %.0f | %.0f | %.2f | %.0f | %.0f | %.3f |", rate, way,
+				(double) store.writes() / SECONDS, (double) store.reads() / SECONDS,
+				(store.writes() + store.reads()) / claims, store.bytes() / 1000.0 / SECONDS, store.latencyMillis(95),
+				store.refused() / claims));
+		return store;
+	}
+
+	private static CountingStore objectPerKey(int rate) {
+		EventLoop loop = new EventLoop();
+		CountingStore store = new CountingStore(loop, new SplittableRandom(SEED));
+		byte[] value = new byte[64];
+		arrivals(loop, rate, (number) -> {
+			long from = loop.nowNanos();
+			ObjectKey key = ObjectKey.of("claim", Long.toString(number));
+			store.write(Write.ofCreate(key, value, new WriterMark(key.value())))
+				.thenAccept((result) -> store.settle(loop.nowNanos() - from, false));
+		});
+		loop.runUntil((SECONDS + 5) * 1000 * EventLoop.MILLIS);
+		return store;
+	}
+
+	private static CountingStore shards(int rate, int writers) {
+		EventLoop loop = new EventLoop();
+		CountingStore store = new CountingStore(loop, new SplittableRandom(SEED));
+		List<Claims> claims = new ArrayList<>();
+		for (int i = 0; i < writers; i++) {
+			claims.add(Claims.builder(store, i)
+				.policy(ClaimsPolicy.ofDefaults())
+				.clock(loop::nowNanos)
+				.epochSeconds(() -> 1_000_000 + Duration.ofNanos(loop.nowNanos()).toSeconds())
+				.build());
+		}
+		arrivals(loop, rate, (number) -> {
+			long from = loop.nowNanos();
+			ClaimRequest request = new ClaimRequest(new RequestId(1, number).attempt(1), 1, OrganisationId.of("o"),
+					"key-" + number, number);
+			claims.get((int) (number * 31 % writers))
+				.claim(request,
+						(outcome) -> store.settle(loop.nowNanos() - from, !(outcome instanceof ClaimOutcome.Granted)));
+		});
+		tick(loop, claims);
+		loop.runUntil((SECONDS + 5) * 1000 * EventLoop.MILLIS);
+		return store;
+	}
+
+	private static void tick(EventLoop loop, List<Claims> claims) {
+		claims.forEach(Claims::tick);
+		loop.after(1, () -> tick(loop, claims));
+	}
+
+	private static void arrivals(EventLoop loop, int rate, LongConsumer arrival) {
+		SplittableRandom random = new SplittableRandom(SEED);
+		for (long i = 0; i < (long) rate * SECONDS; i++) {
+			long number = i;
+			loop.at((long) (random.nextDouble() * SECONDS * 1000 * EventLoop.MILLIS), () -> arrival.accept(number));
+		}
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/request/CountingStore.java
@@ -0,0 +1,102 @@
+package io.bulrushrouter.bench.request;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.random.RandomGenerator;
+
+import org.HdrHistogram.Histogram;
+
+import io.bulrushrouter.kernel.store.ListResult;
+import io.bulrushrouter.kernel.store.ObjectKey;
+import io.bulrushrouter.kernel.store.ObjectStore;
+import io.bulrushrouter.kernel.store.ReadResult;
+import io.bulrushrouter.kernel.store.Write;
+import io.bulrushrouter.kernel.store.WriteResult;
+import io.bulrushrouter.standin.MemoryObjectStore;
+
+/**
+ * An object API that answers in milliseconds and counts calls, bytes and waiting times.
+ */
+final class CountingStore implements ObjectStore {
+
+	private static final double MEAN_MILLIS = 4;
+
+	private final MemoryObjectStore objects = new MemoryObjectStore();
+
+	private final Histogram latencyMicros = new Histogram(3);
+
+	private final EventLoop loop;
+
+	private final RandomGenerator random;
+
+	private long bytes;
+
+	private long refused;
+
+	CountingStore(EventLoop loop, RandomGenerator random) {
+		this.loop = loop;
+		this.random = random;
+	}
+
+	void settle(long nanos, boolean wasRefused) {
+		this.latencyMicros.recordValue(nanos / 1000);
+		this.refused += wasRefused ? 1 : 0;
+	}
+
+	long writes() {
+		return this.objects.writes();
+	}
+
+	long reads() {
+		return this.objects.reads();
+	}
+
+	long bytes() {
+		return this.bytes;
+	}
+
+	long refused() {
+		return this.refused;
+	}
+
+	double latencyMillis(double percentile) {
+		return this.latencyMicros.getValueAtPercentile(percentile) / 1000.0;
+	}
+
+	@Override
+	public CompletionStage<ReadResult> read(ObjectKey key) {
+		CompletableFuture<ReadResult> answer = new CompletableFuture<>();
+		this.loop.after(halfTrip(), () -> {
+			ReadResult result = this.objects.read(key).toCompletableFuture().join();
+			this.loop.after(halfTrip(), () -> answer.complete(result));
+		});
+		return answer;
+	}
+
+	@Override
+	public CompletionStage<WriteResult> write(Write write) {
+		CompletableFuture<WriteResult> answer = new CompletableFuture<>();
+		this.bytes += write.value().length;
+		this.loop.after(halfTrip(), () -> {
+			WriteResult result = this.objects.write(write).toCompletableFuture().join();
+			this.loop.after(halfTrip(), () -> answer.complete(result));
+		});
+		return answer;
+	}
+
+	@Override
+	public CompletionStage<ReadResult> watch(ObjectKey key, long afterVersion, Duration wait) {
+		return this.objects.watch(key, afterVersion, wait);
+	}
+
+	@Override
+	public CompletionStage<ListResult> list(String prefix) {
+		return this.objects.list(prefix);
+	}
+
+	private double halfTrip() {
+		return MEAN_MILLIS / 4 + this.random.nextDouble() * MEAN_MILLIS / 2;
+	}
+
+}
--- a/bulrushrouter-request/src/main/java/io/bulrushrouter/request/ClaimIndex.java
+++ b/bulrushrouter-request/src/main/java/io/bulrushrouter/request/ClaimIndex.java
@@ -76,14 +76,21 @@
 	}
 
 	/**
-	 * Returns the first full segment that is not known yet.
+	 * Returns the newest full segment that is not known yet, as far back as claims have
+	 * to be kept.
+	 * @param oldestEpochSeconds when the oldest claim was made that has to be kept
 	 * @return its number, or empty if all are known
 	 */
-	OptionalLong missing() {
-		for (long i = Math.max(0, this.head.sequence() - this.archives); i < this.head.sequence(); i++) {
-			if (!this.full.containsKey(i)) {
+	OptionalLong missing(long oldestEpochSeconds) {
+		long first = Math.max(0, this.head.sequence() - this.archives);
+		for (long i = this.head.sequence() - 1; i >= first; i--) {
+			ClaimSegment segment = this.full.get(i);
+			if (segment == null) {
 				return OptionalLong.of(i);
 			}
+			if (segment.newestEpochSeconds() < oldestEpochSeconds) {
+				return OptionalLong.empty();
+			}
 		}
 		return OptionalLong.empty();
 	}
--- a/bulrushrouter-request/src/main/java/io/bulrushrouter/request/ClaimShard.java
+++ b/bulrushrouter-request/src/main/java/io/bulrushrouter/request/ClaimShard.java
@@ -123,7 +123,8 @@
 	}
 
 	private void loadArchives() {
-		OptionalLong missing = this.index.missing();
+		long oldest = this.settings.epochSeconds.getAsLong() - this.settings.policy.keptFor().toSeconds();
+		OptionalLong missing = this.index.missing(oldest);
 		if (missing.isEmpty()) {
 			this.index.rebuild();
 			this.loaded = true;
--- a/bulrushrouter-request/src/main/java/io/bulrushrouter/request/ClaimsPolicy.java
+++ b/bulrushrouter-request/src/main/java/io/bulrushrouter/request/ClaimsPolicy.java
@@ -6,7 +6,8 @@
 
 /**
  * How claims are laid out in the platform. All processes have to use the same number of
- * shards and archives.
+ * shards and archives. Together they hold {@code shards * archives * segmentClaims}
+ * claims; new ones are refused rather than any lost before its time.
  *
  * @param shards the number of objects that new claims are written to
  * @param archives the number of full segments that a shard keeps
@@ -24,7 +25,7 @@
 	 * @return the layout
 	 */
 	public static ClaimsPolicy ofDefaults() {
-		return new ClaimsPolicy(16, 128, 700, Duration.ofMillis(100), Duration.ofMinutes(10), Duration.ofMinutes(2),
+		return new ClaimsPolicy(8, 512, 350, Duration.ofMillis(50), Duration.ofHours(1), Duration.ofMinutes(2),
 				Duration.ofSeconds(2));
 	}
 
--- a/bulrushrouter-request/src/main/java/io/bulrushrouter/request/EntryCall.java
+++ b/bulrushrouter-request/src/main/java/io/bulrushrouter/request/EntryCall.java
@@ -174,7 +174,7 @@
 	}
 
 	private void start(long nowNanos, Consumer<EntryAction> actions) {
-		this.budget.deposit();
+		this.budget.deposit(nowNanos);
 		Optional<UpstreamId> upstream = this.picker.pick(this.open.tried(), nowNanos);
 		if (upstream.isEmpty()) {
 			giveUp(ErrorCode.NO_UPSTREAM, 0, actions);
--- a/bulrushrouter-request/src/main/java/io/bulrushrouter/request/RetryBudget.java
+++ b/bulrushrouter-request/src/main/java/io/bulrushrouter/request/RetryBudget.java
@@ -1,18 +1,24 @@
 package io.bulrushrouter.request;
 
+import java.time.Duration;
+
 /**
  * A token bucket that bounds how much load retries and hedges add. Each request puts in a
- * share of a token and each further attempt takes one, so that attempts stay under
- * {@code (1 + ratio) * requests + burst}. One budget serves all requests of an entry. Not
- * thread-safe.
+ * share of a token and each further attempt takes one. The bucket holds what the requests
+ * of a few seconds put in, and a few tokens at least, so that over any longer time
+ * attempts stay close to {@code (1 + ratio) * requests}. One budget serves all requests
+ * of an entry. Not thread-safe.
  */
 public final class RetryBudget {
 
 	/** Tokens that a request puts in by default. */
 	public static final double DEFAULT_RATIO = 0.15;
 
-	/** Tokens that the bucket holds by default. */
-	public static final double DEFAULT_BURST = 10;
+	/** Tokens that the bucket holds by default however few requests come. */
+	public static final double DEFAULT_BURST = 2;
+
+	/** The time whose requests fill the bucket. */
+	private static final long WINDOW_NANOS = Duration.ofSeconds(3).toNanos();
 
 	private final double ratio;
 
@@ -20,6 +26,12 @@
 
 	private double tokens;
 
+	private long windowStartNanos;
+
+	private long requests;
+
+	private long requestsBefore;
+
 	private RetryBudget(double ratio, double burst) {
 		this.ratio = ratio;
 		this.burst = burst;
@@ -27,9 +39,9 @@
 	}
 
 	/**
-	 * Returns a full budget.
+	 * Returns a budget with its least tokens.
 	 * @param ratio the tokens that a request puts in, 0 to 1
-	 * @param burst the most tokens that are kept
+	 * @param burst the tokens that the bucket holds however few requests come
 	 * @return the budget
 	 */
 	public static RetryBudget of(double ratio, double burst) {
@@ -37,7 +49,7 @@
 	}
 
 	/**
-	 * Returns a full budget of the default size.
+	 * Returns a budget of the default size.
 	 * @return the budget
 	 */
 	public static RetryBudget ofDefaults() {
@@ -46,9 +58,18 @@
 
 	/**
 	 * Puts in the share of a new request.
+	 * @param nowNanos the time
 	 */
-	public void deposit() {
-		this.tokens = Math.min(this.burst, this.tokens + this.ratio);
+	public void deposit(long nowNanos) {
+		long elapsed = nowNanos - this.windowStartNanos;
+		if (elapsed >= WINDOW_NANOS) {
+			this.requestsBefore = (elapsed < 2 * WINDOW_NANOS) ? this.requests : 0;
+			this.requests = 0;
+			this.windowStartNanos = nowNanos;
+		}
+		this.requests++;
+		double most = Math.max(this.burst, this.ratio * Math.max(this.requests, this.requestsBefore));
+		this.tokens = Math.min(most, this.tokens + this.ratio);
 	}
 
 	/**
