Never splice answers of two model versions, and count no hand-back

A resumed or rerun stream is now broken off if its head names another model version, and a sidecar forgets its kept reads when its engine changes. An attempt that a draining upstream hands back no longer counts against the attempts of a request: with more upstreams leaving than attempts allowed, a request was refused though others were free.

--- a/bulrushrouter-request/src/main/java/io/bulrushrouter/request/AnswerCache.java
+++ b/bulrushrouter-request/src/main/java/io/bulrushrouter/request/AnswerCache.java
@@ -32,6 +32,11 @@
 		return Optional.ofNullable(this.answers.get(key));
 	}
 
+	void clear() {
+		this.answers.clear();
+		this.bytes = 0;
+	}
+
 	void keep(K key, Answer answer) {
 		Answer before = this.answers.put(key, answer);
 		this.bytes += answer.bytes() - ((before != null) ? before.bytes() : 0);
@@ -55,11 +60,10 @@
 	 * A whole answer.
 	 *
 	 * @param digest the hash of its request
-	 * @param status the HTTP status
-	 * @param contentType the HTTP content type
+	 * @param head the engine's status
 	 * @param parts the body
 	 */
-	record Answer(long digest, int status, String contentType, List<Part> parts) {
+	record Answer(long digest, SidecarEvent.EngineHead head, List<Part> parts) {
 
 		private static final int PART_OVERHEAD_BYTES = 64;
 
--- a/bulrushrouter-request/src/main/java/io/bulrushrouter/request/AnswerRelay.java
+++ b/bulrushrouter-request/src/main/java/io/bulrushrouter/request/AnswerRelay.java
@@ -30,6 +30,8 @@
 
 	private String contentType = "";
 
+	private String modelVersion = "";
+
 	private ByteArrayOutputStream held = new ByteArrayOutputStream();
 
 	private long position;
@@ -59,10 +61,12 @@
 	boolean head(CallMessage.Head head, boolean resumed, Consumer<EntryAction> actions) {
 		if (this.headSent) {
 			this.position = resumed ? this.totalSent : 0;
-			return head.status() == this.status && head.contentType().equals(this.contentType);
+			return head.status() == this.status && head.contentType().equals(this.contentType)
+					&& head.modelVersion().equals(this.modelVersion);
 		}
 		this.status = head.status();
 		this.contentType = head.contentType();
+		this.modelVersion = head.modelVersion();
 		this.position = 0;
 		if (this.stream) {
 			sendHead(actions);
--- a/bulrushrouter-request/src/main/java/io/bulrushrouter/request/CallMessage.java
+++ b/bulrushrouter-request/src/main/java/io/bulrushrouter/request/CallMessage.java
@@ -54,8 +54,22 @@
 	 * @param sequence 0
 	 * @param status the HTTP status
 	 * @param contentType the HTTP content type
+	 * @param modelVersion the version that answers; empty if the engine does not tell
 	 */
-	record Head(AttemptId attempt, int sequence, int status, String contentType) implements CallMessage {
+	record Head(AttemptId attempt, int sequence, int status, String contentType,
+			String modelVersion) implements CallMessage {
+
+		/**
+		 * Creates the head of an answer by an engine that does not tell its version.
+		 * @param attempt the attempt
+		 * @param sequence 0
+		 * @param status the HTTP status
+		 * @param contentType the HTTP content type
+		 */
+		public Head(AttemptId attempt, int sequence, int status, String contentType) {
+			this(attempt, sequence, status, contentType, "");
+		}
+
 	}
 
 	/**
--- a/bulrushrouter-request/src/main/java/io/bulrushrouter/request/EngineRun.java
+++ b/bulrushrouter-request/src/main/java/io/bulrushrouter/request/EngineRun.java
@@ -91,6 +91,11 @@
 		return this.recording && !this.cancelled;
 	}
 
+	// What it answers is not shared with requests that come later.
+	void stopRecording() {
+		this.recording &= !RunTable.isRead(this.spec) || this.state == State.QUEUED;
+	}
+
 	void record(AnswerCache.Part part, int maxBytes) {
 		this.recordedBytes += part.bytes().length;
 		this.recording &= this.recordedBytes <= maxBytes;
@@ -106,8 +111,7 @@
 		if (!this.recording || this.head.isEmpty()) {
 			return Optional.empty();
 		}
-		return Optional.of(new AnswerCache.Answer(this.spec.digest(), this.head.get().status(),
-				this.head.get().contentType(), List.copyOf(this.parts)));
+		return Optional.of(new AnswerCache.Answer(this.spec.digest(), this.head.get(), List.copyOf(this.parts)));
 	}
 
 	/**
@@ -159,8 +163,9 @@
 			return this.deadlineNanos;
 		}
 
-		SidecarAction head(int status, String contentType) {
-			return reply(new CallMessage.Head(this.attempt, this.sequence++, status, contentType));
+		SidecarAction head(SidecarEvent.EngineHead head) {
+			return reply(new CallMessage.Head(this.attempt, this.sequence++, head.status(), head.contentType(),
+					head.modelVersion()));
 		}
 
 		SidecarAction data(AnswerCache.Part part) {
--- a/bulrushrouter-request/src/main/java/io/bulrushrouter/request/EntryCall.java
+++ b/bulrushrouter-request/src/main/java/io/bulrushrouter/request/EntryCall.java
@@ -50,6 +50,8 @@
 
 	private int attempts;
 
+	private int handedBack;
+
 	private long dropped;
 
 	private EntryCall(RequestId id, RequestSpec spec, long deadlineNanos, EntryPolicy policy, RetryBudget budget,
@@ -314,8 +316,10 @@
 		ErrorCode code = outcome.failure().orElseThrow();
 		boolean refusedResume = attempt.resumeAfterTokens() > 0 && code == ErrorCode.STREAM_BROKEN;
 		this.reruns |= refusedResume;
+		this.handedBack += RetryRules.takesBudget(outcome) ? 0 : 1;
 		boolean possible = RetryRules.allows(outcome, this.spec.idempotent())
-				&& this.timers.allowsAnother(this.attempts, nowNanos) && (!this.reruns || this.relay.canRerun());
+				&& this.timers.allowsAnother(this.attempts - this.handedBack, nowNanos)
+				&& (!this.reruns || this.relay.canRerun());
 		Optional<UpstreamId> next = possible ? this.picker.pick(this.open.tried(), nowNanos) : Optional.empty();
 		boolean paid = next.isPresent() && (!RetryRules.takesBudget(outcome) || this.budget.tryTake());
 		RetryDecision.Kind kind = paid ? retryKind() : RetryDecision.Kind.GIVE_UP;
@@ -351,7 +355,7 @@
 
 	private void hedge(OpenAttempt slow, long nowNanos, Consumer<EntryAction> actions) {
 		this.hedged = true;
-		Optional<UpstreamId> next = this.timers.allowsAnother(this.attempts, nowNanos)
+		Optional<UpstreamId> next = this.timers.allowsAnother(this.attempts - this.handedBack, nowNanos)
 				? this.picker.pick(this.open.tried(), nowNanos) : Optional.empty();
 		if (next.isPresent() && this.budget.tryTake()) {
 			actions.accept(new EntryAction.Decided(new RetryDecision(slow.id(), slow.upstream(),
--- a/bulrushrouter-request/src/main/java/io/bulrushrouter/request/EntryPolicy.java
+++ b/bulrushrouter-request/src/main/java/io/bulrushrouter/request/EntryPolicy.java
@@ -6,7 +6,8 @@
 /**
  * The rules of attempts at the entry.
  *
- * @param maxAttempts the most attempts of a request, hedges included
+ * @param maxAttempts the most attempts of a request, hedges included; an attempt that a
+ * draining upstream handed back does not count
  * @param minRemaining the time before the deadline in which no further attempt is sent
  * @param settleBefore how long before the deadline an attempt without an answer is
  * cancelled, to learn whether it ran
--- a/bulrushrouter-request/src/main/java/io/bulrushrouter/request/KeptAnswers.java
+++ b/bulrushrouter-request/src/main/java/io/bulrushrouter/request/KeptAnswers.java
@@ -27,6 +27,10 @@
 		return this.claimed.find(key);
 	}
 
+	void forgetReads() {
+		this.reads.clear();
+	}
+
 	void keep(EngineRun run) {
 		run.answer().ifPresent((answer) -> keep(run, answer));
 	}
@@ -35,7 +39,7 @@
 		if (!run.spec().idempotent()) {
 			this.claimed.keep(RunTable.ClaimKey.of(run.id(), run.spec()), answer);
 		}
-		else if (RunTable.isRead(run.spec()) && answer.status() == OK && !run.cancelled()) {
+		else if (RunTable.isRead(run.spec()) && answer.head().status() == OK && !run.cancelled()) {
 			this.reads.keep(AnswerCache.ReadKey.of(run.spec()), answer);
 		}
 	}
--- a/bulrushrouter-request/src/main/java/io/bulrushrouter/request/Replies.java
+++ b/bulrushrouter-request/src/main/java/io/bulrushrouter/request/Replies.java
@@ -33,7 +33,7 @@
 	void replay(EngineRun.Waiter waiter, AnswerCache.Answer answer, Consumer<SidecarAction> actions) {
 		this.runs.end(waiter.attempt(), RunTable.Ended.SETTLED);
 		note(waiter.attempt(), Decision.REPLAYED, actions);
-		actions.accept(waiter.head(answer.status(), answer.contentType()));
+		actions.accept(waiter.head(answer.head()));
 		answer.parts().forEach((part) -> actions.accept(waiter.data(part)));
 		actions.accept(waiter.end());
 	}
--- a/bulrushrouter-request/src/main/java/io/bulrushrouter/request/SharedAnswers.java
+++ b/bulrushrouter-request/src/main/java/io/bulrushrouter/request/SharedAnswers.java
@@ -68,7 +68,7 @@
 		this.runs.join(run, waiter);
 		this.replies.note(waiter.attempt(), Decision.JOINED, actions);
 		run.head().ifPresent((head) -> {
-			actions.accept(waiter.head(head.status(), head.contentType()));
+			actions.accept(waiter.head(head));
 			run.parts().forEach((part) -> actions.accept(waiter.data(part)));
 		});
 	}
--- a/bulrushrouter-request/src/main/java/io/bulrushrouter/request/SidecarCalls.java
+++ b/bulrushrouter-request/src/main/java/io/bulrushrouter/request/SidecarCalls.java
@@ -126,6 +126,10 @@
 		else if (event instanceof SidecarEvent.DrainSign) {
 			drain(actions);
 		}
+		else if (event instanceof SidecarEvent.EngineChanged) {
+			this.kept.forgetReads();
+			this.runs.all().forEach(EngineRun::stopRecording);
+		}
 		else if (!(event instanceof SidecarEvent.Tick)) {
 			onEngine(event, actions);
 		}
@@ -315,7 +319,7 @@
 		if (event instanceof SidecarEvent.EngineHead head) {
 			started(head.attempt()).ifPresent((run) -> {
 				run.head(head);
-				run.waiters().forEach((waiter) -> actions.accept(waiter.head(head.status(), head.contentType())));
+				run.waiters().forEach((waiter) -> actions.accept(waiter.head(head)));
 			});
 		}
 		else if (event instanceof SidecarEvent.EngineData data) {
--- a/bulrushrouter-request/src/main/java/io/bulrushrouter/request/SidecarEvent.java
+++ b/bulrushrouter-request/src/main/java/io/bulrushrouter/request/SidecarEvent.java
@@ -52,8 +52,20 @@
 	 * @param attempt the attempt that runs
 	 * @param status the HTTP status
 	 * @param contentType the HTTP content type
+	 * @param modelVersion the version that answers; empty if the engine does not tell
 	 */
-	record EngineHead(AttemptId attempt, int status, String contentType) implements SidecarEvent {
+	record EngineHead(AttemptId attempt, int status, String contentType, String modelVersion) implements SidecarEvent {
+
+		/**
+		 * Creates the head of an answer by an engine that does not tell its version.
+		 * @param attempt the attempt that runs
+		 * @param status the HTTP status
+		 * @param contentType the HTTP content type
+		 */
+		public EngineHead(AttemptId attempt, int status, String contentType) {
+			this(attempt, status, contentType, "");
+		}
+
 	}
 
 	/**
@@ -93,6 +105,13 @@
 	record ClaimSettled(AttemptId attempt, ClaimOutcome outcome) implements SidecarEvent {
 	}
 
+	/**
+	 * The engine loaded another model, adapter or version: its kept answers to reads are
+	 * no longer what it would say.
+	 */
+	record EngineChanged() implements SidecarEvent {
+	}
+
 	/**
 	 * The first sign that the upstream leaves: the live list, an order, a signal or its
 	 * engine's word.
--- a/bulrushrouter-request/src/test/java/io/bulrushrouter/request/EntryCallTests.java
+++ b/bulrushrouter-request/src/test/java/io/bulrushrouter/request/EntryCallTests.java
@@ -225,6 +225,26 @@
 		assertThat(last()).isEqualTo(new EntryAction.BreakStream(Verdict.ofMayHaveRun(ErrorCode.STREAM_BROKEN)));
 	}
 
+	@Test
+	void splicesNoAnswersOfTwoVersions() {
+		EntryCall call = start(true, true);
+		hear(call, 1, new CallMessage.Head(attempt(1), 0, 200, "text/plain", "v1"));
+		hear(call, 1, data(1, 1, "a"));
+		call.on(new EntryEvent.ConnectionLost(UpstreamId.of("u1")), MILLIS, this.actions::add);
+		hear(call, 2, new CallMessage.Head(attempt(2), 0, 200, "text/plain", "v2"));
+		assertThat(last()).isEqualTo(new EntryAction.BreakStream(Verdict.ofMayHaveRun(ErrorCode.STREAM_BROKEN)));
+	}
+
+	@Test
+	void goesOnPastAnyNumberOfDrainingUpstreams() {
+		this.budget = RetryBudget.of(0, 0);
+		EntryCall call = start(false, false);
+		for (int i = 1; i <= 9; i++) {
+			hear(call, i, new CallMessage.NotRun(attempt(i), ErrorCode.DRAINING, 0));
+		}
+		assertThat(lastCall().attempt()).isEqualTo(attempt(10));
+	}
+
 	@Test
 	void settlesAnUnheardAttemptBeforeTheDeadline() {
 		EntryCall call = start(false, false);
--- a/bulrushrouter-request/src/test/java/io/bulrushrouter/request/FaultMatrixTests.java
+++ b/bulrushrouter-request/src/test/java/io/bulrushrouter/request/FaultMatrixTests.java
@@ -31,7 +31,7 @@
  */
 class FaultMatrixTests {
 
-	private static final long SEED = 1;
+	private static final long SEED = Long.getLong("fault.seed", 1);
 
 	private static final List<Injection> INJECTIONS = Stream.of(Fault.values())
 		.flatMap((fault) -> Stream.of(Step.values()).map((step) -> new Injection(step, fault)))
@@ -71,6 +71,29 @@
 		}
 	}
 
+	@ParameterizedTest
+	@EnumSource(value = Fault.class, names = { "ENTRY_DIES", "CALLER_GONE" }, mode = EnumSource.Mode.EXCLUDE)
+	void answersHedgedReadsUnderEachFault(Fault fault) {
+		for (Step step : Step.values()) {
+			FaultCell cell = new FaultCell(Kind.HEDGED_READ, SEED, List.of(new Injection(step, fault)));
+			assertWithMessage(cell.toString()).that(new SimulatedSystem(cell, Guards.ALL).run().watched().complete)
+				.isTrue();
+		}
+	}
+
+	@ParameterizedTest
+	@EnumSource(value = Fault.class, mode = EnumSource.Mode.EXCLUDE,
+			names = { "ENTRY_DIES", "CALLER_GONE", "MESSAGE_LOST", "RANK_STALLED" })
+	void answersStreamsUnderEachFaultButSilentLossAndAStallPastTheDeadline(Fault fault) {
+		for (Step step : Step.values()) {
+			for (Kind kind : List.of(Kind.READ, Kind.RESUMED_STREAM, Kind.RERUN_STREAM)) {
+				FaultCell cell = new FaultCell(kind, SEED, List.of(new Injection(step, fault)));
+				assertWithMessage(cell.toString()).that(new SimulatedSystem(cell, Guards.ALL).run().watched().complete)
+					.isTrue();
+			}
+		}
+	}
+
 	private static boolean isNewPair(Injection first, Injection second, Set<Step> reached, Kind kind) {
 		if (second.fault().compareTo(first.fault()) < 0
 				|| (second.fault() == first.fault() && second.step().compareTo(first.step()) <= 0)) {
--- a/bulrushrouter-request/src/test/java/io/bulrushrouter/request/SidecarCallsTests.java
+++ b/bulrushrouter-request/src/test/java/io/bulrushrouter/request/SidecarCallsTests.java
@@ -150,6 +150,19 @@
 		assertThat(runs()).isEqualTo(2);
 	}
 
+	@Test
+	void keepsNoReadOfAnEarlierModelVersion() {
+		call(1, read("a"));
+		answer(1, "x");
+		call(2, read("b"));
+		on(new SidecarEvent.EngineChanged());
+		answer(2, "y");
+		call(3, read("a"));
+		answer(3, "z");
+		call(4, read("b"));
+		assertThat(runs()).isEqualTo(4);
+	}
+
 	@Test
 	void keepsRunningForAnEqualReadWhenTheFirstIsCancelled() {
 		call(1, read("a"));
