--- a/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/reconcile/EvacuationRound.java
+++ b/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/reconcile/EvacuationRound.java
@@ -174,9 +174,13 @@
 	}
 
 	private StepResult carryOut(Step.Order order) {
-		if (!(order instanceof Step.MoveOrganisation move)) {
-			return this.port.carryOut(order);
+		if (order instanceof Step.UpstreamOrder upstreamOrder) {
+			return this.port.carryOut(upstreamOrder);
 		}
+		return move((Step.MoveOrganisation) order);
+	}
+
+	private StepResult move(Step.MoveOrganisation move) {
 		Optional<Placements> moved = this.placements.value().moved(move.organisation(), move.to(), move.fence());
 		if (moved.isEmpty()) {
 			return new StepResult.Fenced();
--- a/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/reconcile/Step.java
+++ b/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/reconcile/Step.java
@@ -37,6 +37,30 @@
 
 	}
 
+	/**
+	 * An order to one upstream.
+	 */
+	sealed interface UpstreamOrder extends Order {
+
+		/**
+		 * Returns the upstream.
+		 * @return the upstream
+		 */
+		UpstreamId upstream();
+
+		/**
+		 * Returns the phase that the order brings the upstream to.
+		 * @return the phase
+		 */
+		Phase reaches();
+
+		@Override
+		default String subject() {
+			return "upstream/" + upstream();
+		}
+
+	}
+
 	/**
 	 * Sends an organisation's new requests to another data centre.
 	 *
@@ -64,7 +88,7 @@
 	 * @param upstream the upstream
 	 * @param fence the holder's fencing number
 	 */
-	record SetLeaving(UpstreamId upstream, long fence) implements Order {
+	record SetLeaving(UpstreamId upstream, long fence) implements UpstreamOrder {
 
 		@Override
 		public String name() {
@@ -72,8 +96,8 @@
 		}
 
 		@Override
-		public String subject() {
-			return "upstream/" + this.upstream;
+		public Phase reaches() {
+			return Phase.LEAVING;
 		}
 
 	}
@@ -84,7 +108,7 @@
 	 * @param upstream the upstream
 	 * @param fence the holder's fencing number
 	 */
-	record Unload(UpstreamId upstream, long fence) implements Order {
+	record Unload(UpstreamId upstream, long fence) implements UpstreamOrder {
 
 		@Override
 		public String name() {
@@ -92,8 +116,8 @@
 		}
 
 		@Override
-		public String subject() {
-			return "upstream/" + this.upstream;
+		public Phase reaches() {
+			return Phase.UNLOADED;
 		}
 
 	}
@@ -104,7 +128,7 @@
 	 * @param upstream the upstream
 	 * @param fence the holder's fencing number
 	 */
-	record StopUpstream(UpstreamId upstream, long fence) implements Order {
+	record StopUpstream(UpstreamId upstream, long fence) implements UpstreamOrder {
 
 		@Override
 		public String name() {
@@ -112,8 +136,8 @@
 		}
 
 		@Override
-		public String subject() {
-			return "upstream/" + this.upstream;
+		public Phase reaches() {
+			return Phase.STOPPED;
 		}
 
 	}
--- a/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/reconcile/UpstreamPort.java
+++ b/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/reconcile/UpstreamPort.java
@@ -16,9 +16,9 @@
 
 	/**
 	 * Carries out an order to an upstream.
-	 * @param order any order but a move
+	 * @param order the order
 	 * @return what became of it
 	 */
-	StepResult carryOut(Step.Order order);
+	StepResult carryOut(Step.UpstreamOrder order);
 
 }
--- a/bulrushrouter-evacuation/src/test/java/io/bulrushrouter/evacuation/reconcile/EvacuationRoundTests.java
+++ b/bulrushrouter-evacuation/src/test/java/io/bulrushrouter/evacuation/reconcile/EvacuationRoundTests.java
@@ -94,4 +94,28 @@
 		assertThat(callsWithoutFault(FaultCell.Kind.PLAIN)).isLessThan(200);
 	}
 
+	@ParameterizedTest
+	@EnumSource
+	void ordersNoMoreWithoutAnAnswerOrTheLease(Answer answer) {
+		FaultRun run = FaultRun.of(FaultCell.ofNone(FaultCell.Kind.PLAIN));
+		RoundResult result = run.roundAtTheHour(answer.result);
+		assertThat(result.outcomes()).hasSize((answer == Answer.REFUSED) ? 3 : 1);
+		assertThat(result.fenced()).isEqualTo(answer == Answer.FENCED);
+	}
+
+	/**
+	 * What all orders are answered with.
+	 */
+	private enum Answer {
+
+		REFUSED(new StepResult.Refused("busy")), LOST(new StepResult.Unknown("lost")), FENCED(new StepResult.Fenced());
+
+		private final StepResult result;
+
+		Answer(StepResult result) {
+			this.result = result;
+		}
+
+	}
+
 }
--- a/bulrushrouter-evacuation/src/test/java/io/bulrushrouter/evacuation/reconcile/FaultRun.java
+++ b/bulrushrouter-evacuation/src/test/java/io/bulrushrouter/evacuation/reconcile/FaultRun.java
@@ -101,6 +101,30 @@
 		return this.fleet.counts();
 	}
 
+	/** Runs the round that closes gates, with every order answered in one way. */
+	RoundResult roundAtTheHour(StepResult answer) {
+		prepare();
+		FaultyCalls calls = new FaultyCalls(this, this.cell);
+		UpstreamPort port = new UpstreamPort() {
+
+			@Override
+			public List<ObservedUpstream> observe() {
+				return calls.observe();
+			}
+
+			@Override
+			public StepResult carryOut(Step.UpstreamOrder order) {
+				return answer;
+			}
+
+		};
+		EvacuationRound holder = EvacuationRound.of(TestFleet.FLEET, ReconcilePolicy.ofDefaults(),
+				new EvacuationRound.Ports(calls, port, this::mark), PLAN);
+		holder.run(this.now, 1);
+		holder.run(this.now, 1);
+		return holder.run(STOP, 1);
+	}
+
 	/** Runs it to its end. */
 	List<String> violations() {
 		prepare();
--- a/bulrushrouter-evacuation/src/test/java/io/bulrushrouter/evacuation/reconcile/FaultyCalls.java
+++ b/bulrushrouter-evacuation/src/test/java/io/bulrushrouter/evacuation/reconcile/FaultyCalls.java
@@ -6,7 +6,6 @@
 import java.util.concurrent.CompletionStage;
 import java.util.function.Supplier;
 
-import io.bulrushrouter.kernel.UpstreamId;
 import io.bulrushrouter.kernel.store.ListResult;
 import io.bulrushrouter.kernel.store.ObjectKey;
 import io.bulrushrouter.kernel.store.ObjectStore;
@@ -86,14 +85,13 @@
 	}
 
 	@Override
-	public StepResult carryOut(Step.Order order) {
+	public StepResult carryOut(Step.UpstreamOrder order) {
 		return call(() -> answer(order), new StepResult.Unknown("lost"));
 	}
 
-	private StepResult answer(Step.Order order) {
-		UpstreamId upstream = UpstreamId.of(order.subject().substring("upstream/".length()));
-		FleetStandin.Answer answer = this.run.fleet().order(upstream, state(order), order.fence());
-		return switch (answer) {
+	private StepResult answer(Step.UpstreamOrder order) {
+		FleetStandin.State state = FleetStandin.State.valueOf(order.reaches().name());
+		return switch (this.run.fleet().order(order.upstream(), state, order.fence())) {
 			case DONE -> new StepResult.Done();
 			case REFUSED -> new StepResult.Refused("refused");
 			case STALE -> new StepResult.Fenced();
@@ -101,11 +99,4 @@
 		};
 	}
 
-	private static FleetStandin.State state(Step.Order order) {
-		if (order instanceof Step.SetLeaving) {
-			return FleetStandin.State.LEAVING;
-		}
-		return (order instanceof Step.Unload) ? FleetStandin.State.UNLOADED : FleetStandin.State.STOPPED;
-	}
-
 }
