--- /dev/null
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/EvacuationWeekPlugins.java
@@ -0,0 +1,22 @@
+package io.bulrushrouter.bench;
+
+import java.nio.file.Path;
+import java.util.List;
+
+import io.bulrushrouter.kernel.plugin.Plugin;
+import io.bulrushrouter.kernel.plugin.PluginProvider;
+
+/**
+ * Registers the experiment {@code evacuation-week}, which keeps its reports under
+ * {@code docs/examples/evacuation-week} of the working directory.
+ */
+public final class EvacuationWeekPlugins implements PluginProvider {
+
+	private static final Path REPORTS = Path.of("docs", "examples", "evacuation-week");
+
+	@Override
+	public List<Plugin<?>> plugins() {
+		return List.of(Plugin.of(Experiment.class, "evacuation-week", (out) -> new EvacuationWeek(REPORTS).run(out)));
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/WeekTraffic.java
@@ -0,0 +1,137 @@
+package io.bulrushrouter.bench;
+
+import java.time.Duration;
+import java.time.LocalDateTime;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.random.RandomGenerator;
+
+import io.bulrushrouter.evacuation.Demand;
+import io.bulrushrouter.evacuation.Fleet;
+import io.bulrushrouter.evacuation.FleetUpstream;
+import io.bulrushrouter.kernel.DataCentreId;
+import io.bulrushrouter.kernel.ModelId;
+import io.bulrushrouter.kernel.OrganisationId;
+import io.bulrushrouter.kernel.UpstreamId;
+import io.bulrushrouter.standin.FleetStandin;
+
+/**
+ * Requests of the organisations: each keeps up to its demand in the air, at the least
+ * loaded open upstream of its data centre.
+ */
+final class WeekTraffic {
+
+	private static final double BEGIN_CHANCE = 0.3;
+
+	private static final Duration MEAN_ASSISTANT_TIME = Duration.ofSeconds(45);
+
+	private static final Duration BOOKING_TIME = Duration.ofSeconds(2);
+
+	private final Fleet fleet;
+
+	private final FleetStandin standin;
+
+	private final RandomGenerator random;
+
+	private final PriorityQueue<Running> running = new PriorityQueue<>(Comparator.comparing(Running::end));
+
+	private final Map<Demand, Integer> inFlight = new HashMap<>();
+
+	private long waited;
+
+	private long cut;
+
+	WeekTraffic(Fleet fleet, FleetStandin standin, RandomGenerator random) {
+		this.fleet = fleet;
+		this.standin = standin;
+		this.random = random;
+	}
+
+	long waited() {
+		return this.waited;
+	}
+
+	long cut() {
+		return this.cut;
+	}
+
+	void step(LocalDateTime now, List<Demand> demands, Map<OrganisationId, DataCentreId> placements) {
+		finishUntil(now);
+		for (Demand demand : demands) {
+			for (int i = this.inFlight.getOrDefault(demand, 0); i < demand.requests(); i++) {
+				if (this.random.nextDouble() < BEGIN_CHANCE) {
+					begin(now, demand, placements.get(demand.organisation()));
+				}
+			}
+		}
+	}
+
+	void beginLong(UpstreamId upstream, Demand demand, LocalDateTime end) {
+		if (!this.standin.begin(upstream)) {
+			throw new IllegalStateException("no open gate for the long request");
+		}
+		run(new Running(end, upstream, demand));
+	}
+
+	void finishUntil(LocalDateTime now) {
+		while (!this.running.isEmpty() && !this.running.peek().end().isAfter(now)) {
+			Running ended = this.running.remove();
+			this.inFlight.merge(ended.demand(), -1, Integer::sum);
+			if (!this.standin.finish(ended.upstream())) {
+				this.cut++;
+			}
+		}
+	}
+
+	private void begin(LocalDateTime now, Demand demand, DataCentreId place) {
+		Optional<UpstreamId> upstream = choose(demand.model(), place);
+		if (upstream.isEmpty() || !this.standin.begin(upstream.get())) {
+			this.waited++;
+			return;
+		}
+		run(new Running(now.plus(duration(demand.model())), upstream.get(), demand));
+	}
+
+	private void run(Running request) {
+		this.running.add(request);
+		this.inFlight.merge(request.demand(), 1, Integer::sum);
+	}
+
+	private Optional<UpstreamId> choose(ModelId model, DataCentreId place) {
+		return this.standin.statuses()
+			.stream()
+			.filter((status) -> status.state() == FleetStandin.State.RUNNING)
+			.filter((status) -> serves(status, model, place))
+			.min(Comparator.comparingInt(FleetStandin.Status::inFlight))
+			.map(FleetStandin.Status::id);
+	}
+
+	private boolean serves(FleetStandin.Status status, ModelId model, DataCentreId place) {
+		FleetUpstream upstream = this.fleet.find(status.id()).orElseThrow();
+		int capacity = this.fleet.members(upstream.unit()).stream().mapToInt(FleetUpstream::capacity).sum();
+		return upstream.model().equals(model) && upstream.dataCentre().equals(place) && status.inFlight() < capacity;
+	}
+
+	private Duration duration(ModelId model) {
+		if (model.equals(KitchenFirm.BOOKING)) {
+			return BOOKING_TIME;
+		}
+		double factor = -Math.log(1 - this.random.nextDouble());
+		return Duration.ofMillis(1 + (long) (factor * MEAN_ASSISTANT_TIME.toMillis()));
+	}
+
+	/**
+	 * A request in the air.
+	 *
+	 * @param end when it is answered
+	 * @param upstream where it runs
+	 * @param demand whose it is
+	 */
+	private record Running(LocalDateTime end, UpstreamId upstream, Demand demand) {
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/WeekWorld.java
@@ -0,0 +1,223 @@
+package io.bulrushrouter.bench;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.LocalDateTime;
+import java.time.ZoneOffset;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.random.RandomGeneratorFactory;
+
+import io.bulrushrouter.evacuation.Change;
+import io.bulrushrouter.evacuation.Demand;
+import io.bulrushrouter.evacuation.EvacuationState;
+import io.bulrushrouter.evacuation.EvacuationStore;
+import io.bulrushrouter.evacuation.Fleet;
+import io.bulrushrouter.evacuation.FleetUpstream;
+import io.bulrushrouter.evacuation.HolderStore;
+import io.bulrushrouter.evacuation.Loaded;
+import io.bulrushrouter.evacuation.Placements;
+import io.bulrushrouter.evacuation.Stored;
+import io.bulrushrouter.evacuation.reconcile.EvacuationRound;
+import io.bulrushrouter.evacuation.reconcile.ObservedUpstream;
+import io.bulrushrouter.evacuation.reconcile.Phase;
+import io.bulrushrouter.evacuation.reconcile.ReconcilePolicy;
+import io.bulrushrouter.evacuation.reconcile.RoundResult;
+import io.bulrushrouter.evacuation.reconcile.Step;
+import io.bulrushrouter.evacuation.reconcile.StepResult;
+import io.bulrushrouter.evacuation.reconcile.UpstreamPort;
+import io.bulrushrouter.evacuation.report.ForecastSettings;
+import io.bulrushrouter.evacuation.report.ReportInput;
+import io.bulrushrouter.evacuation.report.ShortfallReport;
+import io.bulrushrouter.evacuation.sheet.DateOrder;
+import io.bulrushrouter.evacuation.sheet.MorningSheet;
+import io.bulrushrouter.evacuation.sheet.SheetApplication;
+import io.bulrushrouter.evacuation.sheet.SheetFormat;
+import io.bulrushrouter.evacuation.sheet.SheetOrder;
+import io.bulrushrouter.evacuation.sheet.SheetOutcome;
+import io.bulrushrouter.evacuation.sheet.SheetResult;
+import io.bulrushrouter.kernel.DataCentreId;
+import io.bulrushrouter.kernel.OrganisationId;
+import io.bulrushrouter.standin.FleetStandin;
+import io.bulrushrouter.standin.MemoryObjectStore;
+
+/**
+ * The kitchen firm with its platform, fleet, requests, operator and the plan's holder, on
+ * an injected clock.
+ */
+final class WeekWorld implements UpstreamPort {
+
+	private static final Duration STEP = Duration.ofSeconds(20);
+
+	private static final long SEED = 1;
+
+	private final Fleet fleet = KitchenFirm.fleet();
+
+	private final String plan = KitchenFirm.plan().name();
+
+	private final List<Demand> demands = this.fleet.organisations()
+		.stream()
+		.flatMap((organisation) -> this.fleet.demands(organisation).stream())
+		.toList();
+
+	private final MemoryObjectStore objects = new MemoryObjectStore();
+
+	private final FleetStandin standin = new FleetStandin(() -> this.storeDown ? -1 : this.lease);
+
+	private final WeekTraffic traffic = new WeekTraffic(this.fleet, this.standin,
+			RandomGeneratorFactory.of("L64X128MixRandom").create(SEED));
+
+	private LocalDateTime now = KitchenFirm.MONDAY.atTime(7, 0);
+
+	private Map<OrganisationId, DataCentreId> placements = KitchenFirm.placements();
+
+	private EvacuationRound holder = newHolder();
+
+	private Optional<RoundResult> last = Optional.empty();
+
+	private boolean holderAlive = true;
+
+	private boolean storeDown;
+
+	private long lease = 1;
+
+	private long marks;
+
+	WeekWorld() {
+		for (FleetUpstream upstream : this.fleet.upstreams()) {
+			boolean checks = upstream.model().equals(KitchenFirm.ASSISTANT);
+			this.standin.add(upstream.id(), upstream.group(), checks);
+		}
+		EvacuationState state = EvacuationState.of(KitchenFirm.plan(), change("plan agreed with the landlord"));
+		EvacuationStore.of(this.objects, this.plan).create(state);
+		HolderStore.ofPlacements(this.objects, this.plan).create(Placements.of(0, this.placements), mark());
+	}
+
+	Fleet fleet() {
+		return this.fleet;
+	}
+
+	MemoryObjectStore objects() {
+		return this.objects;
+	}
+
+	FleetStandin standin() {
+		return this.standin;
+	}
+
+	WeekTraffic traffic() {
+		return this.traffic;
+	}
+
+	long storeCalls() {
+		return this.objects.reads() + this.objects.writes();
+	}
+
+	private EvacuationRound newHolder() {
+		return EvacuationRound.of(this.fleet, ReconcilePolicy.ofDefaults(),
+				new EvacuationRound.Ports(this.objects, this, this::mark), this.plan);
+	}
+
+	private String mark() {
+		return "mark-" + ++this.marks;
+	}
+
+	private Change change(String why) {
+		Instant when = this.now.toInstant(ZoneOffset.ofHours(1));
+		return new Change(mark(), "planner", when, why, why);
+	}
+
+	// Lets time pass.
+	void runUntil(LocalDateTime until) {
+		while (this.now.isBefore(until)) {
+			this.now = this.now.plus(STEP);
+			this.traffic.step(this.now, this.demands, this.placements);
+			if (this.holderAlive) {
+				this.last = Optional.of(this.holder.run(this.now, this.lease));
+			}
+			readPlacements();
+		}
+	}
+
+	// Entries go on with what they know while the store is down.
+	private void readPlacements() {
+		Loaded<Placements> loaded = HolderStore.ofPlacements(this.objects, this.plan)
+			.read()
+			.toCompletableFuture()
+			.join();
+		if (loaded instanceof Loaded.Found<Placements> found) {
+			this.placements = found.stored().value().byOrganisation();
+		}
+	}
+
+	void storeDown(boolean down) {
+		this.storeDown = down;
+		this.objects.down(down);
+	}
+
+	EvacuationRound killHolder() {
+		this.holderAlive = false;
+		return this.holder;
+	}
+
+	void newHolderTakesOver() {
+		this.lease++;
+		this.holder = newHolder();
+		this.holderAlive = true;
+	}
+
+	boolean fenced(EvacuationRound old) {
+		return old.run(this.now, this.lease - 1).fenced();
+	}
+
+	// An operator applies a sheet.
+	String apply(byte[] file) {
+		SheetResult result = MorningSheet.parse(file, SheetFormat.of(DateOrder.DAY_MONTH_YEAR), this.fleet);
+		if (result instanceof SheetResult.Rejected rejected) {
+			return "rejected: " + rejected.errors().get(0);
+		}
+		MorningSheet sheet = ((SheetResult.Parsed) result).sheet();
+		EvacuationStore store = EvacuationStore.of(this.objects, this.plan);
+		Stored<EvacuationState> read = ((Loaded.Found<EvacuationState>) store.read().toCompletableFuture().join())
+			.stored();
+		SheetOrder order = new SheetOrder(sheet, this.placements, change("sheet of " + sheet.date()), false);
+		SheetOutcome outcome = SheetApplication.of(this.fleet).apply(read.value(), order);
+		if (outcome instanceof SheetOutcome.Applied applied) {
+			return store.write(read, applied.state(), order.change().mark())
+				.toCompletableFuture()
+				.join()
+				.getClass()
+				.getSimpleName()
+				.replace("Written", "applied");
+		}
+		return outcome.toString();
+	}
+
+	ShortfallReport report() {
+		RoundResult round = this.last.orElseThrow();
+		return ShortfallReport.of(new ReportInput(round.state().orElseThrow(), this.fleet, round.observed(),
+				round.steps(), this.now, round.progress().points()), ForecastSettings.ofDefaults());
+	}
+
+	@Override
+	public List<ObservedUpstream> observe() {
+		return this.standin.statuses()
+			.stream()
+			.map((status) -> new ObservedUpstream(status.id(), Phase.valueOf(status.state().name()), status.inFlight(),
+					status.refusal()))
+			.toList();
+	}
+
+	@Override
+	public StepResult carryOut(Step.UpstreamOrder order) {
+		FleetStandin.State state = FleetStandin.State.valueOf(order.reaches().name());
+		return switch (this.standin.order(order.upstream(), state, order.fence())) {
+			case DONE -> new StepResult.Done();
+			case REFUSED -> new StepResult.Refused("refused");
+			case STALE -> new StepResult.Fenced();
+			case UNDECIDED -> new StepResult.Unknown("the store does not answer");
+		};
+	}
+
+}
--- a/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/Fleet.java
+++ b/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/Fleet.java
@@ -130,6 +130,15 @@
 		return Collections.unmodifiableSet(this.dataCentres);
 	}
 
+	/**
+	 * Returns what an organisation needs.
+	 * @param organisation the organisation
+	 * @return its demands; empty if it is unknown
+	 */
+	public List<Demand> demands(OrganisationId organisation) {
+		return this.demands.getOrDefault(organisation, List.of());
+	}
+
 	/**
 	 * Returns the models that an organisation needs.
 	 * @param organisation the organisation
