--- /dev/null
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/DecisionCost.java
@@ -0,0 +1,105 @@
+package io.bulrushrouter.bench;
+
+import java.io.PrintStream;
+import java.lang.management.ManagementFactory;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.stream.IntStream;
+
+import com.sun.management.ThreadMXBean;
+
+import io.bulrushrouter.kernel.DataCentreId;
+import io.bulrushrouter.kernel.ModelId;
+import io.bulrushrouter.kernel.OrganisationId;
+import io.bulrushrouter.kernel.Priority;
+import io.bulrushrouter.kernel.UpstreamId;
+import io.bulrushrouter.routing.Choice;
+import io.bulrushrouter.routing.CostModel;
+import io.bulrushrouter.routing.HomeSetChooser;
+import io.bulrushrouter.routing.LoadReport;
+import io.bulrushrouter.routing.RouteQuery;
+import io.bulrushrouter.routing.UpstreamChooser;
+import io.bulrushrouter.routing.UpstreamSpec;
+import io.bulrushrouter.routing.UpstreamTable;
+
+/**
+ * The time and the allocation of one decision among 600 upstreams of one model: naming
+ * the upstreams to probe, and choosing.
+ */
+final class DecisionCost {
+
+	private static final double LARGEST_MICROS = 20;
+
+	private static final int UPSTREAMS = 600;
+
+	private static final int DECISIONS = 200_000;
+
+	private static final int ROUNDS = 5;
+
+	private static final ModelId MODEL = ModelId.of("m");
+
+	private final UpstreamChooser chooser = HomeSetChooser.of(3, 1);
+
+	private final SplittableRandom random = new SplittableRandom(1);
+
+	private final UpstreamTable table;
+
+	private long sink;
+
+	private DecisionCost() {
+		List<UpstreamSpec> specs = IntStream.range(0, UPSTREAMS)
+			.mapToObj((i) -> new UpstreamSpec(UpstreamId.of("u" + i), MODEL, DataCentreId.of("dc" + i % 11),
+					Optional.empty(), 1))
+			.toList();
+		this.table = UpstreamTable.of(specs, CostModel.ofDefaults());
+		for (UpstreamSpec spec : specs) {
+			LoadReport report = new LoadReport(1, 1, 0, this.random.nextInt(4000), 30, 0.5, 0.06, List.of());
+			this.table.reported(spec.id(), report, 0);
+		}
+	}
+
+	static boolean holds(PrintStream out) {
+		DecisionCost cost = new DecisionCost();
+		Measured measured = cost.measure();
+		for (int i = 1; i < ROUNDS; i++) {
+			measured = cost.measure();
+		}
+		out.printf(Locale.ROOT, "a decision among %d upstreams: %.1f us (bound %.0f), %d bytes allocated%n", UPSTREAMS,
+				measured.micros(), LARGEST_MICROS, measured.bytes());
+		return measured.micros() < LARGEST_MICROS;
+	}
+
+	private Measured measure() {
+		ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
+		long thread = Thread.currentThread().getId();
+		long bytes = threads.getThreadAllocatedBytes(thread);
+		long start = System.nanoTime();
+		for (int i = 0; i < DECISIONS; i++) {
+			decide(i);
+		}
+		double micros = (System.nanoTime() - start) / 1000.0 / DECISIONS;
+		return new Measured(micros, (threads.getThreadAllocatedBytes(thread) - bytes) / DECISIONS);
+	}
+
+	private void decide(int number) {
+		long now = 1_000_000_000L + number;
+		RouteQuery query = new RouteQuery(MODEL, OrganisationId.of("o"), Priority.NORMAL, number, 1536, 2000,
+				DataCentreId.of("dc0"), Set.of());
+		this.sink += this.chooser.probes(query, this.table, now, this.random).size();
+		Choice choice = this.chooser.choose(query, this.table, now, this.random);
+		this.sink += choice.candidates().size();
+	}
+
+	/**
+	 * A measurement.
+	 *
+	 * @param micros time a decision, in microseconds
+	 * @param bytes allocation a decision
+	 */
+	private record Measured(double micros, long bytes) {
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/FairnessExperiment.java
@@ -0,0 +1,139 @@
+package io.bulrushrouter.bench;
+
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+
+import org.HdrHistogram.Histogram;
+
+import io.bulrushrouter.bench.FairnessModel.Load;
+
+/**
+ * What one organisation's flood costs the others, and how near shares are to weights.
+ */
+final class FairnessExperiment implements Experiment {
+
+	/** Largest rise of the others' 95th percentile. */
+	private static final double LARGEST_RISE = 1.1;
+
+	/** Largest distance of a share from its weight, relative to the weight. */
+	private static final double LARGEST_DISTANCE = 0.05;
+
+	private static final int ORGANISATIONS = 10;
+
+	private static final double FLOOD_SHARES = 20;
+
+	/** Slots of an engine that prefill limits, and of one that its slots limit. */
+	private static final int[] SLOTS = { 96, 64 };
+
+	/** Load of the others and of the flooding organisation's share that is bounded. */
+	private static final double BOUNDED_LOAD = 0.85;
+
+	/** Half seconds in 10 s. */
+	private static final int WINDOW = 20;
+
+	private static final double[] WEIGHTS = { 1, 2, 3, 4 };
+
+	@Override
+	public boolean run(PrintStream out) {
+		return holds(out, 600, 3, ChoiceScenario.UPSTREAMS);
+	}
+
+	/**
+	 * Tells whether the bounds hold.
+	 * @param out takes the figures
+	 * @param seconds simulated time
+	 * @param seeds runs of the flood
+	 * @param upstreams upstreams over which shares are taken
+	 * @return whether they hold
+	 */
+	static boolean holds(PrintStream out, double seconds, int seeds, int upstreams) {
+		out.println("| slots | others' load | with a share for the flood | p95 alone ms | p95 beside the flood ms "
+				+ "| ratio | bound |");
+		out.println("|---|---|---|---|---|---|---|");
+		boolean held = true;
+		for (int slots : SLOTS) {
+			for (double load : new double[] { 0.5, 0.8, 0.9 }) {
+				held &= holds(out, slots, load, seconds, seeds);
+			}
+		}
+		double one = distance(1, seconds);
+		double all = distance(upstreams, seconds);
+		out.printf(Locale.ROOT, "%nfarthest share from its weight over any 10 s: %.3f at one upstream, "
+				+ "%.3f over %d upstreams (bound %.2f)%n", one, all, upstreams, LARGEST_DISTANCE);
+		return held && all <= LARGEST_DISTANCE;
+	}
+
+	private static boolean holds(PrintStream out, int slots, double load, double seconds, int seeds) {
+		double alone = p95(slots, load, 0, seconds, seeds);
+		double beside = p95(slots, load, FLOOD_SHARES, seconds, seeds);
+		double others = load * (ORGANISATIONS - 1) / ORGANISATIONS;
+		double all = others + 1.0 / ORGANISATIONS;
+		boolean bounded = all <= BOUNDED_LOAD;
+		out.printf(Locale.ROOT, "| %d | %.2f | %.2f | %.0f | %.0f | %.2f | %s |%n", slots, others, all, alone, beside,
+				beside / alone, bounded ? String.valueOf(LARGEST_RISE) : "none above 0.85");
+		return !bounded || beside <= alone * LARGEST_RISE;
+	}
+
+	private static double p95(int slots, double load, double floodShares, double seconds, int seeds) {
+		double share = FairnessModel.capacityPerSecond(slots) / ORGANISATIONS;
+		List<Load> loads = new ArrayList<>();
+		loads.add(new Load(1, share * floodShares));
+		for (int i = 1; i < ORGANISATIONS; i++) {
+			loads.add(new Load(1, share * load));
+		}
+		Histogram others = new Histogram(3);
+		for (int seed = 1; seed <= seeds; seed++) {
+			Histogram[] byOrganisation = FairnessModel.run(slots, loads, seconds, seed).firstTokenMicros();
+			for (int i = 1; i < ORGANISATIONS; i++) {
+				others.add(byOrganisation[i]);
+			}
+		}
+		return others.getValueAtPercentile(95) / 1000.0;
+	}
+
+	private static double distance(int upstreams, double seconds) {
+		double sum = 0;
+		for (double weight : WEIGHTS) {
+			sum += weight;
+		}
+		List<Load> loads = new ArrayList<>();
+		for (double weight : WEIGHTS) {
+			loads.add(new Load(weight, 3 * FairnessModel.capacityPerSecond(SLOTS[0]) * weight / sum));
+		}
+		double[][] served = new double[WEIGHTS.length][(int) (seconds * 2) + 1];
+		for (int seed = 1; seed <= upstreams; seed++) {
+			add(served, FairnessModel.run(SLOTS[0], loads, seconds, seed).served());
+		}
+		return largest(served, sum);
+	}
+
+	private static void add(double[][] total, double[][] more) {
+		for (int i = 0; i < total.length; i++) {
+			for (int j = 0; j < total[i].length; j++) {
+				total[i][j] += more[i][j];
+			}
+		}
+	}
+
+	private static double largest(double[][] served, double weights) {
+		double largest = 0;
+		int buckets = served[0].length - 1;
+		for (int start = buckets / 6; start + WINDOW <= buckets; start++) {
+			double all = 0;
+			double[] own = new double[WEIGHTS.length];
+			for (int i = 0; i < own.length; i++) {
+				for (int j = start; j < start + WINDOW; j++) {
+					own[i] += served[i][j];
+				}
+				all += own[i];
+			}
+			for (int i = 0; i < own.length; i++) {
+				largest = Math.max(largest, Math.abs(own[i] / all / (WEIGHTS[i] / weights) - 1));
+			}
+		}
+		return largest;
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/FairnessModel.java
@@ -0,0 +1,216 @@
+package io.bulrushrouter.bench;
+
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+
+import org.HdrHistogram.Histogram;
+
+import io.bulrushrouter.kernel.OrganisationId;
+import io.bulrushrouter.kernel.Priority;
+import io.bulrushrouter.routing.Dispatch;
+import io.bulrushrouter.routing.FairQueue;
+import io.bulrushrouter.routing.FairQueueSettings;
+
+/**
+ * A sidecar's fair queue before an engine that prefills in chunks, one at a time, and
+ * decodes up to a number of requests at once. The queue is the product's own.
+ */
+final class FairnessModel {
+
+	/** Time between a request's tokens, in milliseconds. */
+	private static final double MILLIS_PER_DECODED = 40;
+
+	private static final double MEAN_PROMPT_TOKENS = 1000;
+
+	private static final double MEAN_OUTPUT_TOKENS = 100;
+
+	/** Prompt tokens that the engine prefills without a break. */
+	private static final int CHUNK_TOKENS = 512;
+
+	/** Served tokens are counted in intervals of this length, in nanoseconds. */
+	private static final long BUCKET_NANOS = 500_000_000L;
+
+	private static final long DEADLINE_NANOS = 30_000_000_000L;
+
+	private final Schedule schedule = new Schedule();
+
+	private final SplittableRandom random;
+
+	private final double seconds;
+
+	private final FairQueue<Job> queue;
+
+	private final ArrayDeque<Job> urgent = new ArrayDeque<>();
+
+	private final ArrayDeque<Job> yielding = new ArrayDeque<>();
+
+	private final Histogram[] firstTokenMicros;
+
+	private final double[][] served;
+
+	private boolean prefilling;
+
+	private long shed;
+
+	private FairnessModel(int slots, List<Load> loads, double seconds, long seed) {
+		this.seconds = seconds;
+		this.random = new SplittableRandom(seed);
+		FairQueueSettings settings = FairQueueSettings.of(slots, (id) -> loads.get(index(id)).weight());
+		this.queue = FairQueue.of(settings, 0);
+		this.firstTokenMicros = new Histogram[loads.size()];
+		this.served = new double[loads.size()][(int) (seconds * 1e9 / BUCKET_NANOS) + 1];
+		for (int i = 0; i < loads.size(); i++) {
+			this.firstTokenMicros[i] = new Histogram(3);
+			SplittableRandom arrivals = this.random.split();
+			int organisation = i;
+			if (loads.get(i).requestsPerSecond() > 0) {
+				this.schedule.after(0, () -> arrive(organisation, loads.get(organisation), arrivals));
+			}
+		}
+	}
+
+	static Result run(int slots, List<Load> loads, double seconds, long seed) {
+		FairnessModel model = new FairnessModel(slots, loads, seconds, seed);
+		model.schedule.run((long) (seconds * 1e9));
+		return new Result(model.firstTokenMicros, model.served, model.shed);
+	}
+
+	/**
+	 * Returns the requests a second that an engine can serve.
+	 * @param slots requests that it decodes at once
+	 * @return the lower of what prefill and decode allow
+	 */
+	static double capacityPerSecond(int slots) {
+		double prefillSeconds = MEAN_PROMPT_TOKENS * ModelUpstream.MILLIS_PER_TOKEN / 1000;
+		double decodeSeconds = MEAN_OUTPUT_TOKENS * MILLIS_PER_DECODED / 1000;
+		return Math.min(1 / prefillSeconds, slots / (prefillSeconds + decodeSeconds));
+	}
+
+	private static int index(OrganisationId id) {
+		return Integer.parseInt(id.value().substring(1));
+	}
+
+	private void arrive(int organisation, Load load, SplittableRandom arrivals) {
+		double gap = -Math.log(1 - arrivals.nextDouble()) / load.requestsPerSecond() * 1000;
+		this.schedule.after(gap, () -> arrive(organisation, load, arrivals));
+		Job job = new Job(organisation, draw(arrivals, MEAN_PROMPT_TOKENS), draw(arrivals, MEAN_OUTPUT_TOKENS),
+				this.schedule.now());
+		long now = this.schedule.now();
+		this.shed += this.queue
+			.offer(job, OrganisationId.of("o" + organisation), Priority.NORMAL,
+					job.promptTokens + (long) MEAN_OUTPUT_TOKENS, now + DEADLINE_NANOS, now)
+			.shed()
+			.size();
+		this.shed += this.queue.expired(now).size();
+		dispatch();
+	}
+
+	private static int draw(SplittableRandom random, double mean) {
+		return 1 + (int) (mean * (0.5 + random.nextDouble()));
+	}
+
+	private void dispatch() {
+		Optional<Dispatch<Job>> next = this.queue.next(this.schedule.now());
+		while (next.isPresent()) {
+			Job job = next.get().item();
+			job.dispatch = next.get();
+			(job.dispatch.overShare() ? this.yielding : this.urgent).add(job);
+			next = this.queue.next(this.schedule.now());
+		}
+		if (!this.prefilling) {
+			prefill();
+		}
+	}
+
+	private void prefill() {
+		Job job = this.urgent.isEmpty() ? this.yielding.peek() : this.urgent.peek();
+		this.prefilling = job != null;
+		if (job != null) {
+			int chunk = Math.min(CHUNK_TOKENS, job.promptTokens - job.prefilled);
+			this.schedule.after(chunk * ModelUpstream.MILLIS_PER_TOKEN, () -> chunkDone(job, chunk));
+		}
+	}
+
+	private void chunkDone(Job job, int chunk) {
+		job.prefilled += chunk;
+		count(job, chunk);
+		if (job.prefilled == job.promptTokens) {
+			this.urgent.remove(job);
+			this.yielding.remove(job);
+			firstToken(job);
+		}
+		prefill();
+	}
+
+	private void firstToken(Job job) {
+		this.queue.firstToken(job.dispatch);
+		long now = this.schedule.now();
+		if (now > this.seconds * 1e9 / 6) {
+			this.firstTokenMicros[job.organisation].recordValue((now - job.atNanos) / 1000);
+		}
+		this.schedule.after(MILLIS_PER_DECODED, () -> decode(job, 1));
+		dispatch();
+	}
+
+	private void decode(Job job, int tokens) {
+		count(job, 1);
+		if (tokens < job.outputTokens) {
+			this.schedule.after(MILLIS_PER_DECODED, () -> decode(job, tokens + 1));
+			return;
+		}
+		this.queue.finished(job.dispatch, job.promptTokens + job.outputTokens, this.schedule.now());
+		dispatch();
+	}
+
+	private void count(Job job, int tokens) {
+		this.served[job.organisation][(int) (this.schedule.now() / BUCKET_NANOS)] += tokens;
+	}
+
+	/**
+	 * An organisation's load.
+	 *
+	 * @param weight its weight
+	 * @param requestsPerSecond its requests
+	 */
+	record Load(double weight, double requestsPerSecond) {
+	}
+
+	/**
+	 * What a run gave.
+	 *
+	 * @param firstTokenMicros time to first token by organisation, in microseconds
+	 * @param served tokens by organisation and half second
+	 * @param shed requests shed
+	 */
+	record Result(Histogram[] firstTokenMicros, double[][] served, long shed) {
+	}
+
+	/**
+	 * A request.
+	 */
+	private static final class Job {
+
+		private final int organisation;
+
+		private final int promptTokens;
+
+		private final int outputTokens;
+
+		private final long atNanos;
+
+		private int prefilled;
+
+		private Dispatch<Job> dispatch;
+
+		Job(int organisation, int promptTokens, int outputTokens, long atNanos) {
+			this.organisation = organisation;
+			this.promptTokens = promptTokens;
+			this.outputTokens = outputTokens;
+			this.atNanos = atNanos;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/ModelUpstream.java
@@ -0,0 +1,148 @@
+package io.bulrushrouter.bench;
+
+import java.util.ArrayDeque;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+import io.bulrushrouter.routing.LoadTracker;
+import io.bulrushrouter.routing.UpstreamSpec;
+
+/**
+ * An upstream in the {@code choice} experiment: one queue of prompts, a bounded prefix
+ * cache, and the sidecar's tracker.
+ */
+final class ModelUpstream {
+
+	/** Prefill time a prompt token at full speed, in milliseconds. */
+	static final double MILLIS_PER_TOKEN = 1.0 / 16;
+
+	/** Size of the prefix cache, in tokens. */
+	static final long CACHE_TOKENS = 60_000;
+
+	final UpstreamSpec spec;
+
+	final LoadTracker tracker;
+
+	final boolean lying;
+
+	private final Schedule schedule;
+
+	private final double millisPerToken;
+
+	private final ArrayDeque<Prompt> queue = new ArrayDeque<>();
+
+	private final LinkedHashMap<Long, Integer> cache = new LinkedHashMap<>(16, 0.75f, true);
+
+	private long cachedTokens;
+
+	private long headEndsNanos;
+
+	private double busyMillis;
+
+	private long hits;
+
+	private long served;
+
+	ModelUpstream(UpstreamSpec spec, Schedule schedule, double slowness, boolean lying) {
+		this.spec = spec;
+		this.schedule = schedule;
+		this.millisPerToken = MILLIS_PER_TOKEN * slowness;
+		this.lying = lying;
+		this.tracker = LoadTracker.of(1, CACHE_TOKENS, 0);
+	}
+
+	void accept(Prompt prompt) {
+		this.tracker.accepted(prompt.key(), prompt.digest(), prompt.prefixTokens(), prompt.tokens(),
+				this.schedule.now());
+		this.queue.add(prompt);
+		if (this.queue.size() == 1) {
+			begin();
+		}
+	}
+
+	private void begin() {
+		Prompt prompt = this.queue.peek();
+		double millis = workMillis(prompt);
+		this.hits += this.cache.containsKey(prompt.digest()) ? 1 : 0;
+		this.served++;
+		store(prompt);
+		this.busyMillis += millis;
+		this.headEndsNanos = this.schedule.now() + (long) (millis * 1e6);
+		this.schedule.at(this.headEndsNanos, this::end);
+	}
+
+	private void end() {
+		Prompt prompt = this.queue.poll();
+		this.tracker.firstToken(prompt.key(), this.schedule.now());
+		this.tracker.ended(prompt.key());
+		prompt.firstToken().run();
+		if (!this.queue.isEmpty()) {
+			begin();
+		}
+	}
+
+	private double workMillis(Prompt prompt) {
+		int cached = this.cache.containsKey(prompt.digest()) ? prompt.prefixTokens() : 0;
+		return (prompt.tokens() - cached) * this.millisPerToken;
+	}
+
+	private void store(Prompt prompt) {
+		if (this.cache.put(prompt.digest(), prompt.prefixTokens()) == null) {
+			this.cachedTokens += prompt.prefixTokens();
+		}
+		Iterator<Map.Entry<Long, Integer>> eldest = this.cache.entrySet().iterator();
+		while (this.cachedTokens > CACHE_TOKENS) {
+			this.cachedTokens -= eldest.next().getValue();
+			eldest.remove();
+		}
+	}
+
+	/**
+	 * Returns what only an all-knowing chooser sees: the exact time until a prompt that
+	 * came now would begin.
+	 * @return milliseconds
+	 */
+	double exactWaitMillis() {
+		double millis = this.queue.isEmpty() ? 0 : (this.headEndsNanos - this.schedule.now()) / 1e6;
+		Iterator<Prompt> iterator = this.queue.iterator();
+		if (iterator.hasNext()) {
+			iterator.next();
+		}
+		while (iterator.hasNext()) {
+			millis += workMillis(iterator.next());
+		}
+		return millis;
+	}
+
+	double exactWorkMillis(Prompt prompt) {
+		boolean cached = this.cache.containsKey(prompt.digest())
+				|| this.queue.stream().anyMatch((one) -> one.digest() == prompt.digest());
+		return (prompt.tokens() - (cached ? prompt.prefixTokens() : 0)) * this.millisPerToken;
+	}
+
+	double busyMillis() {
+		return this.busyMillis;
+	}
+
+	long hits() {
+		return this.hits;
+	}
+
+	long served() {
+		return this.served;
+	}
+
+	/**
+	 * A prompt.
+	 *
+	 * @param key its number
+	 * @param digest the hash of its prefix
+	 * @param prefixTokens the prefix's length
+	 * @param tokens the prompt's length
+	 * @param firstToken what to do at its first token
+	 */
+	record Prompt(long key, long digest, int prefixTokens, int tokens, Runnable firstToken) {
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/PromptSource.java
@@ -0,0 +1,115 @@
+package io.bulrushrouter.bench;
+
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.stream.IntStream;
+
+import io.bulrushrouter.bench.ChoiceScenario.Sharing;
+
+/**
+ * Draws prompts: organisations by Zipf's law with drifting ranks, prefixes shared within
+ * an organisation, and a rate that drifts by a tenth either way.
+ */
+final class PromptSource {
+
+	private static final int ORGANISATIONS = 300;
+
+	private static final int PREFIXES_EACH = 2;
+
+	private static final int PREFIX_TOKENS = 1536;
+
+	private static final double MEAN_SUFFIX_TOKENS = 400;
+
+	private static final double DRIFT_PERIOD_NANOS = 30e9;
+
+	/** Two organisations swap their popularity this often, in nanoseconds. */
+	private static final long SWAP_NANOS = 500_000_000L;
+
+	private final ChoiceScenario scenario;
+
+	private final SplittableRandom random;
+
+	private final double[] cumulative = new double[ORGANISATIONS];
+
+	private final int[] ranked = IntStream.range(0, ORGANISATIONS).toArray();
+
+	private long swappedNanos;
+
+	private long unique = 1L << 40;
+
+	PromptSource(ChoiceScenario scenario, SplittableRandom random) {
+		this.scenario = scenario;
+		this.random = random;
+		double sum = 0;
+		for (int i = 0; i < ORGANISATIONS; i++) {
+			sum += 1.0 / (i + 1);
+			this.cumulative[i] = sum;
+		}
+	}
+
+	double gapMillis(long nowNanos) {
+		double drift = 1 + 0.1 * Math.sin(2 * Math.PI * nowNanos / DRIFT_PERIOD_NANOS);
+		double rate = this.scenario.requestsPerSecond() * drift;
+		return -Math.log(1 - this.random.nextDouble()) / rate * 1000;
+	}
+
+	Draw next(long nowNanos) {
+		while (nowNanos - this.swappedNanos > SWAP_NANOS) {
+			this.swappedNanos += SWAP_NANOS;
+			swap(this.random.nextInt(ORGANISATIONS), this.random.nextInt(ORGANISATIONS));
+		}
+		int organisation = this.ranked[rank(this.random.nextDouble())];
+		int suffix = 1 + (int) (-Math.log(1 - this.random.nextDouble()) * MEAN_SUFFIX_TOKENS);
+		int which = this.random.nextInt(PREFIXES_EACH);
+		this.unique++;
+		if (this.scenario.sharing() == Sharing.HOT && this.random.nextBoolean()) {
+			return new Draw(0, 1, PREFIX_TOKENS, PREFIX_TOKENS + suffix);
+		}
+		if (this.scenario.sharing() == Sharing.NONE) {
+			return new Draw(organisation, this.unique, 0, PREFIX_TOKENS / 2 + suffix);
+		}
+		long digest = organisation * PREFIXES_EACH + which + 1;
+		int prefix = PREFIX_TOKENS + (organisation % 5 - 2) * 256;
+		return new Draw(organisation, digest, prefix, prefix + suffix);
+	}
+
+	List<Long> someDigests() {
+		return IntStream.range(0, 8)
+			.mapToObj((i) -> (long) this.random.nextInt(ORGANISATIONS * PREFIXES_EACH) + 1)
+			.toList();
+	}
+
+	private int rank(double uniform) {
+		double wanted = uniform * this.cumulative[ORGANISATIONS - 1];
+		int low = 0;
+		int high = ORGANISATIONS - 1;
+		while (low < high) {
+			int middle = (low + high) / 2;
+			if (this.cumulative[middle] < wanted) {
+				low = middle + 1;
+			}
+			else {
+				high = middle;
+			}
+		}
+		return low;
+	}
+
+	private void swap(int one, int other) {
+		int kept = this.ranked[one];
+		this.ranked[one] = this.ranked[other];
+		this.ranked[other] = kept;
+	}
+
+	/**
+	 * A drawn prompt.
+	 *
+	 * @param organisation its organisation
+	 * @param digest the hash of its prefix
+	 * @param prefixTokens the prefix's length
+	 * @param tokens the prompt's length
+	 */
+	record Draw(int organisation, long digest, int prefixTokens, int tokens) {
+	}
+
+}
--- a/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/Choosers.java
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/Choosers.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 
+import com.dynatrace.hash4j.hashing.Hasher64;
 import com.dynatrace.hash4j.hashing.Hashing;
 
 /**
@@ -12,6 +13,8 @@
 
 	private static final int SHOWN = 3;
 
+	private static final Hasher64 HASHER = Hashing.komihash5_0();
+
 	private Choosers() {
 	}
 
@@ -51,8 +54,8 @@
 	 * @return the way
 	 */
 	public static UpstreamChooser ofPrefixAffine() {
-		return (query, table, now, random) -> ofModel(query, table,
-				(upstreams) -> ranked(query, upstreams, (view) -> -rank(query, view), random, ChoiceReason.PREFIX));
+		return (query, table, now, random) -> ofModel(query, table, (upstreams) -> ranked(query, upstreams,
+				(view) -> -rank(query.prefixDigest(), view), random, ChoiceReason.PREFIX));
 	}
 
 	/**
@@ -61,8 +64,10 @@
 	 * @return the way
 	 */
 	public static UpstreamChooser ofCombinedCost() {
-		return (query, table, now, random) -> ofModel(query, table, (upstreams) -> ranked(query, upstreams,
-				(view) -> table.costs().costMillis(view, upstreams, query, now), random, ChoiceReason.LOWEST_COST));
+		return (query, table, now, random) -> ofModel(query, table,
+				(upstreams) -> ranked(query, upstreams,
+						(view) -> table.costs().costMillis(view, upstreams, query, table.costs().missWeight(), now),
+						random, ChoiceReason.LOWEST_COST));
 	}
 
 	static Choice ofModel(RouteQuery query, UpstreamTable table, Decision decision) {
@@ -80,8 +85,8 @@
 		return Choice.of(shortlist.candidates(), reason);
 	}
 
-	static double rank(RouteQuery query, UpstreamView view) {
-		long hash = Hashing.komihash5_0().hashLongLongToLong(query.prefixDigest(), view.hash());
+	static double rank(long digest, UpstreamView view) {
+		long hash = HASHER.hashLongLongToLong(digest, view.hash());
 		return (hash >>> 11) * 0x1p-53;
 	}
 
--- a/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/CostModel.java
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/CostModel.java
@@ -10,8 +10,9 @@
  * @param distance the round trip between data centres
  * @param staleNanos the age at which a report counts half, the mean of the model's
  * upstreams the other half, in nanoseconds
- * @param missWeight how much more a prefill millisecond of this request counts than one
- * of waiting, since it delays the requests behind it
+ * @param missWeight how much more the prefill of an uncached prefix counts than waiting,
+ * for each request that waits at the mean upstream: it delays those, and evicts other
+ * prefixes
  */
 public record CostModel(DataCentreDistance distance, long staleNanos, double missWeight) {
 
@@ -27,7 +28,7 @@
 	 * @return the cost model
 	 */
 	public static CostModel ofDefaults() {
-		return new CostModel(DataCentreDistance.of(0.3, 1.0), 1_000_000_000L, 1.0);
+		return new CostModel(DataCentreDistance.of(0.3, 1.0), 1_000_000_000L, 0.5);
 	}
 
 	/**
@@ -43,17 +44,18 @@
 	}
 
 	/**
-	 * Returns what candidates are compared by: the time to the first token, with this
-	 * request's own prefill weighted up.
+	 * Returns the time to the first token, with the prefill of an uncached prefix
+	 * weighted up: it delays the requests behind it and evicts other prefixes.
 	 * @param view the upstream
 	 * @param peers the upstreams of the model
 	 * @param query the request
+	 * @param weight how much more a millisecond of that prefill counts
 	 * @param nowNanos the time, in nanoseconds
 	 * @return milliseconds
 	 */
-	public double costMillis(UpstreamView view, ModelUpstreams peers, RouteQuery query, long nowNanos) {
-		return waitMillis(view, peers, query, nowNanos)
-				+ (1 + this.missWeight) * prefillMillis(view, peers, query, nowNanos);
+	public double costMillis(UpstreamView view, ModelUpstreams peers, RouteQuery query, double weight, long nowNanos) {
+		double missed = (query.prefixTokens() - cachedTokens(view, query, nowNanos)) * perToken(view, peers);
+		return firstTokenMillis(view, peers, query, nowNanos) + weight * missed;
 	}
 
 	private double waitMillis(UpstreamView view, ModelUpstreams peers, RouteQuery query, long nowNanos) {
@@ -65,8 +67,11 @@
 	}
 
 	private double prefillMillis(UpstreamView view, ModelUpstreams peers, RouteQuery query, long nowNanos) {
-		int cached = Math.min(query.prefixTokens(), view.cachedTokens(query.prefixDigest(), nowNanos));
-		return (query.promptTokens() - cached) * perToken(view, peers);
+		return (query.promptTokens() - cachedTokens(view, query, nowNanos)) * perToken(view, peers);
+	}
+
+	private static int cachedTokens(UpstreamView view, RouteQuery query, long nowNanos) {
+		return Math.min(query.prefixTokens(), view.cachedTokens(query.prefixDigest(), nowNanos));
 	}
 
 	private static double perToken(UpstreamView view, ModelUpstreams peers) {
--- a/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/Dispatch.java
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/Dispatch.java
@@ -12,8 +12,16 @@
  * @param costTokens its expected cost, in tokens; 1 for a plain service
  * @param deadlineNanos when its caller gives up, in nanoseconds
  * @param offeredNanos when it was offered, in nanoseconds
+ * @param overShare whether its organisation had more than its share when the request was
+ * handed out; the engine should then give way to other requests
  * @param <T> the kind of request
  */
 public record Dispatch<T>(T item, OrganisationId organisation, Priority priority, long costTokens, long deadlineNanos,
-		long offeredNanos) {
+		long offeredNanos, boolean overShare) {
+
+	Dispatch<T> over(boolean more) {
+		return new Dispatch<>(this.item, this.organisation, this.priority, this.costTokens, this.deadlineNanos,
+				this.offeredNanos, more);
+	}
+
 }
--- a/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/FairQueue.java
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/FairQueue.java
@@ -2,10 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import io.bulrushrouter.kernel.OrganisationId;
 import io.bulrushrouter.kernel.Priority;
@@ -18,6 +20,7 @@
  * FairQueue<Call> queue = FairQueue.of(FairQueueSettings.of(64, weights), now);
  * Offer<Call> offer = queue.offer(call, organisation, priority, tokens, deadline, now);
  * queue.next(now).ifPresent((dispatch) -> start(dispatch.item()));
+ * queue.firstToken(dispatch);
  * queue.finished(dispatch, tokensServed, now);
  * }</pre>
  *
@@ -32,6 +35,8 @@
 
 	private final Map<OrganisationId, Line<T>> lines = new HashMap<>();
 
+	private final Set<T> prefilling = new HashSet<>();
+
 	private final ServiceRate rate;
 
 	private double virtualTokens;
@@ -71,7 +76,7 @@
 	 */
 	public Offer<T> offer(T item, OrganisationId organisation, Priority priority, long costTokens, long deadlineNanos,
 			long nowNanos) {
-		Dispatch<T> dispatch = new Dispatch<>(item, organisation, priority, costTokens, deadlineNanos, nowNanos);
+		Dispatch<T> dispatch = new Dispatch<>(item, organisation, priority, costTokens, deadlineNanos, nowNanos, false);
 		Line<T> line = line(organisation);
 		line.seenNanos = nowNanos;
 		this.rate.advance(this.queued > 0, nowNanos);
@@ -80,7 +85,8 @@
 			return new Offer<>(false, List.of(new Offer.Shed<>(item, waitNanos)));
 		}
 		if (line.isIdle()) {
-			line.virtualTokens = Math.max(line.virtualTokens, this.virtualTokens);
+			double credit = this.settings.burstTokens() / activeWeight(nowNanos);
+			line.virtualTokens = Math.max(line.virtualTokens, this.virtualTokens - credit);
 		}
 		line.add(dispatch);
 		count(dispatch, 1);
@@ -97,23 +103,40 @@
 	public Optional<Dispatch<T>> next(long nowNanos) {
 		this.rate.advance(this.queued > 0, nowNanos);
 		int free = this.settings.slots() - this.running;
-		if (free <= 0 || this.queued == 0) {
+		if (free <= 0 || this.queued == 0 || this.prefilling.size() >= this.settings.prefills()) {
 			return Optional.empty();
 		}
-		double activeWeight = activeWeight(nowNanos);
+		double bound = shareBound(nowNanos);
 		Line<T> best = null;
 		for (Line<T> line : this.lines.values()) {
-			if (!line.isEmpty() && mayStart(line, free, activeWeight) && (best == null || isBefore(line, best))) {
+			boolean mayStart = !line.isEmpty() && (line.virtualTokens <= bound || mayStartOverShare(free));
+			if (mayStart && (best == null || isBefore(line, best))) {
 				best = line;
 			}
 		}
-		return Optional.ofNullable(best).map((line) -> start(line, nowNanos));
+		return Optional.ofNullable(best).map((line) -> start(line, line.virtualTokens > bound, nowNanos));
+	}
+
+	private boolean mayStartOverShare(int free) {
+		return free > this.settings.reservedSlots() && this.prefilling.isEmpty();
 	}
 
-	private boolean mayStart(Line<T> line, int free, double activeWeight) {
-		double ownSlots = this.settings.slots() * line.weight / activeWeight;
-		boolean alone = line.weight >= activeWeight;
-		return alone || free > this.settings.reservedSlots() || line.running + 1 <= ownSlots;
+	/**
+	 * Returns the account above which an organisation had more than its share: half of
+	 * what an organisation may catch up on beyond the least served one.
+	 * @param nowNanos the time, in nanoseconds
+	 * @return tokens for each unit of weight
+	 */
+	private double shareBound(long nowNanos) {
+		double credit = this.settings.burstTokens() / activeWeight(nowNanos);
+		double floor = this.virtualTokens - credit;
+		double least = Double.MAX_VALUE;
+		for (Line<T> line : this.lines.values()) {
+			if (isActive(line, nowNanos)) {
+				least = Math.min(least, Math.max(floor, line.virtualTokens));
+			}
+		}
+		return least + credit / 2;
 	}
 
 	private boolean isBefore(Line<T> line, Line<T> other) {
@@ -125,9 +148,10 @@
 		return line.virtualTokens - steps * this.settings.priorityTokens() / line.weight;
 	}
 
-	private Dispatch<T> start(Line<T> line, long nowNanos) {
+	private Dispatch<T> start(Line<T> line, boolean overShare, long nowNanos) {
 		this.virtualTokens = Math.max(this.virtualTokens, line.virtualTokens);
-		Dispatch<T> dispatch = line.takeFirst();
+		Dispatch<T> dispatch = line.takeFirst().over(overShare);
+		this.prefilling.add(dispatch.item());
 		line.charge(dispatch.costTokens());
 		line.running++;
 		line.seenNanos = nowNanos;
@@ -136,6 +160,14 @@
 		return dispatch;
 	}
 
+	/**
+	 * Notes that a request handed out has its first token, or a plain service's answer.
+	 * @param dispatch the request
+	 */
+	public void firstToken(Dispatch<T> dispatch) {
+		this.prefilling.remove(dispatch.item());
+	}
+
 	/**
 	 * Notes that a request handed out has ended, and corrects its organisation's account.
 	 * @param dispatch the request
@@ -143,6 +175,7 @@
 	 * @param nowNanos the time, in nanoseconds
 	 */
 	public void finished(Dispatch<T> dispatch, long servedTokens, long nowNanos) {
+		this.prefilling.remove(dispatch.item());
 		Line<T> line = line(dispatch.organisation());
 		line.charge(servedTokens - dispatch.costTokens());
 		line.running = Math.max(0, line.running - 1);
@@ -245,12 +278,15 @@
 	private double activeWeight(long nowNanos) {
 		double sum = 0;
 		for (Line<T> line : this.lines.values()) {
-			boolean active = !line.isIdle() || nowNanos - line.seenNanos < ACTIVE_NANOS;
-			sum += active ? line.weight : 0;
+			sum += isActive(line, nowNanos) ? line.weight : 0;
 		}
 		return sum;
 	}
 
+	private boolean isActive(Line<T> line, long nowNanos) {
+		return !line.isIdle() || nowNanos - line.seenNanos < ACTIVE_NANOS;
+	}
+
 	private Line<T> line(OrganisationId organisation) {
 		return this.lines.computeIfAbsent(organisation,
 				(id) -> new Line<>(this.settings.weights().weight(id), this.virtualTokens));
--- a/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/FairQueueSettings.java
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/FairQueueSettings.java
@@ -7,13 +7,17 @@
  *
  * @param slots requests that the upstream may run at once
  * @param reservedSlots free slots that an organisation over its share leaves to others
+ * @param prefills requests that may be handed out and have no first token yet; an
+ * organisation over its share starts none beside another
+ * @param burstTokens tokens that the upstream serves in the time over which an
+ * organisation may catch up on an unused share
  * @param maxQueuedTokens tokens that may wait before requests are shed
  * @param priorityTokens how far, in tokens, one step of priority may put a request before
  * other organisations' requests
  * @param weights the organisations' weights
  */
-public record FairQueueSettings(int slots, int reservedSlots, long maxQueuedTokens, long priorityTokens,
-		OrganisationWeights weights) {
+public record FairQueueSettings(int slots, int reservedSlots, int prefills, long burstTokens, long maxQueuedTokens,
+		long priorityTokens, OrganisationWeights weights) {
 
 	/**
 	 * Checks the parts.
@@ -29,7 +33,7 @@
 	 * @return the settings
 	 */
 	public static FairQueueSettings of(int slots, OrganisationWeights weights) {
-		return new FairQueueSettings(slots, Math.max(1, slots / 8), 200_000, 2_000, weights);
+		return new FairQueueSettings(slots, Math.max(1, slots / 16), 2, 150_000, 200_000, 2_000, weights);
 	}
 
 }
--- a/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/HomeSetChooser.java
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/HomeSetChooser.java
@@ -10,7 +10,12 @@
 /**
  * Probes the few upstreams that rendezvous hashing names as home of a prompt's prefix and
  * a few others, and takes the lowest cost among those with fresh reports. Without fresh
- * reports it takes the lowest cost of the same few by what is known.
+ * reports it takes the lowest cost of the same few by what is known. Requests without a
+ * prefix have a random home.
+ *
+ * <p>
+ * A home of lower rank costs more for an uncached prefix, so that a prefix is not cached
+ * in more places than its load needs.
  */
 public final class HomeSetChooser implements UpstreamChooser {
 
@@ -42,7 +47,7 @@
 		if (upstreams.isEmpty()) {
 			return List.of();
 		}
-		Shortlist shortlist = few(query, upstreams.get(), random);
+		Shortlist shortlist = few(query, upstreams.get(), home(query, upstreams.get(), random), random);
 		List<UpstreamId> ids = new ArrayList<>(shortlist.size());
 		for (int i = 0; i < shortlist.size(); i++) {
 			ids.add(shortlist.view(i).id());
@@ -57,32 +62,46 @@
 
 	private Choice among(RouteQuery query, UpstreamTable table, ModelUpstreams upstreams, long nowNanos,
 			RandomGenerator random) {
+		Shortlist home = home(query, upstreams, random);
 		Shortlist fresh = new Shortlist(this.homes + this.others);
 		for (int i = 0; i < upstreams.size(); i++) {
 			UpstreamView view = upstreams.get(i);
 			if (view.ageNanos(nowNanos) <= FRESH_NANOS && Eligible.mayTake(view, query, random)) {
-				fresh.offer(view, table.costs().costMillis(view, upstreams, query, nowNanos));
+				fresh.offer(view, cost(query, table, upstreams, view, home, nowNanos));
 			}
 		}
 		if (!fresh.isEmpty()) {
 			return Choosers.chosen(fresh, ChoiceReason.FRESHEST);
 		}
-		Shortlist few = few(query, upstreams, random);
+		Shortlist few = few(query, upstreams, home, random);
 		Shortlist byCost = new Shortlist(this.homes + this.others);
 		for (int i = 0; i < few.size(); i++) {
-			byCost.offer(few.view(i), table.costs().costMillis(few.view(i), upstreams, query, nowNanos));
+			byCost.offer(few.view(i), cost(query, table, upstreams, few.view(i), home, nowNanos));
 		}
 		return Choosers.chosen(byCost, ChoiceReason.LOWEST_COST);
 	}
 
-	private Shortlist few(RouteQuery query, ModelUpstreams upstreams, RandomGenerator random) {
+	private double cost(RouteQuery query, UpstreamTable table, ModelUpstreams upstreams, UpstreamView view,
+			Shortlist home, long nowNanos) {
+		CostModel costs = table.costs();
+		double pressure = upstreams.meanReportedTokens() / Math.max(1, query.promptTokens());
+		double weight = costs.missWeight() * pressure * (1 + home.indexOf(view));
+		return costs.costMillis(view, upstreams, query, weight, nowNanos);
+	}
+
+	private Shortlist home(RouteQuery query, ModelUpstreams upstreams, RandomGenerator random) {
 		Shortlist home = new Shortlist(this.homes);
+		long digest = (query.prefixTokens() > 0) ? query.prefixDigest() : random.nextLong();
 		for (int i = 0; i < upstreams.size(); i++) {
 			UpstreamView view = upstreams.get(i);
 			if (Eligible.mayTake(view, query, random)) {
-				home.offer(view, -Choosers.rank(query, view));
+				home.offer(view, -Choosers.rank(digest, view));
 			}
 		}
+		return home;
+	}
+
+	private Shortlist few(RouteQuery query, ModelUpstreams upstreams, Shortlist home, RandomGenerator random) {
 		Shortlist few = new Shortlist(this.homes + this.others);
 		for (int i = 0; i < home.size(); i++) {
 			few.offer(home.view(i), 0);
--- a/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/Limit.java
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/Limit.java
@@ -7,8 +7,11 @@
  */
 public record Limit(double tokensPerSecond) {
 
-	/** Tokens that may be used at once, in seconds of the limit. */
-	public static final double BURST_SECONDS = 3;
+	/**
+	 * Tokens that may be used at once, in seconds of the limit. Together with
+	 * {@link ShareLender#LIFE_NANOS} this is 5% of a minute.
+	 */
+	public static final double BURST_SECONDS = 2;
 
 	/**
 	 * Returns the tokens that may be used at once.
--- a/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/OrganisationLimits.java
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/OrganisationLimits.java
@@ -11,7 +11,7 @@
 import io.bulrushrouter.kernel.OrganisationId;
 
 /**
- * The entry's part of the limits of organisations: it uses tokens that the holder of a
+ * The entry's part of the limits of organisations: it uses tokens that the holders of a
  * limit lent it, and asks for more before they run out. One thread owns it.
  *
  * <pre>{@code
@@ -22,12 +22,6 @@
  */
 public final class OrganisationLimits {
 
-	/** How far ahead tokens are asked for, in seconds of the entry's own demand. */
-	private static final double AHEAD_SECONDS = 1;
-
-	/** An ask without an answer for this long is given up, in nanoseconds. */
-	private static final long ASK_TIMEOUT_NANOS = 200_000_000L;
-
 	/** Idle organisations are forgotten after this long, in nanoseconds. */
 	private static final long FORGET_NANOS = 60_000_000_000L;
 
@@ -35,15 +29,18 @@
 
 	private final int entries;
 
-	private final Map<Key, Share> shares = new HashMap<>();
+	private final int firstHolder;
 
-	private long lastSequence;
+	private final Map<Key, EntryShare> shares = new HashMap<>();
+
+	private final long[] highestFence = new long[ShareLender.HOLDERS];
 
-	private long highestFence;
+	private long lastSequence;
 
-	private OrganisationLimits(LimitTable limits, int entries) {
+	private OrganisationLimits(LimitTable limits, int entries, int firstHolder) {
 		this.limits = limits;
 		this.entries = entries;
+		this.firstHolder = firstHolder;
 	}
 
 	/**
@@ -51,10 +48,11 @@
 	 * @param limits the configured limits
 	 * @param entries how many entries there may be; while no holder answers, each uses
 	 * this part of a limit
+	 * @param entry any number that spreads the entries over the holders
 	 * @return the limits
 	 */
-	public static OrganisationLimits of(LimitTable limits, int entries) {
-		return new OrganisationLimits(limits, Math.max(1, entries));
+	public static OrganisationLimits of(LimitTable limits, int entries, int entry) {
+		return new OrganisationLimits(limits, Math.max(1, entries), Math.floorMod(entry, ShareLender.HOLDERS));
 	}
 
 	/**
@@ -71,34 +69,24 @@
 		if (limit.isEmpty()) {
 			return new Admission.Admitted();
 		}
-		if (tokens > limit.get().burstTokens()) {
+		if (tokens > limit.get().burstTokens() / ShareLender.HOLDERS) {
 			return new Admission.Refused(Long.MAX_VALUE);
 		}
-		Share share = this.shares.computeIfAbsent(new Key(organisation, model), (key) -> new Share(nowNanos));
-		share.demand(tokens, nowNanos);
-		if (share.use(tokens, nowNanos)) {
-			return new Admission.Admitted();
-		}
-		if (share.isRefused(nowNanos)) {
-			return new Admission.Refused(share.refusedUntilNanos - nowNanos);
-		}
-		if (share.isUnanswered(nowNanos)) {
-			return share.useAlone(limit.get().tokensPerSecond() / this.entries, tokens, nowNanos);
-		}
-		share.neededTokens += tokens;
-		return new Admission.Pending(ASK_TIMEOUT_NANOS);
+		EntryShare share = this.shares.computeIfAbsent(new Key(organisation, model),
+				(key) -> new EntryShare(this.firstHolder, nowNanos));
+		return share.admit(tokens, limit.get().tokensPerSecond() / this.entries, nowNanos);
 	}
 
 	/**
-	 * Corrects an admitted request's tokens when its true cost is known.
+	 * Gives back what an admitted request did not use, when its true cost is known.
 	 * @param organisation the organisation
 	 * @param model the model
 	 * @param unusedTokens tokens taken at admission and not used
 	 */
 	public void unused(OrganisationId organisation, ModelId model, long unusedTokens) {
-		Share share = this.shares.get(new Key(organisation, model));
+		EntryShare share = this.shares.get(new Key(organisation, model));
 		if (share != null) {
-			share.returnedTokens += Math.max(0, unusedTokens);
+			share.unused(unusedTokens);
 		}
 	}
 
@@ -110,29 +98,20 @@
 	 */
 	public List<ShareAsk> asks(long nowNanos) {
 		List<ShareAsk> asks = new ArrayList<>();
-		for (Iterator<Map.Entry<Key, Share>> iterator = this.shares.entrySet().iterator(); iterator.hasNext();) {
-			Map.Entry<Key, Share> entry = iterator.next();
-			Share share = entry.getValue();
-			share.expire(nowNanos);
+		for (Iterator<Map.Entry<Key, EntryShare>> all = this.shares.entrySet().iterator(); all.hasNext();) {
+			Map.Entry<Key, EntryShare> entry = all.next();
+			EntryShare share = entry.getValue();
 			if (share.shouldAsk(nowNanos)) {
-				asks.add(ask(entry.getKey(), share, nowNanos));
+				this.lastSequence++;
+				asks.add(share.ask(entry.getKey().organisation(), entry.getKey().model(), this.lastSequence, nowNanos));
 			}
-			else if (share.isIdle(nowNanos)) {
-				iterator.remove();
+			else if (share.isIdle(nowNanos, FORGET_NANOS)) {
+				all.remove();
 			}
 		}
 		return asks;
 	}
 
-	private ShareAsk ask(Key key, Share share, long nowNanos) {
-		this.lastSequence++;
-		long ahead = (long) (share.tokensPerSecond(nowNanos) * AHEAD_SECONDS);
-		ShareAsk ask = new ShareAsk(key.organisation(), key.model(), this.lastSequence, share.neededTokens, ahead,
-				share.returnedTokens);
-		share.asked(this.lastSequence, nowNanos);
-		return ask;
-	}
-
 	/**
 	 * Takes a holder's answer.
 	 * @param grant the answer
@@ -140,11 +119,12 @@
 	 * @return whether it was used; late, repeated and outdated grants are not
 	 */
 	public boolean granted(ShareGrant grant, long nowNanos) {
-		Share share = this.shares.get(new Key(grant.organisation(), grant.model()));
-		if (share == null || grant.fence() < this.highestFence || share.askSequence != grant.sequence()) {
+		EntryShare share = this.shares.get(new Key(grant.organisation(), grant.model()));
+		boolean outdated = grant.fence() < this.highestFence[grant.holder()];
+		if (share == null || outdated || !share.awaits(grant.sequence())) {
 			return false;
 		}
-		this.highestFence = grant.fence();
+		this.highestFence[grant.holder()] = grant.fence();
 		share.granted(grant, nowNanos);
 		return true;
 	}
@@ -158,119 +138,4 @@
 	private record Key(OrganisationId organisation, ModelId model) {
 	}
 
-	/**
-	 * Tokens lent to this entry, and what it asked for.
-	 */
-	private static final class Share {
-
-		private static final double NANOS = 1e9;
-
-		private long tokens;
-
-		private long expiresNanos;
-
-		private long neededTokens;
-
-		private long returnedTokens;
-
-		private long askSequence;
-
-		private long askedNanos;
-
-		private boolean unanswered;
-
-		private long refusedUntilNanos;
-
-		private double demandTokens;
-
-		private long demandNanos;
-
-		private double aloneTokens;
-
-		private long aloneNanos;
-
-		Share(long nowNanos) {
-			this.refusedUntilNanos = nowNanos;
-			this.expiresNanos = nowNanos;
-			this.demandNanos = nowNanos;
-			this.aloneNanos = nowNanos;
-		}
-
-		void demand(long more, long nowNanos) {
-			this.demandTokens = tokensPerSecond(nowNanos) + more / 2.0;
-			this.demandNanos = nowNanos;
-		}
-
-		double tokensPerSecond(long nowNanos) {
-			return this.demandTokens * Math.exp(-(nowNanos - this.demandNanos) / (2 * NANOS));
-		}
-
-		boolean use(long wanted, long nowNanos) {
-			expire(nowNanos);
-			if (this.tokens < wanted) {
-				return false;
-			}
-			this.tokens -= wanted;
-			return true;
-		}
-
-		void expire(long nowNanos) {
-			if (nowNanos >= this.expiresNanos) {
-				this.tokens = 0;
-			}
-			if (this.askSequence != 0 && nowNanos - this.askedNanos > ASK_TIMEOUT_NANOS) {
-				this.askSequence = 0;
-				this.unanswered = true;
-			}
-		}
-
-		boolean isRefused(long nowNanos) {
-			return nowNanos < this.refusedUntilNanos;
-		}
-
-		boolean isUnanswered(long nowNanos) {
-			expire(nowNanos);
-			return this.unanswered;
-		}
-
-		Admission useAlone(double tokensPerSecond, long wanted, long nowNanos) {
-			double earned = (nowNanos - this.aloneNanos) / NANOS * tokensPerSecond;
-			this.aloneTokens = Math.min(tokensPerSecond, this.aloneTokens + earned);
-			this.aloneNanos = nowNanos;
-			if (this.aloneTokens < 0) {
-				return new Admission.Refused((long) (-this.aloneTokens / tokensPerSecond * NANOS));
-			}
-			this.aloneTokens -= wanted;
-			return new Admission.Admitted();
-		}
-
-		boolean shouldAsk(long nowNanos) {
-			if (this.askSequence != 0 || isRefused(nowNanos)) {
-				return false;
-			}
-			boolean runsLow = this.tokens < tokensPerSecond(nowNanos) * AHEAD_SECONDS / 2;
-			return this.neededTokens > 0 || runsLow || this.unanswered;
-		}
-
-		boolean isIdle(long nowNanos) {
-			return this.askSequence == 0 && nowNanos - this.demandNanos > FORGET_NANOS;
-		}
-
-		void asked(long sequence, long nowNanos) {
-			this.askSequence = sequence;
-			this.askedNanos = nowNanos;
-			this.neededTokens = 0;
-			this.returnedTokens = 0;
-		}
-
-		void granted(ShareGrant grant, long nowNanos) {
-			this.askSequence = 0;
-			this.unanswered = false;
-			this.tokens += grant.tokens();
-			this.expiresNanos = this.askedNanos + grant.lifeNanos();
-			this.refusedUntilNanos = nowNanos + grant.retryAfterNanos();
-		}
-
-	}
-
 }
--- a/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/RoutingPlugins.java
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/RoutingPlugins.java
@@ -20,7 +20,7 @@
 				Plugin.of(UpstreamChooser.class, "least-of-all", Choosers.ofLeastLoaded()),
 				Plugin.of(UpstreamChooser.class, "prefix-affine", Choosers.ofPrefixAffine()),
 				Plugin.of(UpstreamChooser.class, "combined", Choosers.ofCombinedCost()),
-				Plugin.of(UpstreamChooser.class, DEFAULT_CHOOSER, HomeSetChooser.of(2, 2)));
+				Plugin.of(UpstreamChooser.class, DEFAULT_CHOOSER, HomeSetChooser.of(3, 1)));
 	}
 
 }
--- a/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/ShareAsk.java
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/ShareAsk.java
@@ -8,11 +8,12 @@
  *
  * @param organisation the organisation
  * @param model the model
+ * @param holder which of the limit's holders is asked, from 0
  * @param sequence rises with each ask of the entry; the grant repeats it
  * @param neededTokens tokens that requests wait for
  * @param aheadTokens further tokens that the entry expects to use soon
  * @param returnedTokens tokens of earlier grants that the entry gives back
  */
-public record ShareAsk(OrganisationId organisation, ModelId model, long sequence, long neededTokens, long aheadTokens,
-		long returnedTokens) {
+public record ShareAsk(OrganisationId organisation, ModelId model, int holder, long sequence, long neededTokens,
+		long aheadTokens, long returnedTokens) {
 }
--- a/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/ShareGrant.java
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/ShareGrant.java
@@ -8,6 +8,7 @@
  *
  * @param organisation the organisation
  * @param model the model
+ * @param holder which of the limit's holders grants, from 0
  * @param sequence the ask's number
  * @param fence the fencing number of the holder's lease; an entry ignores lower ones
  * @param tokens tokens that the entry may use, 0 if none are free
@@ -15,6 +16,6 @@
  * @param retryAfterNanos when tokens should be free again, in nanoseconds; 0 if some were
  * granted
  */
-public record ShareGrant(OrganisationId organisation, ModelId model, long sequence, long fence, long tokens,
+public record ShareGrant(OrganisationId organisation, ModelId model, int holder, long sequence, long fence, long tokens,
 		long lifeNanos, long retryAfterNanos) {
 }
--- a/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/ShareLender.java
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/ShareLender.java
@@ -8,19 +8,25 @@
 import io.bulrushrouter.kernel.OrganisationId;
 
 /**
- * The holder's part of the limits of organisations: a token bucket for each limit, lent
- * out by demand. What is lent is spent as far as the holder knows, so tokens lent to an
- * entry that died are lost once and can't be spent twice. A new holder starts with empty
- * buckets, so that what its predecessor lent can't add up with its own. One thread owns
- * it.
+ * A holder's part of the limits of organisations: a token bucket for each limit, lent out
+ * by demand. Each limit has two holders with half of it each, so that one can die. What
+ * is lent is spent as far as the holder knows, so tokens lent to an entry that died are
+ * lost once and can't be spent twice. A new holder starts with empty buckets, so that
+ * what its predecessor lent can't add up with its own. One thread owns it.
  */
 public final class ShareLender {
 
+	/** Holders of each limit. */
+	public static final int HOLDERS = 2;
+
 	/** How long lent tokens may be used, in nanoseconds. */
-	public static final long LIFE_NANOS = 3_000_000_000L;
+	public static final long LIFE_NANOS = 1_000_000_000L;
 
 	/** The part of the free tokens that one ask may take beyond its need. */
-	private static final double AHEAD_PART = 0.25;
+	private static final double AHEAD_PART = 0.1;
+
+	/** Longest time after which an entry is told to ask again, in seconds. */
+	private static final double LONGEST_RETRY_SECONDS = 3;
 
 	private static final double NANOS = 1e9;
 
@@ -56,7 +62,7 @@
 	 * @return the answer
 	 */
 	public ShareGrant lend(ShareAsk ask, long nowNanos) {
-		Optional<Limit> limit = this.limits.limit(ask.organisation(), ask.model());
+		Optional<Limit> limit = this.limits.limit(ask.organisation(), ask.model()).map(ShareLender::part);
 		if (limit.isEmpty()) {
 			return grant(ask, ask.neededTokens() + ask.aheadTokens(), 0);
 		}
@@ -68,13 +74,16 @@
 		if (tokens > 0 || ask.neededTokens() == 0) {
 			return grant(ask, tokens, 0);
 		}
-		double missing = ask.neededTokens() - bucket.tokens;
-		return grant(ask, 0, (long) (missing / limit.get().tokensPerSecond() * NANOS));
+		return grant(ask, 0, bucket.retryAfterNanos(limit.get(), ask.neededTokens()));
+	}
+
+	private static Limit part(Limit whole) {
+		return new Limit(whole.tokensPerSecond() / HOLDERS);
 	}
 
 	private ShareGrant grant(ShareAsk ask, long tokens, long retryAfterNanos) {
-		return new ShareGrant(ask.organisation(), ask.model(), ask.sequence(), this.fence, tokens, LIFE_NANOS,
-				retryAfterNanos);
+		return new ShareGrant(ask.organisation(), ask.model(), ask.holder(), ask.sequence(), this.fence, tokens,
+				LIFE_NANOS, retryAfterNanos);
 	}
 
 	/**
@@ -93,6 +102,8 @@
 
 		private double tokens;
 
+		private double unmetTokens;
+
 		private long filledNanos;
 
 		Bucket(long startNanos) {
@@ -100,8 +111,9 @@
 		}
 
 		void refill(Limit limit, long nowNanos) {
-			this.tokens += (nowNanos - this.filledNanos) / NANOS * limit.tokensPerSecond();
-			this.tokens = Math.min(this.tokens, limit.burstTokens());
+			double earned = (nowNanos - this.filledNanos) / NANOS * limit.tokensPerSecond();
+			this.tokens = Math.min(this.tokens + earned, limit.burstTokens());
+			this.unmetTokens = Math.max(0, this.unmetTokens - earned);
 			this.filledNanos = nowNanos;
 		}
 
@@ -109,6 +121,19 @@
 			this.tokens = Math.min(this.tokens + returned, limit.burstTokens());
 		}
 
+		/**
+		 * Returns when an entry should ask again: one after the other, so that those that
+		 * were refused do not all come back at once.
+		 * @param limit the limit
+		 * @param needed tokens that were refused
+		 * @return nanoseconds
+		 */
+		long retryAfterNanos(Limit limit, long needed) {
+			double longest = limit.tokensPerSecond() * LONGEST_RETRY_SECONDS;
+			this.unmetTokens = Math.min(longest, this.unmetTokens + needed);
+			return (long) (this.unmetTokens / limit.tokensPerSecond() * NANOS);
+		}
+
 		long take(long needed, long ahead) {
 			if (this.tokens < needed) {
 				return 0;
--- a/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/Shortlist.java
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/Shortlist.java
@@ -23,7 +23,7 @@
 	void offer(UpstreamView view, double cost) {
 		int last = this.costs.length - 1;
 		boolean full = this.size > last;
-		if ((full && cost >= this.costs[last]) || holds(view)) {
+		if ((full && (last < 0 || cost >= this.costs[last])) || holds(view)) {
 			return;
 		}
 		int position = full ? last : this.size;
@@ -38,12 +38,20 @@
 	}
 
 	private boolean holds(UpstreamView view) {
-		for (int i = 0; i < this.size; i++) {
-			if (this.views[i] == view) {
-				return true;
-			}
+		return indexOf(view) < this.size;
+	}
+
+	/**
+	 * Returns an upstream's place.
+	 * @param view the upstream
+	 * @return the place from 0, or the size if it is not there
+	 */
+	int indexOf(UpstreamView view) {
+		int index = 0;
+		while (index < this.size && this.views[index] != view) {
+			index++;
 		}
-		return false;
+		return index;
 	}
 
 	boolean isEmpty() {
