Test choice, fair queue, limits and ejection, and bound their experiments

The tests found two faults: the learned prediction error settled at half of the true one, and an entry without a holder forgot what it had earned of its own part of a limit at each silent ask. Both are mended.

--- /dev/null
+++ b/bulrushrouter-bench/src/test/java/io/bulrushrouter/bench/RoutingExperimentsTests.java
@@ -0,0 +1,56 @@
+package io.bulrushrouter.bench;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+import io.bulrushrouter.kernel.plugin.PluginRegistry;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+/**
+ * Cut-down runs of the experiments on routing, with their bounds.
+ */
+class RoutingExperimentsTests {
+
+	private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+
+	private final PrintStream out = new PrintStream(this.bytes, true, StandardCharsets.UTF_8);
+
+	static Stream<ChoiceScenario> choices() {
+		return ChoiceExperiment.boundScenarios(30).stream();
+	}
+
+	private void assertHeld(boolean held) {
+		assertWithMessage(this.bytes.toString(StandardCharsets.UTF_8)).that(held).isTrue();
+	}
+
+	@Test
+	void areRegistered() {
+		assertThat(PluginRegistry.ofClassPath().names(Experiment.class)).containsAtLeast("choice", "fairness",
+				"limits");
+	}
+
+	@ParameterizedTest
+	@MethodSource("choices")
+	void homeSetKeepsItsBounds(ChoiceScenario scenario) {
+		assertHeld(ChoiceExperiment.holds(this.out, scenario, ChoiceExperiment.table(this.out, scenario, 1)));
+	}
+
+	@Test
+	void fairQueueKeepsItsBounds() {
+		assertHeld(FairnessExperiment.holds(this.out, 120, 2, ChoiceScenario.UPSTREAMS));
+	}
+
+	@Test
+	void limitsKeepTheirBounds() {
+		assertHeld(LimitsExperiment.holds(this.out, 150, ChoiceScenario.ENTRIES));
+	}
+
+}
--- a/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/EntryShare.java
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/EntryShare.java
@@ -168,7 +168,10 @@
 		if (this.askSequence != 0 && nowNanos - this.askedNanos > ASK_TIMEOUT_NANOS) {
 			this.askSequence = 0;
 			this.silentAsks++;
-			this.aloneNanos = nowNanos;
+			if (this.silentAsks == ShareLender.HOLDERS) {
+				this.aloneNanos = nowNanos;
+				this.aloneTokens = 0;
+			}
 			turnToNextHolder();
 		}
 	}
--- a/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/UpstreamView.java
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/UpstreamView.java
@@ -13,7 +13,7 @@
  */
 public final class UpstreamView {
 
-	/** Weight of the newest error in the running mean of prediction errors. */
+	/** Part of a wrong prediction that is learned. */
 	private static final double ERROR_GAIN = 0.25;
 
 	/** Half-life of a learned prediction error, in nanoseconds. */
@@ -187,9 +187,8 @@
 		}
 		this.streaming++;
 		this.prefixes.add(query.prefixDigest(), query.prefixTokens(), nowNanos);
-		double error = (nowNanos - sent.atNanos()) / 1e6 - sent.predictedMillis();
-		double known = errorMillis(nowNanos);
-		this.errorMillis = known + ERROR_GAIN * (error - known);
+		double surprise = (nowNanos - sent.atNanos()) / 1e6 - sent.predictedMillis();
+		this.errorMillis = Math.max(0, errorMillis(nowNanos) + ERROR_GAIN * surprise);
 		this.errorAtNanos = nowNanos;
 	}
 
--- /dev/null
+++ b/bulrushrouter-routing/src/test/java/io/bulrushrouter/routing/OutlierEjectionTests.java
@@ -0,0 +1,76 @@
+package io.bulrushrouter.routing;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests for {@link OutlierEjection}.
+ */
+class OutlierEjectionTests {
+
+	private final EjectionSettings settings = EjectionSettings.ofDefaults();
+
+	private final OutlierEjection ejection = OutlierEjection.of(Fixtures.specs(4), this.settings);
+
+	private boolean fail(int upstream, long now) {
+		boolean ejected = false;
+		for (int i = 0; i < this.settings.failuresInRow(); i++) {
+			ejected |= this.ejection.ended(Fixtures.upstream(upstream), Outcome.FAILED, now);
+		}
+		return ejected;
+	}
+
+	private double share(int upstream, long now) {
+		return this.ejection.share(Fixtures.upstream(upstream), now);
+	}
+
+	@Test
+	void ejectsAtMostTheBoundedPart() {
+		assertThat(fail(0, 0)).isTrue();
+		assertThat(fail(1, 0)).isTrue();
+		assertThat(fail(2, 0)).isFalse();
+		assertThat(share(0, 0)).isEqualTo(0.0);
+		assertThat(share(2, 0)).isEqualTo(1.0);
+	}
+
+	@ParameterizedTest
+	@EnumSource(value = Outcome.class, names = "FAILED", mode = EnumSource.Mode.EXCLUDE)
+	void ejectsForFailuresInARowOnly(Outcome outcome) {
+		boolean ejected = false;
+		for (int i = 0; i < 100; i++) {
+			ejected |= this.ejection.ended(Fixtures.upstream(0), (i % 4 == 3) ? Outcome.ANSWERED : Outcome.FAILED, 0);
+			this.ejection.ended(Fixtures.upstream(1), outcome, 0);
+		}
+		assertThat(ejected).isFalse();
+		assertThat(share(1, 0)).isEqualTo(1.0);
+	}
+
+	@Test
+	void returnsSlowlyAndIsWholeWithinTenSecondsOfTheFaultsEnd() {
+		long now = 0;
+		fail(0, now);
+		for (int i = 0; i < 20; i++) {
+			now += this.settings.longestNanos();
+			this.ejection.ended(Fixtures.upstream(0), Outcome.FAILED, now);
+		}
+		assertThat(share(0, now)).isEqualTo(0.0);
+		long opens = now + this.settings.longestNanos();
+		assertThat(share(0, opens)).isWithin(0.001).of(0.05);
+		assertThat(share(0, opens + this.settings.returnNanos() / 2)).isWithin(0.01).of(0.52);
+		assertThat(share(0, now + 10 * Fixtures.SECOND)).isEqualTo(1.0);
+	}
+
+	@Test
+	void setsSharesInTheTable() {
+		UpstreamTable table = Fixtures.table(4);
+		fail(0, 0);
+		this.ejection.applyTo(table, 1);
+		assertThat(table.find(Fixtures.upstream(0)).orElseThrow().state()).isEqualTo(UpstreamState.EJECTED);
+		this.ejection.applyTo(table, 20 * Fixtures.SECOND);
+		assertThat(table.find(Fixtures.upstream(0)).orElseThrow().state()).isEqualTo(UpstreamState.LIVE);
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-routing/src/test/java/io/bulrushrouter/routing/UpstreamTableTests.java
@@ -0,0 +1,96 @@
+package io.bulrushrouter.routing;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import io.bulrushrouter.kernel.BulrushException;
+import io.bulrushrouter.kernel.UpstreamId;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+/**
+ * Tests for {@link UpstreamTable}.
+ */
+class UpstreamTableTests {
+
+	private static final UpstreamId FIRST = Fixtures.upstream(0);
+
+	private final UpstreamTable table = Fixtures.table(2);
+
+	private UpstreamView view() {
+		return this.table.find(FIRST).orElseThrow();
+	}
+
+	@Test
+	void countsWhatWasSentAfterTheReportWasMeasured() {
+		RouteQuery query = Fixtures.query(1);
+		this.table.sent(FIRST, query, 100);
+		this.table.reported(FIRST, new LoadReport(1, 1, 50, 700, 0, 0, 0.1, List.of()), 120);
+		assertThat(view().unreportedTokens()).isEqualTo(1200);
+		this.table.reported(FIRST, new LoadReport(1, 2, 50, 1900, 0, 0, 0.1, List.of()), 200);
+		assertThat(view().unreportedTokens()).isEqualTo(0);
+		this.table.firstToken(FIRST, query, 300);
+		assertThat(view().inFlight()).isEqualTo(1);
+		this.table.finished(FIRST, query, true);
+		assertThat(view().inFlight()).isEqualTo(0);
+	}
+
+	@Test
+	void dropsReportsThatComeLateOrTwiceButNotThoseOfANewIncarnation() {
+		assertThat(this.table.reported(FIRST, Fixtures.report(5, 10, new PrefixHint(3, 900)), 1)).isTrue();
+		assertThat(this.table.reported(FIRST, Fixtures.report(5, 20), 2)).isFalse();
+		assertThat(this.table.reported(FIRST, Fixtures.report(4, 30), 3)).isFalse();
+		assertThat(view().reportedTokens()).isEqualTo(10);
+		assertThat(view().cachedTokens(3, 3)).isEqualTo(900);
+		LoadReport restarted = new LoadReport(2, 1, 0, 40, 0, 0, 0.1, List.of());
+		assertThat(this.table.reported(FIRST, restarted, 4)).isTrue();
+		assertThat(view().cachedTokens(3, 4)).isEqualTo(0);
+	}
+
+	@Test
+	void believesAStaleReportLessThanAFreshOne() {
+		UpstreamTable many = Fixtures.table(10);
+		for (int i = 0; i < 10; i++) {
+			many.reported(Fixtures.upstream(i), Fixtures.report(1, (i == 0) ? 0 : 10_000), 0);
+		}
+		ModelUpstreams peers = many.upstreams(Fixtures.MODEL).orElseThrow();
+		UpstreamView idle = many.find(FIRST).orElseThrow();
+		CostModel costs = many.costs();
+		double fresh = costs.firstTokenMillis(idle, peers, Fixtures.query(1), 0);
+		double stale = costs.firstTokenMillis(idle, peers, Fixtures.query(1), 10 * Fixtures.SECOND);
+		assertThat(fresh).isLessThan(200.0);
+		assertThat(stale).isGreaterThan(800.0);
+	}
+
+	@Test
+	void learnsThatAnUpstreamIsSlowerThanItSays() {
+		for (int i = 0; i < 10; i++) {
+			this.table.sent(FIRST, Fixtures.query(i), i * Fixtures.SECOND);
+			this.table.firstToken(FIRST, Fixtures.query(i), (i + 1) * Fixtures.SECOND);
+		}
+		assertThat(view().errorMillis(10 * Fixtures.SECOND)).isGreaterThan(500.0);
+		assertThat(view().errorMillis(1000 * Fixtures.SECOND)).isLessThan(20.0);
+	}
+
+	@Test
+	void keepsWhatItKnowsOfUpstreamsThatStay() {
+		this.table.leaving(FIRST);
+		this.table.configured(Fixtures.specs(3));
+		assertThat(view().state()).isEqualTo(UpstreamState.LEAVING);
+		this.table.trafficShare(FIRST, 1);
+		assertThat(view().state()).isEqualTo(UpstreamState.LEAVING);
+		this.table.returned(FIRST);
+		assertThat(view().state()).isEqualTo(UpstreamState.LIVE);
+		assertThat(this.table.upstreams(Fixtures.MODEL).orElseThrow().size()).isEqualTo(3);
+	}
+
+	@Test
+	void refusesAWeightOfZero() {
+		UpstreamSpec good = Fixtures.specs(1).get(0);
+		assertThrows(BulrushException.class,
+				() -> new UpstreamSpec(good.id(), good.model(), good.dataCentre(), good.group(), 0));
+	}
+
+}
