Halve the work of a choice and admit requests larger than a limit's burst

A choice ranks only the upstreams with fresh reports; naming the probes still ranks all. A request larger than the burst of a small limit would never have been admitted, nor several that waited together: a holder now lends part of what is needed, and saves up for one large request.

--- a/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/EntryShare.java
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/EntryShare.java
@@ -30,6 +30,8 @@
 
 	private long neededTokens;
 
+	private long leastTokens;
+
 	private long returnedTokens;
 
 	private long askSequence;
@@ -73,6 +75,7 @@
 		if (this.silentAsks >= ShareLender.HOLDERS) {
 			return admitAlone(wanted, aloneTokensPerSecond, nowNanos);
 		}
+		this.leastTokens = (this.neededTokens == 0) ? wanted : Math.min(this.leastTokens, wanted);
 		this.neededTokens += wanted;
 		return new Admission.Pending(ASK_TIMEOUT_NANOS);
 	}
@@ -106,11 +109,12 @@
 	}
 
 	ShareAsk ask(OrganisationId organisation, ModelId model, long sequence, long nowNanos) {
-		ShareAsk ask = new ShareAsk(organisation, model, this.holder, sequence, this.neededTokens,
+		ShareAsk ask = new ShareAsk(organisation, model, this.holder, sequence, this.neededTokens, this.leastTokens,
 				aheadTokens(nowNanos), this.returnedTokens);
 		this.askSequence = sequence;
 		this.askedNanos = nowNanos;
 		this.neededTokens = 0;
+		this.leastTokens = 0;
 		this.returnedTokens = 0;
 		return ask;
 	}
@@ -120,6 +124,8 @@
 	}
 
 	void granted(ShareGrant grant, long nowNanos) {
+		// Those that still wait are admitted anew, and count again then.
+		this.neededTokens = 0;
 		this.askSequence = 0;
 		this.silentAsks = 0;
 		this.tokens += grant.tokens();
--- a/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/FairQueue.java
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/FairQueue.java
@@ -31,6 +31,9 @@
 	/** An organisation counts as active for this long after it was last seen. */
 	private static final long ACTIVE_NANOS = 10_000_000_000L;
 
+	/** An organisation over its share may use one of so many parts of the prefills. */
+	private static final int PREFILL_PARTS = 4;
+
 	private final FairQueueSettings settings;
 
 	private final Map<OrganisationId, Line<T>> lines = new HashMap<>();
@@ -118,7 +121,8 @@
 	}
 
 	private boolean mayStartOverShare(int free) {
-		return free > this.settings.reservedSlots() && this.prefilling.isEmpty();
+		return free > this.settings.reservedSlots()
+				&& this.prefilling.size() < Math.max(1, this.settings.prefills() / PREFILL_PARTS);
 	}
 
 	/**
--- a/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/FairQueueSettings.java
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/FairQueueSettings.java
@@ -8,7 +8,7 @@
  * @param slots requests that the upstream may run at once
  * @param reservedSlots free slots that an organisation over its share leaves to others
  * @param prefills requests that may be handed out and have no first token yet; an
- * organisation over its share starts none beside another
+ * organisation over its share may use a quarter of them
  * @param burstTokens tokens that the upstream serves in the time over which an
  * organisation may catch up on an unused share
  * @param maxQueuedTokens tokens that may wait before requests are shed
@@ -27,13 +27,23 @@
 	}
 
 	/**
-	 * Returns the usual settings for an upstream.
+	 * Returns the usual settings for a plain service.
+	 * @param slots requests that the service may run at once
+	 * @param weights the organisations' weights
+	 * @return the settings
+	 */
+	public static FairQueueSettings ofService(int slots, OrganisationWeights weights) {
+		return new FairQueueSettings(slots, Math.max(1, slots / 16), slots, slots * 10L, slots * 20L, slots, weights);
+	}
+
+	/**
+	 * Returns the usual settings for a model engine.
 	 * @param slots requests that the upstream may run at once
 	 * @param weights the organisations' weights
 	 * @return the settings
 	 */
 	public static FairQueueSettings of(int slots, OrganisationWeights weights) {
-		return new FairQueueSettings(slots, Math.max(1, slots / 16), 2, 150_000, 200_000, 2_000, weights);
+		return new FairQueueSettings(slots, Math.max(1, slots / 16), 4, 150_000, 200_000, 2_000, weights);
 	}
 
 }
--- a/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/HomeSetChooser.java
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/HomeSetChooser.java
@@ -47,7 +47,7 @@
 		if (upstreams.isEmpty()) {
 			return List.of();
 		}
-		Shortlist shortlist = few(query, upstreams.get(), home(query, upstreams.get(), random), random);
+		Shortlist shortlist = few(query, upstreams.get(), random);
 		List<UpstreamId> ids = new ArrayList<>(shortlist.size());
 		for (int i = 0; i < shortlist.size(); i++) {
 			ids.add(shortlist.view(i).id());
@@ -62,31 +62,35 @@
 
 	private Choice among(RouteQuery query, UpstreamTable table, ModelUpstreams upstreams, long nowNanos,
 			RandomGenerator random) {
-		Shortlist home = home(query, upstreams, random);
-		Shortlist fresh = new Shortlist(this.homes + this.others);
-		for (int i = 0; i < upstreams.size(); i++) {
-			UpstreamView view = upstreams.get(i);
-			if (view.ageNanos(nowNanos) <= FRESH_NANOS && Eligible.mayTake(view, query, random)) {
-				fresh.offer(view, cost(query, table, upstreams, view, home, nowNanos));
-			}
-		}
+		Shortlist fresh = fresh(query, upstreams, nowNanos, random);
 		if (!fresh.isEmpty()) {
-			return Choosers.chosen(fresh, ChoiceReason.FRESHEST);
+			return cheapest(query, table, upstreams, fresh, nowNanos, ChoiceReason.FRESHEST);
 		}
-		Shortlist few = few(query, upstreams, home, random);
+		Shortlist few = few(query, upstreams, random);
+		return cheapest(query, table, upstreams, few, nowNanos, ChoiceReason.LOWEST_COST);
+	}
+
+	private Choice cheapest(RouteQuery query, UpstreamTable table, ModelUpstreams upstreams, Shortlist byRank,
+			long nowNanos, ChoiceReason reason) {
 		Shortlist byCost = new Shortlist(this.homes + this.others);
-		for (int i = 0; i < few.size(); i++) {
-			byCost.offer(few.view(i), cost(query, table, upstreams, few.view(i), home, nowNanos));
+		double pressure = upstreams.meanReportedTokens() / Math.max(1, query.promptTokens());
+		for (int i = 0; i < byRank.size(); i++) {
+			double weight = table.costs().missWeight() * pressure * (1 + i);
+			double cost = table.costs().costMillis(byRank.view(i), upstreams, query, weight, nowNanos);
+			byCost.offer(byRank.view(i), cost);
 		}
-		return Choosers.chosen(byCost, ChoiceReason.LOWEST_COST);
+		return Choosers.chosen(byCost, reason);
 	}
 
-	private double cost(RouteQuery query, UpstreamTable table, ModelUpstreams upstreams, UpstreamView view,
-			Shortlist home, long nowNanos) {
-		CostModel costs = table.costs();
-		double pressure = upstreams.meanReportedTokens() / Math.max(1, query.promptTokens());
-		double weight = costs.missWeight() * pressure * (1 + home.indexOf(view));
-		return costs.costMillis(view, upstreams, query, weight, nowNanos);
+	private Shortlist fresh(RouteQuery query, ModelUpstreams upstreams, long nowNanos, RandomGenerator random) {
+		Shortlist fresh = new Shortlist(this.homes + this.others);
+		for (int i = 0; i < upstreams.size(); i++) {
+			UpstreamView view = upstreams.get(i);
+			if (view.ageNanos(nowNanos) <= FRESH_NANOS && Eligible.mayTake(view, query, random)) {
+				fresh.offer(view, -Choosers.rank(query.prefixDigest(), view));
+			}
+		}
+		return fresh;
 	}
 
 	private Shortlist home(RouteQuery query, ModelUpstreams upstreams, RandomGenerator random) {
@@ -101,7 +105,8 @@
 		return home;
 	}
 
-	private Shortlist few(RouteQuery query, ModelUpstreams upstreams, Shortlist home, RandomGenerator random) {
+	private Shortlist few(RouteQuery query, ModelUpstreams upstreams, RandomGenerator random) {
+		Shortlist home = home(query, upstreams, random);
 		Shortlist few = new Shortlist(this.homes + this.others);
 		for (int i = 0; i < home.size(); i++) {
 			few.offer(home.view(i), 0);
--- a/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/OrganisationLimits.java
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/OrganisationLimits.java
@@ -22,6 +22,9 @@
  */
 public final class OrganisationLimits {
 
+	/** Largest request, in seconds of the limit; larger ones are never admitted. */
+	private static final double LARGEST_SECONDS = 60;
+
 	/** Idle organisations are forgotten after this long, in nanoseconds. */
 	private static final long FORGET_NANOS = 60_000_000_000L;
 
@@ -69,7 +72,7 @@
 		if (limit.isEmpty()) {
 			return new Admission.Admitted();
 		}
-		if (tokens > limit.get().burstTokens() / ShareLender.HOLDERS) {
+		if (tokens > limit.get().tokensPerSecond() * LARGEST_SECONDS) {
 			return new Admission.Refused(Long.MAX_VALUE);
 		}
 		EntryShare share = this.shares.computeIfAbsent(new Key(organisation, model),
--- a/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/ShareLender.java
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/ShareLender.java
@@ -68,13 +68,13 @@
 		}
 		Bucket bucket = this.buckets.computeIfAbsent(new Key(ask.organisation(), ask.model()),
 				(key) -> new Bucket(this.startNanos));
-		bucket.refill(limit.get(), nowNanos);
-		bucket.giveBack(limit.get(), ask.returnedTokens());
-		long tokens = bucket.take(ask.neededTokens(), ask.aheadTokens());
+		bucket.refill(limit.get(), ask.leastTokens(), nowNanos);
+		bucket.giveBack(ask.returnedTokens());
+		long tokens = bucket.take(ask);
 		if (tokens > 0 || ask.neededTokens() == 0) {
 			return grant(ask, tokens, 0);
 		}
-		return grant(ask, 0, bucket.retryAfterNanos(limit.get(), ask.neededTokens()));
+		return grant(ask, 0, bucket.retryAfterNanos(limit.get(), ask.leastTokens()));
 	}
 
 	private static Limit part(Limit whole) {
@@ -102,6 +102,8 @@
 
 		private double tokens;
 
+		private double capacityTokens;
+
 		private double unmetTokens;
 
 		private long filledNanos;
@@ -110,15 +112,17 @@
 			this.filledNanos = startNanos;
 		}
 
-		void refill(Limit limit, long nowNanos) {
+		void refill(Limit limit, long least, long nowNanos) {
+			// A request larger than the burst must not wait for ever.
+			this.capacityTokens = Math.max(limit.burstTokens(), Math.max(least, this.capacityTokens));
 			double earned = (nowNanos - this.filledNanos) / NANOS * limit.tokensPerSecond();
-			this.tokens = Math.min(this.tokens + earned, limit.burstTokens());
+			this.tokens = Math.min(this.tokens + earned, this.capacityTokens);
 			this.unmetTokens = Math.max(0, this.unmetTokens - earned);
 			this.filledNanos = nowNanos;
 		}
 
-		void giveBack(Limit limit, long returned) {
-			this.tokens = Math.min(this.tokens + returned, limit.burstTokens());
+		void giveBack(long returned) {
+			this.tokens = Math.min(this.tokens + returned, this.capacityTokens);
 		}
 
 		/**
@@ -134,13 +138,15 @@
 			return (long) (this.unmetTokens / limit.tokensPerSecond() * NANOS);
 		}
 
-		long take(long needed, long ahead) {
-			if (this.tokens < needed) {
+		long take(ShareAsk ask) {
+			if (this.tokens < ask.leastTokens()) {
 				return 0;
 			}
+			long needed = (long) Math.min(this.tokens, ask.neededTokens());
 			long free = (long) ((this.tokens - needed) * AHEAD_PART);
-			long granted = needed + Math.min(ahead, free);
+			long granted = needed + Math.min(ask.aheadTokens(), free);
 			this.tokens -= granted;
+			this.capacityTokens = 0;
 			return granted;
 		}
 
--- a/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/Shortlist.java
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/Shortlist.java
@@ -38,20 +38,12 @@
 	}
 
 	private boolean holds(UpstreamView view) {
-		return indexOf(view) < this.size;
-	}
-
-	/**
-	 * Returns an upstream's place.
-	 * @param view the upstream
-	 * @return the place from 0, or the size if it is not there
-	 */
-	int indexOf(UpstreamView view) {
-		int index = 0;
-		while (index < this.size && this.views[index] != view) {
-			index++;
+		for (int i = 0; i < this.size; i++) {
+			if (this.views[i] == view) {
+				return true;
+			}
 		}
-		return index;
+		return false;
 	}
 
 	boolean isEmpty() {
--- a/bulrushrouter-routing/src/test/java/io/bulrushrouter/routing/OrganisationLimitsTests.java
+++ b/bulrushrouter-routing/src/test/java/io/bulrushrouter/routing/OrganisationLimitsTests.java
@@ -91,12 +91,22 @@
 		assertThat(admitted / limit).isAtLeast(0.9);
 	}
 
+	@Test
+	void lendsPartOfWhatIsNeededAndWaitsForALargeRequest() {
+		ShareAsk several = new ShareAsk(LIMITED, Fixtures.MODEL, 0, 1, 5000, 400, 0, 0);
+		assertThat(this.lender.lend(several, FULL).tokens()).isEqualTo(1000);
+		ShareAsk large = new ShareAsk(LIMITED, Fixtures.MODEL, 0, 2, 4000, 4000, 0, 0);
+		ShareGrant refused = this.lender.lend(large, FULL);
+		assertThat(refused.tokens()).isEqualTo(0);
+		assertThat(this.lender.lend(large, FULL + 8 * Fixtures.SECOND).tokens()).isEqualTo(4000);
+	}
+
 	@Test
 	void lendsNoMoreThanTheLimitWhateverIsAsked() {
 		long granted = 0;
 		for (int second = 0; second < 60; second++) {
 			for (int asker = 0; asker < 400; asker++) {
-				ShareAsk ask = new ShareAsk(LIMITED, Fixtures.MODEL, 0, 1, 50, 500, 0);
+				ShareAsk ask = new ShareAsk(LIMITED, Fixtures.MODEL, 0, 1, 50, 50, 500, 0);
 				granted += this.lender.lend(ask, second * Fixtures.SECOND).tokens();
 			}
 		}
