--- a/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/Shortlist.java
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/Shortlist.java
@@ -23,7 +23,7 @@
 	void offer(UpstreamView view, double cost) {
 		int last = this.costs.length - 1;
 		boolean full = this.size > last;
-		if ((full && cost >= this.costs[last]) || holds(view)) {
+		if ((full && (last < 0 || cost >= this.costs[last])) || holds(view)) {
 			return;
 		}
 		int position = full ? last : this.size;
