Spread configurations between processes instead of one watch each

Cause: each process watched the platform itself, a call that waits at 1000 processes. Now relays do, and versions spread over the processes' own connections; sidecars get the organisations' weights too.

--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/admin/AdminContext.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/admin/AdminContext.java
@@ -5,7 +5,7 @@
 import java.util.function.Supplier;
 
 import io.bulrushrouter.daemon.evacuation.SidecarAsker;
-import io.bulrushrouter.daemon.node.ConfigurationSource.InForce;
+import io.bulrushrouter.daemon.spread.InForce;
 import io.bulrushrouter.evacuation.reconcile.ReconcilePolicy;
 import io.bulrushrouter.kernel.BulrushException;
 import io.bulrushrouter.kernel.ErrorCode;
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/admin/ConfigurationAdmin.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/admin/ConfigurationAdmin.java
@@ -3,7 +3,7 @@
 import java.util.Optional;
 
 import io.bulrushrouter.daemon.config.Configuration;
-import io.bulrushrouter.daemon.node.ConfigurationSource;
+import io.bulrushrouter.daemon.spread.ConfigurationSpread;
 import io.bulrushrouter.http.HttpReply;
 import io.bulrushrouter.kernel.BulrushException;
 import io.bulrushrouter.kernel.ErrorCode;
@@ -41,7 +41,7 @@
 	}
 
 	private Optional<Versioned> read() {
-		ReadResult result = this.context.store().read(ConfigurationSource.KEY).toCompletableFuture().join();
+		ReadResult result = this.context.store().read(ConfigurationSpread.KEY).toCompletableFuture().join();
 		if (result instanceof ReadResult.Unavailable unavailable) {
 			throw new BulrushException(ErrorCode.STORE_UNAVAILABLE, unavailable.reason());
 		}
@@ -53,7 +53,7 @@
 		WriterMark mark = new WriterMark(this.context.marks().get());
 		long expected = act.expectedVersion().orElse(Write.ABSENT);
 		WriteResult result = this.context.store()
-			.write(new Write(ConfigurationSource.KEY, expected, json, mark))
+			.write(new Write(ConfigurationSpread.KEY, expected, json, mark))
 			.toCompletableFuture()
 			.join();
 		if (result instanceof WriteResult.Written written) {
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/demo/Fleet.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/demo/Fleet.java
@@ -21,10 +21,13 @@
 import io.bulrushrouter.daemon.config.Upstream;
 import io.bulrushrouter.daemon.entry.EntryNode;
 import io.bulrushrouter.daemon.entry.EntrySettings;
-import io.bulrushrouter.daemon.node.ConfigurationSource;
 import io.bulrushrouter.daemon.sidecar.SidecarNode;
 import io.bulrushrouter.daemon.sidecar.SidecarSettings;
+import io.bulrushrouter.daemon.spread.ConfigurationSpread;
+import io.bulrushrouter.kernel.DataCentreId;
+import io.bulrushrouter.kernel.InstanceId;
 import io.bulrushrouter.kernel.settings.Settings;
+import io.bulrushrouter.kernel.store.LiveInstance;
 import io.bulrushrouter.kernel.store.Write;
 import io.bulrushrouter.kernel.store.WriterMark;
 import io.bulrushrouter.standin.EngineStandin;
@@ -77,6 +80,7 @@
 			this.entries.add(EntryNode
 				.start(EntrySettings.of(entrySettings("entry-" + (i + 1), builder.dataCentre(i), callers))));
 		}
+		list();
 	}
 
 	/**
@@ -132,7 +136,8 @@
 	private Settings entrySettings(String name, String dataCentre, int callers) {
 		int operators = (callers > 0) ? callers + 1 : 0;
 		String ini = common(name, dataCentre) + "[callers]\nlisten = 127.0.0.1:" + callers
-				+ "\n[operators]\nlisten = 127.0.0.1:" + operators + "\n[routing]\nretry-burst = " + RETRY_BURST + "\n";
+				+ "\n[peers]\nlisten = 127.0.0.1:0\n[operators]\nlisten = 127.0.0.1:" + operators
+				+ "\n[routing]\nretry-burst = " + RETRY_BURST + "\n";
 		return Settings.ofReader("demo entry " + name, new StringReader(ini));
 	}
 
@@ -141,6 +146,14 @@
 				+ this.platform.uri() + "\n";
 	}
 
+	private void list() {
+		List<LiveInstance> instances = new ArrayList<>();
+		this.upstreams.forEach((upstream) -> instances.add(new LiveInstance(InstanceId.of(upstream.name()),
+				DataCentreId.of(upstream.dataCentre()), SidecarNode.ROLE, upstream.address(), false)));
+		this.entries.forEach((entry) -> instances.add(entry.listed()));
+		this.platform.instances(instances);
+	}
+
 	private static InetSocketAddress loopback(int port) {
 		return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
 	}
@@ -154,7 +167,7 @@
 		List<Operator> operators = List
 			.of(new Operator("demo-operator", Keys.sha256(operatorKey()), List.of("*"), List.of("*")));
 		byte[] json = new Configuration(organisations, this.upstreams, operators).toJson();
-		this.platform.store().write(Write.ofCreate(ConfigurationSource.KEY, json, new WriterMark("fleet")));
+		this.platform.store().write(Write.ofCreate(ConfigurationSpread.KEY, json, new WriterMark("fleet")));
 	}
 
 	/**
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/EntryInput.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/EntryInput.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 
-import io.bulrushrouter.daemon.node.ConfigurationSource;
+import io.bulrushrouter.daemon.spread.InForce;
 import io.bulrushrouter.http.HttpExchange;
 import io.bulrushrouter.kernel.store.LiveInstance;
 import io.bulrushrouter.request.RequestSpec;
@@ -29,7 +29,7 @@
 	record PeerDown(PeerConnection connection) implements EntryInput {
 	}
 
-	record Adopted(ConfigurationSource.InForce inForce) implements EntryInput {
+	record Adopted(InForce inForce) implements EntryInput {
 	}
 
 	record Instances(List<LiveInstance> instances) implements EntryInput {
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/EntryNode.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/EntryNode.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
@@ -19,9 +20,11 @@
 import io.bulrushrouter.daemon.evacuation.EvacuationDuty;
 import io.bulrushrouter.daemon.evacuation.SidecarAsker;
 import io.bulrushrouter.daemon.node.Bootstrap;
-import io.bulrushrouter.daemon.node.ConfigurationSource;
 import io.bulrushrouter.daemon.node.ErrorReply;
 import io.bulrushrouter.daemon.node.OperatorsPort;
+import io.bulrushrouter.daemon.sidecar.SidecarNode;
+import io.bulrushrouter.daemon.spread.ConfigurationSpread;
+import io.bulrushrouter.daemon.spread.InForce;
 import io.bulrushrouter.evacuation.EvacuationJson;
 import io.bulrushrouter.evacuation.reconcile.ReconcilePolicy;
 import io.bulrushrouter.http.HttpExchange;
@@ -34,6 +37,7 @@
 import io.bulrushrouter.kernel.Verdict;
 import io.bulrushrouter.kernel.duty.Duty;
 import io.bulrushrouter.kernel.plugin.PluginRegistry;
+import io.bulrushrouter.kernel.store.LiveInstance;
 import io.bulrushrouter.kernel.store.ObjectStore;
 import io.bulrushrouter.platform.BackOff;
 import io.bulrushrouter.platform.Delay;
@@ -76,6 +80,8 @@
 
 	private final Duty<EntryInput> duty;
 
+	private final int peerPort;
+
 	private final EntryCore core;
 
 	private final PeerNetwork peers;
@@ -90,9 +96,9 @@
 
 	private final EvacuationDuty evacuation;
 
-	private final ConfigurationSource configurations;
+	private final ConfigurationSpread configurations;
 
-	private volatile Optional<ConfigurationSource.InForce> inForce = Optional.empty();
+	private volatile Optional<InForce> inForce = Optional.empty();
 
 	private volatile Keys<Organisation> callerKeys = Keys.of(List.of(), Organisation::keySha256);
 
@@ -105,8 +111,8 @@
 		try {
 			RandomGenerator random = RandomGenerator.of("L64X128MixRandom");
 			long incarnation = random.nextLong();
-			WireMessage.Hello hello = new WireMessage.Hello(settings.process().name().value(), ROLE,
-					settings.process().dataCentre().value(), incarnation);
+			WireMessage.Hello hello = new WireMessage.Hello(settings.process().name().value(),
+					settings.process().name().value(), ROLE, settings.process().dataCentre().value(), incarnation);
 			this.peers = PeerNetwork.of(this.bootstrap.network(), hello, new Peers(), random);
 			EntryPolicy policy = EntryPolicy.builder().maxAttempts(settings.maxAttempts()).build();
 			this.core = new EntryCore(incarnation, policy,
@@ -134,8 +140,9 @@
 			this.operators = HttpServer.start(this.bootstrap.network(), settings.operators(), limits,
 					new OperatorsPort(this.bootstrap.metrics(), this::isReady, this.administration));
 			this.callers = HttpServer.start(this.bootstrap.network(), settings.callers(), limits, new Callers());
-			this.configurations = ConfigurationSource.start(this.bootstrap.store(), this.bootstrap.network(),
-					this::adopt);
+			this.peerPort = this.peers.listen(settings.peers());
+			this.configurations = ConfigurationSpread.start(settings.process(), this.bootstrap, listed(), this.peers,
+					random, this::adopt);
 			refreshLiveList();
 		}
 		catch (RuntimeException ex) {
@@ -151,7 +158,8 @@
 	 */
 	public static EntryNode start(EntrySettings settings) {
 		EntryNode node = new EntryNode(settings);
-		logger.info("event=started role={} callers={} operators={}", ROLE, node.callers.port(), node.operators.port());
+		logger.info("event=started role={} peers={} callers={} operators={}", ROLE, node.peerPort, node.callers.port(),
+				node.operators.port());
 		return node;
 	}
 
@@ -170,7 +178,7 @@
 		return this.duty;
 	}
 
-	private void adopt(ConfigurationSource.InForce next) {
+	private void adopt(InForce next) {
 		this.callerKeys = Keys.of(next.configuration().organisations(), Organisation::keySha256);
 		this.inForce = Optional.of(next);
 		this.duty.put(new EntryInput.Adopted(next));
@@ -204,6 +212,15 @@
 		return isReady() ? this.core.connected() : 0;
 	}
 
+	/**
+	 * Returns this process as the live list should show it.
+	 * @return the entry
+	 */
+	public LiveInstance listed() {
+		return new LiveInstance(this.settings.process().name(), this.settings.process().dataCentre(), ROLE,
+				this.settings.peers().getAddress().getHostAddress() + ":" + this.peerPort, false);
+	}
+
 	/**
 	 * Returns the port for callers.
 	 * @return the port
@@ -274,7 +291,7 @@
 
 		@Override
 		public void handle(HttpExchange exchange) {
-			Optional<ConfigurationSource.InForce> current = EntryNode.this.inForce;
+			Optional<InForce> current = EntryNode.this.inForce;
 			if (EntryNode.this.draining || current.isEmpty()) {
 				ErrorCode code = EntryNode.this.draining ? ErrorCode.DRAINING : ErrorCode.NOT_READY;
 				exchange.respond(ErrorReply.of(Verdict.ofNotRun(code), "try another entry", RETRY_AFTER_MILLIS));
@@ -308,8 +325,20 @@
 
 	private final class Peers implements PeerHandler {
 
+		private boolean isSidecar(PeerConnection connection) {
+			return connection.peer().role().equals(SidecarNode.ROLE);
+		}
+
+		private void spread(Consumer<ConfigurationSpread> action) {
+			Optional.ofNullable(EntryNode.this.configurations).ifPresent(action);
+		}
+
 		@Override
 		public void connected(PeerConnection connection) {
+			spread((spread) -> spread.up(connection));
+			if (!isSidecar(connection)) {
+				return;
+			}
 			EntryNode.this.asker.up(connection);
 			EntryNode.this.duty.put(new EntryInput.PeerUp(connection));
 		}
@@ -317,13 +346,21 @@
 		@Override
 		public void received(PeerConnection connection, WireMessage message) {
 			if (message instanceof WireMessage.Control control) {
+				spread((spread) -> spread.hear(connection, control));
 				EntryNode.this.asker.hear(control);
 			}
+			if (!isSidecar(connection)) {
+				return;
+			}
 			EntryNode.this.duty.put(new EntryInput.PeerSaid(connection, message));
 		}
 
 		@Override
 		public void closed(PeerConnection connection) {
+			spread((spread) -> spread.down(connection));
+			if (!isSidecar(connection)) {
+				return;
+			}
 			EntryNode.this.asker.down(connection);
 			EntryNode.this.duty.put(new EntryInput.PeerDown(connection));
 		}
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/EntrySettings.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/EntrySettings.java
@@ -7,13 +7,13 @@
 
 import io.bulrushrouter.daemon.node.ProcessSettings;
 import io.bulrushrouter.kernel.settings.Settings;
-import io.bulrushrouter.request.RetryBudget;
 import io.bulrushrouter.routing.RoutingPlugins;
 
 /**
  * The settings of an entry.
  *
  * @param process what all daemons share
+ * @param peers where sidecars and other entries connect
  * @param callers where callers connect
  * @param operators where operators connect
  * @param maxBodyBytes the longest request body
@@ -22,8 +22,9 @@
  * @param maxAttempts the most attempts of a request
  * @param retryBurst the most further attempts at once, over all requests
  */
-public record EntrySettings(ProcessSettings process, InetSocketAddress callers, InetSocketAddress operators,
-		int maxBodyBytes, Duration readTimeout, String chooser, int maxAttempts, int retryBurst) {
+public record EntrySettings(ProcessSettings process, InetSocketAddress peers, InetSocketAddress callers,
+		InetSocketAddress operators, int maxBodyBytes, Duration readTimeout, String chooser, int maxAttempts,
+		int retryBurst) {
 
 	private static final int DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
 
@@ -33,11 +34,12 @@
 
 	private static final int DEFAULT_ATTEMPTS = 3;
 
-	private static final int DEFAULT_BURST = (int) RetryBudget.DEFAULT_BURST;
+	/** Enough for a fleet with a few entries, each of which carries many streams. */
+	private static final int DEFAULT_BURST = 32;
 
 	private static final Map<String, Set<String>> KNOWN = Map.of("process", ProcessSettings.PROCESS_KEYS, "platform",
 			ProcessSettings.PLATFORM_KEYS, "callers", Set.of("listen", "max-body-bytes", "read-timeout"), "operators",
-			Set.of("listen"), "routing", Set.of("chooser", "max-attempts", "retry-burst"));
+			Set.of("listen"), "peers", Set.of("listen"), "routing", Set.of("chooser", "max-attempts", "retry-burst"));
 
 	/**
 	 * Reads and checks the settings.
@@ -47,6 +49,7 @@
 	public static EntrySettings of(Settings settings) {
 		settings.requireKnown(KNOWN);
 		return new EntrySettings(ProcessSettings.of(settings),
+				settings.value("peers", "listen", ProcessSettings::socketAddress),
 				settings.value("callers", "listen", ProcessSettings::socketAddress),
 				settings.value("operators", "listen", ProcessSettings::socketAddress),
 				settings.value("callers", "max-body-bytes", DEFAULT_MAX_BODY_BYTES, EntrySettings::bodyBytes),
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/evacuation/SidecarPort.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/evacuation/SidecarPort.java
@@ -46,14 +46,10 @@
 	}
 
 	@Override
-	public StepResult carryOut(Step.Order order) {
-		Optional<UpstreamId> upstream = upstream(order);
-		if (upstream.isEmpty()) {
-			return new StepResult.Unknown("not an order to an upstream: " + order.name());
-		}
+	public StepResult carryOut(Step.UpstreamOrder order) {
 		try {
 			return result(this.asker
-				.ask(upstream.get(), (number) -> new OrderUpstream(number, order.name(), order.fence()),
+				.ask(order.upstream(), (number) -> new OrderUpstream(number, order.name(), order.fence()),
 						UpstreamOrdered.class)
 				.join());
 		}
@@ -71,17 +67,4 @@
 		};
 	}
 
-	private static Optional<UpstreamId> upstream(Step.Order order) {
-		if (order instanceof Step.SetLeaving leaving) {
-			return Optional.of(leaving.upstream());
-		}
-		if (order instanceof Step.Unload unload) {
-			return Optional.of(unload.upstream());
-		}
-		if (order instanceof Step.StopUpstream stop) {
-			return Optional.of(stop.upstream());
-		}
-		return Optional.empty();
-	}
-
 }
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/SidecarNode.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/SidecarNode.java
@@ -4,23 +4,29 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import io.bulrushrouter.daemon.config.Organisation;
 import io.bulrushrouter.daemon.node.Bootstrap;
 import io.bulrushrouter.daemon.node.OperatorsPort;
+import io.bulrushrouter.daemon.spread.ConfigurationSpread;
+import io.bulrushrouter.daemon.spread.InForce;
 import io.bulrushrouter.http.HttpLimits;
 import io.bulrushrouter.http.HttpServer;
+import io.bulrushrouter.kernel.OrganisationId;
 import io.bulrushrouter.kernel.TimeSource;
 import io.bulrushrouter.kernel.duty.Duty;
+import io.bulrushrouter.kernel.store.LiveInstance;
 import io.bulrushrouter.request.Claims;
 import io.bulrushrouter.request.SidecarCalls;
 import io.bulrushrouter.request.SidecarEvent;
 import io.bulrushrouter.request.SidecarPolicy;
 import io.bulrushrouter.routing.FairQueueSettings;
-import io.bulrushrouter.routing.OrganisationWeights;
 import io.bulrushrouter.wire.PeerConnection;
 import io.bulrushrouter.wire.PeerHandler;
 import io.bulrushrouter.wire.PeerNetwork;
@@ -59,6 +65,10 @@
 
 	private final int peerPort;
 
+	private final ConfigurationSpread configurations;
+
+	private volatile Map<OrganisationId, Double> weights = Map.of();
+
 	private volatile boolean drained;
 
 	private SidecarNode(SidecarSettings settings) {
@@ -69,12 +79,16 @@
 			long incarnation = random.nextLong();
 			this.core = core(incarnation);
 			this.duty = Duty.<SidecarInput>builder("sidecar", this.core::take).tick(TICK, this::tick).start();
-			WireMessage.Hello hello = new WireMessage.Hello(settings.upstream().value(), ROLE,
-					settings.process().dataCentre().value(), incarnation);
+			WireMessage.Hello hello = new WireMessage.Hello(settings.process().name().value(),
+					settings.upstream().value(), ROLE, settings.process().dataCentre().value(), incarnation);
 			this.peers = PeerNetwork.of(this.bootstrap.network(), hello, new Peers(), random);
 			this.operators = HttpServer.start(this.bootstrap.network(), settings.operators(), HttpLimits.ofDefaults(),
 					new OperatorsPort(this.bootstrap.metrics(), () -> !this.drained, OperatorsPort.ofNoRest()));
 			this.peerPort = this.peers.listen(settings.peers());
+			LiveInstance self = new LiveInstance(settings.process().name(), settings.process().dataCentre(), ROLE,
+					settings.peers().getAddress().getHostAddress() + ":" + this.peerPort, false);
+			this.configurations = ConfigurationSpread.start(settings.process(), this.bootstrap, self, this.peers,
+					random, this::adopt);
 			this.bootstrap.metrics().gauge("wire.sent.request.bytes", () -> this.peers.counters().requestBytes());
 			this.bootstrap.metrics().gauge("wire.sent.control.bytes", () -> this.peers.counters().controlBytes());
 			this.bootstrap.metrics().gauge("sidecar.ring.backlog", this.duty::backlog);
@@ -91,8 +105,7 @@
 		EngineClient engine = new EngineClient(this.bootstrap.caller(), this.settings.url(),
 				(event) -> this.duty.put(new SidecarInput.Happened(event)));
 		SidecarCalls calls = SidecarCalls.of(incarnation, SidecarPolicy.of(this.settings.concurrency()),
-				new FairCallQueue(FairQueueSettings.of(this.settings.concurrency(), OrganisationWeights.ofEqual()),
-						System.nanoTime()));
+				new FairCallQueue(FairQueueSettings.of(this.settings.concurrency(), this::weight), System.nanoTime()));
 		Claims claims = Claims.builder(this.bootstrap.store(), incarnation).executor(this::onDuty).build();
 		Optional<EngineOrderClient> orderClient = this.settings.service() ? Optional.empty()
 				: Optional.of(new EngineOrderClient(this.bootstrap.caller(), this.settings.url()));
@@ -101,6 +114,17 @@
 				this.bootstrap.metrics());
 	}
 
+	private void adopt(InForce next) {
+		this.weights = next.configuration()
+			.organisations()
+			.stream()
+			.collect(Collectors.toMap(Organisation::id, Organisation::weight));
+	}
+
+	private double weight(OrganisationId organisation) {
+		return this.weights.getOrDefault(organisation, 1.0);
+	}
+
 	private void onDuty(Runnable action) {
 		this.duty.put(new SidecarInput.Continue(action));
 	}
@@ -200,6 +224,7 @@
 
 	@Override
 	public void close() {
+		this.configurations.close();
 		this.peers.close();
 		this.operators.close();
 		this.duty.close();
@@ -208,18 +233,27 @@
 
 	private final class Peers implements PeerHandler {
 
+		private void spread(Consumer<ConfigurationSpread> action) {
+			Optional.ofNullable(SidecarNode.this.configurations).ifPresent(action);
+		}
+
 		@Override
 		public void connected(PeerConnection connection) {
+			spread((spread) -> spread.up(connection));
 			SidecarNode.this.duty.put(new SidecarInput.PeerUp(connection));
 		}
 
 		@Override
 		public void received(PeerConnection connection, WireMessage message) {
+			if (message instanceof WireMessage.Control control) {
+				spread((spread) -> spread.hear(connection, control));
+			}
 			SidecarNode.this.duty.put(new SidecarInput.PeerSaid(connection, message));
 		}
 
 		@Override
 		public void closed(PeerConnection connection) {
+			spread((spread) -> spread.down(connection));
 			SidecarNode.this.duty.put(new SidecarInput.PeerDown(connection));
 		}
 
--- /dev/null
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/spread/InForce.java
@@ -0,0 +1,12 @@
+package io.bulrushrouter.daemon.spread;
+
+import io.bulrushrouter.daemon.config.Configuration;
+
+/**
+ * A configuration that is in force.
+ *
+ * @param version its version
+ * @param configuration what it says
+ */
+public record InForce(long version, Configuration configuration) {
+}
--- a/bulrushrouter-wire/src/main/java/io/bulrushrouter/wire/ControlCodec.java
+++ b/bulrushrouter-wire/src/main/java/io/bulrushrouter/wire/ControlCodec.java
@@ -27,8 +27,18 @@
 	 * @return the message
 	 */
 	public static WireMessage.Control encode(Record message) {
+		return encode(message.getClass().getSimpleName(), message);
+	}
+
+	/**
+	 * Returns a control message.
+	 * @param topic its topic
+	 * @param message the record
+	 * @return the message
+	 */
+	public static WireMessage.Control encode(String topic, Record message) {
 		try {
-			return new WireMessage.Control(message.getClass().getSimpleName(), MAPPER.writeValueAsBytes(message));
+			return new WireMessage.Control(topic, MAPPER.writeValueAsBytes(message));
 		}
 		catch (JsonProcessingException ex) {
 			throw new BulrushException(ErrorCode.INTERNAL, "cannot encode " + message, ex);
--- a/bulrushrouter-wire/src/main/java/io/bulrushrouter/wire/WireCodec.java
+++ b/bulrushrouter-wire/src/main/java/io/bulrushrouter/wire/WireCodec.java
@@ -78,7 +78,11 @@
 			packBytes(packer, control.payload());
 		}
 		else if (message instanceof WireMessage.Hello hello) {
-			packer.packInt(HELLO).packString(hello.name()).packString(hello.role()).packString(hello.dataCentre());
+			packer.packInt(HELLO)
+				.packString(hello.instance())
+				.packString(hello.name())
+				.packString(hello.role())
+				.packString(hello.dataCentre());
 			packer.packLong(hello.incarnation());
 		}
 	}
@@ -135,7 +139,7 @@
 		int type = unpacker.unpackInt();
 		return switch (type) {
 			case HELLO -> new WireMessage.Hello(unpacker.unpackString(), unpacker.unpackString(),
-					unpacker.unpackString(), unpacker.unpackLong());
+					unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackLong());
 			case CONTROL -> new WireMessage.Control(unpacker.unpackString(), unpackBytes(unpacker));
 			default -> new WireMessage.OfCall(unpackCall(unpacker, type));
 		};
--- a/bulrushrouter-wire/src/main/java/io/bulrushrouter/wire/WireMessage.java
+++ b/bulrushrouter-wire/src/main/java/io/bulrushrouter/wire/WireMessage.java
@@ -12,17 +12,20 @@
 	/**
 	 * The first message of each side of a connection.
 	 *
+	 * @param instance the instance that the process runs on
 	 * @param name the process's name, which for a sidecar is its upstream's
 	 * @param role {@code entry} or {@code sidecar}
 	 * @param dataCentre where the process is
 	 * @param incarnation random at each start of the process
 	 */
-	record Hello(String name, String role, String dataCentre, long incarnation) implements WireMessage {
+	record Hello(String instance, String name, String role, String dataCentre,
+			long incarnation) implements WireMessage {
 
 		/**
 		 * Checks the parts.
 		 */
 		public Hello {
+			Objects.requireNonNull(instance);
 			Objects.requireNonNull(name);
 			Objects.requireNonNull(role);
 			Objects.requireNonNull(dataCentre);
