Bring the claims of a shard together at a home sidecar

ClaimRouter names the home by rendezvous hashing, asks it, and frees the key where the answer is lost; the conditional write still decides alone, so two homes at once are safe.

--- a/bulrushrouter-request/src/main/java/io/bulrushrouter/request/ClaimOutcome.java
+++ b/bulrushrouter-request/src/main/java/io/bulrushrouter/request/ClaimOutcome.java
@@ -33,4 +33,11 @@
 	record Unavailable(long retryAfterMillis) implements ClaimOutcome {
 	}
 
+	/**
+	 * The sidecar that was asked did not answer; this attempt may not run, and another
+	 * one may ask again.
+	 */
+	record Lost() implements ClaimOutcome {
+	}
+
 }
--- a/bulrushrouter-request/src/main/java/io/bulrushrouter/request/SidecarCalls.java
+++ b/bulrushrouter-request/src/main/java/io/bulrushrouter/request/SidecarCalls.java
@@ -224,7 +224,8 @@
 			handBack(run, ErrorCode.STORE_UNAVAILABLE, unavailable.retryAfterMillis(), actions);
 		}
 		else {
-			handBack(run, ErrorCode.KEY_REUSED, 0, actions);
+			boolean lost = settled.outcome() instanceof ClaimOutcome.Lost;
+			handBack(run, lost ? ErrorCode.CONNECTION_LOST : ErrorCode.KEY_REUSED, 0, actions);
 		}
 	}
 
--- a/bulrushrouter-request/src/test/java/io/bulrushrouter/request/SimulatedSidecar.java
+++ b/bulrushrouter-request/src/test/java/io/bulrushrouter/request/SimulatedSidecar.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 
+import io.bulrushrouter.kernel.RequestId;
 import io.bulrushrouter.kernel.UpstreamId;
 
 /**
@@ -28,6 +29,8 @@
 
 	private Claims claims;
 
+	private ClaimRouter router;
+
 	private boolean leaving;
 
 	SimulatedSidecar(SimulatedSystem system, UpstreamId upstream) {
@@ -38,6 +41,8 @@
 	}
 
 	private void boot() {
+		this.router = ClaimRouter.of(this.upstream, CLAIMS, Duration.ofMillis(400));
+		this.router.live(SimulatedSystem.upstreams());
 		this.calls = SidecarCalls.of(this.incarnation, SidecarPolicy.of(2), CallQueue.ofFifo(16), this.system.guards);
 		this.claims = Claims.builder(this.system.store, this.incarnation)
 			.policy(CLAIMS)
@@ -96,14 +101,43 @@
 			this.engine.cancel(cancel.attempt());
 		}
 		else if (action instanceof SidecarAction.Claim claim) {
+			route(new ClaimEvent.Wanted(claim.request()));
+		}
+		else if (action instanceof SidecarAction.Release release) {
+			route(new ClaimEvent.GivenUp(release.request()));
+		}
+	}
+
+	void route(ClaimEvent event) {
+		List<ClaimAction> actions = new ArrayList<>();
+		this.router.on(event, this.system.clock.nowNanos(), actions::add);
+		actions.forEach(this::act);
+		if (this.router.nextWakeNanos() != Long.MAX_VALUE) {
+			wakeAt(this.router.nextWakeNanos(), () -> route(new ClaimEvent.Tick()));
+		}
+	}
+
+	private void act(ClaimAction action) {
+		if (action instanceof ClaimAction.ClaimHere claim) {
 			this.claims.claim(claim.request(), (outcome) -> deliverToIncarnation(
-					() -> feed(new SidecarEvent.ClaimSettled(claim.request().attempt(), outcome))));
+					() -> route(new ClaimEvent.DecidedHere(claim.request(), outcome))));
 			wakeClaims();
 		}
-		else if (action instanceof SidecarAction.Release release) {
+		else if (action instanceof ClaimAction.ReleaseHere release) {
 			this.claims.release(release.request());
 			wakeClaims();
 		}
+		else if (action instanceof ClaimAction.Send send) {
+			this.system.toPeer(this, send.upstream(), send.message());
+		}
+		else if (action instanceof ClaimAction.Settle settle) {
+			deliverToIncarnation(() -> feed(new SidecarEvent.ClaimSettled(settle.attempt(), settle.outcome())));
+		}
+	}
+
+	UpstreamId homeOf(SimulatedCaller caller) {
+		return this.router.homeOf(new ClaimRequest(new RequestId(0, 0).attempt(1), 0, caller.spec.organisation(),
+				caller.spec.idempotencyKey().map((key) -> "k:" + key).orElse(""), 0));
 	}
 
 	private void wakeClaims() {
--- a/bulrushrouter-request/src/test/java/io/bulrushrouter/request/SimulatedSystem.java
+++ b/bulrushrouter-request/src/test/java/io/bulrushrouter/request/SimulatedSystem.java
@@ -85,6 +85,10 @@
 		return this.reached;
 	}
 
+	static List<UpstreamId> upstreams() {
+		return UPSTREAM_IDS;
+	}
+
 	static UpstreamId upstream(int number) {
 		return UPSTREAM_IDS.get(number);
 	}
@@ -143,6 +147,8 @@
 			case SIDECAR_PAUSED -> sidecar.pause(PAUSE_MILLIS);
 			case ENGINE_DIES -> this.clock.after(0, sidecar.engine::die);
 			case RANK_STALLED -> sidecar.engine.stall(PAUSE_MILLIS * 4);
+			case HOME_DIES -> this.clock.after(0, sidecar(sidecar.homeOf(this.watched))::die);
+			case HOME_PAUSED -> sidecar(sidecar.homeOf(this.watched)).pause(PAUSE_MILLIS);
 			case DRAINED -> drainLater(sidecar);
 			case DRAINS_RACE -> {
 				drainLater(sidecar);
@@ -195,6 +201,20 @@
 		transmit(mine, () -> entry.deliver(() -> entry.receive(sidecar.upstream, incarnation, message)));
 	}
 
+	void toPeer(SimulatedSidecar from, UpstreamId to, ClaimMessage message) {
+		SimulatedSidecar peer = sidecar(to);
+		if (!peer.alive) {
+			this.clock.after(1, () -> from.deliver(() -> from.route(new ClaimEvent.PeerLost(to))));
+			return;
+		}
+		long incarnation = peer.incarnation;
+		this.clock.after(1, () -> peer.deliver(() -> {
+			if (peer.incarnation == incarnation) {
+				peer.route(new ClaimEvent.Received(from.upstream, message));
+			}
+		}));
+	}
+
 	private static Step stepOf(CallMessage message) {
 		if (message instanceof CallMessage.Head) {
 			return Step.HEAD_SENT;
@@ -232,6 +252,10 @@
 	}
 
 	void sidecarDied(SimulatedSidecar sidecar) {
+		this.sidecars.stream()
+			.filter((peer) -> peer != sidecar)
+			.forEach((peer) -> this.clock.after(2,
+					() -> peer.deliver(() -> peer.route(new ClaimEvent.PeerLost(sidecar.upstream)))));
 		this.entries
 			.forEach((entry) -> this.clock.after(2, () -> entry.deliver(() -> entry.loseConnection(sidecar.upstream))));
 	}
