--- a/bulrushrouter-request/src/main/java/io/bulrushrouter/request/ClaimIndex.java
+++ b/bulrushrouter-request/src/main/java/io/bulrushrouter/request/ClaimIndex.java
@@ -95,6 +95,20 @@
 		return OptionalLong.empty();
 	}
 
+	/**
+	 * Forgets full segments that need not be kept any longer, but for the newest of them,
+	 * which shows how far back the known ones reach.
+	 * @param oldestEpochSeconds when the oldest claim was made that has to be kept
+	 */
+	void forgetOlderThan(long oldestEpochSeconds) {
+		this.full.descendingMap()
+			.values()
+			.stream()
+			.filter((segment) -> segment.newestEpochSeconds() < oldestEpochSeconds)
+			.findFirst()
+			.ifPresent((segment) -> forgetBefore(segment.sequence()));
+	}
+
 	/**
 	 * Returns when the youngest claim was made that the next full segment pushes out.
 	 * @return seconds since 1970; 0 if none is pushed out
--- a/bulrushrouter-request/src/main/java/io/bulrushrouter/request/ClaimShard.java
+++ b/bulrushrouter-request/src/main/java/io/bulrushrouter/request/ClaimShard.java
@@ -123,8 +123,7 @@
 	}
 
 	private void loadArchives() {
-		long oldest = this.settings.epochSeconds.getAsLong() - this.settings.policy.keptFor().toSeconds();
-		OptionalLong missing = this.index.missing(oldest);
+		OptionalLong missing = this.index.missing(oldestEpochSeconds());
 		if (missing.isEmpty()) {
 			this.index.rebuild();
 			this.loaded = true;
@@ -203,6 +202,7 @@
 		then(this.settings.store.write(write), (result) -> {
 			if (result instanceof WriteResult.Written written) {
 				this.index.written(segment, written.version());
+				this.index.forgetOlderThan(oldestEpochSeconds());
 				finish(outcomes);
 			}
 			else {
@@ -300,6 +300,10 @@
 				+ Math.floorMod(31 * this.settings.incarnation + this.number + this.failures, bounded / 2 + 1);
 	}
 
+	private long oldestEpochSeconds() {
+		return this.settings.epochSeconds.getAsLong() - this.settings.policy.keptFor().toSeconds();
+	}
+
 	private long retryAfterMillis() {
 		return this.settings.policy.retryAfter().toMillis();
 	}
--- a/bulrushrouter-request/src/test/java/io/bulrushrouter/request/ClaimsTests.java
+++ b/bulrushrouter-request/src/test/java/io/bulrushrouter/request/ClaimsTests.java
@@ -149,6 +149,21 @@
 		assertThat(claim(here, request(10, 1, 1, "k0", 5))).isEqualTo(GRANTED);
 	}
 
+	@Test
+	void forgetsClaimsThatNeedNotBeKept() {
+		Claims here = claims(this.store, 1, 2, Duration.ofSeconds(600));
+		for (int i = 0; i < 8; i++) {
+			claim(here, request(i, 1, 1, "k" + i, 5));
+			this.epochSeconds += 200;
+		}
+		assertThat(claim(here, request(8, 1, 1, "k0", 5))).isEqualTo(GRANTED);
+		assertThat(claim(here, request(9, 1, 1, "k5", 5))).isInstanceOf(ClaimOutcome.Held.class);
+		long before = this.store.reads();
+		Claims restarted = claims(this.store, 2, 2, Duration.ofSeconds(600));
+		assertThat(claim(restarted, request(10, 1, 2, "k7", 5))).isInstanceOf(ClaimOutcome.Held.class);
+		assertThat(this.store.reads() - before).isAtMost(4);
+	}
+
 	@Property(seed = "1", tries = 300)
 	void neverGrantsAHeldKey(@ForAll long seed) {
 		SplittableRandom random = new SplittableRandom(seed);
