--- /dev/null
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/CostModel.java
@@ -0,0 +1,81 @@
+package io.bulrushrouter.routing;
+
+import java.util.Objects;
+
+/**
+ * The expected time to the first token at an upstream: queued prefill work, the prompt's
+ * uncached tokens, the way there, the upstream's measured slowness, and how stale all of
+ * this is.
+ *
+ * @param distance the round trip between data centres
+ * @param staleNanos the age at which a report counts half, the mean of the model's
+ * upstreams the other half, in nanoseconds
+ * @param missWeight how much more the prefill of an uncached prefix counts than waiting,
+ * for each request that waits at the mean upstream: it delays those, and evicts other
+ * prefixes
+ */
+public record CostModel(DataCentreDistance distance, long staleNanos, double missWeight) {
+
+	/**
+	 * Checks the parts.
+	 */
+	public CostModel {
+		Objects.requireNonNull(distance);
+	}
+
+	/**
+	 * Returns the usual cost model.
+	 * @return the cost model
+	 */
+	public static CostModel ofDefaults() {
+		return new CostModel(DataCentreDistance.of(0.3, 1.0), 1_000_000_000L, 0.5);
+	}
+
+	/**
+	 * Returns the expected time to the first token.
+	 * @param view the upstream
+	 * @param peers the upstreams of the model
+	 * @param query the request
+	 * @param nowNanos the time, in nanoseconds
+	 * @return milliseconds
+	 */
+	public double firstTokenMillis(UpstreamView view, ModelUpstreams peers, RouteQuery query, long nowNanos) {
+		return waitMillis(view, peers, query, nowNanos) + prefillMillis(view, peers, query, nowNanos);
+	}
+
+	/**
+	 * Returns the time to the first token, with the prefill of an uncached prefix
+	 * weighted up: it delays the requests behind it and evicts other prefixes.
+	 * @param view the upstream
+	 * @param peers the upstreams of the model
+	 * @param query the request
+	 * @param weight how much more a millisecond of that prefill counts
+	 * @param nowNanos the time, in nanoseconds
+	 * @return milliseconds
+	 */
+	public double costMillis(UpstreamView view, ModelUpstreams peers, RouteQuery query, double weight, long nowNanos) {
+		double missed = (query.prefixTokens() - cachedTokens(view, query, nowNanos)) * perToken(view, peers);
+		return firstTokenMillis(view, peers, query, nowNanos) + weight * missed;
+	}
+
+	private double waitMillis(UpstreamView view, ModelUpstreams peers, RouteQuery query, long nowNanos) {
+		double trust = this.staleNanos / (double) (this.staleNanos + Math.max(0, view.ageNanos(nowNanos)));
+		double reported = trust * view.reportedTokens() + (1 - trust) * peers.meanReportedTokens();
+		double queued = reported + view.unreportedTokens();
+		return this.distance.millis(query.dataCentre(), view.spec().dataCentre()) + view.errorMillis(nowNanos)
+				+ queued * perToken(view, peers);
+	}
+
+	private double prefillMillis(UpstreamView view, ModelUpstreams peers, RouteQuery query, long nowNanos) {
+		return (query.promptTokens() - cachedTokens(view, query, nowNanos)) * perToken(view, peers);
+	}
+
+	private static int cachedTokens(UpstreamView view, RouteQuery query, long nowNanos) {
+		return Math.min(query.prefixTokens(), view.cachedTokens(query.prefixDigest(), nowNanos));
+	}
+
+	private static double perToken(UpstreamView view, ModelUpstreams peers) {
+		return view.millisPerToken(peers.meanMillisPerToken()) / view.spec().weight();
+	}
+
+}
