Drive the fault matrix as the daemons do

The daemons carry out an action while it is handed over, so events are handled from within others (a refused claim, a failed send).

--- a/bulrushrouter-request/src/main/java/io/bulrushrouter/request/EntryCall.java
+++ b/bulrushrouter-request/src/main/java/io/bulrushrouter/request/EntryCall.java
@@ -131,7 +131,8 @@
 	}
 
 	/**
-	 * Handles an event.
+	 * Handles an event. An action may be carried out while it is handed over, and events
+	 * that it causes may be handled from there.
 	 * @param event what happened
 	 * @param nowNanos the time
 	 * @param actions takes what to do, in order
--- a/bulrushrouter-request/src/main/java/io/bulrushrouter/request/SidecarCalls.java
+++ b/bulrushrouter-request/src/main/java/io/bulrushrouter/request/SidecarCalls.java
@@ -107,7 +107,8 @@
 	}
 
 	/**
-	 * Handles an event.
+	 * Handles an event. An action may be carried out while it is handed over, and events
+	 * that it causes may be handled from there.
 	 * @param event what happened
 	 * @param nowNanos the time
 	 * @param actions takes what to do, in order
--- a/bulrushrouter-request/src/test/java/io/bulrushrouter/request/SimulatedEntry.java
+++ b/bulrushrouter-request/src/test/java/io/bulrushrouter/request/SimulatedEntry.java
@@ -1,7 +1,6 @@
 package io.bulrushrouter.request;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -91,10 +90,8 @@
 	}
 
 	private void feed(EntryCall call, EntryEvent event) {
-		List<EntryAction> actions = new ArrayList<>();
-		call.on(event, this.system.clock.nowNanos(), actions::add);
 		SimulatedCaller caller = this.callers.get(call.id().number());
-		actions.forEach((action) -> act(call, caller, action));
+		call.on(event, this.system.clock.nowNanos(), (action) -> act(call, caller, action));
 		if (call.nextWakeNanos() != Long.MAX_VALUE && !(event instanceof EntryEvent.Sent)) {
 			wakeAt(call.nextWakeNanos(), () -> wake(call));
 		}
@@ -123,8 +120,7 @@
 		int attempt = send.call().attempt().attempt();
 		this.system.watchUpstream(caller, send.upstream());
 		if (!sidecar.alive) {
-			wakeAt(this.system.clock.nowNanos() + SimulatedClock.MILLIS,
-					() -> feed(call, new EntryEvent.SendFailed(attempt)));
+			feed(call, new EntryEvent.SendFailed(attempt));
 			return;
 		}
 		call.on(new EntryEvent.Sent(attempt, sidecar.incarnation), this.system.clock.nowNanos(), (action) -> {
--- a/bulrushrouter-request/src/test/java/io/bulrushrouter/request/SimulatedSidecar.java
+++ b/bulrushrouter-request/src/test/java/io/bulrushrouter/request/SimulatedSidecar.java
@@ -1,7 +1,6 @@
 package io.bulrushrouter.request;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -75,9 +74,7 @@
 	}
 
 	void feed(SidecarEvent event) {
-		List<SidecarAction> actions = new ArrayList<>();
-		this.calls.on(event, this.system.clock.nowNanos(), actions::add);
-		actions.forEach(this::act);
+		this.calls.on(event, this.system.clock.nowNanos(), this::act);
 		if (this.calls.nextWakeNanos() != Long.MAX_VALUE) {
 			wakeAt(this.calls.nextWakeNanos(), this::wake);
 		}
@@ -109,9 +106,7 @@
 	}
 
 	void route(ClaimEvent event) {
-		List<ClaimAction> actions = new ArrayList<>();
-		this.router.on(event, this.system.clock.nowNanos(), actions::add);
-		actions.forEach(this::act);
+		this.router.on(event, this.system.clock.nowNanos(), this::act);
 		if (this.router.nextWakeNanos() != Long.MAX_VALUE) {
 			wakeAt(this.router.nextWakeNanos(), () -> route(new ClaimEvent.Tick()));
 		}
@@ -119,8 +114,8 @@
 
 	private void act(ClaimAction action) {
 		if (action instanceof ClaimAction.ClaimHere claim) {
-			this.claims.claim(claim.request(), (outcome) -> deliverToIncarnation(
-					() -> route(new ClaimEvent.DecidedHere(claim.request(), outcome))));
+			this.claims.claim(claim.request(),
+					(outcome) -> route(new ClaimEvent.DecidedHere(claim.request(), outcome)));
 			wakeClaims();
 		}
 		else if (action instanceof ClaimAction.ReleaseHere release) {
@@ -131,7 +126,7 @@
 			this.system.toPeer(this, send.upstream(), send.message());
 		}
 		else if (action instanceof ClaimAction.Settle settle) {
-			deliverToIncarnation(() -> feed(new SidecarEvent.ClaimSettled(settle.attempt(), settle.outcome())));
+			feed(new SidecarEvent.ClaimSettled(settle.attempt(), settle.outcome()));
 		}
 	}
 
