--- a/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/EvacuationWeek.java
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/EvacuationWeek.java
@@ -12,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 
 import io.bulrushrouter.evacuation.Demand;
@@ -105,7 +106,7 @@
 		LocalDate day = KitchenFirm.MONDAY.plusDays(3);
 		apply(day);
 		sheet(day, "Wednesday's sheet again", this.world.apply(file(day.minusDays(1))));
-		this.world.runUntil(day.atTime(15, 55));
+		this.world.runUntil(day.atTime(15, 45));
 		this.world.standin().refuse(REFUSING, Optional.of("an export of its cache is running"));
 		upset(day.atTime(16, 30), "an engine refuses to unload, until Friday 09:40");
 		evening(day);
@@ -133,7 +134,7 @@
 	}
 
 	private void sheet(LocalDate day, String what, String outcome) {
-		this.sheets.add("| " + day + " | " + what + " | " + outcome.replace("|", "/") + " |");
+		this.sheets.add("| " + day + " | " + what + " | " + outcome.replace("|", "/").replace("\n", "<br>") + " |");
 	}
 
 	private void upset(LocalDateTime at, String what) {
@@ -163,41 +164,42 @@
 
 	private String page(ShortfallReport end) {
 		FleetStandin.Counts counts = this.world.standin().counts();
-		return """
-				# A week's evacuation of the kitchen firm
-
-				Made by the experiment `evacuation-week`. Two data centres leave: 10 of 15 upstreams.
-
-				| day | sheet | outcome |
-				|---|---|---|
-				%s
-
-				| day | upset | short now | short at the end of the day | report |
-				|---|---|---|---|---|
-				%s
-
-				| evening of | upstreams remaining | met | on the way | short | short at the plan's date | requests begun | page |
-				|---|---|---|---|---|---|---|---|
-				%s
-
-				| at the end | count |
-				|---|---|
-				| upstreams remaining on %s | %d |
-				| requests begun | %d |
-				| requests answered | %d |
-				| requests cut off | %d |
-				| requests that waited for an open upstream | %d |
-				| steps that took effect twice | %d |
-				| old fencing numbers obeyed | %d |
-				| ranks that left before their group was ready | %d |
-				| old holder refused after its pause | %s |
-				| store calls | %d |
+		return String.format(Locale.ROOT,
 				"""
-			.formatted(String.join("\n", this.sheets), String.join("\n", this.upsets), String.join("\n", this.evenings),
-					end.date(), end.remaining(), counts.begun(), counts.answered(),
-					counts.cut() + this.world.traffic().cut(), this.world.traffic().waited(), counts.repeated(),
-					counts.stale() + counts.staleAtEngine(), counts.split(), this.oldHolderFenced ? "yes" : "no",
-					this.world.storeCalls());
+						# A week's evacuation of the kitchen firm
+
+						Made by the experiment `evacuation-week`. Two data centres leave: 10 of 15 upstreams.
+
+						| day | sheet | outcome |
+						|---|---|---|
+						%s
+
+						| day | upset | short now | short at the end of the day | report |
+						|---|---|---|---|---|
+						%s
+
+						| evening of | upstreams remaining | met | on the way | short | short at the plan's date | requests begun | page |
+						|---|---|---|---|---|---|---|---|
+						%s
+
+						| at the end | count |
+						|---|---|
+						| upstreams remaining on %s | %d |
+						| requests begun | %d |
+						| requests answered | %d |
+						| requests cut off | %d |
+						| requests that waited for an open upstream | %d |
+						| steps that took effect twice | %d |
+						| old fencing numbers obeyed | %d |
+						| ranks that left before their group was ready | %d |
+						| old holder refused after its pause | %s |
+						| store calls of the holder in a round of 20 s, on average | %.2f |
+						""",
+				String.join("\n", this.sheets), String.join("\n", this.upsets), String.join("\n", this.evenings),
+				end.date(), end.remaining(), counts.begun(), counts.answered(),
+				counts.cut() + this.world.traffic().cut(), this.world.traffic().waited(), counts.repeated(),
+				counts.stale() + counts.staleAtEngine(), counts.split(), this.oldHolderFenced ? "yes" : "no",
+				this.world.holderCallsEachRound());
 	}
 
 	private boolean held(ShortfallReport end) {
--- a/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/WeekWorld.java
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/WeekWorld.java
@@ -84,6 +84,10 @@
 
 	private long marks;
 
+	private long holderCalls;
+
+	private long rounds;
+
 	WeekWorld() {
 		for (FleetUpstream upstream : this.fleet.upstreams()) {
 			boolean checks = upstream.model().equals(KitchenFirm.ASSISTANT);
@@ -110,7 +114,11 @@
 		return this.traffic;
 	}
 
-	long storeCalls() {
+	double holderCallsEachRound() {
+		return (double) this.holderCalls / this.rounds;
+	}
+
+	private long storeCalls() {
 		return this.objects.reads() + this.objects.writes();
 	}
 
@@ -134,7 +142,10 @@
 			this.now = this.now.plus(STEP);
 			this.traffic.step(this.now, this.demands, this.placements);
 			if (this.holderAlive) {
+				long before = storeCalls();
 				this.last = Optional.of(this.holder.run(this.now, this.lease));
+				this.holderCalls += storeCalls() - before;
+				this.rounds++;
 			}
 			readPlacements();
 		}
@@ -191,7 +202,7 @@
 				.getSimpleName()
 				.replace("Written", "applied");
 		}
-		return outcome.toString();
+		return outcome.text();
 	}
 
 	ShortfallReport report() {
--- a/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/reconcile/Departing.java
+++ b/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/reconcile/Departing.java
@@ -67,8 +67,9 @@
 		return state() == EndState.GONE && begun() && !met() && refusal().isEmpty();
 	}
 
+	// All ranks of a group carry the same requests.
 	int inFlight() {
-		return seen().mapToInt(ObservedUpstream::inFlight).sum();
+		return seen().mapToInt(ObservedUpstream::inFlight).max().orElse(0);
 	}
 
 	Optional<String> refusal() {
--- a/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/report/ReportLines.java
+++ b/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/report/ReportLines.java
@@ -1,5 +1,6 @@
 package io.bulrushrouter.evacuation.report;
 
+import java.time.Duration;
 import java.time.LocalDate;
 import java.time.LocalDateTime;
 import java.util.ArrayList;
@@ -96,8 +97,9 @@
 		EndState intended = intent(members).map(UpstreamIntent::state).orElse(EndState.RUNNING);
 		Optional<LocalDateTime> stopAt = intent(members).flatMap(UpstreamIntent::stopAt);
 		Optional<LocalDate> deadline = this.state.plan().deadline(members.get(0));
+		Optional<LocalDateTime> planned = this.state.plan().stopAt(members.get(0));
 		boolean complete = seen.size() == members.size();
-		Unit view = new Unit(target, intended, stopAt, deadline, complete, seen, Optional.empty());
+		Unit view = new Unit(target, intended, stopAt, planned, deadline, complete, seen, Optional.empty());
 		return view.withForecast(forecast(view, waiting));
 	}
 
@@ -108,13 +110,26 @@
 			return Optional.empty();
 		}
 		long waves = 1 + (unit.begun() ? 0 : (waiting / this.settings.unitsLeavingAtOnce()));
-		LocalDateTime ready = this.input.now().plus(this.settings.drain().multipliedBy(waves));
+		LocalDateTime ready = this.input.now().plus(longer(this.settings.drain().multipliedBy(waves), overdue(unit)));
 		LocalDateTime hour = unit.stopAt().orElse(ready);
 		boolean drained = unit.begun() && unit.inFlight() == 0;
 		LocalDateTime soonest = drained ? this.input.now() : ready;
 		return Optional.of(hour.isAfter(soonest) ? hour : soonest);
 	}
 
+	// A drain that is overdue is expected to take as long again.
+	private Duration overdue(Unit unit) {
+		boolean draining = unit.begun() && unit.inFlight() > 0;
+		return unit.stopAt()
+			.filter((at) -> draining && at.isBefore(this.input.now()))
+			.map((at) -> Duration.between(at, this.input.now()))
+			.orElse(Duration.ZERO);
+	}
+
+	private static Duration longer(Duration one, Duration other) {
+		return (one.compareTo(other) >= 0) ? one : other;
+	}
+
 	private void addUnit(Unit unit) {
 		if (unit.intended() != EndState.RUNNING) {
 			add(Horizon.NOW, unit, unit.metIntent(), unit.stopAt(), this.input.now());
@@ -132,10 +147,18 @@
 		LineStatus status = met ? LineStatus.MET : status(horizon, unit, hold, limit);
 		String intended = (horizon == Horizon.PLAN_DATE) ? EndState.GONE.text() : unit.intended().text();
 		this.lines.add(new ReportLine(horizon, unit.subject(), intended, unit.text(), status, due,
-				met ? Optional.empty() : unit.forecast(), met ? Optional.empty() : hold.map(Hold::reason),
+				met ? Optional.empty() : expected(unit, status, due), met ? Optional.empty() : hold.map(Hold::reason),
 				met ? "" : hold.map(Hold::detail).orElse("")));
 	}
 
+	// What no sheet has asked for yet is expected at the plan's hour, or when it is due.
+	private Optional<LocalDateTime> expected(Unit unit, LineStatus status, Optional<LocalDateTime> due) {
+		if (unit.forecast().isPresent() || status == LineStatus.SHORT) {
+			return unit.forecast();
+		}
+		return unit.plannedStop().or(() -> due);
+	}
+
 	private Optional<Hold> hold(Horizon horizon, Unit unit) {
 		if (this.state.plan().cancelled()) {
 			return Optional.of(new Hold(ShortReason.PLAN_CANCELLED, "the plan was cancelled"));
@@ -209,16 +232,19 @@
 	 * @param target the upstream or group
 	 * @param intended what the sheets intend
 	 * @param stopAt the hour of its stop
+	 * @param plannedStop the hour of its stop in the plan
 	 * @param deadline the day at whose end the plan wants it gone
 	 * @param complete whether all members' sidecars answered
 	 * @param seen what they said
 	 * @param forecast when it is expected to be as intended
 	 */
-	private record Unit(Target target, EndState intended, Optional<LocalDateTime> stopAt, Optional<LocalDate> deadline,
-			boolean complete, List<ObservedUpstream> seen, Optional<LocalDateTime> forecast) {
+	private record Unit(Target target, EndState intended, Optional<LocalDateTime> stopAt,
+			Optional<LocalDateTime> plannedStop, Optional<LocalDate> deadline, boolean complete,
+			List<ObservedUpstream> seen, Optional<LocalDateTime> forecast) {
 
 		Unit withForecast(Optional<LocalDateTime> at) {
-			return new Unit(this.target, this.intended, this.stopAt, this.deadline, this.complete, this.seen, at);
+			return new Unit(this.target, this.intended, this.stopAt, this.plannedStop, this.deadline, this.complete,
+					this.seen, at);
 		}
 
 		String subject() {
@@ -245,8 +271,9 @@
 			return this.intended != EndState.RUNNING && !begun() && this.stopAt.isEmpty();
 		}
 
+		// All ranks of a group carry the same requests.
 		int inFlight() {
-			return this.seen.stream().mapToInt(ObservedUpstream::inFlight).sum();
+			return this.seen.stream().mapToInt(ObservedUpstream::inFlight).max().orElse(0);
 		}
 
 		String text() {
--- a/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/report/ReportTable.java
+++ b/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/report/ReportTable.java
@@ -1,6 +1,7 @@
 package io.bulrushrouter.evacuation.report;
 
 import java.time.LocalDateTime;
+import java.time.LocalTime;
 import java.time.format.DateTimeFormatter;
 import java.util.ArrayList;
 import java.util.List;
@@ -71,8 +72,10 @@
 		return at.map(ReportTable::time).orElse("");
 	}
 
+	// The end of a day is written as 24:00.
 	private static String time(LocalDateTime at) {
-		return MINUTE.format(at);
+		boolean midnight = at.toLocalTime().equals(LocalTime.MIDNIGHT);
+		return midnight ? at.toLocalDate().minusDays(1) + " 24:00" : MINUTE.format(at);
 	}
 
 }
--- a/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/sheet/SheetOutcome.java
+++ b/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/sheet/SheetOutcome.java
@@ -2,6 +2,8 @@
 
 import java.time.LocalDate;
 import java.util.List;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import io.bulrushrouter.evacuation.EvacuationState;
 import io.bulrushrouter.evacuation.Shortage;
@@ -11,10 +13,26 @@
  */
 public sealed interface SheetOutcome {
 
+	/**
+	 * Returns the outcome for a person.
+	 * @return one line, and one more for each risk, contradiction or shortage
+	 */
+	String text();
+
+	private static String lines(String first, List<?> others) {
+		return Stream.concat(Stream.of(first), others.stream().map(Object::toString)).collect(Collectors.joining("\n"));
+	}
+
 	/**
 	 * The sheet was applied before, and changes nothing.
 	 */
 	record Unchanged() implements SheetOutcome {
+
+		@Override
+		public String text() {
+			return "unchanged: this sheet was applied before";
+		}
+
 	}
 
 	/**
@@ -32,6 +50,11 @@
 			risks = List.copyOf(risks);
 		}
 
+		@Override
+		public String text() {
+			return lines(this.risks.isEmpty() ? "applied" : "applied, with these risks accepted:", this.risks);
+		}
+
 	}
 
 	/**
@@ -41,6 +64,12 @@
 	 * @param applied the later day
 	 */
 	record StaleDay(LocalDate sheet, LocalDate applied) implements SheetOutcome {
+
+		@Override
+		public String text() {
+			return "refused: the sheet of " + this.applied + " was applied, and this one is of " + this.sheet;
+		}
+
 	}
 
 	/**
@@ -57,6 +86,11 @@
 			contradictions = List.copyOf(contradictions);
 		}
 
+		@Override
+		public String text() {
+			return lines("refused: the sheet contradicts the plan:", this.contradictions);
+		}
+
 	}
 
 	/**
@@ -73,6 +107,11 @@
 			shortages = List.copyOf(shortages);
 		}
 
+		@Override
+		public String text() {
+			return lines("refused: the sheet leaves too little capacity:", this.shortages);
+		}
+
 	}
 
 }
--- a/bulrushrouter-standin/src/main/java/io/bulrushrouter/standin/FleetStandin.java
+++ b/bulrushrouter-standin/src/main/java/io/bulrushrouter/standin/FleetStandin.java
@@ -72,7 +72,8 @@
 	}
 
 	/**
-	 * Lets an engine refuse all orders, or obey again.
+	 * Lets an engine refuse all orders, or obey again. The gate is the sidecar's, and
+	 * closes in any case.
 	 * @param id the upstream
 	 * @param reason what it says, or empty to obey
 	 */
@@ -119,7 +120,7 @@
 	 */
 	public Answer order(UpstreamId id, State to, long fence) {
 		Upstream upstream = this.upstreams.get(id);
-		Optional<Answer> refused = refused(upstream, fence);
+		Optional<Answer> refused = refused(upstream, to, fence);
 		if (refused.isPresent()) {
 			return refused.get();
 		}
@@ -136,7 +137,7 @@
 		return Answer.DONE;
 	}
 
-	private Optional<Answer> refused(Upstream upstream, long fence) {
+	private Optional<Answer> refused(Upstream upstream, State to, long fence) {
 		long highest = this.platformFence.getAsLong();
 		if (this.sidecarsCheck && highest < 0) {
 			return Optional.of(Answer.UNDECIDED);
@@ -146,7 +147,7 @@
 		if (oldToSidecar || oldToEngine) {
 			return Optional.of(Answer.STALE);
 		}
-		return upstream.refusal.map((reason) -> Answer.REFUSED);
+		return upstream.refusal.filter((reason) -> to != State.LEAVING).map((reason) -> Answer.REFUSED);
 	}
 
 	private void change(Upstream upstream, State to) {
