Keep capacity in a ledger and read objects only when they change

A pass computed all needs again for each unit, and a round read whole objects: at 600 upstreams and 1,600 organisations that is some hundred kilobytes a round. A pass now keeps one ledger, and a round at rest asks only for a newer version. The rest of a group that has begun to leave counts as gone for the units after it.

--- a/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/ConditionalObject.java
+++ b/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/ConditionalObject.java
@@ -1,5 +1,6 @@
 package io.bulrushrouter.evacuation;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -58,6 +59,22 @@
 		});
 	}
 
+	// Carries the content only if it has changed.
+	CompletionStage<Loaded<T>> refresh(Stored<T> known) {
+		if (known.version() == Write.ABSENT) {
+			return read();
+		}
+		return this.store.watch(this.key, known.version(), Duration.ZERO).thenApply((result) -> {
+			if (result instanceof ReadResult.Found found) {
+				return new Loaded.Found<>(stored(found.object()));
+			}
+			if (result instanceof ReadResult.Unavailable unavailable) {
+				return new Loaded.Unavailable<>(unavailable.reason());
+			}
+			return new Loaded.Found<>(known);
+		});
+	}
+
 	CompletionStage<StoreOutcome<T>> write(Stored<T> base, T value, String mark) {
 		Write write = new Write(this.key, base.version(), EvacuationJson.write(value), new WriterMark(mark));
 		return send(new Attempt<>(write, base.value(), value), 1);
--- a/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/EvacuationStore.java
+++ b/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/EvacuationStore.java
@@ -44,6 +44,15 @@
 		return this.object.read();
 	}
 
+	/**
+	 * Reads the state again; the answer carries the content only if it has changed.
+	 * @param known the state as last read
+	 * @return the state as it is now, or unavailable
+	 */
+	public CompletionStage<Loaded<EvacuationState>> refresh(Stored<EvacuationState> known) {
+		return this.object.refresh(known);
+	}
+
 	/**
 	 * Creates the state of a new plan.
 	 * @param state the state; the mark of its first change names the write
--- a/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/Fleet.java
+++ b/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/Fleet.java
@@ -1,6 +1,5 @@
 package io.bulrushrouter.evacuation;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
 import java.util.List;
@@ -153,38 +152,16 @@
 	}
 
 	/**
-	 * Finds where the upstreams that remain cannot carry the organisations placed there.
+	 * Returns the ledger of needs and capacity.
 	 * @param placements where each organisation's requests go
 	 * @param remains whether an upstream takes requests
-	 * @return the shortages, by data centre and model
+	 * @return the ledger
 	 */
-	public List<Shortage> shortages(Map<OrganisationId, DataCentreId> placements, Predicate<UpstreamId> remains) {
-		Map<DataCentreId, Map<ModelId, Integer>> needed = needed(placements);
-		Map<DataCentreId, Map<ModelId, Integer>> left = new TreeMap<>();
-		this.upstreams.values()
-			.stream()
-			.filter((upstream) -> remains.test(upstream.id()))
-			.forEach((upstream) -> add(left, upstream.dataCentre(), upstream.model(), upstream.capacity()));
-		List<Shortage> shortages = new ArrayList<>();
-		needed.forEach((dataCentre, models) -> models.forEach((model, requests) -> {
-			int capacity = left.getOrDefault(dataCentre, Map.of()).getOrDefault(model, 0);
-			if (requests > capacity) {
-				shortages.add(new Shortage(dataCentre, model, requests, capacity));
-			}
-		}));
-		return shortages;
-	}
-
-	private Map<DataCentreId, Map<ModelId, Integer>> needed(Map<OrganisationId, DataCentreId> placements) {
-		Map<DataCentreId, Map<ModelId, Integer>> needed = new TreeMap<>();
-		placements.forEach((organisation, dataCentre) -> this.demands.getOrDefault(organisation, List.of())
-			.forEach((demand) -> add(needed, dataCentre, demand.model(), demand.requests())));
-		return needed;
-	}
-
-	private static void add(Map<DataCentreId, Map<ModelId, Integer>> sums, DataCentreId dataCentre, ModelId model,
-			int amount) {
-		sums.computeIfAbsent(dataCentre, (key) -> new TreeMap<>()).merge(model, amount, Integer::sum);
+	public CapacityLedger ledger(Map<OrganisationId, DataCentreId> placements, Predicate<UpstreamId> remains) {
+		CapacityLedger ledger = new CapacityLedger(this);
+		placements.forEach(ledger::place);
+		this.upstreams.values().stream().filter((upstream) -> remains.test(upstream.id())).forEach(ledger::add);
+		return ledger;
 	}
 
 }
--- a/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/HolderStore.java
+++ b/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/HolderStore.java
@@ -55,6 +55,15 @@
 		return this.object.read();
 	}
 
+	/**
+	 * Reads the object again; the answer carries the content only if it has changed.
+	 * @param known the object as last read
+	 * @return the object as it is now, or unavailable
+	 */
+	public CompletionStage<Loaded<T>> refresh(Stored<T> known) {
+		return this.object.refresh(known);
+	}
+
 	/**
 	 * Creates the object.
 	 * @param value the content
--- a/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/reconcile/DeparturePass.java
+++ b/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/reconcile/DeparturePass.java
@@ -8,8 +8,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeSet;
+import java.util.stream.Stream;
 
+import io.bulrushrouter.evacuation.CapacityLedger;
 import io.bulrushrouter.evacuation.EndState;
 import io.bulrushrouter.evacuation.EvacuationState;
 import io.bulrushrouter.evacuation.Fleet;
@@ -18,6 +19,7 @@
 import io.bulrushrouter.evacuation.Shortage;
 import io.bulrushrouter.evacuation.Target;
 import io.bulrushrouter.evacuation.UpstreamIntent;
+import io.bulrushrouter.kernel.OrganisationId;
 import io.bulrushrouter.kernel.UpstreamId;
 
 /**
@@ -39,7 +41,9 @@
 
 	private final Map<UpstreamId, UpstreamIntent> intents;
 
-	private final Set<UpstreamId> closing = new TreeSet<>();
+	private final Set<OrganisationId> moving;
+
+	private final CapacityLedger ledger;
 
 	private int leaving;
 
@@ -52,6 +56,8 @@
 		this.now = now;
 		this.fence = fence;
 		this.intents = intended.intentsByUpstream();
+		this.moving = MovePass.pending(intended, observed).keySet();
+		this.ledger = fleet.ledger(observed.placements(), observed::running);
 	}
 
 	List<Step> steps() {
@@ -96,7 +102,9 @@
 			}
 			this.leaving++;
 		}
-		unit.members().forEach((member) -> this.closing.add(member.id()));
+		else {
+			running(unit).forEach(this.ledger::remove);
+		}
 		return unit.in(Phase.RUNNING).<Step>map((id) -> new Step.SetLeaving(id, this.fence)).toList();
 	}
 
@@ -113,6 +121,7 @@
 			return Optional.of(hold(unit, ShortReason.NO_CAPACITY, shortage.get().toString()));
 		}
 		if (this.leaving >= this.policy.unitsLeavingAtOnce()) {
+			running(unit).forEach(this.ledger::add);
 			return Optional.of(hold(unit, ShortReason.RATE_LIMITED, this.leaving + " are leaving"));
 		}
 		return Optional.empty();
@@ -125,26 +134,27 @@
 	// An organisation that is to move away, and needs what the unit serves, is first.
 	private Optional<String> staying(Departing unit) {
 		FleetUpstream member = unit.members().get(0);
-		return MovePass.pending(this.intended, this.observed)
-			.keySet()
-			.stream()
+		return this.moving.stream()
 			.filter((organisation) -> member.dataCentre().equals(this.observed.placements().get(organisation)))
 			.filter((organisation) -> this.fleet.models(organisation).contains(member.model()))
 			.map((organisation) -> organisation.value())
 			.findFirst();
 	}
 
+	// Tries the departure in the ledger, and takes it back if it cannot be.
 	private Optional<Shortage> shortage(Departing unit) {
 		FleetUpstream member = unit.members().get(0);
-		Set<UpstreamId> going = new TreeSet<>(this.closing);
-		unit.members().forEach((each) -> going.add(each.id()));
-		return this.fleet
-			.shortages(this.observed.placements(), (id) -> this.observed.running(id) && !going.contains(id))
-			.stream()
-			.filter((shortage) -> shortage.dataCentre().equals(member.dataCentre())
-					&& shortage.model().equals(member.model()))
-			.filter((shortage) -> !MovePass.accepted(this.intended, shortage))
-			.findFirst();
+		running(unit).forEach(this.ledger::remove);
+		Optional<Shortage> shortage = this.ledger.shortage(member.dataCentre(), member.model())
+			.filter((found) -> !MovePass.accepted(this.intended, found));
+		if (shortage.isPresent()) {
+			running(unit).forEach(this.ledger::add);
+		}
+		return shortage;
+	}
+
+	private Stream<FleetUpstream> running(Departing unit) {
+		return unit.members().stream().filter((member) -> this.observed.running(member.id()));
 	}
 
 	private List<Step> finish(Departing unit) {
--- a/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/reconcile/EvacuationRound.java
+++ b/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/reconcile/EvacuationRound.java
@@ -44,7 +44,7 @@
 
 	private final Supplier<String> marks;
 
-	private Optional<EvacuationState> state = Optional.empty();
+	private Optional<Stored<EvacuationState>> state = Optional.empty();
 
 	private Stored<Placements> placements = new Stored<>(Write.ABSENT, Placements.of(0, Map.of()));
 
@@ -89,31 +89,32 @@
 		if (!ready || !keepProgress(observed, now, fence)) {
 			return idle(observed.withStoreDown(), now, fence);
 		}
-		List<Step> steps = this.reconciler.steps(this.state.orElseThrow(), observed, now, fence);
+		List<Step> steps = this.reconciler.steps(this.state.orElseThrow().value(), observed, now, fence);
 		List<StepOutcome> outcomes = carryOut(steps);
 		return result(observed, steps, outcomes, outcomes.stream().anyMatch(StepOutcome::fenced));
 	}
 
 	private RoundResult idle(Observation observed, LocalDateTime now, long fence) {
-		List<Step> held = this.state.map((known) -> this.reconciler.steps(known, observed, now, fence))
+		List<Step> held = this.state.map((known) -> this.reconciler.steps(known.value(), observed, now, fence))
 			.orElseGet(List::of);
 		return result(observed, held, List.of(), false);
 	}
 
 	private RoundResult result(Observation observed, List<Step> steps, List<StepOutcome> outcomes, boolean fenced) {
-		return new RoundResult(this.state, observed, this.progress.value(), steps, outcomes, fenced);
+		return new RoundResult(this.state.map(Stored::value), observed, this.progress.value(), steps, outcomes, fenced);
 	}
 
 	private boolean read() {
-		if (!(wait(this.intents.read()) instanceof Loaded.Found<EvacuationState> found)) {
+		Loaded<EvacuationState> intended = wait(this.state.map(this.intents::refresh).orElseGet(this.intents::read));
+		if (!(intended instanceof Loaded.Found<EvacuationState> found)) {
 			return false;
 		}
-		this.state = Optional.of(found.stored().value());
-		if (!(wait(this.placementStore.read()) instanceof Loaded.Found<Placements> placed)) {
+		this.state = Optional.of(found.stored());
+		if (!(wait(this.placementStore.refresh(this.placements)) instanceof Loaded.Found<Placements> placed)) {
 			return false;
 		}
 		this.placements = placed.stored();
-		Loaded<EvacuationProgress> seen = wait(this.progressStore.read());
+		Loaded<EvacuationProgress> seen = wait(this.progressStore.refresh(this.progress));
 		if (seen instanceof Loaded.Found<EvacuationProgress> kept) {
 			this.progress = kept.stored();
 		}
@@ -144,7 +145,8 @@
 	}
 
 	private boolean keepProgress(Observation observed, LocalDateTime now, long fence) {
-		ProgressPoint point = new ProgressPoint(now, observed.remaining(this.state.orElseThrow().plan(), this.fleet));
+		ProgressPoint point = new ProgressPoint(now,
+				observed.remaining(this.state.orElseThrow().value().plan(), this.fleet));
 		EvacuationProgress changed = this.progress.value().with(fence, observed.stopped(), point);
 		if (changed.equals(this.progress.value())) {
 			return true;
--- a/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/reconcile/MovePass.java
+++ b/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/reconcile/MovePass.java
@@ -2,11 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
 
+import io.bulrushrouter.evacuation.CapacityLedger;
 import io.bulrushrouter.evacuation.EvacuationState;
 import io.bulrushrouter.evacuation.Fleet;
 import io.bulrushrouter.evacuation.ShortReason;
@@ -29,7 +31,7 @@
 
 	private final long fence;
 
-	private final Map<OrganisationId, DataCentreId> placements;
+	private final CapacityLedger ledger;
 
 	MovePass(Fleet fleet, ReconcilePolicy policy, EvacuationState intended, Observation observed, long fence) {
 		this.fleet = fleet;
@@ -37,7 +39,7 @@
 		this.intended = intended;
 		this.observed = observed;
 		this.fence = fence;
-		this.placements = new TreeMap<>(observed.placements());
+		this.ledger = fleet.ledger(observed.placements(), observed::running);
 	}
 
 	// An organisation that is held also holds those that come after it in the order.
@@ -53,7 +55,6 @@
 			if (step instanceof Step.HoldMove) {
 				break;
 			}
-			this.placements.put(organisation, pending.get(organisation));
 		}
 		return steps;
 	}
@@ -65,14 +66,18 @@
 	}
 
 	private List<OrganisationId> inOrder(Map<OrganisationId, DataCentreId> pending) {
-		List<OrganisationId> order = this.intended.plan().organisations();
-		return pending.keySet().stream().sorted(Comparator.comparingInt((organisation) -> {
-			int position = order.indexOf(organisation);
-			return (position >= 0) ? position : order.size();
-		})).toList();
+		Map<OrganisationId, Integer> order = new HashMap<>();
+		this.intended.plan().organisations().forEach((each) -> order.put(each, order.size()));
+		return pending.keySet()
+			.stream()
+			.sorted(Comparator.comparingInt((each) -> order.getOrDefault(each, order.size())))
+			.toList();
 	}
 
 	private Step step(OrganisationId organisation, DataCentreId to) {
+		Optional.ofNullable(this.observed.placements().get(organisation))
+			.ifPresent((from) -> this.ledger.displace(organisation, from));
+		this.ledger.place(organisation, to);
 		if (!this.observed.storeUp()) {
 			return new Step.HoldMove(organisation, ShortReason.STORE_DOWN, "the store does not answer", this.fence);
 		}
@@ -82,12 +87,9 @@
 	}
 
 	private Optional<Shortage> shortage(OrganisationId organisation, DataCentreId to) {
-		Map<OrganisationId, DataCentreId> after = new TreeMap<>(this.placements);
-		after.put(organisation, to);
-		return this.fleet.shortages(after, this.observed::running)
+		return this.fleet.models(organisation)
 			.stream()
-			.filter((shortage) -> shortage.dataCentre().equals(to)
-					&& this.fleet.models(organisation).contains(shortage.model()))
+			.flatMap((model) -> this.ledger.shortage(to, model).stream())
 			.filter((shortage) -> !accepted(this.intended, shortage))
 			.findFirst();
 	}
--- a/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/sheet/SheetApplication.java
+++ b/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/sheet/SheetApplication.java
@@ -96,7 +96,7 @@
 			Map<UpstreamId, UpstreamIntent> intents) {
 		Map<OrganisationId, DataCentreId> endOfDay = new TreeMap<>(order.current());
 		endOfDay.putAll(placements);
-		return this.fleet.shortages(endOfDay, (upstream) -> running(intents, upstream));
+		return this.fleet.ledger(endOfDay, (upstream) -> running(intents, upstream)).shortages();
 	}
 
 	private static boolean running(Map<UpstreamId, UpstreamIntent> intents, UpstreamId upstream) {
--- a/bulrushrouter-evacuation/src/test/java/io/bulrushrouter/evacuation/reconcile/FaultyCalls.java
+++ b/bulrushrouter-evacuation/src/test/java/io/bulrushrouter/evacuation/reconcile/FaultyCalls.java
@@ -66,7 +66,8 @@
 
 	@Override
 	public CompletionStage<ReadResult> watch(ObjectKey key, long afterVersion, Duration wait) {
-		return this.run.objects().watch(key, afterVersion, wait);
+		return call(() -> this.run.objects().watch(key, afterVersion, wait),
+				CompletableFuture.completedFuture(new ReadResult.Unavailable("lost")));
 	}
 
 	@Override
--- a/bulrushrouter-evacuation/src/test/java/io/bulrushrouter/evacuation/reconcile/ReconcilerTests.java
+++ b/bulrushrouter-evacuation/src/test/java/io/bulrushrouter/evacuation/reconcile/ReconcilerTests.java
@@ -154,6 +154,16 @@
 		assertThat(names(steps(STOP))).containsExactly("set-leaving upstream/rank-1-old");
 	}
 
+	@Test
+	void countsTheRestOfAGroupThatHasBegunToLeave() {
+		this.placements = Map.of(TestFleet.FIRST, TestFleet.OLD, TestFleet.SECOND, TestFleet.NEW);
+		this.moves = Map.of();
+		this.accepted = List.of(new Shortage(TestFleet.OLD, ModelId.of("booking"), 4, 4));
+		see(RANK_0, Phase.LEAVING, 0);
+		assertThat(names(steps(STOP))).containsExactly("set-leaving upstream/rank-1-old",
+				"hold upstream/booking-old no-capacity");
+	}
+
 	@Test
 	void limitsHowManyLeaveAtOnce() {
 		this.policy = new ReconcilePolicy(1, 1, Duration.ofMinutes(10));
--- a/bulrushrouter-evacuation/src/test/java/io/bulrushrouter/evacuation/sheet/MorningSheetTests.java
+++ b/bulrushrouter-evacuation/src/test/java/io/bulrushrouter/evacuation/sheet/MorningSheetTests.java
@@ -9,6 +9,12 @@
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
@@ -153,4 +159,21 @@
 			.isInstanceOf(SheetResult.Rejected.class);
 	}
 
+	@Property(seed = "1", tries = 2_000)
+	void answersEveryFile(@ForAll("files") String text) {
+		SheetResult result = parse(text);
+		if (result instanceof SheetResult.Rejected rejected) {
+			assertThat(rejected.errors()).isNotEmpty();
+		}
+	}
+
+	@Provide
+	Arbitrary<String> files() {
+		Arbitrary<String> parts = Arbitraries.of("2026-11-02", "upstream", "group", "organisation", "end",
+				"booking-old", "g-old", "zeta", "gone", "moved", "14:00", "new", "1", ",", ",", ";", "\"", "\"\"", "\n",
+				"\r\n", " ", "", "\uFEFF", "\u0000", "\uD800");
+		Arbitrary<String> body = parts.list().ofMaxSize(40).map((list) -> String.join("", list));
+		return Combinators.combine(Arbitraries.of("", HEADER, HEADER.replace(',', ';')), body).as(String::concat);
+	}
+
 }
--- a/bulrushrouter-standin/src/main/java/io/bulrushrouter/standin/MemoryObjectStore.java
+++ b/bulrushrouter-standin/src/main/java/io/bulrushrouter/standin/MemoryObjectStore.java
@@ -19,7 +19,7 @@
 
 /**
  * The platform's object API in memory, with switches for outages and lost answers. Calls
- * complete at once, except watches, which complete at the next write or at
+ * complete at once, except watches that may wait, which complete at the next write or at
  * {@link #expireWatches()}.
  */
 public final class MemoryObjectStore implements ObjectStore {
@@ -146,6 +146,9 @@
 		if (object != null && object.version() > afterVersion) {
 			return CompletableFuture.completedFuture(new ReadResult.Found(object));
 		}
+		if (wait.isZero()) {
+			return CompletableFuture.completedFuture(new ReadResult.Absent());
+		}
 		Watch watch = new Watch(key, new CompletableFuture<>());
 		this.watches.add(watch);
 		return watch.answer();
