--- a/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/Change.java
+++ b/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/Change.java
@@ -25,4 +25,12 @@
 		Objects.requireNonNull(what);
 	}
 
+	/**
+	 * Returns the change for a person.
+	 * @return one line
+	 */
+	public String text() {
+		return "changed by " + this.who + " at " + this.when + ": " + this.what;
+	}
+
 }
--- a/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/EvacuationState.java
+++ b/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/EvacuationState.java
@@ -114,6 +114,15 @@
 		return this.history.stream().anyMatch((change) -> change.mark().equals(mark));
 	}
 
+	/**
+	 * Returns what differs in another state.
+	 * @param other the other state
+	 * @return one line for each difference, from this state to the other
+	 */
+	public List<String> difference(EvacuationState other) {
+		return StateDifference.lines(this, other);
+	}
+
 	/**
 	 * Returns a history with one more change, without its oldest if it is full.
 	 * @param history the changes, oldest first
--- a/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/StateDifference.java
+++ b/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/StateDifference.java
@@ -53,8 +53,7 @@
 		after.history()
 			.stream()
 			.filter((change) -> !before.holds(change.mark()))
-			.forEach((change) -> this.lines
-				.add("changed by " + change.who() + " at " + change.when() + ": " + change.what()));
+			.forEach((change) -> this.lines.add(change.text()));
 	}
 
 }
--- /dev/null
+++ b/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/operation/EvacuationOperations.java
@@ -0,0 +1,235 @@
+package io.bulrushrouter.evacuation.operation;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
+
+import io.bulrushrouter.evacuation.Change;
+import io.bulrushrouter.evacuation.EvacuationPlan;
+import io.bulrushrouter.evacuation.EvacuationState;
+import io.bulrushrouter.evacuation.EvacuationStore;
+import io.bulrushrouter.evacuation.Fleet;
+import io.bulrushrouter.evacuation.HolderStore;
+import io.bulrushrouter.evacuation.Loaded;
+import io.bulrushrouter.evacuation.Placements;
+import io.bulrushrouter.evacuation.PlanError;
+import io.bulrushrouter.evacuation.StoreOutcome;
+import io.bulrushrouter.evacuation.Stored;
+import io.bulrushrouter.evacuation.sheet.MorningSheet;
+import io.bulrushrouter.evacuation.sheet.SheetApplication;
+import io.bulrushrouter.evacuation.sheet.SheetFormat;
+import io.bulrushrouter.evacuation.sheet.SheetOrder;
+import io.bulrushrouter.evacuation.sheet.SheetOutcome;
+import io.bulrushrouter.evacuation.sheet.SheetResult;
+import io.bulrushrouter.kernel.DataCentreId;
+import io.bulrushrouter.kernel.OrganisationId;
+import io.bulrushrouter.kernel.store.ObjectStore;
+
+/**
+ * What operators do with one plan: create, show, change, cancel, check and apply sheets.
+ * Each act that changes something is one conditional update.
+ *
+ * <pre>{@code
+ * EvacuationOperations operations = EvacuationOperations.of(fleet, objects, "hall-3");
+ * operations.applySheet(bytes, format, change, false).thenAccept((outcome) -> show(outcome.text()));
+ * }</pre>
+ */
+public final class EvacuationOperations {
+
+	private final Fleet fleet;
+
+	private final EvacuationStore store;
+
+	private final HolderStore<Placements> placements;
+
+	private EvacuationOperations(Fleet fleet, ObjectStore objects, String plan) {
+		this.fleet = fleet;
+		this.store = EvacuationStore.of(objects, plan);
+		this.placements = HolderStore.ofPlacements(objects, plan);
+	}
+
+	/**
+	 * Returns the operations on one plan.
+	 * @param fleet the inventory
+	 * @param objects the platform's object API
+	 * @param plan the plan's name
+	 * @return the operations
+	 */
+	public static EvacuationOperations of(Fleet fleet, ObjectStore objects, String plan) {
+		return new EvacuationOperations(fleet, objects, plan);
+	}
+
+	/**
+	 * Creates the plan, and the placements first if there are none.
+	 * @param plan the plan
+	 * @param current where the organisations' requests go now
+	 * @param change who, when and why
+	 * @return what came of it; a conflict if there is such a plan
+	 */
+	public CompletionStage<OperationOutcome> create(EvacuationPlan plan, Map<OrganisationId, DataCentreId> current,
+			Change change) {
+		List<PlanError> errors = plan.validate(this.fleet);
+		if (!errors.isEmpty()) {
+			return done(new OperationOutcome.InvalidPlan(errors));
+		}
+		EvacuationState state = EvacuationState.of(plan, change);
+		return this.placements.create(Placements.of(0, current), change.mark()).thenCompose((outcome) -> {
+			if (outcome instanceof StoreOutcome.Unavailable<Placements> down) {
+				return done(new OperationOutcome.Unavailable(false, down.reason()));
+			}
+			if (outcome instanceof StoreOutcome.Undecided<Placements> lost) {
+				return done(new OperationOutcome.Unavailable(false, lost.reason()));
+			}
+			return this.store.create(state).thenApply((written) -> outcome(written, "created"));
+		});
+	}
+
+	/**
+	 * Shows the plan with all that is intended.
+	 * @return the state, missing or unavailable
+	 */
+	public CompletionStage<OperationOutcome> show() {
+		return withState((read) -> done(new OperationOutcome.Done(read, "read")));
+	}
+
+	/**
+	 * Replaces the plan.
+	 * @param seenVersion the version that the operator changed
+	 * @param plan the new plan
+	 * @param change who, when and why
+	 * @return what came of it; a conflict if the plan has changed since
+	 */
+	public CompletionStage<OperationOutcome> replace(long seenVersion, EvacuationPlan plan, Change change) {
+		List<PlanError> errors = plan.validate(this.fleet);
+		if (!errors.isEmpty()) {
+			return done(new OperationOutcome.InvalidPlan(errors));
+		}
+		return withState((read) -> {
+			EvacuationState next = read.value().withPlan(plan, change);
+			if (read.version() != seenVersion) {
+				return done(new OperationOutcome.Conflict(read, difference(next, read.value())));
+			}
+			return write(read, next, change, "replaced");
+		});
+	}
+
+	/**
+	 * Cancels the plan, whatever its version.
+	 * @param change who, when and why
+	 * @return what came of it
+	 */
+	public CompletionStage<OperationOutcome> cancel(Change change) {
+		return withState((read) -> {
+			EvacuationPlan plan = read.value().plan();
+			if (plan.cancelled()) {
+				return done(new OperationOutcome.Done(read, "was cancelled before"));
+			}
+			return write(read, read.value().withPlan(plan.toBuilder().cancelled(true).build(), change), change,
+					"cancelled");
+		});
+	}
+
+	/**
+	 * Checks a sheet's file and what would come of it, and changes nothing.
+	 * @param file the CSV file
+	 * @param format the site's settings
+	 * @param change who, when and why
+	 * @return done if it could be applied now, or why not
+	 */
+	public CompletionStage<OperationOutcome> checkSheet(byte[] file, SheetFormat format, Change change) {
+		return withSheet(file, format, change, false,
+				(decided) -> done(new OperationOutcome.Done(decided.read(), "may be applied")));
+	}
+
+	/**
+	 * Applies a sheet.
+	 * @param file the CSV file
+	 * @param format the site's settings
+	 * @param change who, when and why
+	 * @param acceptRisk whether contradictions and shortages are accepted
+	 * @return what came of it
+	 */
+	public CompletionStage<OperationOutcome> applySheet(byte[] file, SheetFormat format, Change change,
+			boolean acceptRisk) {
+		return withSheet(file, format, change, acceptRisk,
+				(decided) -> write(decided.read(), decided.applied().state(), change, decided.applied().text()));
+	}
+
+	private static List<String> difference(EvacuationState wanted, EvacuationState current) {
+		List<String> lines = new ArrayList<>(wanted.difference(current));
+		lines.add("last " + current.history().get(current.history().size() - 1).text());
+		return lines;
+	}
+
+	private CompletionStage<OperationOutcome> withSheet(byte[] file, SheetFormat format, Change change,
+			boolean acceptRisk, Function<Decided, CompletionStage<OperationOutcome>> act) {
+		SheetResult result = MorningSheet.parse(file, format, this.fleet);
+		if (result instanceof SheetResult.Rejected rejected) {
+			return done(new OperationOutcome.InvalidSheet(rejected.errors()));
+		}
+		MorningSheet sheet = ((SheetResult.Parsed) result).sheet();
+		return withState((read) -> withPlacements((current) -> {
+			SheetOutcome outcome = SheetApplication.of(this.fleet)
+				.apply(read.value(), new SheetOrder(sheet, current.byOrganisation(), change, acceptRisk));
+			if (outcome instanceof SheetOutcome.Applied applied) {
+				return act.apply(new Decided(read, applied));
+			}
+			return done((outcome instanceof SheetOutcome.Unchanged) ? new OperationOutcome.Done(read, outcome.text())
+					: new OperationOutcome.SheetRefused(outcome));
+		}));
+	}
+
+	private CompletionStage<OperationOutcome> withState(
+			Function<Stored<EvacuationState>, CompletionStage<OperationOutcome>> act) {
+		return this.store.read().thenCompose((loaded) -> with(loaded, act));
+	}
+
+	private CompletionStage<OperationOutcome> withPlacements(
+			Function<Placements, CompletionStage<OperationOutcome>> act) {
+		return this.placements.read().thenCompose((loaded) -> with(loaded, (stored) -> act.apply(stored.value())));
+	}
+
+	private static <T> CompletionStage<OperationOutcome> with(Loaded<T> loaded,
+			Function<Stored<T>, CompletionStage<OperationOutcome>> act) {
+		if (loaded instanceof Loaded.Found<T> found) {
+			return act.apply(found.stored());
+		}
+		return done((loaded instanceof Loaded.Unavailable<T> down)
+				? new OperationOutcome.Unavailable(false, down.reason()) : new OperationOutcome.Missing());
+	}
+
+	private CompletionStage<OperationOutcome> write(Stored<EvacuationState> read, EvacuationState next, Change change,
+			String text) {
+		return this.store.write(read, next, change.mark()).thenApply((outcome) -> outcome(outcome, text));
+	}
+
+	private static OperationOutcome outcome(StoreOutcome<EvacuationState> outcome, String text) {
+		if (outcome instanceof StoreOutcome.Written<EvacuationState> written) {
+			return new OperationOutcome.Done(written.stored(), text);
+		}
+		if (outcome instanceof StoreOutcome.Conflict<EvacuationState> conflict) {
+			return new OperationOutcome.Conflict(conflict.current(), conflict.difference());
+		}
+		if (outcome instanceof StoreOutcome.Unavailable<EvacuationState> down) {
+			return new OperationOutcome.Unavailable(false, down.reason());
+		}
+		return new OperationOutcome.Unavailable(true, ((StoreOutcome.Undecided<EvacuationState>) outcome).reason());
+	}
+
+	private static CompletionStage<OperationOutcome> done(OperationOutcome outcome) {
+		return CompletableFuture.completedFuture(outcome);
+	}
+
+	/**
+	 * A sheet that may be applied.
+	 *
+	 * @param read the state as it was read
+	 * @param applied what comes of it
+	 */
+	private record Decided(Stored<EvacuationState> read, SheetOutcome.Applied applied) {
+	}
+
+}
