--- /dev/null
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/EvacuationScale.java
@@ -0,0 +1,213 @@
+package io.bulrushrouter.bench;
+
+import java.io.PrintStream;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.LocalDate;
+import java.time.LocalDateTime;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import org.HdrHistogram.Histogram;
+
+import io.bulrushrouter.evacuation.Change;
+import io.bulrushrouter.evacuation.Demand;
+import io.bulrushrouter.evacuation.EndState;
+import io.bulrushrouter.evacuation.EvacuationJson;
+import io.bulrushrouter.evacuation.EvacuationPlan;
+import io.bulrushrouter.evacuation.EvacuationProgress;
+import io.bulrushrouter.evacuation.EvacuationState;
+import io.bulrushrouter.evacuation.Fleet;
+import io.bulrushrouter.evacuation.FleetUpstream;
+import io.bulrushrouter.evacuation.Placements;
+import io.bulrushrouter.evacuation.ProgressPoint;
+import io.bulrushrouter.evacuation.Target;
+import io.bulrushrouter.evacuation.reconcile.Observation;
+import io.bulrushrouter.evacuation.reconcile.ObservedUpstream;
+import io.bulrushrouter.evacuation.reconcile.Phase;
+import io.bulrushrouter.evacuation.reconcile.ReconcilePolicy;
+import io.bulrushrouter.evacuation.reconcile.Reconciler;
+import io.bulrushrouter.evacuation.reconcile.Step;
+import io.bulrushrouter.evacuation.sheet.MorningSheet;
+import io.bulrushrouter.evacuation.sheet.SheetApplication;
+import io.bulrushrouter.evacuation.sheet.SheetOrder;
+import io.bulrushrouter.evacuation.sheet.SheetOutcome;
+import io.bulrushrouter.evacuation.sheet.SheetRow;
+import io.bulrushrouter.kernel.DataCentreId;
+import io.bulrushrouter.kernel.GroupId;
+import io.bulrushrouter.kernel.ModelId;
+import io.bulrushrouter.kernel.OrganisationId;
+import io.bulrushrouter.kernel.UpstreamId;
+
+/**
+ * What a plan costs at the target size: 600 upstreams in 11 data centres, two of which
+ * leave, 1,600 organisations and 34 models.
+ */
+final class EvacuationScale implements Experiment {
+
+	private static final int UPSTREAMS = 600;
+
+	private static final int DATA_CENTRES = 11;
+
+	private static final int LEAVING_DATA_CENTRES = 2;
+
+	private static final int MODELS = 34;
+
+	private static final int MODELS_EACH = 3;
+
+	private static final int ORGANISATIONS = 1_600;
+
+	private static final int CAPACITY = 1_000;
+
+	private static final Duration ROUND = Duration.ofSeconds(20);
+
+	// The platform's limit of a value.
+	private static final int MAX_BYTES = 1_000_000;
+
+	// The share of a core that control may take on a node.
+	private static final double MAX_CORE = 0.012;
+
+	private static final LocalDate DAY = LocalDate.of(2026, 11, 2);
+
+	private final Fleet fleet = fleet();
+
+	private final Map<OrganisationId, DataCentreId> placements = placements();
+
+	private final Map<UpstreamId, ObservedUpstream> seen = new TreeMap<>();
+
+	private final Histogram nanos = new Histogram(3);
+
+	private static Fleet fleet() {
+		List<FleetUpstream> upstreams = new ArrayList<>();
+		for (int i = 0; i < UPSTREAMS; i++) {
+			int pair = i / DATA_CENTRES / 2;
+			DataCentreId dataCentre = dataCentre(i);
+			upstreams
+				.add(new FleetUpstream(UpstreamId.of("runner-" + i), dataCentre, ModelId.of("model-" + pair % MODELS),
+						Optional.of(GroupId.of("group-" + dataCentre + "-" + pair)), CAPACITY));
+		}
+		List<Demand> demands = new ArrayList<>();
+		for (int i = 0; i < ORGANISATIONS; i++) {
+			for (int j = 0; j < MODELS_EACH; j++) {
+				int model = (i + j) % (UPSTREAMS / DATA_CENTRES / 2);
+				demands.add(new Demand(OrganisationId.of("organisation-" + i), ModelId.of("model-" + model), 1 + j));
+			}
+		}
+		return Fleet.of(upstreams, demands);
+	}
+
+	private static DataCentreId dataCentre(int i) {
+		return DataCentreId.of("data-centre-" + i % DATA_CENTRES);
+	}
+
+	private static Map<OrganisationId, DataCentreId> placements() {
+		Map<OrganisationId, DataCentreId> placements = new TreeMap<>();
+		for (int i = 0; i < ORGANISATIONS; i++) {
+			placements.put(OrganisationId.of("organisation-" + i), dataCentre(i));
+		}
+		return placements;
+	}
+
+	private static boolean leaves(DataCentreId dataCentre) {
+		return List.of(dataCentre(0), dataCentre(1)).subList(0, LEAVING_DATA_CENTRES).contains(dataCentre);
+	}
+
+	private EvacuationPlan plan() {
+		EvacuationPlan.Builder plan = EvacuationPlan.builder("scale", DAY);
+		leavingUnits().forEach((unit) -> plan.departure(unit, DAY));
+		this.placements.forEach((organisation, dataCentre) -> {
+			if (leaves(dataCentre)) {
+				plan.organisation(organisation);
+			}
+		});
+		return plan.build();
+	}
+
+	private List<Target> leavingUnits() {
+		return this.fleet.units()
+			.entrySet()
+			.stream()
+			.filter((unit) -> leaves(unit.getValue().get(0).dataCentre()))
+			.map(Map.Entry::getKey)
+			.toList();
+	}
+
+	private MorningSheet sheet(EvacuationPlan plan) {
+		List<SheetRow> rows = new ArrayList<>();
+		plan.organisations()
+			.forEach((organisation) -> rows.add(new SheetRow.Move(rows.size() + 2, organisation,
+					dataCentre(LEAVING_DATA_CENTRES + rows.size() % (DATA_CENTRES - LEAVING_DATA_CENTRES)))));
+		leavingUnits().forEach(
+				(unit) -> rows.add(new SheetRow.Departure(rows.size() + 2, unit, EndState.GONE, Optional.empty())));
+		return new MorningSheet(DAY, rows);
+	}
+
+	private EvacuationState state() {
+		EvacuationPlan plan = plan();
+		Change change = new Change("mark", "planner", Instant.EPOCH, "planned", "the whole in one day");
+		SheetOutcome outcome = SheetApplication.of(this.fleet)
+			.apply(EvacuationState.of(plan, change), new SheetOrder(sheet(plan), this.placements, change, false));
+		return ((SheetOutcome.Applied) outcome).state();
+	}
+
+	@Override
+	public boolean run(PrintStream out) {
+		EvacuationState state = state();
+		int stateBytes = EvacuationJson.write(state).length;
+		int placementBytes = EvacuationJson.write(Placements.of(1, this.placements)).length;
+		this.fleet.upstreams().forEach((upstream) -> see(upstream.id(), Phase.RUNNING));
+		int rounds = evacuate(state);
+		List<ProgressPoint> points = new ArrayList<>();
+		for (int i = 0; i < UPSTREAMS; i++) {
+			points.add(new ProgressPoint(DAY.atTime(9, 0).plusSeconds(i), UPSTREAMS - i));
+		}
+		int progressBytes = EvacuationJson
+			.write(new EvacuationProgress(1, List.copyOf(this.seen.keySet()), points)).length;
+		double core = this.nanos.getValueAtPercentile(99) / (double) ROUND.toNanos();
+		out.printf("| at the target size | value | bound |%n|---|---|---|%n");
+		out.printf("| bytes of what is intended | %d | %d |%n", stateBytes, MAX_BYTES);
+		out.printf("| bytes of the placements | %d | %d |%n", placementBytes, MAX_BYTES);
+		out.printf("| bytes of the progress, if all 600 leave | %d | %d |%n", progressBytes, MAX_BYTES);
+		out.printf("| share of a core for decisions, 99 in 100 rounds of 20 s | %.5f | %.3f |%n", core, MAX_CORE);
+		out.printf("| bytes a second written while organisations move | %d | 10000 |%n",
+				placementBytes / ROUND.toSeconds());
+		out.printf("| rounds until %d organisations and %d upstreams are gone | %d | |%n",
+				state.plan().organisations().size(), state.plan().leaving(this.fleet).size(), rounds);
+		boolean small = Math.max(stateBytes, Math.max(placementBytes, progressBytes)) <= MAX_BYTES;
+		return small && core <= MAX_CORE && placementBytes / ROUND.toSeconds() <= 10_000 && rounds > 0;
+	}
+
+	private int evacuate(EvacuationState state) {
+		Reconciler reconciler = Reconciler.of(this.fleet, ReconcilePolicy.ofDefaults());
+		LocalDateTime now = DAY.atTime(8, 30);
+		for (int round = 1; round < 10_000; round++) {
+			Observation observed = new Observation(this.seen, this.placements, true);
+			long start = System.nanoTime();
+			List<Step> steps = reconciler.steps(state, observed, now, 1);
+			this.nanos.recordValue(System.nanoTime() - start);
+			if (steps.isEmpty()) {
+				return round;
+			}
+			steps.forEach(this::carryOut);
+			now = now.plus(ROUND);
+		}
+		return 0;
+	}
+
+	private void carryOut(Step step) {
+		if (step instanceof Step.MoveOrganisation move) {
+			this.placements.put(move.organisation(), move.to());
+		}
+		else if (step instanceof Step.UpstreamOrder order) {
+			see(order.upstream(), order.reaches());
+		}
+	}
+
+	private void see(UpstreamId id, Phase phase) {
+		this.seen.put(id, new ObservedUpstream(id, phase, 0, Optional.empty()));
+	}
+
+}
--- a/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/EvacuationWeekPlugins.java
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/EvacuationWeekPlugins.java
@@ -7,8 +7,9 @@
 import io.bulrushrouter.kernel.plugin.PluginProvider;
 
 /**
- * Registers the experiment {@code evacuation-week}, which keeps its reports under
- * {@code docs/examples/evacuation-week} of the working directory.
+ * Registers {@code evacuation-week}, which keeps its reports under
+ * {@code docs/examples/evacuation-week} of the working directory, and
+ * {@code evacuation-scale}.
  */
 public final class EvacuationWeekPlugins implements PluginProvider {
 
@@ -16,7 +17,8 @@
 
 	@Override
 	public List<Plugin<?>> plugins() {
-		return List.of(Plugin.of(Experiment.class, "evacuation-week", (out) -> new EvacuationWeek(REPORTS).run(out)));
+		return List.of(Plugin.of(Experiment.class, "evacuation-week", (out) -> new EvacuationWeek(REPORTS).run(out)),
+				Plugin.of(Experiment.class, "evacuation-scale", (out) -> new EvacuationScale().run(out)));
 	}
 
 }
