Count the calls to the platform for each role at the target size

Cause: the platform takes several hundred writes and about 2,000 reads a second for everything, and each role needs a stated share of it. platform-budget runs 400 entries, 600 sidecars, 22 relays and 50 leases on a simulated clock, each behind its BudgetedStore; a waiting watch counts as one read in each second. A process that does not want a lease now makes no call for it: before, each entry read each lease once at its start.

--- /dev/null
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/platform/BudgetProcess.java
@@ -0,0 +1,172 @@
+package io.bulrushrouter.bench.platform;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+
+import io.bulrushrouter.kernel.TimeSource;
+import io.bulrushrouter.kernel.store.LiveInstance;
+import io.bulrushrouter.kernel.store.ObjectKey;
+import io.bulrushrouter.kernel.store.ObjectStore;
+import io.bulrushrouter.kernel.store.ReadResult;
+import io.bulrushrouter.kernel.store.Write;
+import io.bulrushrouter.kernel.store.WriterMark;
+import io.bulrushrouter.platform.BudgetedStore;
+import io.bulrushrouter.platform.CallBudget;
+import io.bulrushrouter.platform.CallCounts;
+import io.bulrushrouter.platform.configuration.ConfigurationNode;
+import io.bulrushrouter.platform.configuration.PeerView;
+import io.bulrushrouter.platform.configuration.RelayDriver;
+import io.bulrushrouter.platform.configuration.SpreadTerms;
+import io.bulrushrouter.platform.lease.DutyPlacement;
+import io.bulrushrouter.platform.lease.Lease;
+import io.bulrushrouter.platform.lease.LeaseDriver;
+import io.bulrushrouter.platform.lease.LeaseTerms;
+
+/**
+ * One process of the fleet, with what it calls the platform for.
+ */
+final class BudgetProcess {
+
+	private static final String SCOPE = "main";
+
+	private static final ObjectKey INSTANCES = ObjectKey.of("instances", "all");
+
+	private final LiveInstance instance;
+
+	private final BudgetWork work;
+
+	private final TimeSource time;
+
+	private final ObjectStore platform;
+
+	private final Random random;
+
+	private final boolean relay;
+
+	private final Map<BudgetRole, List<BudgetedStore>> stores = new EnumMap<>(BudgetRole.class);
+
+	private final BudgetedStore own;
+
+	private final RelayDriver configuration;
+
+	private final List<Holder> holders = new ArrayList<>();
+
+	private long marks;
+
+	private double nextList;
+
+	BudgetProcess(LiveInstance instance, List<LiveInstance> list, BudgetWork work, ObjectStore platform,
+			SimulatedTime time, long seed) {
+		this.instance = instance;
+		this.work = work;
+		this.time = time;
+		this.platform = platform;
+		this.random = new Random(seed);
+		boolean entry = instance.role().equals("entry");
+		this.own = open(entry ? BudgetRole.ENTRY : BudgetRole.SIDECAR, entry ? CallBudget.ENTRY : CallBudget.SIDECAR);
+		this.relay = work.everyProcessWatches()
+				|| (entry && PeerView.of(instance.instance(), instance.dataCentre(), entries(list), SpreadTerms.DEFAULT)
+					.isRelay());
+		ConfigurationNode node = ConfigurationNode.of(instance.instance(), Set.of(SCOPE),
+				(document) -> Optional.empty(), SpreadTerms.DEFAULT);
+		PeerView view = PeerView.of(instance.instance(), instance.dataCentre(), List.of(), SpreadTerms.DEFAULT);
+		BudgetedStore reader = this.relay ? open(BudgetRole.RELAY, CallBudget.RELAY) : this.own;
+		this.configuration = RelayDriver.builder(node, Set.of(SCOPE), reader)
+			.time(time)
+			.stored((stored) -> node.onStored(stored.scope(), stored.document(), time.nanos(), view))
+			.build();
+		this.nextList = time.seconds() + this.random.nextDouble() * work.listSeconds();
+		if (entry) {
+			contend(entries(list));
+		}
+	}
+
+	static List<LiveInstance> entries(List<LiveInstance> list) {
+		return list.stream().filter((instance) -> instance.role().equals("entry")).toList();
+	}
+
+	private void contend(List<LiveInstance> entries) {
+		for (int duty = 0; duty < this.work.duties(); duty++) {
+			String name = "duty-" + duty;
+			if (DutyPlacement.isAmong(this.instance.instance(), DutyPlacement.preferred(name, entries, 1))) {
+				BudgetedStore store = open(BudgetRole.DUTY_HOLDER, CallBudget.DUTY_HOLDER);
+				Lease lease = Lease.of(ObjectKey.of("lease", name), this.instance.instance().value(),
+						LeaseTerms.CONTROL);
+				this.holders
+					.add(new Holder(name, store, LeaseDriver.of(lease, store, this.time, Runnable::run), duty == 0));
+			}
+		}
+	}
+
+	private BudgetedStore open(BudgetRole role, CallBudget budget) {
+		BudgetedStore store = BudgetedStore.builder(this.platform)
+			.budget(budget)
+			.time(this.time)
+			.random(this.random)
+			.build();
+		this.stores.computeIfAbsent(role, (any) -> new ArrayList<>()).add(store);
+		return store;
+	}
+
+	void tick(double seconds, Duration step) {
+		this.configuration.tick(this.relay);
+		if (seconds >= this.nextList) {
+			this.own.read(INSTANCES);
+			this.nextList = seconds + this.work.listSeconds();
+		}
+		boolean entry = this.instance.role().equals("entry");
+		if (occurs(entry ? this.work.actsPerEntrySecond() : this.work.ordersPerSidecarSecond(), step)) {
+			this.own.read(ObjectKey.of("plan", "a"));
+			if (entry) {
+				update(this.own, ObjectKey.of("act", this.instance.instance().value()));
+			}
+		}
+		this.holders.forEach((holder) -> hold(holder, step));
+	}
+
+	private void hold(Holder holder, Duration step) {
+		holder.lease().tick(true);
+		if (holder.lease().held().isEmpty()) {
+			return;
+		}
+		double rate = holder.evacuation() ? 1 : this.work.balancerRoundsPerSecond();
+		if (occurs(rate, step)) {
+			holder.store().list("plan/");
+			holder.store().read(ObjectKey.of("placement", holder.name()));
+			holder.store().read(ObjectKey.of("progress", holder.name()));
+		}
+		if (occurs(holder.evacuation() ? this.work.progressPerSecond() : rate, step)) {
+			update(holder.store(), ObjectKey.of("progress", holder.name()));
+		}
+	}
+
+	private void update(BudgetedStore store, ObjectKey key) {
+		this.marks++;
+		WriterMark mark = new WriterMark(this.instance.instance() + "#" + this.marks);
+		store.read(key).thenAccept((seen) -> {
+			if (seen instanceof ReadResult.Unavailable) {
+				return;
+			}
+			long version = (seen instanceof ReadResult.Found found) ? found.object().version() : Write.ABSENT;
+			store.write(new Write(key, version, new byte[0], mark));
+		});
+	}
+
+	private boolean occurs(double perSecond, Duration step) {
+		return this.random.nextDouble() < perSecond * step.toNanos() / 1e9;
+	}
+
+	CallCounts[] counts(BudgetRole role) {
+		return this.stores.getOrDefault(role, List.of()).stream().map(BudgetedStore::counts).toArray(CallCounts[]::new);
+	}
+
+	private record Holder(String name, BudgetedStore store, LeaseDriver lease, boolean evacuation) {
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/platform/BudgetRole.java
@@ -0,0 +1,16 @@
+package io.bulrushrouter.bench.platform;
+
+import java.util.Locale;
+
+/**
+ * The roles whose calls are counted apart.
+ */
+enum BudgetRole {
+
+	ENTRY, SIDECAR, RELAY, DUTY_HOLDER;
+
+	String text() {
+		return name().toLowerCase(Locale.ROOT).replace('_', ' ');
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/platform/PlatformPlugins.java
@@ -0,0 +1,19 @@
+package io.bulrushrouter.bench.platform;
+
+import java.util.List;
+
+import io.bulrushrouter.bench.Experiment;
+import io.bulrushrouter.kernel.plugin.Plugin;
+import io.bulrushrouter.kernel.plugin.PluginProvider;
+
+/**
+ * Registers the experiments on the platform.
+ */
+public final class PlatformPlugins implements PluginProvider {
+
+	@Override
+	public List<Plugin<?>> plugins() {
+		return List.of(Plugin.of(Experiment.class, "platform-budget", new PlatformBudgetExperiment()));
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/platform/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Experiments on the calls to the platform.
+ */
+package io.bulrushrouter.bench.platform;
--- /dev/null
+++ b/bulrushrouter-bench/src/test/java/io/bulrushrouter/bench/platform/PlatformBudgetExperimentTests.java
@@ -0,0 +1,24 @@
+package io.bulrushrouter.bench.platform;
+
+import java.util.Optional;
+
+import org.junit.jupiter.api.Test;
+
+import io.bulrushrouter.bench.Experiment;
+import io.bulrushrouter.kernel.plugin.PluginRegistry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests for {@link PlatformBudgetExperiment}: the planned roles stay within the
+ * platform's rates.
+ */
+class PlatformBudgetExperimentTests {
+
+	@Test
+	void staysWithinThePlatformsRates() {
+		Optional<Experiment> experiment = PluginRegistry.ofClassPath().find(Experiment.class, "platform-budget");
+		assertThat(experiment.orElseThrow().run(System.out)).isTrue();
+	}
+
+}
--- a/bulrushrouter-platform/src/main/java/io/bulrushrouter/platform/CallBudget.java
+++ b/bulrushrouter-platform/src/main/java/io/bulrushrouter/platform/CallBudget.java
@@ -13,7 +13,7 @@
 	public static final CallBudget ENTRY = new CallBudget(0.5, 0.1, 10);
 
 	/** The budget of a sidecar, without the claims of non-idempotent requests. */
-	public static final CallBudget SIDECAR = new CallBudget(0.2, 0.05, 5);
+	public static final CallBudget SIDECAR = new CallBudget(0.5, 0.05, 5);
 
 	/** The budget of a configuration relay, next to its process's own. */
 	public static final CallBudget RELAY = new CallBudget(1, 0, 10);
--- a/bulrushrouter-platform/src/main/java/io/bulrushrouter/platform/lease/Lease.java
+++ b/bulrushrouter-platform/src/main/java/io/bulrushrouter/platform/lease/Lease.java
@@ -95,7 +95,8 @@
 			return new LeaseAction.Idle();
 		}
 		if (this.lookDue) {
-			return look();
+			boolean concerned = wanted || this.held.isPresent() || this.sent.isPresent();
+			return concerned ? look() : new LeaseAction.Idle();
 		}
 		Seen current = this.seen.orElseThrow();
 		if (current.isHeldBy(this.process)) {
--- a/bulrushrouter-platform/src/test/java/io/bulrushrouter/platform/lease/LeaseFaultTests.java
+++ b/bulrushrouter-platform/src/test/java/io/bulrushrouter/platform/lease/LeaseFaultTests.java
@@ -118,6 +118,13 @@
 		assertThat(lease.held(this.clock.nanos()).isPresent()).isFalse();
 	}
 
+	@Test
+	void processThatDoesNotWantTheLeaseMakesNoCalls() {
+		Contender first = start("a1", Fault.NONE, 0);
+		IntStream.range(0, TICKS).forEach((tick) -> first.tick(false));
+		assertThat(this.memory.reads() + this.memory.writes()).isEqualTo(0);
+	}
+
 	@Test
 	void malformedLeaseIsLeftAlone() {
 		this.memory.write(
