--- /dev/null
+++ b/bulrushrouter-request/src/main/java/io/bulrushrouter/request/EntryCall.java
@@ -0,0 +1,393 @@
+package io.bulrushrouter.request;
+
+import java.time.Duration;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import io.bulrushrouter.kernel.AttemptId;
+import io.bulrushrouter.kernel.ErrorCode;
+import io.bulrushrouter.kernel.RequestId;
+import io.bulrushrouter.kernel.UpstreamId;
+import io.bulrushrouter.kernel.Verdict;
+
+/**
+ * One request at the entry, from its arrival to its one final answer. It has no clock and
+ * does no I/O: it is told what happened and says what to do. Not thread-safe.
+ *
+ * <pre>{@code
+ * EntryCall call = EntryCall.of(id, spec, deadline, EntryPolicy.ofDefaults(), budget, picker);
+ * call.on(new EntryEvent.Start(), now, actions::add);
+ * }</pre>
+ */
+public final class EntryCall {
+
+	private final RequestId id;
+
+	private final RequestSpec spec;
+
+	private final EntryPolicy policy;
+
+	private final RetryBudget budget;
+
+	private final UpstreamPicker picker;
+
+	private final Guards guards;
+
+	private final AnswerRelay relay;
+
+	private final OpenAttempts open = new OpenAttempts();
+
+	private final AttemptTimers timers;
+
+	private Optional<OpenAttempt> winner = Optional.empty();
+
+	private Optional<Verdict> verdict = Optional.empty();
+
+	private boolean hedged;
+
+	private boolean reruns;
+
+	private int attempts;
+
+	private long dropped;
+
+	private EntryCall(RequestId id, RequestSpec spec, long deadlineNanos, EntryPolicy policy, RetryBudget budget,
+			UpstreamPicker picker, Guards guards) {
+		this.id = Objects.requireNonNull(id);
+		this.spec = Objects.requireNonNull(spec);
+		this.timers = new AttemptTimers(spec, deadlineNanos, policy);
+		this.policy = Objects.requireNonNull(policy);
+		this.budget = Objects.requireNonNull(budget);
+		this.picker = Objects.requireNonNull(picker);
+		this.guards = guards;
+		this.relay = new AnswerRelay(spec.stream(), policy.maxKeptBytes());
+		this.reruns = !policy.resumesStreams();
+	}
+
+	/**
+	 * Returns a request that has not started.
+	 * @param id the request's identifier
+	 * @param spec what is asked for
+	 * @param deadlineNanos when the caller needs its final answer at the latest
+	 * @param policy the rules of attempts
+	 * @param budget the entry's budget for further attempts
+	 * @param picker chooses upstreams
+	 * @return the request
+	 */
+	public static EntryCall of(RequestId id, RequestSpec spec, long deadlineNanos, EntryPolicy policy,
+			RetryBudget budget, UpstreamPicker picker) {
+		return of(id, spec, deadlineNanos, policy, budget, picker, Guards.ALL);
+	}
+
+	static EntryCall of(RequestId id, RequestSpec spec, long deadlineNanos, EntryPolicy policy, RetryBudget budget,
+			UpstreamPicker picker, Guards guards) {
+		return new EntryCall(id, spec, deadlineNanos, policy, budget, picker, guards);
+	}
+
+	/**
+	 * Returns the request's identifier.
+	 * @return the identifier
+	 */
+	public RequestId id() {
+		return this.id;
+	}
+
+	/**
+	 * Returns what became of the request.
+	 * @return the verdict, or empty while it is open
+	 */
+	public Optional<Verdict> verdict() {
+		return this.verdict;
+	}
+
+	/**
+	 * Returns how many attempts were sent.
+	 * @return the count
+	 */
+	public int attempts() {
+		return this.attempts;
+	}
+
+	/**
+	 * Returns how many messages were dropped as late, repeated or foreign.
+	 * @return the count
+	 */
+	public long dropped() {
+		return this.dropped;
+	}
+
+	/**
+	 * Returns when the next {@link EntryEvent.Tick} is due.
+	 * @return the time, or {@link Long#MAX_VALUE} once the request is over
+	 */
+	public long nextWakeNanos() {
+		if (this.verdict.isPresent()) {
+			return Long.MAX_VALUE;
+		}
+		return this.timers.nextWakeNanos(this.open, mayHedge());
+	}
+
+	/**
+	 * Handles an event.
+	 * @param event what happened
+	 * @param nowNanos the time
+	 * @param actions takes what to do, in order
+	 */
+	public void on(EntryEvent event, long nowNanos, Consumer<EntryAction> actions) {
+		if (this.verdict.isPresent()) {
+			this.dropped += (event instanceof EntryEvent.Received) ? 1 : 0;
+			return;
+		}
+		if (event instanceof EntryEvent.CallerGone) {
+			abandon(actions);
+		}
+		else if (this.timers.isExpired(nowNanos)) {
+			expire(actions);
+		}
+		else {
+			handle(event, nowNanos, actions);
+		}
+	}
+
+	private void handle(EntryEvent event, long nowNanos, Consumer<EntryAction> actions) {
+		if (event instanceof EntryEvent.Start) {
+			start(nowNanos, actions);
+		}
+		else if (event instanceof EntryEvent.Sent sent) {
+			this.open.find(sent.attempt()).ifPresent((attempt) -> attempt.bind(sent.upstreamIncarnation()));
+		}
+		else if (event instanceof EntryEvent.Received received) {
+			receive(received, nowNanos, actions);
+		}
+		else if (event instanceof EntryEvent.ConnectionLost lost) {
+			loseConnection(lost.upstream(), nowNanos, actions);
+		}
+		else if (event instanceof EntryEvent.SendFailed failed) {
+			this.open.find(failed.attempt())
+				.ifPresent((attempt) -> fail(attempt, Verdict.ofNotRun(ErrorCode.ENGINE_UNREACHABLE), 0, nowNanos,
+						actions));
+		}
+		else {
+			tick(nowNanos, actions);
+		}
+	}
+
+	private void start(long nowNanos, Consumer<EntryAction> actions) {
+		this.budget.deposit();
+		Optional<UpstreamId> upstream = this.picker.pick(this.open.tried(), nowNanos);
+		if (upstream.isEmpty()) {
+			giveUp(ErrorCode.NO_UPSTREAM, 0, actions);
+			return;
+		}
+		send(upstream.get(), nowNanos, actions);
+	}
+
+	private void send(UpstreamId upstream, long nowNanos, Consumer<EntryAction> actions) {
+		this.attempts++;
+		int resumeAfter = (this.relay.started() && !this.reruns) ? this.relay.sentTokens() : 0;
+		AttemptId attempt = this.id.attempt(this.attempts);
+		this.open.add(new OpenAttempt(attempt, upstream, resumeAfter, nowNanos));
+		long remainingMillis = Duration.ofNanos(this.timers.remainingNanos(nowNanos)).toMillis();
+		actions.accept(
+				new EntryAction.Send(upstream, new CallMessage.Call(attempt, this.spec, remainingMillis, resumeAfter)));
+	}
+
+	private void receive(EntryEvent.Received received, long nowNanos, Consumer<EntryAction> actions) {
+		OpenAttempt attempt = this.open.find(received.message().attempt().attempt()).orElse(null);
+		if (attempt == null || (this.guards.incarnation() && !attempt.isFrom(received))) {
+			this.dropped++;
+			return;
+		}
+		attempt.bind(received.upstreamIncarnation());
+		CallMessage message = received.message();
+		if (message instanceof CallMessage.NotRun notRun) {
+			handBack(attempt, notRun, nowNanos, actions);
+		}
+		else if (message instanceof CallMessage.Failed failed) {
+			fail(attempt, Verdict.ofMayHaveRun(failed.code()), 0, nowNanos, actions);
+		}
+		else {
+			keepPart(attempt, message, nowNanos, actions);
+		}
+	}
+
+	private void handBack(OpenAttempt attempt, CallMessage.NotRun notRun, long nowNanos,
+			Consumer<EntryAction> actions) {
+		if (attempt.answering()) {
+			this.dropped++;
+			return;
+		}
+		fail(attempt, Verdict.ofNotRun(notRun.code()), notRun.retryAfterMillis(), nowNanos, actions);
+	}
+
+	private void keepPart(OpenAttempt attempt, CallMessage message, long nowNanos, Consumer<EntryAction> actions) {
+		if (!attempt.keep(message)) {
+			this.dropped++;
+			return;
+		}
+		Optional<CallMessage> part = attempt.next(nowNanos);
+		while (part.isPresent() && this.open.contains(attempt)) {
+			accept(attempt, part.get(), nowNanos, actions);
+			part = attempt.next(nowNanos);
+		}
+	}
+
+	private void accept(OpenAttempt attempt, CallMessage part, long nowNanos, Consumer<EntryAction> actions) {
+		boolean sound;
+		if (part instanceof CallMessage.Head head) {
+			win(attempt, actions);
+			sound = this.relay.head(head, attempt.resumeAfterTokens() > 0, actions);
+		}
+		else if (part instanceof CallMessage.Data data) {
+			sound = this.relay.data(data.bytes(), attempt.tokens(), actions);
+		}
+		else {
+			sound = end(attempt, (CallMessage.End) part, actions);
+		}
+		if (!sound) {
+			breakOff(attempt, nowNanos, actions);
+		}
+	}
+
+	private void win(OpenAttempt attempt, Consumer<EntryAction> actions) {
+		this.winner = Optional.of(attempt);
+		for (OpenAttempt other : this.open.all()) {
+			if (other != attempt) {
+				drop(other, ErrorCode.CANCELLED, actions);
+			}
+		}
+	}
+
+	private boolean end(OpenAttempt attempt, CallMessage.End end, Consumer<EntryAction> actions) {
+		if (end.totalBytes() != attempt.bytes() || !this.relay.end(actions)) {
+			return false;
+		}
+		this.open.clear();
+		this.verdict = Optional.of(Verdict.ofAnswered());
+		return true;
+	}
+
+	// Ends a request whose answer contradicts itself or what was sent before.
+	private void breakOff(OpenAttempt attempt, long nowNanos, Consumer<EntryAction> actions) {
+		if (this.relay.started()) {
+			drop(attempt, ErrorCode.STREAM_BROKEN, actions);
+			giveUp(ErrorCode.STREAM_BROKEN, 0, actions);
+			return;
+		}
+		fail(attempt, Verdict.ofMayHaveRun(ErrorCode.STREAM_BROKEN), 0, nowNanos, actions);
+	}
+
+	private void loseConnection(UpstreamId upstream, long nowNanos, Consumer<EntryAction> actions) {
+		for (OpenAttempt attempt : this.open.all()) {
+			if (attempt.upstream().equals(upstream)) {
+				fail(attempt, Verdict.ofMayHaveRun(ErrorCode.CONNECTION_LOST), 0, nowNanos, actions);
+			}
+		}
+	}
+
+	private void fail(OpenAttempt attempt, Verdict outcome, long retryAfterMillis, long nowNanos,
+			Consumer<EntryAction> actions) {
+		this.open.end(attempt, outcome);
+		if (this.winner.filter((held) -> held == attempt).isPresent()) {
+			this.winner = Optional.empty();
+			this.relay.discardHeld();
+		}
+		ErrorCode code = outcome.failure().orElseThrow();
+		if (attempt.cancelled()) {
+			settle(code, actions);
+		}
+		else if (this.open.size() == 0) {
+			goOn(attempt, outcome, retryAfterMillis, nowNanos, actions);
+		}
+	}
+
+	// Ends a request whose attempt was cancelled shortly before the deadline.
+	private void settle(ErrorCode code, Consumer<EntryAction> actions) {
+		if (this.open.size() == 0) {
+			giveUp((code == ErrorCode.CANCELLED) ? ErrorCode.DEADLINE_EXCEEDED : code, 0, actions);
+		}
+	}
+
+	private void goOn(OpenAttempt attempt, Verdict outcome, long retryAfterMillis, long nowNanos,
+			Consumer<EntryAction> actions) {
+		ErrorCode code = outcome.failure().orElseThrow();
+		boolean refusedResume = attempt.resumeAfterTokens() > 0 && code == ErrorCode.STREAM_BROKEN;
+		this.reruns |= refusedResume;
+		boolean possible = RetryRules.allows(outcome, this.spec.idempotent())
+				&& this.timers.allowsAnother(this.attempts, nowNanos) && (!this.reruns || this.relay.canRerun());
+		Optional<UpstreamId> next = possible ? this.picker.pick(this.open.tried(), nowNanos) : Optional.empty();
+		boolean paid = next.isPresent() && (!RetryRules.takesBudget(outcome) || this.budget.tryTake());
+		RetryDecision.Kind kind = paid ? retryKind() : RetryDecision.Kind.GIVE_UP;
+		actions.accept(new EntryAction.Decided(new RetryDecision(attempt.id(), attempt.upstream(), kind,
+				outcome.mayHaveRun(), Optional.of(code), paid ? next : Optional.empty())));
+		if (paid) {
+			send(next.get(), nowNanos, actions);
+			return;
+		}
+		boolean spent = possible && next.isPresent();
+		giveUp((spent && !outcome.mayHaveRun()) ? ErrorCode.RETRY_BUDGET_SPENT : code, retryAfterMillis, actions);
+	}
+
+	private RetryDecision.Kind retryKind() {
+		return (this.relay.started()) ? RetryDecision.Kind.RESUME : RetryDecision.Kind.RETRY;
+	}
+
+	private void tick(long nowNanos, Consumer<EntryAction> actions) {
+		for (OpenAttempt attempt : this.open.all()) {
+			if (this.timers.isStalled(attempt, nowNanos)) {
+				actions.accept(attempt.cancel());
+				fail(attempt, Verdict.ofMayHaveRun(ErrorCode.STREAM_BROKEN), 0, nowNanos, actions);
+			}
+			else if (this.timers.isToSettle(attempt, nowNanos)) {
+				attempt.markCancelled();
+				actions.accept(attempt.cancel());
+			}
+			else if (mayHedge() && this.timers.isToHedge(attempt, nowNanos)) {
+				hedge(attempt, nowNanos, actions);
+			}
+		}
+	}
+
+	private void hedge(OpenAttempt slow, long nowNanos, Consumer<EntryAction> actions) {
+		this.hedged = true;
+		Optional<UpstreamId> next = this.timers.allowsAnother(this.attempts, nowNanos)
+				? this.picker.pick(this.open.tried(), nowNanos) : Optional.empty();
+		if (next.isPresent() && this.budget.tryTake()) {
+			actions.accept(new EntryAction.Decided(new RetryDecision(slow.id(), slow.upstream(),
+					RetryDecision.Kind.HEDGE, true, Optional.empty(), next)));
+			send(next.get(), nowNanos, actions);
+		}
+	}
+
+	private boolean mayHedge() {
+		return !this.hedged && this.open.size() == 1 && this.winner.isEmpty() && !this.relay.started();
+	}
+
+	private void expire(Consumer<EntryAction> actions) {
+		this.open.all().forEach((attempt) -> drop(attempt, ErrorCode.DEADLINE_EXCEEDED, actions));
+		giveUp(ErrorCode.DEADLINE_EXCEEDED, 0, actions);
+	}
+
+	private void abandon(Consumer<EntryAction> actions) {
+		this.open.all().forEach((attempt) -> drop(attempt, ErrorCode.CANCELLED, actions));
+		this.verdict = Optional.of(this.open.verdictOf(ErrorCode.CANCELLED));
+	}
+
+	private void drop(OpenAttempt attempt, ErrorCode code, Consumer<EntryAction> actions) {
+		this.open.end(attempt, Verdict.ofMayHaveRun(code));
+		actions.accept(attempt.cancel());
+	}
+
+	private void giveUp(ErrorCode code, long retryAfterMillis, Consumer<EntryAction> actions) {
+		Verdict last = this.open.verdictOf(code);
+		this.verdict = Optional.of(last);
+		if (this.relay.started()) {
+			actions.accept(new EntryAction.BreakStream(last));
+			return;
+		}
+		long retryAfter = Math.max(retryAfterMillis, this.policy.retryAfter().toMillis());
+		actions.accept(new EntryAction.Reject(last, RetryRules.worthComingBack(code) ? retryAfter : 0));
+	}
+
+}
--- a/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/FairQueue.java
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/FairQueue.java
@@ -121,8 +121,10 @@
 	}
 
 	private boolean mayStartOverShare(int free) {
-		return free > this.settings.reservedSlots()
-				&& this.prefilling.size() < Math.max(1, this.settings.prefills() / PREFILL_PARTS);
+		int prefills = this.settings.prefills();
+		boolean unbounded = prefills >= this.settings.slots();
+		boolean hasPrefill = this.prefilling.size() < Math.max(1, prefills / PREFILL_PARTS);
+		return free > this.settings.reservedSlots() && (unbounded || hasPrefill);
 	}
 
 	/**
