--- a/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/ChoiceExperiment.java
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/ChoiceExperiment.java
@@ -153,6 +153,7 @@
 		ways.add(new Way("prefix-affine", costs, (all) -> Choosers.ofPrefixAffine()));
 		ways.add(new Way("combined cost", costs, (all) -> Choosers.ofCombinedCost()));
 		ways.add(new Way("two fresh probes", costs, (all) -> HomeSetChooser.of(0, 2)));
+		ways.add(new Way("home-set 3+1, no probes", costs, (all) -> HomeSetChooser.of(3, 1)::choose));
 		ways.add(new Way("home-set 2+2", costs, (all) -> HomeSetChooser.of(2, 2)));
 		ways.add(new Way(HOME_SET, costs, (all) -> HomeSetChooser.of(3, 1)));
 		ways.add(new Way("home-set 4+0", costs, (all) -> HomeSetChooser.of(4, 0)));
--- a/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/UpstreamSpec.java
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/UpstreamSpec.java
@@ -14,7 +14,7 @@
  * An upstream as it is configured.
  *
  * @param id its name
- * @param model the model or plain service that it serves
+ * @param model a model or plain service that it serves; there is a spec for each
  * @param dataCentre where it runs
  * @param group its rank group, if it has one
  * @param weight its capacity relative to other upstreams of the model, above 0
@@ -35,4 +35,9 @@
 		}
 	}
 
+	boolean isSamePlace(UpstreamSpec other) {
+		return this.id.equals(other.id) && this.dataCentre.equals(other.dataCentre) && this.group.equals(other.group)
+				&& this.weight == other.weight;
+	}
+
 }
