Keep a restarted sidecar closed until it knows whether it leaves

Samples of three to five faults at once found that a sidecar that died beside a leaving upstream took new work until the live list reached it again. SidecarCalls.ofClosed refuses attempts as not ready until OpenSign or DrainSign. The samples also showed two faults of the simulation itself (a caller that left by request number alone, and an engine whose stalled parts overtook each other), which are mended: the engine now says its parts one after the other.

--- a/bulrushrouter-request/src/main/java/io/bulrushrouter/request/EngineRun.java
+++ b/bulrushrouter-request/src/main/java/io/bulrushrouter/request/EngineRun.java
@@ -83,6 +83,15 @@
 		return this.parts;
 	}
 
+	Waiter waiter(AttemptId attempt) {
+		return this.waiters.stream().filter((waiter) -> waiter.attempt().equals(attempt)).findFirst().orElseThrow();
+	}
+
+	ClaimRequest claim(long sidecarIncarnation) {
+		return new ClaimRequest(this.id, sidecarIncarnation, this.spec.organisation(),
+				RunTable.ClaimKey.of(this.id, this.spec).key(), this.spec.digest());
+	}
+
 	/**
 	 * Tells whether an equal request can share the answer.
 	 * @return whether all of it was recorded so far
--- a/bulrushrouter-request/src/main/java/io/bulrushrouter/request/SidecarCalls.java
+++ b/bulrushrouter-request/src/main/java/io/bulrushrouter/request/SidecarCalls.java
@@ -1,12 +1,9 @@
 package io.bulrushrouter.request;
 
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.PriorityQueue;
 import java.util.function.Consumer;
 
 import io.bulrushrouter.kernel.AttemptId;
@@ -36,18 +33,17 @@
 
 	private final SharedAnswers shared;
 
-	private final PriorityQueue<EngineRun.Waiter> deadlines = new PriorityQueue<>(
-			Comparator.comparingLong(EngineRun.Waiter::deadlineNanos));
+	private final WaiterDeadlines deadlines;
+
+	private final SidecarGate gate;
 
 	private int active;
 
 	private long nowNanos;
 
-	private boolean draining;
-
 	private long dropped;
 
-	private SidecarCalls(long incarnation, SidecarPolicy policy, CallQueue queue, Guards guards) {
+	private SidecarCalls(long incarnation, SidecarPolicy policy, CallQueue queue, Guards guards, boolean open) {
 		this.incarnation = incarnation;
 		this.policy = Objects.requireNonNull(policy);
 		this.queue = Objects.requireNonNull(queue);
@@ -55,6 +51,8 @@
 		this.runs = new RunTable(policy.rememberedAttempts());
 		this.kept = new KeptAnswers(policy.keptAnswerBytes());
 		this.replies = new Replies(this.runs);
+		this.deadlines = new WaiterDeadlines(policy.answerMargin());
+		this.gate = new SidecarGate(open, guards.gate());
 		this.shared = new SharedAnswers(this.runs, this.kept, this.replies, guards);
 	}
 
@@ -66,11 +64,24 @@
 	 * @return the sidecar's attempts
 	 */
 	public static SidecarCalls of(long incarnation, SidecarPolicy policy, CallQueue queue) {
-		return of(incarnation, policy, queue, Guards.ALL);
+		return of(incarnation, policy, queue, Guards.ALL, true);
+	}
+
+	/**
+	 * Returns a sidecar that refuses attempts as not ready until an
+	 * {@link SidecarEvent.OpenSign}. A sidecar that restarts beside a leaving upstream
+	 * takes no new work this way.
+	 * @param incarnation the sidecar process's incarnation, random at each start
+	 * @param policy the limits
+	 * @param queue the order in which attempts start
+	 * @return the sidecar's attempts
+	 */
+	public static SidecarCalls ofClosed(long incarnation, SidecarPolicy policy, CallQueue queue) {
+		return of(incarnation, policy, queue, Guards.ALL, false);
 	}
 
-	static SidecarCalls of(long incarnation, SidecarPolicy policy, CallQueue queue, Guards guards) {
-		return new SidecarCalls(incarnation, policy, queue, guards);
+	static SidecarCalls of(long incarnation, SidecarPolicy policy, CallQueue queue, Guards guards, boolean open) {
+		return new SidecarCalls(incarnation, policy, queue, guards, open);
 	}
 
 	/**
@@ -86,7 +97,7 @@
 	 * @return whether it can be stopped
 	 */
 	public boolean isDrained() {
-		return this.draining && this.runs.size() == 0;
+		return this.gate.isDraining() && this.runs.size() == 0;
 	}
 
 	/**
@@ -103,7 +114,7 @@
 	 * @return the time, or {@link Long#MAX_VALUE} if none is due
 	 */
 	public long nextWakeNanos() {
-		return this.deadlines.isEmpty() ? Long.MAX_VALUE : expiryNanos(this.deadlines.peek());
+		return this.deadlines.nextWakeNanos();
 	}
 
 	/**
@@ -130,6 +141,9 @@
 		else if (event instanceof SidecarEvent.DrainSign) {
 			drain(actions);
 		}
+		else if (event instanceof SidecarEvent.OpenSign) {
+			this.gate.open();
+		}
 		else if (event instanceof SidecarEvent.EngineChanged) {
 			this.kept.forgetReads();
 			this.runs.all().forEach(EngineRun::stopRecording);
@@ -158,10 +172,10 @@
 		if (ended.isPresent()) {
 			this.replies.notRun(waiter, ErrorCode.CANCELLED, 0, actions);
 		}
-		else if (this.draining && this.guards.gate()) {
-			this.replies.notRun(waiter, ErrorCode.DRAINING, 0, actions);
+		else if (this.gate.refusal().isPresent()) {
+			this.replies.notRun(waiter, this.gate.refusal().get(), 0, actions);
 		}
-		else if (expiryNanos(waiter) <= nowNanos) {
+		else if (this.deadlines.isLate(waiter, nowNanos)) {
 			this.replies.notRun(waiter, ErrorCode.DEADLINE_EXCEEDED, 0, actions);
 		}
 		else if (!this.shared.answer(waiter, call, actions)) {
@@ -199,7 +213,7 @@
 			}
 			else {
 				run.get().state(EngineRun.State.CLAIMING);
-				actions.accept(new SidecarAction.Claim(claimOf(run.get())));
+				actions.accept(new SidecarAction.Claim(run.get().claim(this.incarnation)));
 			}
 		}
 	}
@@ -210,11 +224,6 @@
 		actions.accept(new SidecarAction.RunOnEngine(run.id(), run.spec(), run.resumeAfterTokens()));
 	}
 
-	private ClaimRequest claimOf(EngineRun run) {
-		return new ClaimRequest(run.id(), this.incarnation, run.spec().organisation(),
-				RunTable.ClaimKey.of(run.id(), run.spec()).key(), run.spec().digest());
-	}
-
 	private void settleClaim(SidecarEvent.ClaimSettled settled, long nowNanos, Consumer<SidecarAction> actions) {
 		Optional<EngineRun> found = this.runs.find(settled.attempt())
 			.filter((run) -> run.state() == EngineRun.State.CLAIMING);
@@ -239,9 +248,9 @@
 	}
 
 	private void startClaimed(EngineRun run, long nowNanos, Consumer<SidecarAction> actions) {
-		boolean late = run.waiters().stream().allMatch((waiter) -> expiryNanos(waiter) <= nowNanos);
-		if (late || (this.draining && this.guards.gate())) {
-			actions.accept(new SidecarAction.Release(claimOf(run)));
+		boolean late = run.waiters().stream().allMatch((waiter) -> this.deadlines.isLate(waiter, nowNanos));
+		if (late || this.gate.stopsStarts()) {
+			actions.accept(new SidecarAction.Release(run.claim(this.incarnation)));
 			handBack(run, late ? ErrorCode.DEADLINE_EXCEEDED : ErrorCode.DRAINING, 0, actions);
 			return;
 		}
@@ -256,11 +265,7 @@
 			}
 			return;
 		}
-		takeBack(run.get(), waiterOf(run.get(), attempt), ErrorCode.CANCELLED, actions);
-	}
-
-	private static EngineRun.Waiter waiterOf(EngineRun run, AttemptId attempt) {
-		return run.waiters().stream().filter((waiter) -> waiter.attempt().equals(attempt)).findFirst().orElseThrow();
+		takeBack(run.get(), run.get().waiter(attempt), ErrorCode.CANCELLED, actions);
 	}
 
 	// Answers an attempt that is not waited for any longer.
@@ -303,9 +308,9 @@
 	}
 
 	private void drain(Consumer<SidecarAction> actions) {
-		this.draining = true;
+		this.gate.drain();
 		for (EngineRun run : this.runs.all()) {
-			if (run.state() == EngineRun.State.QUEUED && this.guards.gate()) {
+			if (run.state() == EngineRun.State.QUEUED && this.gate.stopsStarts()) {
 				this.queue.remove(run.id());
 				handBack(run, ErrorCode.DRAINING, 0, actions);
 			}
@@ -313,18 +318,16 @@
 	}
 
 	private void expire(long nowNanos, Consumer<SidecarAction> actions) {
-		while (!this.deadlines.isEmpty() && expiryNanos(this.deadlines.peek()) <= nowNanos) {
-			EngineRun.Waiter waiter = this.deadlines.poll();
+		Optional<EngineRun.Waiter> late = this.deadlines.pollLate(nowNanos);
+		while (late.isPresent()) {
+			EngineRun.Waiter waiter = late.get();
 			this.runs.ofWaiter(waiter.attempt())
 				.filter((run) -> run.state() == EngineRun.State.QUEUED)
 				.ifPresent((run) -> takeBack(run, waiter, ErrorCode.DEADLINE_EXCEEDED, actions));
+			late = this.deadlines.pollLate(nowNanos);
 		}
 	}
 
-	private long expiryNanos(EngineRun.Waiter waiter) {
-		return waiter.deadlineNanos() - this.policy.answerMargin().toNanos();
-	}
-
 	private void onEngine(SidecarEvent event, Consumer<SidecarAction> actions) {
 		if (event instanceof SidecarEvent.EngineHead head) {
 			started(head.attempt()).ifPresent((run) -> {
@@ -371,30 +374,25 @@
 			return;
 		}
 		if (!run.spec().idempotent() && this.guards.claim()) {
-			actions.accept(new SidecarAction.Release(claimOf(run)));
+			actions.accept(new SidecarAction.Release(run.claim(this.incarnation)));
 		}
 		handBack(run, failed.code(), 0, actions);
 	}
 
 	private void handBack(EngineRun run, ErrorCode code, long retryAfterMillis, Consumer<SidecarAction> actions) {
-		List<EngineRun.Waiter> waiters = new ArrayList<>(run.waiters());
-		remove(run);
-		waiters.forEach((waiter) -> this.replies.notRun(waiter, code, retryAfterMillis, actions));
+		remove(run).forEach((waiter) -> this.replies.notRun(waiter, code, retryAfterMillis, actions));
 	}
 
 	private void failAll(EngineRun run, ErrorCode code, Consumer<SidecarAction> actions) {
-		List<EngineRun.Waiter> waiters = new ArrayList<>(run.waiters());
-		remove(run);
-		waiters.forEach((waiter) -> this.replies.failed(waiter, code, actions));
+		remove(run).forEach((waiter) -> this.replies.failed(waiter, code, actions));
 	}
 
-	private void remove(EngineRun run) {
-		if (run.state() != EngineRun.State.QUEUED) {
-			this.active--;
-			this.queue.finished(run.id(), this.nowNanos);
-		}
-		this.deadlines.removeAll(run.waiters());
+	private List<EngineRun.Waiter> remove(EngineRun run) {
+		List<EngineRun.Waiter> waiters = List.copyOf(run.waiters());
+		this.active -= (run.state() == EngineRun.State.QUEUED) ? 0 : 1;
+		this.deadlines.removeAll(waiters);
 		this.runs.remove(run);
+		return waiters;
 	}
 
 }
--- a/bulrushrouter-request/src/main/java/io/bulrushrouter/request/SidecarEvent.java
+++ b/bulrushrouter-request/src/main/java/io/bulrushrouter/request/SidecarEvent.java
@@ -112,6 +112,12 @@
 	record EngineChanged() implements SidecarEvent {
 	}
 
+	/**
+	 * The sidecar knows that its upstream does not leave, and may take attempts.
+	 */
+	record OpenSign() implements SidecarEvent {
+	}
+
 	/**
 	 * The first sign that the upstream leaves: the live list, an order, a signal or its
 	 * engine's word.
--- /dev/null
+++ b/bulrushrouter-request/src/main/java/io/bulrushrouter/request/SidecarGate.java
@@ -0,0 +1,47 @@
+package io.bulrushrouter.request;
+
+import java.util.Optional;
+
+import io.bulrushrouter.kernel.ErrorCode;
+
+/**
+ * Whether a sidecar takes new attempts. Once it drains it never opens again.
+ */
+final class SidecarGate {
+
+	private final boolean guarded;
+
+	private boolean open;
+
+	private boolean draining;
+
+	SidecarGate(boolean open, boolean guarded) {
+		this.open = open;
+		this.guarded = guarded;
+	}
+
+	void open() {
+		this.open = true;
+	}
+
+	void drain() {
+		this.draining = true;
+	}
+
+	boolean isDraining() {
+		return this.draining;
+	}
+
+	// Tells whether nothing may start any longer.
+	boolean stopsStarts() {
+		return this.draining && this.guarded;
+	}
+
+	Optional<ErrorCode> refusal() {
+		if (stopsStarts()) {
+			return Optional.of(ErrorCode.DRAINING);
+		}
+		return this.open ? Optional.empty() : Optional.of(ErrorCode.NOT_READY);
+	}
+
+}
--- a/bulrushrouter-request/src/test/java/io/bulrushrouter/request/FaultMatrixTests.java
+++ b/bulrushrouter-request/src/test/java/io/bulrushrouter/request/FaultMatrixTests.java
@@ -6,8 +6,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.LongStream;
 import java.util.stream.Stream;
 
 import org.junit.jupiter.api.AfterAll;
@@ -27,12 +29,15 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 /**
- * Every fault at every step of a request's and its claim's life, singly and in pairs.
+ * Every fault at every step of a request's and its claim's life, singly and in pairs, and
+ * samples of more faults at once.
  */
 class FaultMatrixTests {
 
 	private static final long SEED = Long.getLong("fault.seed", 1);
 
+	private static final long SAMPLES = Long.getLong("fault.samples", 20_000);
+
 	private static final List<Injection> INJECTIONS = Stream.of(Fault.values())
 		.flatMap((fault) -> Stream.of(Step.values()).map((step) -> new Injection(step, fault)))
 		.toList();
@@ -113,6 +118,24 @@
 		return system.reached();
 	}
 
+	@Test
+	void holdsUnderThreeToFiveFaults() {
+		List<String> failures = Collections.synchronizedList(new ArrayList<>());
+		LongStream.range(0, SAMPLES)
+			.parallel()
+			.mapToObj(FaultMatrixTests::sample)
+			.forEach((cell) -> run(cell, failures));
+		assertWithMessage(String.join("\n", failures)).that(failures.size()).isEqualTo(0);
+	}
+
+	private static FaultCell sample(long number) {
+		SplittableRandom random = new SplittableRandom(SEED * SAMPLES + number);
+		List<Injection> some = random.ints(3 + random.nextInt(3), 0, INJECTIONS.size())
+			.mapToObj(INJECTIONS::get)
+			.toList();
+		return new FaultCell(Kind.values()[random.nextInt(Kind.values().length)], random.nextInt(1000), some);
+	}
+
 	@Test
 	@EnabledIfSystemProperty(named = "fault.cell", matches = ".+")
 	void holdsInOneCell() {
--- a/bulrushrouter-request/src/test/java/io/bulrushrouter/request/SidecarCallsTests.java
+++ b/bulrushrouter-request/src/test/java/io/bulrushrouter/request/SidecarCallsTests.java
@@ -220,6 +220,19 @@
 		assertThat(runs()).isEqualTo(1);
 	}
 
+	@Test
+	void takesNothingBeforeItKnowsWhetherItLeaves() {
+		SidecarCalls closed = SidecarCalls.ofClosed(INCARNATION, SidecarPolicy.of(1), CallQueue.ofFifo(2));
+		for (long number = 1; number <= 2; number++) {
+			closed.on(
+					new SidecarEvent.Arrived(1, INCARNATION, new CallMessage.Call(attempt(number), read("a"), 1000, 0)),
+					0, this.actions::add);
+			closed.on(new SidecarEvent.OpenSign(), 0, this.actions::add);
+		}
+		assertThat(lastReply(1)).isEqualTo(new CallMessage.NotRun(attempt(1), ErrorCode.NOT_READY, 0));
+		assertThat(runs()).isEqualTo(1);
+	}
+
 	@Test
 	void releasesAClaimThatIsGrantedAfterTheDrainSign() {
 		call(1, spec("bakery", CallKind.SERVICE, false, "a"));
--- a/bulrushrouter-request/src/test/java/io/bulrushrouter/request/SimulatedEngine.java
+++ b/bulrushrouter-request/src/test/java/io/bulrushrouter/request/SimulatedEngine.java
@@ -1,6 +1,8 @@
 package io.bulrushrouter.request;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -15,6 +17,8 @@
 
 	private static final int CHUNK_TOKENS = 2;
 
+	private static final long STEP_MILLIS = 4;
+
 	private final SimulatedSystem system;
 
 	private final SimulatedSidecar sidecar;
@@ -44,17 +48,13 @@
 			return;
 		}
 		this.system.engineStarted(this.sidecar, run);
-		later(run, 4, () -> tell(new SidecarEvent.EngineHead(run.attempt(), 200, "text/plain")));
-		int delay = 6;
+		List<SidecarEvent> answer = new ArrayList<>();
+		answer.add(new SidecarEvent.EngineHead(run.attempt(), 200, "text/plain"));
 		for (int i = run.resumeAfterTokens(); i < SimulatedCaller.TOKENS; i += CHUNK_TOKENS) {
-			int from = i;
-			later(run, delay, () -> tell(chunk(run, from)));
-			delay += 5;
+			answer.add(chunk(run, i));
 		}
-		later(run, delay, () -> {
-			this.running.remove(run.attempt());
-			tell(new SidecarEvent.EngineEnd(run.attempt()));
-		});
+		answer.add(new SidecarEvent.EngineEnd(run.attempt()));
+		later(run, answer.iterator());
 	}
 
 	private static SidecarEvent chunk(SidecarAction.RunOnEngine run, int from) {
@@ -66,19 +66,28 @@
 		return new SidecarEvent.EngineData(run.attempt(), text.toString().getBytes(StandardCharsets.UTF_8), to - from);
 	}
 
-	private void later(SidecarAction.RunOnEngine run, long millis, Runnable step) {
-		this.system.clock.after(millis, () -> {
-			if (!this.running.containsKey(run.attempt())) {
-				return;
-			}
+	private void later(SidecarAction.RunOnEngine run, Iterator<SidecarEvent> answer) {
+		long due = this.system.clock.nowNanos() + STEP_MILLIS * SimulatedClock.MILLIS;
+		this.system.clock.at(Math.max(due, this.stalledUntilNanos), () -> {
 			if (this.system.clock.nowNanos() < this.stalledUntilNanos) {
-				this.system.clock.at(this.stalledUntilNanos, () -> later(run, millis, step));
-				return;
+				later(run, answer);
+			}
+			else if (this.running.containsKey(run.attempt())) {
+				tell(answer.next());
+				goOn(run, answer);
 			}
-			step.run();
 		});
 	}
 
+	private void goOn(SidecarAction.RunOnEngine run, Iterator<SidecarEvent> answer) {
+		if (answer.hasNext()) {
+			later(run, answer);
+		}
+		else {
+			this.running.remove(run.attempt());
+		}
+	}
+
 	private void tell(SidecarEvent event) {
 		this.sidecar.deliverToIncarnation(() -> this.sidecar.feed(event));
 	}
--- a/bulrushrouter-request/src/test/java/io/bulrushrouter/request/SimulatedEntry.java
+++ b/bulrushrouter-request/src/test/java/io/bulrushrouter/request/SimulatedEntry.java
@@ -83,7 +83,7 @@
 
 	void leave(SimulatedCaller caller) {
 		EntryCall call = caller.id.map((id) -> this.calls.get(id.number())).orElse(null);
-		if (call != null && call.verdict().isEmpty()) {
+		if (call != null && call.id().equals(caller.id.get()) && call.verdict().isEmpty()) {
 			caller.end("gone", Optional.empty(), this.system.clock.nowNanos());
 			feed(call, new EntryEvent.CallerGone());
 		}
--- a/bulrushrouter-request/src/test/java/io/bulrushrouter/request/SimulatedSidecar.java
+++ b/bulrushrouter-request/src/test/java/io/bulrushrouter/request/SimulatedSidecar.java
@@ -13,7 +13,7 @@
  */
 final class SimulatedSidecar extends SimulatedProcess {
 
-	private static final long LIST_LAG_MILLIS = 50;
+	private static final long LIST_MILLIS = 50;
 
 	private static final ClaimsPolicy CLAIMS = new ClaimsPolicy(2, 4, 3, Duration.ofMillis(5), Duration.ZERO,
 			Duration.ofMillis(500), Duration.ofMillis(50));
@@ -36,13 +36,14 @@
 		super(system);
 		this.upstream = upstream;
 		this.engine = new SimulatedEngine(system, this);
-		boot();
+		boot(true);
 	}
 
-	private void boot() {
+	private void boot(boolean open) {
 		this.router = ClaimRouter.of(this.upstream, CLAIMS, Duration.ofMillis(400));
 		this.router.live(SimulatedSystem.upstreams());
-		this.calls = SidecarCalls.of(this.incarnation, SidecarPolicy.of(2), CallQueue.ofFifo(16), this.system.guards);
+		this.calls = SidecarCalls.of(this.incarnation, SidecarPolicy.of(2), CallQueue.ofFifo(16), this.system.guards,
+				open);
 		this.claims = Claims.builder(this.system.store, this.incarnation)
 			.policy(CLAIMS)
 			.clock(this.system.clock::nowNanos)
@@ -166,10 +167,9 @@
 
 	@Override
 	void onRestart() {
-		boot();
-		if (this.leaving) {
-			this.system.clock.after(LIST_LAG_MILLIS, () -> deliver(() -> feed(new SidecarEvent.DrainSign())));
-		}
+		boot(false);
+		wakeAt(this.system.clock.nowNanos() + LIST_MILLIS * SimulatedClock.MILLIS,
+				() -> feed(this.leaving ? new SidecarEvent.DrainSign() : new SidecarEvent.OpenSign()));
 	}
 
 }
