--- a/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/ModelUpstreams.java
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/ModelUpstreams.java
@@ -54,15 +54,10 @@
 		return this.meanMillisPerToken;
 	}
 
-	boolean reported(UpstreamView view, LoadReport report, long nowNanos) {
-		long before = view.reportedTokens();
-		boolean news = view.reported(report, nowNanos);
-		if (news) {
-			this.reportedTokens += view.reportedTokens() - before;
-			double known = this.meanMillisPerToken;
-			this.meanMillisPerToken += (view.millisPerToken(known) - known) / this.views.length;
-		}
-		return news;
+	void reported(long tokensBefore, UpstreamView view) {
+		this.reportedTokens += view.reportedTokens() - tokensBefore;
+		double known = this.meanMillisPerToken;
+		this.meanMillisPerToken += (view.millisPerToken(known) - known) / this.views.length;
 	}
 
 	private void refresh() {
--- a/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/UpstreamTable.java
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/UpstreamTable.java
@@ -26,6 +26,8 @@
 
 	private final Map<ModelId, ModelUpstreams> models = new HashMap<>();
 
+	private final Map<UpstreamId, List<ModelUpstreams>> memberships = new HashMap<>();
+
 	private final CostModel costs;
 
 	private UpstreamTable(CostModel costs) {
@@ -45,21 +47,32 @@
 	}
 
 	/**
-	 * Takes over a new configuration. What is known of upstreams that stay is kept.
+	 * Takes over a new configuration. What is known of upstreams that stay is kept. An
+	 * upstream that serves several models is given once for each.
 	 * @param specs the upstreams
 	 */
 	public void configured(List<UpstreamSpec> specs) {
 		Map<UpstreamId, UpstreamView> before = Map.copyOf(this.views);
 		this.views.clear();
 		this.models.clear();
+		this.memberships.clear();
 		Map<ModelId, List<UpstreamView>> byModel = new HashMap<>();
 		for (UpstreamSpec spec : specs) {
-			UpstreamView known = before.get(spec.id());
-			UpstreamView view = (known != null && known.spec().equals(spec)) ? known : new UpstreamView(spec);
-			this.views.put(spec.id(), view);
+			UpstreamView view = this.views.computeIfAbsent(spec.id(), (id) -> kept(before.get(id), spec));
 			byModel.computeIfAbsent(spec.model(), (model) -> new ArrayList<>()).add(view);
 		}
-		byModel.forEach((model, list) -> this.models.put(model, new ModelUpstreams(list)));
+		byModel.forEach(this::join);
+	}
+
+	private static UpstreamView kept(UpstreamView known, UpstreamSpec spec) {
+		return (known != null && known.spec().isSamePlace(spec)) ? known : new UpstreamView(spec);
+	}
+
+	private void join(ModelId model, List<UpstreamView> members) {
+		ModelUpstreams upstreams = new ModelUpstreams(members);
+		this.models.put(model, upstreams);
+		members
+			.forEach((view) -> this.memberships.computeIfAbsent(view.id(), (id) -> new ArrayList<>()).add(upstreams));
 	}
 
 	/**
@@ -69,10 +82,11 @@
 	 * @param nowNanos the time, in nanoseconds
 	 */
 	public void sent(UpstreamId upstream, RouteQuery query, long nowNanos) {
-		find(upstream).ifPresent((view) -> {
-			ModelUpstreams peers = this.models.get(view.spec().model());
+		UpstreamView view = this.views.get(upstream);
+		ModelUpstreams peers = this.models.get(query.model());
+		if (view != null && peers != null) {
 			view.sent(query, this.costs.firstTokenMillis(view, peers, query, nowNanos), nowNanos);
-		});
+		}
 	}
 
 	/**
@@ -105,7 +119,15 @@
 	 */
 	public boolean reported(UpstreamId upstream, LoadReport report, long nowNanos) {
 		UpstreamView view = this.views.get(upstream);
-		return view != null && this.models.get(view.spec().model()).reported(view, report, nowNanos);
+		if (view == null) {
+			return false;
+		}
+		long before = view.reportedTokens();
+		boolean news = view.reported(report, nowNanos);
+		if (news) {
+			this.memberships.get(upstream).forEach((peers) -> peers.reported(before, view));
+		}
+		return news;
 	}
 
 	/**
