--- a/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/Stragglers.java
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/Stragglers.java
@@ -24,6 +24,8 @@
 
 	private static final double MOST_STEP = 6;
 
+	private static final double MISSING = -1;
+
 	private static final double MAD_TO_DEVIATION = 1.4826;
 
 	private final double[] speed;
@@ -64,7 +66,7 @@
 	 * it was given, in nanoseconds; 0 where the report is missing
 	 */
 	public void observe(long nowNanos, double[] nanosPerToken) {
-		double median = median(nanosPerToken);
+		double median = median(nanosPerToken, Double.MIN_VALUE);
 		if (median <= 0) {
 			return;
 		}
@@ -72,9 +74,9 @@
 		double[] deviations = new double[nanosPerToken.length];
 		for (int rank = 0; rank < speeds.length; rank++) {
 			speeds[rank] = (nanosPerToken[rank] > 0) ? median / nanosPerToken[rank] : 0;
-			deviations[rank] = (speeds[rank] > 0) ? Math.abs(speeds[rank] - this.speed[rank]) : 0;
+			deviations[rank] = (speeds[rank] > 0) ? Math.abs(speeds[rank] - this.speed[rank]) : MISSING;
 		}
-		double spread = Math.max(LEAST_NOISE, MAD_TO_DEVIATION * median(deviations));
+		double spread = Math.max(LEAST_NOISE, MAD_TO_DEVIATION * median(deviations, 0));
 		this.noise += WEIGHT * (spread - this.noise);
 		for (int rank = 0; rank < speeds.length; rank++) {
 			if (speeds[rank] > 0) {
@@ -143,8 +145,8 @@
 		return Math.max(1, skew / capacity);
 	}
 
-	private static double median(double[] values) {
-		double[] known = Arrays.stream(values).filter((value) -> value > 0).sorted().toArray();
+	private static double median(double[] values, double least) {
+		double[] known = Arrays.stream(values).filter((value) -> value >= least).sorted().toArray();
 		return (known.length == 0) ? 0 : known[known.length / 2];
 	}
 
--- /dev/null
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/balance/GroupSettings.java
@@ -0,0 +1,134 @@
+package io.bulrushrouter.experts.balance;
+
+import java.time.Duration;
+import java.util.Arrays;
+
+import io.bulrushrouter.experts.planning.ExpertPlanner;
+import io.bulrushrouter.experts.planning.ExpertPlanners;
+import io.bulrushrouter.experts.planning.PlanProfile;
+import io.bulrushrouter.experts.planning.PlanRequest;
+
+/**
+ * How a group is balanced.
+ *
+ * @param planner the planner
+ * @param profile the weighing of skew against cost
+ * @param weights the size of weights and the rate at which they come
+ * @param instances the instance of each rank, as a number
+ * @param planPeriod the time between two plans
+ * @param moveAfter how long a rank is slow before its experts are moved
+ * @param replaceAfter how long a rank is slow before its replacement is asked for
+ */
+public record GroupSettings(ExpertPlanner planner, PlanProfile profile, PlanRequest.WeightStore weights,
+		int[] instances, Duration planPeriod, Duration moveAfter, Duration replaceAfter) {
+
+	/**
+	 * Returns a builder with defaults.
+	 * @param ranks the number of ranks
+	 * @return the builder
+	 */
+	public static Builder builder(int ranks) {
+		return new Builder(ranks);
+	}
+
+	/**
+	 * Builds settings. Defaults: the fitted planner, the low-skew profile, a plan every
+	 * 30 s, eight ranks an instance.
+	 */
+	public static final class Builder {
+
+		private static final int RANKS_AN_INSTANCE = 8;
+
+		private ExpertPlanner planner = ExpertPlanners.ofFitted();
+
+		private PlanProfile profile = PlanProfile.ofLowSkew();
+
+		private PlanRequest.WeightStore weights = new PlanRequest.WeightStore(44_040_192, 8e9);
+
+		private int[] instances;
+
+		private Duration planPeriod = Duration.ofSeconds(30);
+
+		private Duration moveAfter = Duration.ofSeconds(30);
+
+		private Duration replaceAfter = Duration.ofMinutes(10);
+
+		private Builder(int ranks) {
+			this.instances = new int[ranks];
+			Arrays.setAll(this.instances, (rank) -> rank / RANKS_AN_INSTANCE);
+		}
+
+		/**
+		 * Sets the planner.
+		 * @param newPlanner the planner
+		 * @return this builder
+		 */
+		public Builder planner(ExpertPlanner newPlanner) {
+			this.planner = newPlanner;
+			return this;
+		}
+
+		/**
+		 * Sets the profile.
+		 * @param newProfile the profile
+		 * @return this builder
+		 */
+		public Builder profile(PlanProfile newProfile) {
+			this.profile = newProfile;
+			return this;
+		}
+
+		/**
+		 * Sets the weight store.
+		 * @param newWeights the size of weights and the rate of the store
+		 * @return this builder
+		 */
+		public Builder weights(PlanRequest.WeightStore newWeights) {
+			this.weights = newWeights;
+			return this;
+		}
+
+		/**
+		 * Sets the instance of each rank.
+		 * @param newInstances the instances, as numbers
+		 * @return this builder
+		 */
+		public Builder instances(int... newInstances) {
+			this.instances = newInstances.clone();
+			return this;
+		}
+
+		/**
+		 * Sets the time between two plans.
+		 * @param period the time
+		 * @return this builder
+		 */
+		public Builder planPeriod(Duration period) {
+			this.planPeriod = period;
+			return this;
+		}
+
+		/**
+		 * Sets when more than shares is done about a slow rank.
+		 * @param move how long it is slow before its experts are moved
+		 * @param replace how long it is slow before its replacement is asked for
+		 * @return this builder
+		 */
+		public Builder stragglers(Duration move, Duration replace) {
+			this.moveAfter = move;
+			this.replaceAfter = replace;
+			return this;
+		}
+
+		/**
+		 * Returns the settings.
+		 * @return the settings
+		 */
+		public GroupSettings build() {
+			return new GroupSettings(this.planner, this.profile, this.weights, this.instances, this.planPeriod,
+					this.moveAfter, this.replaceAfter);
+		}
+
+	}
+
+}
