Count organisations without a placement, and name who won a race

A plan may be created before any placement is known; then nobody's needs counted and the capacity check passed everything. Needs of organisations without a placement now count against the sum of all data centres. A writer that names an old version is shown what differs from what it wanted, and who made the last change, instead of nothing.

--- a/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/CapacityLedger.java
+++ b/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/CapacityLedger.java
@@ -15,12 +15,22 @@
  */
 public final class CapacityLedger {
 
+	/** Stands for all data centres, where an organisation without a placement may be. */
+	public static final DataCentreId ANYWHERE = DataCentreId.of("anywhere");
+
 	private final Fleet fleet;
 
 	private final Map<Place, Balance> balances = new TreeMap<>();
 
-	CapacityLedger(Fleet fleet) {
+	private final boolean anywhere;
+
+	// With organisations that have no placement, all needs also count against the sum.
+	CapacityLedger(Fleet fleet, boolean anywhere) {
 		this.fleet = fleet;
+		this.anywhere = anywhere;
+		if (anywhere) {
+			fleet.organisations().forEach((organisation) -> place(organisation, ANYWHERE));
+		}
 	}
 
 	/**
@@ -28,7 +38,7 @@
 	 * @param upstream the upstream
 	 */
 	public void add(FleetUpstream upstream) {
-		balance(upstream.dataCentre(), upstream.model()).left += upstream.capacity();
+		change(upstream, upstream.capacity());
 	}
 
 	/**
@@ -36,7 +46,14 @@
 	 * @param upstream the upstream, which took requests before
 	 */
 	public void remove(FleetUpstream upstream) {
-		balance(upstream.dataCentre(), upstream.model()).left -= upstream.capacity();
+		change(upstream, -upstream.capacity());
+	}
+
+	private void change(FleetUpstream upstream, int capacity) {
+		balance(upstream.dataCentre(), upstream.model()).left += capacity;
+		if (this.anywhere) {
+			balance(ANYWHERE, upstream.model()).left += capacity;
+		}
 	}
 
 	/**
@@ -60,13 +77,16 @@
 	}
 
 	/**
-	 * Finds a shortage.
+	 * Finds a shortage at a data centre, or over all of them.
 	 * @param dataCentre the data centre
 	 * @param model the model or service
 	 * @return the shortage, or empty if what is left is enough
 	 */
 	public Optional<Shortage> shortage(DataCentreId dataCentre, ModelId model) {
-		Place place = new Place(dataCentre, model);
+		return find(new Place(dataCentre, model)).or(() -> find(new Place(ANYWHERE, model)));
+	}
+
+	private Optional<Shortage> find(Place place) {
 		return Optional.ofNullable(this.balances.get(place)).filter(Balance::isShort).map((found) -> found.at(place));
 	}
 
--- a/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/ConditionalObject.java
+++ b/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/ConditionalObject.java
@@ -110,7 +110,13 @@
 		boolean mine = object.writer().equals(attempt.write().writer())
 				|| this.holds.test(current.value(), attempt.write().writer().value());
 		return mine ? new StoreOutcome.Written<>(current)
-				: new StoreOutcome.Conflict<>(current, this.difference.apply(attempt.base(), current.value()));
+				: new StoreOutcome.Conflict<>(current, difference(attempt, current.value()));
+	}
+
+	// From what the writer had seen, or else from what he wanted.
+	private List<String> difference(Attempt<T> attempt, T current) {
+		T from = attempt.base().equals(current) ? attempt.value() : attempt.base();
+		return this.difference.apply(from, current);
 	}
 
 	private Stored<T> stored(Versioned object) {
--- a/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/EvacuationState.java
+++ b/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/EvacuationState.java
@@ -114,10 +114,19 @@
 		return this.history.stream().anyMatch((change) -> change.mark().equals(mark));
 	}
 
+	/**
+	 * Returns the newest change.
+	 * @return the change
+	 */
+	public Change lastChange() {
+		return this.history.get(this.history.size() - 1);
+	}
+
 	/**
 	 * Returns what differs in another state.
 	 * @param other the other state
-	 * @return one line for each difference, from this state to the other
+	 * @return one line for each difference, from this state to the other, and who made
+	 * the other
 	 */
 	public List<String> difference(EvacuationState other) {
 		return StateDifference.lines(this, other);
--- a/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/Fleet.java
+++ b/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/Fleet.java
@@ -153,12 +153,13 @@
 
 	/**
 	 * Returns the ledger of needs and capacity.
-	 * @param placements where each organisation's requests go
+	 * @param placements where each organisation's requests go; those of one without a
+	 * placement may go anywhere
 	 * @param remains whether an upstream takes requests
 	 * @return the ledger
 	 */
 	public CapacityLedger ledger(Map<OrganisationId, DataCentreId> placements, Predicate<UpstreamId> remains) {
-		CapacityLedger ledger = new CapacityLedger(this);
+		CapacityLedger ledger = new CapacityLedger(this, !placements.keySet().containsAll(organisations()));
 		placements.forEach(ledger::place);
 		this.upstreams.values().stream().filter((upstream) -> remains.test(upstream.id())).forEach(ledger::add);
 		return ledger;
--- a/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/StateDifference.java
+++ b/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/StateDifference.java
@@ -49,7 +49,11 @@
 		return (value != null) ? value.toString() : "unset";
 	}
 
+	// Of a difference from what was wanted, the last change says who made it.
 	private void changes(EvacuationState before, EvacuationState after) {
+		if (before.holds(after.lastChange().mark())) {
+			this.lines.add("last " + after.lastChange().text());
+		}
 		after.history()
 			.stream()
 			.filter((change) -> !before.holds(change.mark()))
--- a/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/operation/EvacuationOperations.java
+++ b/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/operation/EvacuationOperations.java
@@ -1,6 +1,5 @@
 package io.bulrushrouter.evacuation.operation;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -110,7 +109,7 @@
 		return withState((read) -> {
 			EvacuationState next = read.value().withPlan(plan, change);
 			if (read.version() != seenVersion) {
-				return done(new OperationOutcome.Conflict(read, difference(next, read.value())));
+				return done(new OperationOutcome.Conflict(read, next.difference(read.value())));
 			}
 			return write(read, next, change, "replaced");
 		});
@@ -158,12 +157,6 @@
 				(decided) -> write(decided.read(), decided.applied().state(), change, decided.applied().text()));
 	}
 
-	private static List<String> difference(EvacuationState wanted, EvacuationState current) {
-		List<String> lines = new ArrayList<>(wanted.difference(current));
-		lines.add("last " + current.history().get(current.history().size() - 1).text());
-		return lines;
-	}
-
 	private CompletionStage<OperationOutcome> withSheet(byte[] file, SheetFormat format, Change change,
 			boolean acceptRisk, Function<Decided, CompletionStage<OperationOutcome>> act) {
 		SheetResult result = MorningSheet.parse(file, format, this.fleet);
--- a/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/reconcile/DeparturePass.java
+++ b/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/reconcile/DeparturePass.java
@@ -19,6 +19,7 @@
 import io.bulrushrouter.evacuation.Shortage;
 import io.bulrushrouter.evacuation.Target;
 import io.bulrushrouter.evacuation.UpstreamIntent;
+import io.bulrushrouter.kernel.DataCentreId;
 import io.bulrushrouter.kernel.OrganisationId;
 import io.bulrushrouter.kernel.UpstreamId;
 
@@ -135,12 +136,17 @@
 	private Optional<String> staying(Departing unit) {
 		FleetUpstream member = unit.members().get(0);
 		return this.moving.stream()
-			.filter((organisation) -> member.dataCentre().equals(this.observed.placements().get(organisation)))
+			.filter((organisation) -> mayBeAt(organisation, member.dataCentre()))
 			.filter((organisation) -> this.fleet.models(organisation).contains(member.model()))
 			.map((organisation) -> organisation.value())
 			.findFirst();
 	}
 
+	private boolean mayBeAt(OrganisationId organisation, DataCentreId dataCentre) {
+		DataCentreId place = this.observed.placements().get(organisation);
+		return place == null || place.equals(dataCentre);
+	}
+
 	// Tries the departure in the ledger, and takes it back if it cannot be.
 	private Optional<Shortage> shortage(Departing unit) {
 		FleetUpstream member = unit.members().get(0);
--- a/bulrushrouter-evacuation/src/test/java/io/bulrushrouter/evacuation/EvacuationStoreTests.java
+++ b/bulrushrouter-evacuation/src/test/java/io/bulrushrouter/evacuation/EvacuationStoreTests.java
@@ -4,6 +4,7 @@
 import java.util.function.IntConsumer;
 
 import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
@@ -64,6 +65,20 @@
 		EvacuationStore.of(this.objects, "hall").create(state).toCompletableFuture().join();
 	}
 
+	@Test
+	void namesWhoChangedItWhenTheSeenVersionIsOld() {
+		create();
+		Stored<EvacuationState> now = read(this.objects);
+		EvacuationPlan wanted = TestFleet.plan().toBuilder().date(TestFleet.DAY.plusDays(1)).build();
+		StoreOutcome<EvacuationState> outcome = EvacuationStore.of(this.objects, "hall")
+			.write(new Stored<>(0, now.value()), now.value().withPlan(wanted, TestFleet.change("mine")), "mine")
+			.toCompletableFuture()
+			.join();
+		assertThat(((StoreOutcome.Conflict<EvacuationState>) outcome).difference()).containsExactly(
+				"plan date: 2026-11-03 became 2026-11-02",
+				"last changed by operator-plan at 1970-01-01T00:00:00Z: change plan");
+	}
+
 	@ParameterizedTest
 	@EnumSource(Loss.class)
 	void oneOperatorWinsWhateverIsLost(Loss loss) {
--- a/bulrushrouter-evacuation/src/test/java/io/bulrushrouter/evacuation/reconcile/ReconcilerTests.java
+++ b/bulrushrouter-evacuation/src/test/java/io/bulrushrouter/evacuation/reconcile/ReconcilerTests.java
@@ -164,6 +164,16 @@
 				"hold upstream/booking-old no-capacity");
 	}
 
+	@Test
+	void countsOrganisationsWithoutAPlacementEverywhere() {
+		this.placements = Map.of();
+		assertThat(names(steps(STOP))).containsExactly("move-organisation organisation/zeta",
+				"hold group/g-old organisations-first", "hold upstream/booking-old organisations-first");
+		this.moves = Map.of();
+		see(UpstreamId.of("booking-new"), Phase.STOPPED, 0);
+		assertThat(names(steps(STOP))).contains("hold upstream/booking-old no-capacity");
+	}
+
 	@Test
 	void limitsHowManyLeaveAtOnce() {
 		this.policy = new ReconcilePolicy(1, 1, Duration.ofMinutes(10));
