Wait for the platform before peers count, and halve the spread's bytes

Cause: a node that restarted could take three lagging peers' word while the platform's answer was on its way, and so serve an older version than was in force at it before. Peers now count only where the platform has not answered within 3 s. A node now sends a scope's document at most twice as often as it has children in 10 s, and the fan-out is 2, not 4.

--- a/bulrushrouter-platform/src/main/java/io/bulrushrouter/platform/configuration/SpreadTerms.java
+++ b/bulrushrouter-platform/src/main/java/io/bulrushrouter/platform/configuration/SpreadTerms.java
@@ -11,16 +11,20 @@
  * @param joining the time between two rounds of questions while a node is not ready
  * @param requestTimeout when a document that was asked for and did not come may be asked
  * for again
+ * @param handWindow the time within which a node sends a scope's document at most twice
+ * as often as it has children; who is left out asks another peer
  * @param statusRepeat the time after which a node repeats its status to the relays
+ * @param platformPatience how long a node that starts waits for the platform's word
+ * before that of peers counts
  * @param sponsors how many ready peers a node hears before it serves without the
  * platform's word; fewer where it knows of fewer than twice as many
  */
 public record SpreadTerms(int relays, int fanOut, Duration comparison, Duration joining, Duration requestTimeout,
-		Duration statusRepeat, int sponsors) {
+		Duration handWindow, Duration statusRepeat, Duration platformPatience, int sponsors) {
 
 	/** The terms that daemons use. */
-	public static final SpreadTerms DEFAULT = new SpreadTerms(2, 4, Duration.ofSeconds(1), Duration.ofSeconds(1),
-			Duration.ofMillis(500), Duration.ofSeconds(30), 3);
+	public static final SpreadTerms DEFAULT = new SpreadTerms(2, 2, Duration.ofSeconds(1), Duration.ofSeconds(1),
+			Duration.ofMillis(500), Duration.ofSeconds(10), Duration.ofSeconds(30), Duration.ofSeconds(3), 3);
 
 	/**
 	 * Checks the parts.
@@ -31,6 +35,10 @@
 		}
 	}
 
+	int handLimit() {
+		return 2 * this.fanOut;
+	}
+
 	int sponsorsAmong(int peers) {
 		return Math.min(this.sponsors, Math.max(1, (peers + 1) / 2));
 	}
--- a/bulrushrouter-platform/src/test/java/io/bulrushrouter/platform/configuration/ConfigurationSpreadTests.java
+++ b/bulrushrouter-platform/src/test/java/io/bulrushrouter/platform/configuration/ConfigurationSpreadTests.java
@@ -30,6 +30,8 @@
 
 	private static final double CHANGES_PER_SECOND = 1400.0 / 86_400;
 
+	private static final int SEEDS = 5;
+
 	private static final int REST_SECONDS = 60;
 
 	private static final byte[] BODY = CompressedBody.compress(fullConfiguration());
@@ -50,7 +52,17 @@
 	@ParameterizedTest
 	@EnumSource
 	void isInForceEverywhereInTime(Disturbance disturbance) {
-		SpreadSimulation simulation = new SpreadSimulation(NODES, SpreadTerms.DEFAULT, 1);
+		List<Figures> runs = IntStream.rangeClosed(1, SEEDS).mapToObj((seed) -> measure(disturbance, seed)).toList();
+		Figures worst = runs.stream().reduce(Figures::worse).orElseThrow();
+		System.out.printf("| %s | %d | %.2f s | %d | %d | %d | %.0f | %.0f | %d |%n", disturbance, worst.nodes(),
+				worst.seconds(), worst.hops(), worst.messages(), worst.documents(), worst.restRate(), worst.dayRate(),
+				BODY.length);
+		assertThat(worst.seconds()).isLessThan(BOUND.toMillis() / 1e3);
+		assertThat(worst.dayRate()).isLessThan(BYTES_PER_SECOND_BOUND);
+	}
+
+	private static Figures measure(Disturbance disturbance, int seed) {
+		SpreadSimulation simulation = new SpreadSimulation(NODES, SpreadTerms.DEFAULT, seed);
 		simulation.accept(BODY);
 		simulation.runFor(Duration.ofSeconds(20));
 		long bytesBefore = maxBytes(simulation);
@@ -63,14 +75,28 @@
 		disturbance.apply(simulation);
 		Optional<Duration> time = simulation.timeToAll(version, BOUND);
 		double changeBytes = maxBytes(simulation) - bytes;
-		double dayRate = restRate + changeBytes * CHANGES_PER_SECOND;
 		int hops = simulation.alive().stream().mapToInt(SpreadSimulation.SimulatedNode::depth).max().orElse(0);
-		System.out.printf("| %s | %d | %s s | %d | %d | %d | %.0f | %.0f | %d |%n", disturbance,
-				simulation.alive().size(), time.map((taken) -> "%.2f".formatted(taken.toMillis() / 1e3)).orElse("over"),
-				hops, simulation.messages() - messages, simulation.documents() - documents, restRate, dayRate,
-				BODY.length);
-		assertThat(time.isPresent()).isTrue();
-		assertThat(dayRate).isLessThan(BYTES_PER_SECOND_BOUND);
+		return new Figures(simulation.alive().size(),
+				time.map((taken) -> taken.toMillis() / 1e3).orElse(Double.POSITIVE_INFINITY), hops,
+				simulation.messages() - messages, simulation.documents() - documents, restRate,
+				restRate + changeBytes * CHANGES_PER_SECOND);
+	}
+
+	@Test
+	void lastOfABurstIsInForceInTime() {
+		for (int seed = 1; seed <= SEEDS; seed++) {
+			SpreadSimulation simulation = new SpreadSimulation(NODES, SpreadTerms.DEFAULT, seed);
+			simulation.accept(BODY);
+			simulation.runFor(Duration.ofSeconds(20));
+			long version = 0;
+			for (int change = 0; change < 20; change++) {
+				simulation.runFor(Duration.ofMillis(500));
+				version = simulation.accept(BODY);
+			}
+			Optional<Duration> time = simulation.timeToAll(version, BOUND);
+			System.out.println("last of 20 changes in 10 s, in force everywhere after " + time);
+			assertThat(time.isPresent()).isTrue();
+		}
 	}
 
 	@Test
@@ -123,6 +149,17 @@
 		return simulation.alive().stream().mapToLong(SpreadSimulation.SimulatedNode::bytes).max().orElse(0);
 	}
 
+	record Figures(int nodes, double seconds, int hops, long messages, long documents, double restRate,
+			double dayRate) {
+
+		private Figures worse(Figures other) {
+			return new Figures(this.nodes, Math.max(this.seconds, other.seconds), Math.max(this.hops, other.hops),
+					Math.max(this.messages, other.messages), Math.max(this.documents, other.documents),
+					Math.max(this.restRate, other.restRate), Math.max(this.dayRate, other.dayRate));
+		}
+
+	}
+
 	enum Disturbance {
 
 		NONE {
--- a/bulrushrouter-platform/src/test/java/io/bulrushrouter/platform/configuration/SpreadSimulation.java
+++ b/bulrushrouter-platform/src/test/java/io/bulrushrouter/platform/configuration/SpreadSimulation.java
@@ -36,8 +36,6 @@
 
 	private static final long TICK_NANOS = Duration.ofMillis(250).toNanos();
 
-	private static final long STORE_NANOS = Duration.ofMillis(5).toNanos();
-
 	private static final int FRAME_BYTES = 60;
 
 	private static final int DATA_CENTRES = 11;
@@ -58,6 +56,8 @@
 
 	private List<LiveInstance> listed;
 
+	private long storeNanos = Duration.ofMillis(5).toNanos();
+
 	private Duration listLag = Duration.ofSeconds(10);
 
 	private double loss;
@@ -103,13 +103,13 @@
 
 	private void ask(SimulatedNode node, RelayWatch.Ask ask) {
 		if (this.cutFromStore.test(node.id())) {
-			at(STORE_NANOS, () -> stored(node, new ReadResult.Unavailable("cut")));
+			at(this.storeNanos, () -> stored(node, new ReadResult.Unavailable("cut")));
 			return;
 		}
 		CompletionStage<ReadResult> answer = (ask == RelayWatch.Ask.READ) ? this.store.read(RelayWatch.keyOf(SCOPE))
 				: this.store.watch(RelayWatch.keyOf(SCOPE), node.state.newsAbove(SCOPE), RelayWatch.WAIT);
 		at(RelayWatch.WAIT.toNanos(), () -> this.store.cancel(answer));
-		answer.thenAccept((result) -> at(STORE_NANOS, () -> stored(node, result)));
+		answer.thenAccept((result) -> at(this.storeNanos, () -> stored(node, result)));
 	}
 
 	private void stored(SimulatedNode node, ReadResult result) {
@@ -233,6 +233,10 @@
 		return alive().stream().filter((node) -> node.view.isRelay()).map(SimulatedNode::id).toList();
 	}
 
+	void storeLatency(Duration latency) {
+		this.storeNanos = latency.toNanos();
+	}
+
 	void listLag(Duration lag) {
 		this.listLag = lag;
 	}
