--- a/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/DecisionCost.java
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/DecisionCost.java
@@ -20,6 +20,7 @@
 import io.bulrushrouter.routing.CostModel;
 import io.bulrushrouter.routing.HomeSetChooser;
 import io.bulrushrouter.routing.LoadReport;
+import io.bulrushrouter.routing.PrefixHint;
 import io.bulrushrouter.routing.RouteQuery;
 import io.bulrushrouter.routing.UpstreamChooser;
 import io.bulrushrouter.routing.UpstreamSpec;
@@ -27,7 +28,7 @@
 
 /**
  * The time and the allocation of one decision among 600 upstreams of one model: naming
- * the upstreams to probe, and choosing.
+ * the upstreams to probe, taking their answers, and choosing.
  */
 final class DecisionCost {
 
@@ -41,6 +42,11 @@
 
 	private static final ModelId MODEL = ModelId.of("m");
 
+	private static final List<PrefixHint> HINTS = List.of(new PrefixHint(1, 1536));
+
+	/** Time between decisions, in nanoseconds: 5 a second. */
+	private static final long GAP_NANOS = 200_000_000L;
+
 	private final UpstreamChooser chooser = HomeSetChooser.of(3, 1);
 
 	private final SplittableRandom random = new SplittableRandom(1);
@@ -49,6 +55,8 @@
 
 	private long sink;
 
+	private long sequence = 1;
+
 	private DecisionCost() {
 		List<UpstreamSpec> specs = IntStream.range(0, UPSTREAMS)
 			.mapToObj((i) -> new UpstreamSpec(UpstreamId.of("u" + i), MODEL, DataCentreId.of("dc" + i % 11),
@@ -85,10 +93,13 @@
 	}
 
 	private void decide(int number) {
-		long now = 1_000_000_000L + number;
+		this.sequence++;
+		long now = this.sequence * GAP_NANOS;
 		RouteQuery query = new RouteQuery(MODEL, OrganisationId.of("o"), Priority.NORMAL, number, 1536, 2000,
 				DataCentreId.of("dc0"), Set.of());
-		this.sink += this.chooser.probes(query, this.table, now, this.random).size();
+		for (UpstreamId probed : this.chooser.probes(query, this.table, now, this.random)) {
+			this.table.reported(probed, new LoadReport(1, this.sequence, 0, 900, 30, 0.5, 0.06, HINTS), now);
+		}
 		Choice choice = this.chooser.choose(query, this.table, now, this.random);
 		this.sink += choice.candidates().size();
 	}
--- a/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/FairnessModel.java
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/FairnessModel.java
@@ -57,7 +57,7 @@
 	private FairnessModel(int slots, List<Load> loads, double seconds, long seed) {
 		this.seconds = seconds;
 		this.random = new SplittableRandom(seed);
-		FairQueueSettings settings = FairQueueSettings.of(slots, (id) -> loads.get(index(id)).weight());
+		FairQueueSettings settings = FairQueueSettings.ofEngine(slots, (id) -> loads.get(index(id)).weight());
 		this.queue = FairQueue.of(settings, 0);
 		this.firstTokenMicros = new Histogram[loads.size()];
 		this.served = new double[loads.size()][(int) (seconds * 1e9 / BUCKET_NANOS) + 1];
--- a/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/Eligible.java
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/Eligible.java
@@ -14,8 +14,12 @@
 	}
 
 	static boolean mayTake(UpstreamView view, RouteQuery query, RandomGenerator random) {
-		return view.state() == UpstreamState.LIVE && !query.excluded().contains(view.id())
-				&& (view.trafficShare() >= 1 || random.nextDouble() < view.trafficShare());
+		return isOpen(view, query) && (view.trafficShare() >= 1 || random.nextDouble() < view.trafficShare());
+	}
+
+	private static boolean isOpen(UpstreamView view, RouteQuery query) {
+		return view.state() == UpstreamState.LIVE
+				&& (query.excluded().isEmpty() || !query.excluded().contains(view.id()));
 	}
 
 	static int draw(ModelUpstreams upstreams, RouteQuery query, RandomGenerator random) {
@@ -32,7 +36,7 @@
 		for (int i = 0; i < upstreams.size(); i++) {
 			int index = (start + i) % upstreams.size();
 			UpstreamView view = upstreams.get(index);
-			if (view.state() == UpstreamState.LIVE && !query.excluded().contains(view.id())) {
+			if (isOpen(view, query)) {
 				return index;
 			}
 		}
--- a/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/OutlierEjection.java
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/OutlierEjection.java
@@ -1,8 +1,11 @@
 package io.bulrushrouter.routing;
 
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import io.bulrushrouter.kernel.ModelId;
 import io.bulrushrouter.kernel.UpstreamId;
@@ -21,6 +24,8 @@
 
 	private final Map<UpstreamId, Circuit> circuits = new HashMap<>();
 
+	private final Map<UpstreamId, Circuit> tripped = new HashMap<>();
+
 	private final Map<ModelId, Integer> sizes = new HashMap<>();
 
 	private OutlierEjection(EjectionSettings settings) {
@@ -45,14 +50,16 @@
 	 */
 	public void configured(List<UpstreamSpec> specs) {
 		Map<UpstreamId, Circuit> before = Map.copyOf(this.circuits);
+		before.values().forEach((circuit) -> circuit.models.clear());
 		this.circuits.clear();
 		this.sizes.clear();
 		for (UpstreamSpec spec : specs) {
-			Circuit known = before.get(spec.id());
-			boolean keep = known != null && known.model.equals(spec.model());
-			this.circuits.put(spec.id(), keep ? known : new Circuit(spec.model()));
+			Circuit circuit = before.getOrDefault(spec.id(), new Circuit());
+			this.circuits.putIfAbsent(spec.id(), circuit);
+			this.circuits.get(spec.id()).models.add(spec.model());
 			this.sizes.merge(spec.model(), 1, Integer::sum);
 		}
+		this.tripped.keySet().retainAll(this.circuits.keySet());
 	}
 
 	/**
@@ -71,7 +78,11 @@
 		if (outcome == Outcome.ANSWERED) {
 			circuit.answered(nowNanos, this.settings);
 		}
-		return outcome == Outcome.FAILED && failed(circuit, nowNanos);
+		boolean opened = outcome == Outcome.FAILED && failed(circuit, nowNanos);
+		if (opened) {
+			this.tripped.put(upstream, circuit);
+		}
+		return opened;
 	}
 
 	private boolean failed(Circuit circuit, long nowNanos) {
@@ -83,7 +94,7 @@
 		if (!returning && circuit.failuresInRow < this.settings.failuresInRow()) {
 			return false;
 		}
-		if (!mayOpen(circuit.model, nowNanos)) {
+		if (!circuit.models.stream().allMatch((model) -> mayOpen(model, nowNanos))) {
 			return false;
 		}
 		circuit.open(nowNanos, this.settings);
@@ -91,9 +102,9 @@
 	}
 
 	private boolean mayOpen(ModelId model, long nowNanos) {
-		long open = this.circuits.values()
+		long open = this.tripped.values()
 			.stream()
-			.filter((circuit) -> circuit.model.equals(model) && circuit.isOpen(nowNanos))
+			.filter((circuit) -> circuit.models.contains(model) && circuit.isOpen(nowNanos))
 			.count();
 		return open + 1 <= this.settings.largestShare() * this.sizes.get(model);
 	}
@@ -115,8 +126,14 @@
 	 * @param nowNanos the time, in nanoseconds
 	 */
 	public void applyTo(UpstreamTable table, long nowNanos) {
-		this.circuits
-			.forEach((upstream, circuit) -> table.trafficShare(upstream, circuit.share(nowNanos, this.settings)));
+		for (Iterator<Map.Entry<UpstreamId, Circuit>> all = this.tripped.entrySet().iterator(); all.hasNext();) {
+			Map.Entry<UpstreamId, Circuit> entry = all.next();
+			double share = entry.getValue().share(nowNanos, this.settings);
+			table.trafficShare(entry.getKey(), share);
+			if (share >= 1) {
+				all.remove();
+			}
+		}
 	}
 
 	/**
@@ -124,7 +141,7 @@
 	 */
 	private static final class Circuit {
 
-		private final ModelId model;
+		private final Set<ModelId> models = new HashSet<>();
 
 		private int failuresInRow;
 
@@ -132,10 +149,6 @@
 
 		private long openUntilNanos;
 
-		Circuit(ModelId model) {
-			this.model = model;
-		}
-
 		boolean isOpen(long nowNanos) {
 			return this.ejections > 0 && nowNanos < this.openUntilNanos;
 		}
--- a/bulrushrouter-routing/src/test/java/io/bulrushrouter/routing/UpstreamTableTests.java
+++ b/bulrushrouter-routing/src/test/java/io/bulrushrouter/routing/UpstreamTableTests.java
@@ -5,6 +5,7 @@
 import org.junit.jupiter.api.Test;
 
 import io.bulrushrouter.kernel.BulrushException;
+import io.bulrushrouter.kernel.ModelId;
 import io.bulrushrouter.kernel.UpstreamId;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -86,6 +87,21 @@
 		assertThat(this.table.upstreams(Fixtures.MODEL).orElseThrow().size()).isEqualTo(3);
 	}
 
+	@Test
+	void knowsAnUpstreamOfSeveralModelsOnce() {
+		UpstreamSpec spec = Fixtures.specs(1).get(0);
+		ModelId other = ModelId.of("other");
+		this.table.configured(
+				List.of(spec, new UpstreamSpec(spec.id(), other, spec.dataCentre(), spec.group(), spec.weight())));
+		this.table.reported(FIRST, Fixtures.report(1, 700), 0);
+		this.table.leaving(FIRST);
+		for (ModelId model : List.of(Fixtures.MODEL, other)) {
+			ModelUpstreams upstreams = this.table.upstreams(model).orElseThrow();
+			assertThat(upstreams.get(0).state()).isEqualTo(UpstreamState.LEAVING);
+			assertThat(upstreams.meanReportedTokens()).isEqualTo(700.0);
+		}
+	}
+
 	@Test
 	void refusesAWeightOfZero() {
 		UpstreamSpec good = Fixtures.specs(1).get(0);
