--- a/bulrushrouter-platform/src/main/java/io/bulrushrouter/platform/configuration/ConfigurationNode.java
+++ b/bulrushrouter-platform/src/main/java/io/bulrushrouter/platform/configuration/ConfigurationNode.java
@@ -48,6 +48,8 @@
 
 	private boolean ready;
 
+	private Optional<Long> startedAt = Optional.empty();
+
 	private Optional<Long> comparedAt = Optional.empty();
 
 	private Optional<Long> statusAt = Optional.empty();
@@ -157,8 +159,8 @@
 		}
 		else if (message instanceof Request request) {
 			Optional.ofNullable(this.scopes.get(request.scope()))
-				.flatMap(ScopeTrack::inForce)
-				.filter((document) -> document.version() > request.above())
+				.flatMap((track) -> track.hand(request.above(), this.terms.handLimit(), this.terms.handWindow(),
+						nowNanos))
 				.ifPresent((document) -> effects.send(from, document));
 		}
 		else if (message instanceof Document document) {
@@ -184,6 +186,7 @@
 	 */
 	public Effects onTick(long nowNanos, PeerView view, RandomGenerator random) {
 		Effects.Collector effects = new Effects.Collector();
+		this.startedAt = this.startedAt.or(() -> Optional.of(nowNanos));
 		this.scopes.forEach((scope, track) -> request(scope, track, nowNanos, effects));
 		if (isDue(this.comparedAt, (this.ready ? this.terms.comparison() : this.terms.joining()).toNanos(), nowNanos)) {
 			this.comparedAt = Optional.of(nowNanos);
@@ -252,7 +255,8 @@
 			return;
 		}
 		boolean byPlatform = this.scopes.values().stream().allMatch(ScopeTrack::isConfirmed);
-		boolean byPeers = view.peerCount() > 0 && this.sponsors.size() >= this.terms.sponsorsAmong(view.peerCount());
+		boolean byPeers = isPlatformLate(nowNanos) && view.peerCount() > 0
+				&& this.sponsors.size() >= this.terms.sponsorsAmong(view.peerCount());
 		if (byPlatform || byPeers) {
 			this.ready = true;
 			effects.decide(new Effects.Ready(byPlatform ? "platform" : this.sponsors.size() + " peers"));
@@ -260,6 +264,12 @@
 		}
 	}
 
+	// Peers may lag behind the version that was in force here before a restart, so their
+	// word counts only where the platform does not answer.
+	private boolean isPlatformLate(long nowNanos) {
+		return this.startedAt.filter((at) -> nowNanos - at >= this.terms.platformPatience().toNanos()).isPresent();
+	}
+
 	private void tellStatus(long nowNanos, PeerView view, Effects.Collector effects) {
 		this.statusAt = Optional.of(nowNanos);
 		view.relays().forEach((relay) -> effects.send(relay, new Status(status())));
