--- a/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/PrefixBelief.java
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/PrefixBelief.java
@@ -30,8 +30,7 @@
 
 	int tokens(long digest) {
 		Entry entry = this.entries.get(digest);
-		boolean believed = entry != null && (!entry.claimed() || this.trust >= BELIEVED);
-		return believed ? entry.tokens() : 0;
+		return (entry != null) ? entry.tokens() : 0;
 	}
 
 	boolean isClaimed(long digest) {
--- a/bulrushrouter-routing/src/test/java/io/bulrushrouter/routing/LoadTrackerTests.java
+++ b/bulrushrouter-routing/src/test/java/io/bulrushrouter/routing/LoadTrackerTests.java
@@ -13,7 +13,7 @@
 
 	private static final long MILLI = 1_000_000L;
 
-	private final LoadTracker tracker = LoadTracker.of(9, 3000, 0);
+	private LoadTracker tracker = LoadTracker.of(9, 3000, 0);
 
 	private long now;
 
@@ -64,6 +64,20 @@
 		assertThat(this.tracker.millisPerToken()).isWithin(0.3).of(1);
 	}
 
+	@Test
+	void forgetsEarlierClaimsOfAnEngineThatLies() {
+		this.tracker = LoadTracker.of(9, 100_000, 0);
+		this.tracker.cacheEvent(300, 1000);
+		assertThat(cached(300)).isEqualTo(1000);
+		for (long digest = 1; digest <= 20; digest++) {
+			if (digest > 10) {
+				this.tracker.cacheEvent(digest, 1000);
+			}
+			serve(digest, digest, 1100);
+		}
+		assertThat(cached(300)).isEqualTo(0);
+	}
+
 	@Test
 	void believesEvictionsAndHonestClaims() {
 		serve(1, 1, 1100);
--- a/bulrushrouter-routing/src/test/java/io/bulrushrouter/routing/OrganisationLimitsTests.java
+++ b/bulrushrouter-routing/src/test/java/io/bulrushrouter/routing/OrganisationLimitsTests.java
@@ -96,8 +96,8 @@
 		ShareAsk several = new ShareAsk(LIMITED, Fixtures.MODEL, 0, 1, 5000, 400, 0, 0);
 		assertThat(this.lender.lend(several, FULL).tokens()).isEqualTo(1000);
 		ShareAsk large = new ShareAsk(LIMITED, Fixtures.MODEL, 0, 2, 4000, 4000, 0, 0);
-		ShareGrant refused = this.lender.lend(large, FULL);
-		assertThat(refused.tokens()).isEqualTo(0);
+		assertThat(this.lender.lend(large, FULL).tokens()).isEqualTo(0);
+		assertThat(this.lender.lend(large, FULL + 2 * Fixtures.SECOND).tokens()).isEqualTo(0);
 		assertThat(this.lender.lend(large, FULL + 8 * Fixtures.SECOND).tokens()).isEqualTo(4000);
 	}
 
