--- a/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/Choosers.java
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/Choosers.java
@@ -66,7 +66,7 @@
 	public static UpstreamChooser ofCombinedCost() {
 		return (query, table, now, random) -> ofModel(query, table,
 				(upstreams) -> ranked(query, upstreams,
-						(view) -> table.costs().costMillis(view, upstreams, query, table.costs().missWeight(), now),
+						(view) -> table.costs().costMillis(view, upstreams, query, table.costs().missWeight(), 1, now),
 						random, ChoiceReason.LOWEST_COST));
 	}
 
--- a/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/CostModel.java
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/CostModel.java
@@ -28,7 +28,7 @@
 	 * @return the cost model
 	 */
 	public static CostModel ofDefaults() {
-		return new CostModel(DataCentreDistance.of(0.3, 1.0), 1_000_000_000L, 0.5);
+		return new CostModel(DataCentreDistance.of(0.3, 1.0), 400_000_000L, 0.5);
 	}
 
 	/**
@@ -40,7 +40,7 @@
 	 * @return milliseconds
 	 */
 	public double firstTokenMillis(UpstreamView view, ModelUpstreams peers, RouteQuery query, long nowNanos) {
-		return waitMillis(view, peers, query, nowNanos) + prefillMillis(view, peers, query, nowNanos);
+		return waitMillis(view, peers, query, 1, nowNanos) + prefillMillis(view, peers, query, nowNanos);
 	}
 
 	/**
@@ -50,17 +50,22 @@
 	 * @param peers the upstreams of the model
 	 * @param query the request
 	 * @param weight how much more a millisecond of that prefill counts
+	 * @param queueFactor the queue to assume where the report is stale, relative to the
+	 * mean of the model's upstreams; 1 for the mean
 	 * @param nowNanos the time, in nanoseconds
 	 * @return milliseconds
 	 */
-	public double costMillis(UpstreamView view, ModelUpstreams peers, RouteQuery query, double weight, long nowNanos) {
+	public double costMillis(UpstreamView view, ModelUpstreams peers, RouteQuery query, double weight,
+			double queueFactor, long nowNanos) {
 		double missed = (query.prefixTokens() - cachedTokens(view, query, nowNanos)) * perToken(view, peers);
-		return firstTokenMillis(view, peers, query, nowNanos) + weight * missed;
+		return waitMillis(view, peers, query, queueFactor, nowNanos) + prefillMillis(view, peers, query, nowNanos)
+				+ weight * missed;
 	}
 
-	private double waitMillis(UpstreamView view, ModelUpstreams peers, RouteQuery query, long nowNanos) {
+	private double waitMillis(UpstreamView view, ModelUpstreams peers, RouteQuery query, double queueFactor,
+			long nowNanos) {
 		double trust = this.staleNanos / (double) (this.staleNanos + Math.max(0, view.ageNanos(nowNanos)));
-		double reported = trust * view.reportedTokens() + (1 - trust) * peers.meanReportedTokens();
+		double reported = trust * view.reportedTokens() + (1 - trust) * queueFactor * peers.meanReportedTokens();
 		double queued = reported + view.unreportedTokens();
 		return this.distance.millis(query.dataCentre(), view.spec().dataCentre()) + view.errorMillis(nowNanos)
 				+ queued * perToken(view, peers);
--- a/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/HomeSetChooser.java
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/HomeSetChooser.java
@@ -14,6 +14,12 @@
  * prefix have a random home.
  *
  * <p>
+ * Where a report is stale, the mean queue is assumed. Requests with a prefix spread by
+ * their homes; for those without one, the queue is drawn from an exponential distribution
+ * about that mean, so that entries with the same stale reports do not choose the same
+ * upstream.
+ *
+ * <p>
  * A home of lower rank costs more for an uncached prefix, so that a prefix is not cached
  * in more places than its load needs.
  */
@@ -64,24 +70,29 @@
 			RandomGenerator random) {
 		Shortlist fresh = fresh(query, upstreams, nowNanos, random);
 		if (!fresh.isEmpty()) {
-			return cheapest(query, table, upstreams, fresh, nowNanos, ChoiceReason.FRESHEST);
+			return cheapest(query, table, upstreams, fresh, nowNanos, random, ChoiceReason.FRESHEST);
 		}
 		Shortlist few = few(query, upstreams, random);
-		return cheapest(query, table, upstreams, few, nowNanos, ChoiceReason.LOWEST_COST);
+		return cheapest(query, table, upstreams, few, nowNanos, random, ChoiceReason.LOWEST_COST);
 	}
 
 	private Choice cheapest(RouteQuery query, UpstreamTable table, ModelUpstreams upstreams, Shortlist byRank,
-			long nowNanos, ChoiceReason reason) {
+			long nowNanos, RandomGenerator random, ChoiceReason reason) {
 		Shortlist byCost = new Shortlist(this.homes + this.others);
 		double pressure = upstreams.meanReportedTokens() / Math.max(1, query.promptTokens());
 		for (int i = 0; i < byRank.size(); i++) {
 			double weight = table.costs().missWeight() * pressure * (1 + i);
-			double cost = table.costs().costMillis(byRank.view(i), upstreams, query, weight, nowNanos);
+			double cost = table.costs()
+				.costMillis(byRank.view(i), upstreams, query, weight, queueFactor(query, random), nowNanos);
 			byCost.offer(byRank.view(i), cost);
 		}
 		return Choosers.chosen(byCost, reason);
 	}
 
+	private static double queueFactor(RouteQuery query, RandomGenerator random) {
+		return (query.prefixTokens() > 0) ? 1 : random.nextExponential();
+	}
+
 	private Shortlist fresh(RouteQuery query, ModelUpstreams upstreams, long nowNanos, RandomGenerator random) {
 		Shortlist fresh = new Shortlist(this.homes + this.others);
 		for (int i = 0; i < upstreams.size(); i++) {
