--- a/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/path/FirstTokenListener.java
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/path/FirstTokenListener.java
@@ -5,6 +5,7 @@
 
 import org.HdrHistogram.Histogram;
 
+import io.bulrushrouter.http.HttpHead;
 import io.bulrushrouter.http.HttpListener;
 
 /**
@@ -26,9 +27,9 @@
 	}
 
 	@Override
-	public void head(int status, String contentType) {
-		if (status != 200) {
-			throw new IllegalStateException("status " + status);
+	public void head(HttpHead head) {
+		if (head.status() != 200) {
+			throw new IllegalStateException("status " + head.status());
 		}
 	}
 
--- a/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/path/PathThroughput.java
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/path/PathThroughput.java
@@ -14,6 +14,7 @@
 import io.bulrushrouter.daemon.demo.Caller;
 import io.bulrushrouter.daemon.demo.Fleet;
 import io.bulrushrouter.http.HttpCaller;
+import io.bulrushrouter.http.HttpHead;
 import io.bulrushrouter.http.HttpListener;
 import io.bulrushrouter.standin.EngineStandin;
 
@@ -95,9 +96,9 @@
 		}
 
 		@Override
-		public void head(int status, String contentType) {
-			if (status != 200) {
-				System.err.println("status " + status);
+		public void head(HttpHead head) {
+			if (head.status() != 200) {
+				System.err.println("status " + head.status());
 			}
 		}
 
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/demo/Caller.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/demo/Caller.java
@@ -8,6 +8,7 @@
 
 import io.bulrushrouter.http.HttpCaller;
 import io.bulrushrouter.http.HttpFlight;
+import io.bulrushrouter.http.HttpHead;
 import io.bulrushrouter.http.HttpListener;
 
 /**
@@ -111,8 +112,8 @@
 		}
 
 		@Override
-		public void head(int headStatus, String contentType) {
-			this.status = headStatus;
+		public void head(HttpHead head) {
+			this.status = head.status();
 		}
 
 		@Override
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/EntryCore.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/EntryCore.java
@@ -64,6 +64,8 @@
 
 	private final Map<UpstreamId, Boolean> listedLeaving = new HashMap<>();
 
+	private final LeavingMemory leaving = new LeavingMemory();
+
 	private long lastNumber;
 
 	private volatile long version;
@@ -95,7 +97,7 @@
 				.ifPresent((open) -> step(open, new EntryEvent.CallerGone()));
 		}
 		else if (input instanceof EntryInput.PeerUp up) {
-			this.routes.reachable(this.links.up(up.connection()), true);
+			greet(up.connection());
 			this.connected = this.links.connected().size();
 		}
 		else if (input instanceof EntryInput.PeerDown down) {
@@ -109,6 +111,14 @@
 		}
 	}
 
+	private void greet(PeerConnection connection) {
+		UpstreamId upstream = this.links.up(connection);
+		boolean lastKnown = this.leaving.lastKnown(upstream, this.time.nanos());
+		connection.send(ControlCodec.encode(new ControlMessages.UpstreamLastKnown(lastKnown)));
+		this.routes.leaving(upstream, lastKnown);
+		this.routes.reachable(upstream, true);
+	}
+
 	private void adopt(EntryInput.Adopted adopted) {
 		if (adopted.inForce().version() <= this.version) {
 			return;
@@ -123,7 +133,11 @@
 		UpstreamId upstream = UpstreamId.of(instance.instance().value());
 		Boolean before = this.listedLeaving.put(upstream, instance.leaving());
 		if (instance.leaving() && !Boolean.TRUE.equals(before)) {
+			this.leaving.heard(upstream, true);
 			this.routes.leaving(upstream, true);
+			this.links.connection(upstream)
+				.ifPresent((connection) -> connection
+					.send(ControlCodec.encode(new ControlMessages.UpstreamLastKnown(true))));
 		}
 	}
 
@@ -158,6 +172,7 @@
 		}
 		else if (control.topic().equals(ControlMessages.UpstreamStateChanged.class.getSimpleName())) {
 			var state = ControlCodec.decode(control, ControlMessages.UpstreamStateChanged.class);
+			this.leaving.heard(upstream, state.leaving());
 			this.routes.leaving(upstream, state.leaving());
 			this.routes.healthy(upstream, state.healthy());
 		}
@@ -203,7 +218,10 @@
 
 	private void lose(PeerConnection connection) {
 		UpstreamId upstream = UpstreamId.of(connection.peer().name());
-		this.links.down(connection).ifPresent((gone) -> this.routes.reachable(gone, false));
+		this.links.down(connection).ifPresent((gone) -> {
+			this.routes.reachable(gone, false);
+			this.leaving.lost(gone, this.time.nanos());
+		});
 		this.connected = this.links.connected().size();
 		List<OpenCall> affected = this.calls.values().stream().filter((open) -> open.uses(connection)).toList();
 		for (OpenCall open : affected) {
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/EntryNode.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/EntryNode.java
@@ -4,7 +4,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -66,8 +65,6 @@
 
 	private static final Duration TICK = Duration.ofMillis(5);
 
-	private static final long LIVE_LIST_MILLIS = 1_000;
-
 	private static final long DRAIN_POLL_MILLIS = 20;
 
 	private static final int SETTLE_TRIES = 5;
@@ -142,8 +139,8 @@
 			this.callers = HttpServer.start(this.bootstrap.network(), settings.callers(), limits, new Callers());
 			this.peerPort = this.peers.listen(settings.peers());
 			this.configurations = ConfigurationSpread.start(settings.process(), this.bootstrap, listed(), this.peers,
-					random, this::adopt);
-			refreshLiveList();
+					random, new ConfigurationSpread.Listener(this::adopt,
+							(instances) -> inbox().offer(new EntryInput.Instances(instances))));
 		}
 		catch (RuntimeException ex) {
 			this.bootstrap.close();
@@ -185,17 +182,6 @@
 		this.evacuation.adopt(next.configuration());
 	}
 
-	private void refreshLiveList() {
-		this.bootstrap.liveList().refresh().thenAccept((answered) -> {
-			if (answered) {
-				this.duty.offer(new EntryInput.Instances(this.bootstrap.liveList().instances()));
-			}
-			if (!this.bootstrap.network().isShuttingDown()) {
-				this.bootstrap.network().schedule(this::refreshLiveList, LIVE_LIST_MILLIS, TimeUnit.MILLISECONDS);
-			}
-		});
-	}
-
 	/**
 	 * Tells whether the entry may be sent requests.
 	 * @return whether it has a configuration and does not drain
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/node/ControlMessages.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/node/ControlMessages.java
@@ -1,5 +1,7 @@
 package io.bulrushrouter.daemon.node;
 
+import io.bulrushrouter.request.ClaimRequest;
+
 /**
  * The control messages between entries and sidecars beside load reports.
  */
@@ -17,6 +19,36 @@
 	public record UpstreamStateChanged(boolean leaving, boolean healthy) {
 	}
 
+	/**
+	 * Entry to sidecar, first on each connection: whether the upstream was leaving when
+	 * this entry last heard of it.
+	 *
+	 * @param leaving whether it was
+	 */
+	public record UpstreamLastKnown(boolean leaving) {
+	}
+
+	/**
+	 * Sidecar to sidecar, to the home of a key's shard: claim this, or free it.
+	 *
+	 * @param request the claim
+	 * @param release whether to free it
+	 */
+	public record AskClaim(ClaimRequest request, boolean release) {
+	}
+
+	/**
+	 * Sidecar to sidecar, from the home: what was decided.
+	 *
+	 * @param request the claim
+	 * @param outcome {@code granted}, {@code key-reused}, {@code held},
+	 * {@code unavailable} or {@code lost}
+	 * @param recent whether a holder's attempt may still be running
+	 * @param retryAfterMillis when to come back, in milliseconds
+	 */
+	public record ClaimDecided(ClaimRequest request, String outcome, boolean recent, long retryAfterMillis) {
+	}
+
 	/**
 	 * Entry to sidecar: say what your upstream does.
 	 *
--- /dev/null
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/ClaimMessages.java
@@ -0,0 +1,71 @@
+package io.bulrushrouter.daemon.sidecar;
+
+import java.util.Optional;
+
+import io.bulrushrouter.daemon.node.ControlMessages.AskClaim;
+import io.bulrushrouter.daemon.node.ControlMessages.ClaimDecided;
+import io.bulrushrouter.request.ClaimMessage;
+import io.bulrushrouter.request.ClaimOutcome;
+import io.bulrushrouter.wire.ControlCodec;
+import io.bulrushrouter.wire.WireMessage;
+
+/**
+ * Turns messages about claims into control messages and back.
+ */
+final class ClaimMessages {
+
+	private ClaimMessages() {
+	}
+
+	static WireMessage.Control encode(ClaimMessage message) {
+		if (message instanceof ClaimMessage.Ask ask) {
+			return ControlCodec.encode(new AskClaim(ask.request(), false));
+		}
+		if (message instanceof ClaimMessage.GiveUp giveUp) {
+			return ControlCodec.encode(new AskClaim(giveUp.request(), true));
+		}
+		ClaimMessage.Settled settled = (ClaimMessage.Settled) message;
+		return ControlCodec.encode(decided(settled));
+	}
+
+	private static ClaimDecided decided(ClaimMessage.Settled settled) {
+		ClaimOutcome outcome = settled.outcome();
+		if (outcome instanceof ClaimOutcome.Granted) {
+			return new ClaimDecided(settled.request(), "granted", false, 0);
+		}
+		if (outcome instanceof ClaimOutcome.KeyReused) {
+			return new ClaimDecided(settled.request(), "key-reused", false, 0);
+		}
+		if (outcome instanceof ClaimOutcome.Held held) {
+			return new ClaimDecided(settled.request(), "held", held.recent(), 0);
+		}
+		if (outcome instanceof ClaimOutcome.Unavailable unavailable) {
+			return new ClaimDecided(settled.request(), "unavailable", false, unavailable.retryAfterMillis());
+		}
+		return new ClaimDecided(settled.request(), "lost", false, 0);
+	}
+
+	static Optional<ClaimMessage> decode(WireMessage.Control control) {
+		if (control.topic().equals(AskClaim.class.getSimpleName())) {
+			AskClaim ask = ControlCodec.decode(control, AskClaim.class);
+			return Optional
+				.of(ask.release() ? new ClaimMessage.GiveUp(ask.request()) : new ClaimMessage.Ask(ask.request()));
+		}
+		if (control.topic().equals(ClaimDecided.class.getSimpleName())) {
+			ClaimDecided decided = ControlCodec.decode(control, ClaimDecided.class);
+			return Optional.of(new ClaimMessage.Settled(decided.request(), outcome(decided)));
+		}
+		return Optional.empty();
+	}
+
+	private static ClaimOutcome outcome(ClaimDecided decided) {
+		return switch (decided.outcome()) {
+			case "granted" -> new ClaimOutcome.Granted();
+			case "key-reused" -> new ClaimOutcome.KeyReused();
+			case "held" -> new ClaimOutcome.Held(decided.recent());
+			case "unavailable" -> new ClaimOutcome.Unavailable(decided.retryAfterMillis());
+			default -> new ClaimOutcome.Lost();
+		};
+	}
+
+}
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/EngineClient.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/EngineClient.java
@@ -8,6 +8,7 @@
 
 import io.bulrushrouter.http.HttpCaller;
 import io.bulrushrouter.http.HttpFlight;
+import io.bulrushrouter.http.HttpHead;
 import io.bulrushrouter.http.HttpListener;
 import io.bulrushrouter.kernel.AttemptId;
 import io.bulrushrouter.kernel.ErrorCode;
@@ -24,6 +25,8 @@
 
 	private static final String RESUME_HEADER = "X-Resume-After-Tokens";
 
+	private static final String VERSION_HEADER = "X-Model-Version";
+
 	private static final String KEY_HEADER = "Idempotency-Key";
 
 	private static final int SERVER_ERROR = 500;
@@ -99,13 +102,14 @@
 		}
 
 		@Override
-		public void head(int status, String contentType) {
-			if (status >= SERVER_ERROR) {
+		public void head(HttpHead head) {
+			if (head.status() >= SERVER_ERROR) {
 				this.failed = true;
 				emit(new SidecarEvent.EngineFailed(this.attempt, ErrorCode.ENGINE_ERROR, true));
 			}
 			else {
-				emit(new SidecarEvent.EngineHead(this.attempt, status, contentType));
+				emit(new SidecarEvent.EngineHead(this.attempt, head.status(), head.contentType(),
+						head.header(VERSION_HEADER).orElse("")));
 			}
 		}
 
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/EngineOrderClient.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/EngineOrderClient.java
@@ -7,6 +7,7 @@
 import java.util.function.Consumer;
 
 import io.bulrushrouter.http.HttpCaller;
+import io.bulrushrouter.http.HttpHead;
 import io.bulrushrouter.http.HttpListener;
 
 /**
@@ -48,8 +49,8 @@
 		}
 
 		@Override
-		public void head(int headStatus, String contentType) {
-			this.status = headStatus;
+		public void head(HttpHead head) {
+			this.status = head.status();
 		}
 
 		@Override
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/ProbeListener.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/ProbeListener.java
@@ -7,6 +7,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 
+import io.bulrushrouter.http.HttpHead;
 import io.bulrushrouter.http.HttpListener;
 
 /**
@@ -30,8 +31,8 @@
 	}
 
 	@Override
-	public void head(int headStatus, String contentType) {
-		this.status = headStatus;
+	public void head(HttpHead head) {
+		this.status = head.status();
 	}
 
 	@Override
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/SidecarCore.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/SidecarCore.java
@@ -14,8 +14,8 @@
 import io.bulrushrouter.kernel.AttemptId;
 import io.bulrushrouter.kernel.ErrorCode;
 import io.bulrushrouter.kernel.TimeSource;
+import io.bulrushrouter.kernel.UpstreamId;
 import io.bulrushrouter.request.CallMessage;
-import io.bulrushrouter.request.Claims;
 import io.bulrushrouter.request.SidecarAction;
 import io.bulrushrouter.request.SidecarCalls;
 import io.bulrushrouter.request.SidecarEvent;
@@ -41,7 +41,7 @@
 
 	private final EngineClient engine;
 
-	private final Claims claims;
+	private final ClaimDesk claims;
 
 	private final OrderDesk orders;
 
@@ -61,9 +61,12 @@
 
 	private boolean draining;
 
+	/** Whether an entry has told that the upstream does not leave. */
+	private boolean open;
+
 	private boolean healthy = true;
 
-	SidecarCore(long incarnation, SidecarCalls calls, EngineClient engine, Claims claims, OrderDesk orders,
+	SidecarCore(long incarnation, SidecarCalls calls, EngineClient engine, ClaimDesk claims, OrderDesk orders,
 			TimeSource time, Metrics metrics) {
 		this.incarnation = incarnation;
 		this.calls = calls;
@@ -82,13 +85,21 @@
 			happen(happened.event());
 		}
 		else if (input instanceof SidecarInput.PeerUp up) {
-			this.entries.put(up.connection().id(), new Entry(up.connection()));
-			tellState(up.connection());
+			if (!isSidecar(up.connection())) {
+				this.entries.put(up.connection().id(), new Entry(up.connection()));
+				tellState(up.connection());
+			}
 		}
 		else if (input instanceof SidecarInput.PeerDown down) {
 			this.entries.remove(down.connection().id());
+			if (isSidecar(down.connection())) {
+				this.claims.lost(UpstreamId.of(down.connection().peer().name()));
+			}
 			step(new SidecarEvent.EntryLost(down.connection().id()));
 		}
+		else if (input instanceof SidecarInput.Sidecars live) {
+			this.claims.live(live.sidecars());
+		}
 		else if (input instanceof SidecarInput.Continue next) {
 			next.action().run();
 		}
@@ -101,6 +112,10 @@
 		}
 	}
 
+	private static boolean isSidecar(PeerConnection connection) {
+		return connection.peer().role().equals(SidecarNode.ROLE);
+	}
+
 	private void hear(SidecarInput.PeerSaid said) {
 		long connection = said.connection().id();
 		if (said.message() instanceof WireMessage.Control control) {
@@ -127,6 +142,24 @@
 			var order = ControlCodec.decode(control, ControlMessages.OrderUpstream.class);
 			this.orders.take(order, this, (answer) -> connection.send(ControlCodec.encode(answer)));
 		}
+		else if (control.topic().equals(ControlMessages.UpstreamLastKnown.class.getSimpleName())) {
+			open(ControlCodec.decode(control, ControlMessages.UpstreamLastKnown.class));
+		}
+		else {
+			ClaimMessages.decode(control)
+				.ifPresent((message) -> this.claims.hear(UpstreamId.of(connection.peer().name()), message));
+		}
+	}
+
+	private void open(ControlMessages.UpstreamLastKnown lastKnown) {
+		if (lastKnown.leaving()) {
+			drain();
+		}
+		else if (!this.open) {
+			this.open = true;
+			step(new SidecarEvent.OpenSign());
+			this.entries.values().forEach((entry) -> tellState(entry.connection));
+		}
 	}
 
 	@Override
@@ -161,6 +194,9 @@
 	}
 
 	private void tellState(PeerConnection connection) {
+		if (!this.open && !this.draining) {
+			return;
+		}
 		connection.send(ControlCodec.encode(new ControlMessages.UpstreamStateChanged(this.draining, this.healthy)));
 	}
 
@@ -169,9 +205,7 @@
 		if (this.calls.nextWakeNanos() <= now) {
 			step(new SidecarEvent.Tick());
 		}
-		if (this.claims.nextWakeNanos() <= now) {
-			this.claims.tick();
-		}
+		this.claims.tick();
 		report(now);
 	}
 
@@ -202,8 +236,7 @@
 			this.engine.cancel(cancel.attempt());
 		}
 		else if (action instanceof SidecarAction.Claim claim) {
-			this.claims.claim(claim.request(),
-					(outcome) -> step(new SidecarEvent.ClaimSettled(claim.request().attempt(), outcome)));
+			this.claims.claim(claim.request());
 		}
 		else if (action instanceof SidecarAction.Release release) {
 			this.claims.release(release.request());
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/SidecarInput.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/SidecarInput.java
@@ -1,5 +1,8 @@
 package io.bulrushrouter.daemon.sidecar;
 
+import java.util.List;
+
+import io.bulrushrouter.kernel.UpstreamId;
 import io.bulrushrouter.request.SidecarEvent;
 import io.bulrushrouter.wire.PeerConnection;
 import io.bulrushrouter.wire.WireMessage;
@@ -24,6 +27,9 @@
 	record EngineLoad(long queuedTokens, int running) implements SidecarInput {
 	}
 
+	record Sidecars(List<UpstreamId> sidecars) implements SidecarInput {
+	}
+
 	record Health(boolean healthy) implements SidecarInput {
 	}
 
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/SidecarNode.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/SidecarNode.java
@@ -1,6 +1,7 @@
 package io.bulrushrouter.daemon.sidecar;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -18,11 +19,16 @@
 import io.bulrushrouter.daemon.spread.InForce;
 import io.bulrushrouter.http.HttpLimits;
 import io.bulrushrouter.http.HttpServer;
+import io.bulrushrouter.kernel.InstanceId;
 import io.bulrushrouter.kernel.OrganisationId;
 import io.bulrushrouter.kernel.TimeSource;
+import io.bulrushrouter.kernel.UpstreamId;
 import io.bulrushrouter.kernel.duty.Duty;
 import io.bulrushrouter.kernel.store.LiveInstance;
+import io.bulrushrouter.request.ClaimMessage;
+import io.bulrushrouter.request.ClaimRouter;
 import io.bulrushrouter.request.Claims;
+import io.bulrushrouter.request.ClaimsPolicy;
 import io.bulrushrouter.request.SidecarCalls;
 import io.bulrushrouter.request.SidecarEvent;
 import io.bulrushrouter.request.SidecarPolicy;
@@ -49,6 +55,8 @@
 
 	private static final long PROBE_INTERVAL_MILLIS = 250;
 
+	private static final Duration CLAIM_ANSWER = Duration.ofSeconds(2);
+
 	private static final long DRAIN_POLL_MILLIS = 20;
 
 	private final SidecarSettings settings;
@@ -88,7 +96,7 @@
 			LiveInstance self = new LiveInstance(settings.process().name(), settings.process().dataCentre(), ROLE,
 					settings.peers().getAddress().getHostAddress() + ":" + this.peerPort, false);
 			this.configurations = ConfigurationSpread.start(settings.process(), this.bootstrap, self, this.peers,
-					random, this::adopt);
+					random, new ConfigurationSpread.Listener(this::adopt, this::listed));
 			this.bootstrap.metrics().gauge("wire.sent.request.bytes", () -> this.peers.counters().requestBytes());
 			this.bootstrap.metrics().gauge("wire.sent.control.bytes", () -> this.peers.counters().controlBytes());
 			this.bootstrap.metrics().gauge("sidecar.ring.backlog", this.duty::backlog);
@@ -104,13 +112,17 @@
 	private SidecarCore core(long incarnation) {
 		EngineClient engine = new EngineClient(this.bootstrap.caller(), this.settings.url(),
 				(event) -> this.duty.put(new SidecarInput.Happened(event)));
-		SidecarCalls calls = SidecarCalls.of(incarnation, SidecarPolicy.of(this.settings.concurrency()),
+		SidecarCalls calls = SidecarCalls.ofClosed(incarnation, SidecarPolicy.of(this.settings.concurrency()),
 				new FairCallQueue(FairQueueSettings.of(this.settings.concurrency(), this::weight), System.nanoTime()));
 		Claims claims = Claims.builder(this.bootstrap.store(), incarnation).executor(this::onDuty).build();
 		Optional<EngineOrderClient> orderClient = this.settings.service() ? Optional.empty()
 				: Optional.of(new EngineOrderClient(this.bootstrap.caller(), this.settings.url()));
 		OrderDesk orders = new OrderDesk(this.bootstrap.store(), orderClient, this::onDuty);
-		return new SidecarCore(incarnation, calls, engine, claims, orders, TimeSource.ofSystem(),
+		ClaimDesk claimDesk = new ClaimDesk(
+				ClaimRouter.of(this.settings.upstream(), ClaimsPolicy.ofDefaults(), CLAIM_ANSWER), claims,
+				TimeSource.ofSystem(), this::tellSidecar, (attempt, outcome) -> this.duty
+					.put(new SidecarInput.Happened(new SidecarEvent.ClaimSettled(attempt, outcome))));
+		return new SidecarCore(incarnation, calls, engine, claimDesk, orders, TimeSource.ofSystem(),
 				this.bootstrap.metrics());
 	}
 
@@ -125,6 +137,17 @@
 		return this.weights.getOrDefault(organisation, 1.0);
 	}
 
+	private void tellSidecar(UpstreamId sidecar, ClaimMessage message) {
+		this.configurations.send(InstanceId.of(sidecar.value()), ClaimMessages.encode(message));
+	}
+
+	private void listed(List<LiveInstance> instances) {
+		this.duty.offer(new SidecarInput.Sidecars(instances.stream()
+			.filter((instance) -> instance.role().equals(ROLE) && !instance.leaving())
+			.map((instance) -> UpstreamId.of(instance.instance().value()))
+			.toList()));
+	}
+
 	private void onDuty(Runnable action) {
 		this.duty.put(new SidecarInput.Continue(action));
 	}
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/SidecarSettings.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/SidecarSettings.java
@@ -42,6 +42,9 @@
 	 */
 	public static SidecarSettings of(Settings settings) {
 		settings.requireKnown(KNOWN);
+		if (!settings.text("process", "name").equals(settings.text("upstream", "name"))) {
+			throw settings.failure("process", "name", "must be the upstream's name");
+		}
 		return new SidecarSettings(ProcessSettings.of(settings),
 				settings.value("peers", "listen", ProcessSettings::socketAddress),
 				settings.value("operators", "listen", ProcessSettings::socketAddress),
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/spread/ConfigurationSpread.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/spread/ConfigurationSpread.java
@@ -57,7 +57,7 @@
 
 	private final RandomGenerator random;
 
-	private final Consumer<InForce> consumer;
+	private final Listener listener;
 
 	private final TimeSource time = TimeSource.ofSystem();
 
@@ -76,12 +76,12 @@
 	private long listAskedNanos = Long.MIN_VALUE / 2;
 
 	private ConfigurationSpread(ProcessSettings process, Bootstrap bootstrap, LiveInstance self, PeerNetwork network,
-			RandomGenerator random, Consumer<InForce> consumer) {
+			RandomGenerator random, Listener listener) {
 		this.process = process;
 		this.bootstrap = bootstrap;
 		this.self = self;
 		this.random = random;
-		this.consumer = consumer;
+		this.listener = listener;
 		this.node = ConfigurationNode.of(process.name(), Set.of(SCOPE), ConfigurationSpread::problem,
 				SpreadTerms.DEFAULT);
 		this.peers = new PeerDirectory(network, this::address);
@@ -100,13 +100,12 @@
 	 * @param self this process as the live list would show it
 	 * @param network the process's connections
 	 * @param random the source of choices
-	 * @param consumer takes each configuration that comes in force, on the spread's
-	 * thread
+	 * @param listener hears of configurations and of the list, on the spread's thread
 	 * @return the running spread
 	 */
 	public static ConfigurationSpread start(ProcessSettings process, Bootstrap bootstrap, LiveInstance self,
-			PeerNetwork network, RandomGenerator random, Consumer<InForce> consumer) {
-		return new ConfigurationSpread(process, bootstrap, self, network, random, consumer);
+			PeerNetwork network, RandomGenerator random, Listener listener) {
+		return new ConfigurationSpread(process, bootstrap, self, network, random, listener);
 	}
 
 	private static Optional<String> problem(ConfigurationMessage.Document document) {
@@ -144,15 +143,19 @@
 		long now = this.time.nanos();
 		if (now - this.listAskedNanos > LIVE_LIST_NANOS) {
 			this.listAskedNanos = now;
-			this.bootstrap.liveList()
-				.refresh()
-				.thenAccept((answered) -> put(() -> this.view = view(this.bootstrap.liveList().instances())));
+			this.bootstrap.liveList().refresh().thenAccept((answered) -> put(this::takeList));
 		}
 		this.relay.tick(this.view.isRelay());
 		apply(this.node.onTick(now, this.view, this.random));
 		this.peers.closeIdle(now);
 	}
 
+	private void takeList() {
+		List<LiveInstance> instances = this.bootstrap.liveList().instances();
+		this.view = view(instances);
+		this.listener.listed().accept(instances);
+	}
+
 	private void stored(RelayWatch.Stored stored) {
 		apply(this.node.onStored(stored.scope(), stored.document(), this.time.nanos(), this.view));
 	}
@@ -169,7 +172,7 @@
 
 	private void handOver(ConfigurationMessage.Document document) {
 		this.handedOver = document.version();
-		this.consumer.accept(new InForce(document.version(), Configuration.ofJson(document.body())));
+		this.listener.adopted().accept(new InForce(document.version(), Configuration.ofJson(document.body())));
 	}
 
 	private static void log(Effects.Decision decision) {
@@ -217,6 +220,16 @@
 					this.node.onMessage(PeerDirectory.instanceOf(connection), message, this.time.nanos(), this.view))));
 	}
 
+	/**
+	 * Sends a control message to another process, over a new connection if there is none;
+	 * it is dropped if the process cannot be reached.
+	 * @param to the process's instance
+	 * @param message the message
+	 */
+	public void send(InstanceId to, WireMessage.Control message) {
+		put(() -> this.peers.send(to, message, this.time.nanos()));
+	}
+
 	/**
 	 * Returns the versions in force at the nodes that this process has heard of; complete
 	 * for its data centre at a relay.
@@ -233,4 +246,13 @@
 		this.duty.close();
 	}
 
+	/**
+	 * Hears what a process's other duties need.
+	 *
+	 * @param adopted takes each configuration that comes in force
+	 * @param listed takes the platform's list of instances, each time it was read
+	 */
+	public record Listener(Consumer<InForce> adopted, Consumer<List<LiveInstance>> listed) {
+	}
+
 }
--- a/bulrushrouter-http/src/main/java/io/bulrushrouter/http/HttpFlight.java
+++ b/bulrushrouter-http/src/main/java/io/bulrushrouter/http/HttpFlight.java
@@ -1,6 +1,8 @@
 package io.bulrushrouter.http;
 
 import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
 
 import io.netty.channel.Channel;
@@ -76,8 +78,9 @@
 	@Override
 	public State onHeadersReceived(HttpHeaders headers) {
 		if (!this.cancelled) {
-			String contentType = headers.get(HttpHeaderNames.CONTENT_TYPE, "");
-			this.listener.head(this.status, contentType);
+			Map<String, String> byName = new HashMap<>();
+			headers.forEach((header) -> byName.put(header.getKey(), header.getValue()));
+			this.listener.head(new HttpHead(this.status, headers.get(HttpHeaderNames.CONTENT_TYPE, ""), byName));
 		}
 		return next();
 	}
--- a/bulrushrouter-http/src/main/java/io/bulrushrouter/http/HttpListener.java
+++ b/bulrushrouter-http/src/main/java/io/bulrushrouter/http/HttpListener.java
@@ -7,10 +7,9 @@
 
 	/**
 	 * Takes the head.
-	 * @param status the HTTP status
-	 * @param contentType the content type, empty if there is none
+	 * @param head status and headers
 	 */
-	void head(int status, String contentType);
+	void head(HttpHead head);
 
 	/**
 	 * Takes a part of the body.
--- a/bulrushrouter-standin/src/main/java/io/bulrushrouter/standin/EngineStandin.java
+++ b/bulrushrouter-standin/src/main/java/io/bulrushrouter/standin/EngineStandin.java
@@ -297,7 +297,7 @@
 		private void start() {
 			if (!this.started) {
 				this.started = true;
-				this.exchange.start(HttpReply.ofHead(200, "text/event-stream"));
+				this.exchange.start(HttpReply.ofHead(200, "text/event-stream").withHeader("X-Model-Version", "1"));
 			}
 		}
 
--- a/bulrushrouter-wire/src/main/java/io/bulrushrouter/wire/WireCodec.java
+++ b/bulrushrouter-wire/src/main/java/io/bulrushrouter/wire/WireCodec.java
@@ -101,7 +101,7 @@
 		}
 		else if (message instanceof CallMessage.Head head) {
 			packStart(packer, HEAD, head.attempt()).packInt(head.sequence()).packInt(head.status());
-			packer.packString(head.contentType());
+			packer.packString(head.contentType()).packString(head.modelVersion());
 		}
 		else if (message instanceof CallMessage.End end) {
 			packStart(packer, END, end.attempt()).packInt(end.sequence()).packLong(end.totalBytes());
@@ -151,8 +151,8 @@
 			case DATA -> unpackData(unpacker, attempt);
 			case CALL -> unpackCallBody(unpacker, attempt);
 			case CANCEL -> new CallMessage.Cancel(attempt);
-			case HEAD ->
-				new CallMessage.Head(attempt, unpacker.unpackInt(), unpacker.unpackInt(), unpacker.unpackString());
+			case HEAD -> new CallMessage.Head(attempt, unpacker.unpackInt(), unpacker.unpackInt(),
+					unpacker.unpackString(), unpacker.unpackString());
 			case END -> new CallMessage.End(attempt, unpacker.unpackInt(), unpacker.unpackLong());
 			case NOT_RUN -> new CallMessage.NotRun(attempt, unpackCode(unpacker), unpacker.unpackLong());
 			case FAILED -> new CallMessage.Failed(attempt, unpackCode(unpacker));
