--- a/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/ConditionalObject.java
+++ b/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/ConditionalObject.java
@@ -1,5 +1,6 @@
 package io.bulrushrouter.evacuation;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -58,6 +59,22 @@
 		});
 	}
 
+	// Carries the content only if it has changed.
+	CompletionStage<Loaded<T>> refresh(Stored<T> known) {
+		if (known.version() == Write.ABSENT) {
+			return read();
+		}
+		return this.store.watch(this.key, known.version(), Duration.ZERO).thenApply((result) -> {
+			if (result instanceof ReadResult.Found found) {
+				return new Loaded.Found<>(stored(found.object()));
+			}
+			if (result instanceof ReadResult.Unavailable unavailable) {
+				return new Loaded.Unavailable<>(unavailable.reason());
+			}
+			return new Loaded.Found<>(known);
+		});
+	}
+
 	CompletionStage<StoreOutcome<T>> write(Stored<T> base, T value, String mark) {
 		Write write = new Write(this.key, base.version(), EvacuationJson.write(value), new WriterMark(mark));
 		return send(new Attempt<>(write, base.value(), value), 1);
@@ -93,7 +110,13 @@
 		boolean mine = object.writer().equals(attempt.write().writer())
 				|| this.holds.test(current.value(), attempt.write().writer().value());
 		return mine ? new StoreOutcome.Written<>(current)
-				: new StoreOutcome.Conflict<>(current, this.difference.apply(attempt.base(), current.value()));
+				: new StoreOutcome.Conflict<>(current, difference(attempt, current.value()));
+	}
+
+	// From what the writer had seen, or else from what he wanted.
+	private List<String> difference(Attempt<T> attempt, T current) {
+		T from = attempt.base().equals(current) ? attempt.value() : attempt.base();
+		return this.difference.apply(from, current);
 	}
 
 	private Stored<T> stored(Versioned object) {
--- a/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/EvacuationState.java
+++ b/bulrushrouter-evacuation/src/main/java/io/bulrushrouter/evacuation/EvacuationState.java
@@ -114,6 +114,24 @@
 		return this.history.stream().anyMatch((change) -> change.mark().equals(mark));
 	}
 
+	/**
+	 * Returns the newest change.
+	 * @return the change
+	 */
+	public Change lastChange() {
+		return this.history.get(this.history.size() - 1);
+	}
+
+	/**
+	 * Returns what differs in another state.
+	 * @param other the other state
+	 * @return one line for each difference, from this state to the other, and who made
+	 * the other
+	 */
+	public List<String> difference(EvacuationState other) {
+		return StateDifference.lines(this, other);
+	}
+
 	/**
 	 * Returns a history with one more change, without its oldest if it is full.
 	 * @param history the changes, oldest first
--- a/bulrushrouter-request/src/test/java/io/bulrushrouter/request/FaultMatrixTests.java
+++ b/bulrushrouter-request/src/test/java/io/bulrushrouter/request/FaultMatrixTests.java
@@ -6,8 +6,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.LongStream;
 import java.util.stream.Stream;
 
 import org.junit.jupiter.api.AfterAll;
@@ -27,11 +29,14 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 /**
- * Every fault at every step of a request's and its claim's life, singly and in pairs.
+ * Every fault at every step of a request's and its claim's life, singly and in pairs, and
+ * samples of more faults at once.
  */
 class FaultMatrixTests {
 
-	private static final long SEED = 1;
+	private static final long SEED = Long.getLong("fault.seed", 1);
+
+	private static final long SAMPLES = Long.getLong("fault.samples", 20_000);
 
 	private static final List<Injection> INJECTIONS = Stream.of(Fault.values())
 		.flatMap((fault) -> Stream.of(Step.values()).map((step) -> new Injection(step, fault)))
@@ -71,6 +76,29 @@
 		}
 	}
 
+	@ParameterizedTest
+	@EnumSource(value = Fault.class, names = { "ENTRY_DIES", "CALLER_GONE" }, mode = EnumSource.Mode.EXCLUDE)
+	void answersHedgedReadsUnderEachFault(Fault fault) {
+		for (Step step : Step.values()) {
+			FaultCell cell = new FaultCell(Kind.HEDGED_READ, SEED, List.of(new Injection(step, fault)));
+			assertWithMessage(cell.toString()).that(new SimulatedSystem(cell, Guards.ALL).run().watched().complete)
+				.isTrue();
+		}
+	}
+
+	@ParameterizedTest
+	@EnumSource(value = Fault.class, mode = EnumSource.Mode.EXCLUDE,
+			names = { "ENTRY_DIES", "CALLER_GONE", "MESSAGE_LOST", "RANK_STALLED" })
+	void answersStreamsUnderEachFaultButSilentLossAndAStallPastTheDeadline(Fault fault) {
+		for (Step step : Step.values()) {
+			for (Kind kind : List.of(Kind.READ, Kind.RESUMED_STREAM, Kind.RERUN_STREAM)) {
+				FaultCell cell = new FaultCell(kind, SEED, List.of(new Injection(step, fault)));
+				assertWithMessage(cell.toString()).that(new SimulatedSystem(cell, Guards.ALL).run().watched().complete)
+					.isTrue();
+			}
+		}
+	}
+
 	private static boolean isNewPair(Injection first, Injection second, Set<Step> reached, Kind kind) {
 		if (second.fault().compareTo(first.fault()) < 0
 				|| (second.fault() == first.fault() && second.step().compareTo(first.step()) <= 0)) {
@@ -90,6 +118,24 @@
 		return system.reached();
 	}
 
+	@Test
+	void holdsUnderThreeToFiveFaults() {
+		List<String> failures = Collections.synchronizedList(new ArrayList<>());
+		LongStream.range(0, SAMPLES)
+			.parallel()
+			.mapToObj(FaultMatrixTests::sample)
+			.forEach((cell) -> run(cell, failures));
+		assertWithMessage(String.join("\n", failures)).that(failures.size()).isEqualTo(0);
+	}
+
+	private static FaultCell sample(long number) {
+		SplittableRandom random = new SplittableRandom(SEED * SAMPLES + number);
+		List<Injection> some = random.ints(3 + random.nextInt(3), 0, INJECTIONS.size())
+			.mapToObj(INJECTIONS::get)
+			.toList();
+		return new FaultCell(Kind.values()[random.nextInt(Kind.values().length)], random.nextInt(1000), some);
+	}
+
 	@Test
 	@EnabledIfSystemProperty(named = "fault.cell", matches = ".+")
 	void holdsInOneCell() {
--- a/bulrushrouter-request/src/test/java/io/bulrushrouter/request/SidecarCallsTests.java
+++ b/bulrushrouter-request/src/test/java/io/bulrushrouter/request/SidecarCallsTests.java
@@ -150,6 +150,19 @@
 		assertThat(runs()).isEqualTo(2);
 	}
 
+	@Test
+	void keepsNoReadOfAnEarlierModelVersion() {
+		call(1, read("a"));
+		answer(1, "x");
+		call(2, read("b"));
+		on(new SidecarEvent.EngineChanged());
+		answer(2, "y");
+		call(3, read("a"));
+		answer(3, "z");
+		call(4, read("b"));
+		assertThat(runs()).isEqualTo(4);
+	}
+
 	@Test
 	void keepsRunningForAnEqualReadWhenTheFirstIsCancelled() {
 		call(1, read("a"));
@@ -207,6 +220,19 @@
 		assertThat(runs()).isEqualTo(1);
 	}
 
+	@Test
+	void takesNothingBeforeItKnowsWhetherItLeaves() {
+		SidecarCalls closed = SidecarCalls.ofClosed(INCARNATION, SidecarPolicy.of(1), CallQueue.ofFifo(2));
+		for (long number = 1; number <= 2; number++) {
+			closed.on(
+					new SidecarEvent.Arrived(1, INCARNATION, new CallMessage.Call(attempt(number), read("a"), 1000, 0)),
+					0, this.actions::add);
+			closed.on(new SidecarEvent.OpenSign(), 0, this.actions::add);
+		}
+		assertThat(lastReply(1)).isEqualTo(new CallMessage.NotRun(attempt(1), ErrorCode.NOT_READY, 0));
+		assertThat(runs()).isEqualTo(1);
+	}
+
 	@Test
 	void releasesAClaimThatIsGrantedAfterTheDrainSign() {
 		call(1, spec("bakery", CallKind.SERVICE, false, "a"));
