--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/CallParser.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/CallParser.java
@@ -52,12 +52,9 @@
 
 	private static final int MAX_KEY_LENGTH = 256;
 
-	private static final int PREFIX_CHARACTERS = 256;
-
 	private static final int CHARACTERS_PER_TOKEN = 4;
 
-	/** The part of a prompt that prefix caches are matched by, in tokens. */
-	static final int PREFIX_TOKENS = PREFIX_CHARACTERS / CHARACTERS_PER_TOKEN;
+	private static final int PREFIX_CHARACTERS = RequestSpec.MAX_PREFIX_TOKENS * CHARACTERS_PER_TOKEN;
 
 	private static final long SEED_MASK = 0x7fff_ffffL;
 
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/EntryCore.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/EntryCore.java
@@ -64,6 +64,8 @@
 
 	private final Map<UpstreamId, Boolean> listedLeaving = new HashMap<>();
 
+	private final ProbeRounds probes = new ProbeRounds();
+
 	private final LeavingMemory leaving = new LeavingMemory();
 
 	private long lastNumber;
@@ -153,7 +155,24 @@
 		OpenCall open = new OpenCall(arrived.exchange(), arrived.spec(), call, this.time.nanos());
 		this.calls.put(id.number(), open);
 		arrived.exchange().onClosed(() -> this.inbox.accept(new EntryInput.CallerGone(id.number())));
-		step(open, new EntryEvent.Start());
+		probe(open);
+	}
+
+	private void probe(OpenCall open) {
+		long request = open.call.id().number();
+		this.probes.begin(request, this.time.nanos());
+		for (UpstreamId upstream : this.routes.probes(open.spec, this.time.nanos())) {
+			this.links.connection(upstream)
+				.ifPresent((connection) -> connection.send(ControlCodec
+					.encode(new ControlMessages.Probe(this.probes.ask(request), open.spec.prefixDigest()))));
+		}
+		if (this.probes.isEmpty(request)) {
+			start(this.probes.finish(request));
+		}
+	}
+
+	private void start(long request) {
+		Optional.ofNullable(this.calls.get(request)).ifPresent((open) -> step(open, new EntryEvent.Start()));
 	}
 
 	private void hear(EntryInput.PeerSaid said) {
@@ -170,6 +189,11 @@
 		if (control.topic().equals(LoadReport.class.getSimpleName())) {
 			this.routes.reported(upstream, ControlCodec.decode(control, LoadReport.class), this.time.nanos());
 		}
+		else if (control.topic().equals(ControlMessages.ProbeAnswer.class.getSimpleName())) {
+			var answer = ControlCodec.decode(control, ControlMessages.ProbeAnswer.class);
+			this.routes.reported(upstream, answer.report(), this.time.nanos());
+			start(this.probes.answered(answer.question()));
+		}
 		else if (control.topic().equals(ControlMessages.UpstreamStateChanged.class.getSimpleName())) {
 			var state = ControlCodec.decode(control, ControlMessages.UpstreamStateChanged.class);
 			this.leaving.heard(upstream, state.leaving());
@@ -237,6 +261,7 @@
 
 	void tick() {
 		long now = this.time.nanos();
+		this.probes.expired(now).forEach(this::start);
 		List<OpenCall> due = this.calls.values().stream().filter((open) -> open.call.nextWakeNanos() <= now).toList();
 		due.forEach((open) -> step(open, new EntryEvent.Tick()));
 	}
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/RouteBook.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/RouteBook.java
@@ -113,18 +113,25 @@
 
 	Optional<UpstreamId> pick(RequestId id, RequestSpec spec, Set<UpstreamId> excluded, long now) {
 		this.ejection.applyTo(this.table, now);
+		Choice choice = this.chooser.choose(query(spec, avoided(excluded)), this.table, now, this.random);
+		log(id, spec, choice);
+		return choice.upstream();
+	}
+
+	List<UpstreamId> probes(RequestSpec spec, long now) {
+		return this.chooser.probes(query(spec, avoided(Set.of())), this.table, now, this.random);
+	}
+
+	private Set<UpstreamId> avoided(Set<UpstreamId> excluded) {
 		Set<UpstreamId> avoided = new HashSet<>(excluded);
 		avoided.addAll(this.unreachable);
 		avoided.addAll(this.unhealthy);
-		Choice choice = this.chooser.choose(query(spec, avoided), this.table, now, this.random);
-		log(id, spec, choice);
-		return choice.upstream();
+		return avoided;
 	}
 
 	private RouteQuery query(RequestSpec spec, Set<UpstreamId> excluded) {
-		int prefixTokens = Math.min(spec.promptTokens(), CallParser.PREFIX_TOKENS);
-		return new RouteQuery(spec.model(), spec.organisation(), spec.priority(), spec.prefixDigest(), prefixTokens,
-				Math.max(1, spec.promptTokens()), this.dataCentre, excluded);
+		return new RouteQuery(spec.model(), spec.organisation(), spec.priority(), spec.prefixDigest(),
+				spec.prefixTokens(), Math.max(1, spec.promptTokens()), this.dataCentre, excluded);
 	}
 
 	private static void log(RequestId id, RequestSpec spec, Choice choice) {
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/node/ControlMessages.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/node/ControlMessages.java
@@ -1,6 +1,7 @@
 package io.bulrushrouter.daemon.node;
 
 import io.bulrushrouter.request.ClaimRequest;
+import io.bulrushrouter.routing.LoadReport;
 
 /**
  * The control messages between entries and sidecars beside load reports.
@@ -49,6 +50,24 @@
 	public record ClaimDecided(ClaimRequest request, String outcome, boolean recent, long retryAfterMillis) {
 	}
 
+	/**
+	 * Entry to sidecar: how busy is your upstream now?
+	 *
+	 * @param question the question's number at the entry
+	 * @param prefixDigest the prompt prefix that the entry asks about
+	 */
+	public record Probe(long question, long prefixDigest) {
+	}
+
+	/**
+	 * Sidecar to entry: the answer to a probe.
+	 *
+	 * @param question the question's number at the entry
+	 * @param report the upstream's load at this moment
+	 */
+	public record ProbeAnswer(long question, LoadReport report) {
+	}
+
 	/**
 	 * Entry to sidecar: say what your upstream does.
 	 *
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/SidecarCore.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/SidecarCore.java
@@ -53,11 +53,9 @@
 
 	private final Map<SidecarAction.Decision, Counter> decisions = new HashMap<>();
 
-	private SidecarInput.EngineLoad load = new SidecarInput.EngineLoad(0, 0);
+	private final LoadWatch load;
 
-	private long loadNanos;
-
-	private long reportSequence;
+	private CallMessage.Call arriving;
 
 	private boolean draining;
 
@@ -73,6 +71,7 @@
 		this.engine = engine;
 		this.claims = claims;
 		this.orders = orders;
+		this.load = load;
 		this.time = time;
 		this.metrics = metrics;
 	}
@@ -106,9 +105,8 @@
 		else if (input instanceof SidecarInput.Health health) {
 			become(health.healthy());
 		}
-		else if (input instanceof SidecarInput.EngineLoad newLoad) {
-			this.load = newLoad;
-			this.loadNanos = this.time.nanos();
+		else if (input instanceof SidecarInput.EngineLoad engine) {
+			this.load.kvUse(engine.kvUse());
 		}
 	}
 
@@ -126,6 +124,7 @@
 		}
 		if (ofCall.message() instanceof CallMessage.Call call) {
 			Optional.ofNullable(this.entries.get(connection)).ifPresent((entry) -> entry.workNanos = this.time.nanos());
+			this.arriving = call;
 			step(new SidecarEvent.Arrived(connection, this.incarnation, call));
 		}
 		else if (ofCall.message() instanceof CallMessage.Cancel cancel) {
@@ -142,6 +141,11 @@
 			var order = ControlCodec.decode(control, ControlMessages.OrderUpstream.class);
 			this.orders.take(order, this, (answer) -> connection.send(ControlCodec.encode(answer)));
 		}
+		else if (control.topic().equals(ControlMessages.Probe.class.getSimpleName())) {
+			var probe = ControlCodec.decode(control, ControlMessages.Probe.class);
+			LoadReport report = this.load.report(List.of(probe.prefixDigest()), this.time.nanos());
+			connection.send(ControlCodec.encode(new ControlMessages.ProbeAnswer(probe.question(), report)));
+		}
 		else if (control.topic().equals(ControlMessages.UpstreamLastKnown.class.getSimpleName())) {
 			open(ControlCodec.decode(control, ControlMessages.UpstreamLastKnown.class));
 		}
@@ -170,9 +174,11 @@
 	private void happen(SidecarEvent event) {
 		if (event instanceof SidecarEvent.EngineEnd end) {
 			this.engine.ended(end.attempt());
+			this.load.ended(end.attempt());
 		}
 		else if (event instanceof SidecarEvent.EngineFailed failed) {
 			this.engine.ended(failed.attempt());
+			this.load.ended(failed.attempt());
 			if (failed.code() == ErrorCode.ENGINE_UNREACHABLE) {
 				become(false);
 			}
@@ -213,14 +219,15 @@
 		for (Entry entry : this.entries.values()) {
 			if (now - entry.workNanos < INTEREST_NANOS && now - entry.reportNanos >= REPORT_NANOS) {
 				entry.reportNanos = now;
-				this.reportSequence++;
-				entry.connection.send(ControlCodec.encode(new LoadReport(this.incarnation, this.reportSequence,
-						now - this.loadNanos, this.load.queuedTokens(), this.load.running(), 0, 0, List.of())));
+				entry.connection.send(ControlCodec.encode(this.load.report(List.of(), now)));
 			}
 		}
 	}
 
 	private void step(SidecarEvent event) {
+		if (event instanceof SidecarEvent.EngineData data) {
+			this.load.answering(data.attempt(), this.time.nanos());
+		}
 		this.calls.on(event, this.time.nanos(), this::perform);
 	}
 
@@ -242,10 +249,20 @@
 			this.claims.release(release.request());
 		}
 		else if (action instanceof SidecarAction.Decided decided) {
+			watch(decided.attempt(), decided.decision());
 			log(decided.attempt(), decided.decision(), decided.code());
 		}
 	}
 
+	private void watch(AttemptId attempt, SidecarAction.Decision decision) {
+		switch (decision) {
+			case QUEUED -> this.load.accepted(attempt, this.arriving.spec(), this.time.nanos());
+			case ANSWERED, NOT_RUN, FAILED -> this.load.ended(attempt);
+			default -> {
+			}
+		}
+	}
+
 	private void log(AttemptId attempt, SidecarAction.Decision decision, Optional<ErrorCode> code) {
 		this.decisions
 			.computeIfAbsent(decision, (key) -> this.metrics.counter("sidecar.decisions", "decision", key.name()))
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/SidecarInput.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/SidecarInput.java
@@ -24,7 +24,7 @@
 	record Happened(SidecarEvent event) implements SidecarInput {
 	}
 
-	record EngineLoad(long queuedTokens, int running) implements SidecarInput {
+	record EngineLoad(double kvUse) implements SidecarInput {
 	}
 
 	record Sidecars(List<UpstreamId> sidecars) implements SidecarInput {
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/SidecarNode.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/SidecarNode.java
@@ -33,6 +33,7 @@
 import io.bulrushrouter.request.SidecarEvent;
 import io.bulrushrouter.request.SidecarPolicy;
 import io.bulrushrouter.routing.FairQueueSettings;
+import io.bulrushrouter.routing.LoadTracker;
 import io.bulrushrouter.wire.PeerConnection;
 import io.bulrushrouter.wire.PeerHandler;
 import io.bulrushrouter.wire.PeerNetwork;
@@ -55,6 +56,9 @@
 
 	private static final long PROBE_INTERVAL_MILLIS = 250;
 
+	/** What an engine's prefix cache is taken to hold, in tokens. */
+	private static final long PREFIX_CACHE_TOKENS = 60_000;
+
 	private static final Duration CLAIM_ANSWER = Duration.ofSeconds(2);
 
 	private static final long DRAIN_POLL_MILLIS = 20;
@@ -118,11 +122,12 @@
 		Optional<EngineOrderClient> orderClient = this.settings.service() ? Optional.empty()
 				: Optional.of(new EngineOrderClient(this.bootstrap.caller(), this.settings.url()));
 		OrderDesk orders = new OrderDesk(this.bootstrap.store(), orderClient, this::onDuty);
+		LoadWatch load = new LoadWatch(LoadTracker.of(incarnation, PREFIX_CACHE_TOKENS, System.nanoTime()));
 		ClaimDesk claimDesk = new ClaimDesk(
 				ClaimRouter.of(this.settings.upstream(), ClaimsPolicy.ofDefaults(), CLAIM_ANSWER), claims,
 				TimeSource.ofSystem(), this::tellSidecar, (attempt, outcome) -> this.duty
 					.put(new SidecarInput.Happened(new SidecarEvent.ClaimSettled(attempt, outcome))));
-		return new SidecarCore(incarnation, calls, engine, claimDesk, orders, TimeSource.ofSystem(),
+		return new SidecarCore(incarnation, calls, engine, claimDesk, orders, load, TimeSource.ofSystem(),
 				this.bootstrap.metrics());
 	}
 
--- a/bulrushrouter-request/src/main/java/io/bulrushrouter/request/RequestSpec.java
+++ b/bulrushrouter-request/src/main/java/io/bulrushrouter/request/RequestSpec.java
@@ -30,6 +30,11 @@
 		byte[] body, Priority priority, boolean idempotent, Optional<String> idempotencyKey, boolean stream,
 		long digest, long prefixDigest, int promptTokens) {
 
+	/**
+	 * The longest leading part of a prompt that prefix caches are matched by, in tokens.
+	 */
+	public static final int MAX_PREFIX_TOKENS = 1_024;
+
 	/**
 	 * Checks the parts.
 	 */
@@ -44,6 +49,14 @@
 		Objects.requireNonNull(idempotencyKey);
 	}
 
+	/**
+	 * Returns the length of the prompt's leading part.
+	 * @return the part that {@link #prefixDigest} is a hash of, in tokens
+	 */
+	public int prefixTokens() {
+		return Math.min(this.promptTokens, MAX_PREFIX_TOKENS);
+	}
+
 	/**
 	 * Returns a builder.
 	 * @return the builder
