Say that the drivers' executors must drop no answer

Cause: an answer that is dropped leaves a lease, a watch or an engine's orders waiting for it for good. HTTP calls always end, so only a full ring could lose one; the callers are told.

--- a/bulrushrouter-platform/src/main/java/io/bulrushrouter/platform/configuration/RelayDriver.java
+++ b/bulrushrouter-platform/src/main/java/io/bulrushrouter/platform/configuration/RelayDriver.java
@@ -106,7 +106,8 @@
 
 		/**
 		 * Sets what runs the answers.
-		 * @param thread runs them on the caller's thread, such as a duty's ring
+		 * @param thread runs them on the caller's thread, such as a duty's ring; it must
+		 * drop none, since a missing answer ends all further watches
 		 * @return this builder
 		 */
 		public Builder thread(Executor thread) {
--- a/bulrushrouter-platform/src/main/java/io/bulrushrouter/platform/lease/LeaseDriver.java
+++ b/bulrushrouter-platform/src/main/java/io/bulrushrouter/platform/lease/LeaseDriver.java
@@ -37,7 +37,8 @@
 	 * @param lease the lease
 	 * @param store the store, which must not settle lost answers itself
 	 * @param time the clock
-	 * @param thread runs the answers on the caller's thread, such as a duty's ring
+	 * @param thread runs the answers on the caller's thread, such as a duty's ring; it
+	 * must drop none, since a missing answer ends all further actions
 	 * @return the driver
 	 */
 	public static LeaseDriver of(Lease lease, ObjectStore store, TimeSource time, Executor thread) {
--- a/bulrushrouter-platform/src/main/java/io/bulrushrouter/platform/order/EngineOrdersDriver.java
+++ b/bulrushrouter-platform/src/main/java/io/bulrushrouter/platform/order/EngineOrdersDriver.java
@@ -47,7 +47,8 @@
 	 * @param store the platform
 	 * @param lease the lease whose holder gives the orders
 	 * @param time the clock
-	 * @param thread runs the answers on the caller's thread, such as a duty's ring
+	 * @param thread runs the answers on the caller's thread, such as a duty's ring; it
+	 * must drop none, since a missing answer ends all further actions
 	 * @return the driver
 	 */
 	public static EngineOrdersDriver of(EngineOrders orders, EngineAdapter engine, ObjectStore store, ObjectKey lease,
