--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/admin/ConfigurationAdmin.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/admin/ConfigurationAdmin.java
@@ -28,13 +28,14 @@
 	}
 
 	HttpReply act(AdminAct act) {
+		act.requireAll();
 		if (act.is("GET")) {
 			Versioned object = read()
 				.orElseThrow(() -> new BulrushException(ErrorCode.NOT_FOUND, "no configuration was accepted yet"));
-			return HttpReply.ofJson(OK, object.value()).withHeader("ETag", "\"" + object.version() + "\"");
+			return HttpReply.ofJson(OK, Configuration.ofStored(object.value()).toJson())
+				.withHeader("ETag", "\"" + object.version() + "\"");
 		}
 		if (act.is("PUT")) {
-			act.requireAll();
 			return accept(act);
 		}
 		throw act.wrongMethod();
@@ -49,7 +50,7 @@
 	}
 
 	private HttpReply accept(AdminAct act) {
-		byte[] json = Configuration.ofJson(act.exchange().body()).toJson();
+		byte[] json = Configuration.ofJson(act.exchange().body()).toStored();
 		WriterMark mark = new WriterMark(this.context.marks().get());
 		long expected = act.expectedVersion().orElse(Write.ABSENT);
 		WriteResult result = this.context.store()
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/cli/StandinCommands.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/cli/StandinCommands.java
@@ -65,7 +65,7 @@
 	private static int platform(int port, Optional<String> configuration) {
 		Optional<byte[]> json = configuration.map(Path::of)
 			.map(CommandFiles::read)
-			.map((bytes) -> Configuration.ofJson(bytes).toJson());
+			.map((bytes) -> Configuration.ofJson(bytes).toStored());
 		try (PlatformServer platform = PlatformServer.start(port)) {
 			json.ifPresent((bytes) -> platform.store()
 				.write(Write.ofCreate(ConfigurationSpread.KEY, bytes, new WriterMark("standin"))));
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/config/Configuration.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/config/Configuration.java
@@ -15,6 +15,7 @@
 import io.bulrushrouter.kernel.BulrushException;
 import io.bulrushrouter.kernel.ErrorCode;
 import io.bulrushrouter.kernel.UpstreamId;
+import io.bulrushrouter.platform.configuration.CompressedBody;
 
 /**
  * One accepted configuration, whole and checked.
@@ -54,6 +55,26 @@
 		}
 	}
 
+	/**
+	 * Reads and checks a configuration as the platform holds it.
+	 * @param stored the compressed JSON
+	 * @return the configuration
+	 * @throws BulrushException with {@link ErrorCode#BAD_CONFIGURATION} that says what is
+	 * wrong
+	 */
+	public static Configuration ofStored(byte[] stored) {
+		return ofJson(CompressedBody.expand(stored)
+			.orElseThrow(() -> new BulrushException(ErrorCode.BAD_CONFIGURATION, "the content is not compressed")));
+	}
+
+	/**
+	 * Returns the configuration as the platform holds it.
+	 * @return the compressed JSON
+	 */
+	public byte[] toStored() {
+		return CompressedBody.compress(toJson());
+	}
+
 	/**
 	 * Returns the configuration as JSON.
 	 * @return the text as UTF-8
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/demo/DemoScript.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/demo/DemoScript.java
@@ -41,7 +41,9 @@
 
 	private static final long DRAIN_LIMIT_NANOS = TimeUnit.SECONDS.toNanos(30);
 
-	private static final long POLL_MILLIS = 50;
+	private static final long POLL_MILLIS = 1_000;
+
+	private static final long RUNNING_MILLIS = 50;
 
 	private final Fleet fleet;
 
@@ -159,7 +161,7 @@
 			if (report.status() == OK && remaining(report.body()) == 0) {
 				return true;
 			}
-			pause();
+			pause(POLL_MILLIS);
 		}
 		return false;
 	}
@@ -173,9 +175,9 @@
 		}
 	}
 
-	private static void pause() {
+	private static void pause(long millis) {
 		try {
-			TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
+			TimeUnit.MILLISECONDS.sleep(millis);
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
@@ -192,7 +194,7 @@
 
 	private void killWhileRequestsRun() {
 		List<CompletableFuture<Caller.Answer>> answers = streams("death");
-		pause();
+		pause(RUNNING_MILLIS);
 		this.fleet.engines().get(DYING).close();
 		checkStreams("answers whole though an engine died", answers);
 		int cut = (int) answers.stream().filter((answer) -> !join(answer).clean()).count();
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/demo/Fleet.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/demo/Fleet.java
@@ -166,7 +166,7 @@
 		}
 		List<Operator> operators = List
 			.of(new Operator("demo-operator", Keys.sha256(operatorKey()), List.of("*"), List.of("*")));
-		byte[] json = new Configuration(organisations, this.upstreams, operators).toJson();
+		byte[] json = new Configuration(organisations, this.upstreams, operators).toStored();
 		this.platform.store().write(Write.ofCreate(ConfigurationSpread.KEY, json, new WriterMark("fleet")));
 	}
 
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/EntryNode.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/EntryNode.java
@@ -39,6 +39,7 @@
 import io.bulrushrouter.kernel.store.LiveInstance;
 import io.bulrushrouter.kernel.store.ObjectStore;
 import io.bulrushrouter.platform.BackOff;
+import io.bulrushrouter.platform.CallBudget;
 import io.bulrushrouter.platform.Delay;
 import io.bulrushrouter.platform.SettledWrites;
 import io.bulrushrouter.request.EntryPolicy;
@@ -67,6 +68,11 @@
 
 	private static final long DRAIN_POLL_MILLIS = 20;
 
+	/**
+	 * Operators act at a few entries at a time, so that one may use more than its share.
+	 */
+	private static final CallBudget ADMINISTRATION = new CallBudget(4, 1, 30);
+
 	private static final int SETTLE_TRIES = 5;
 
 	private static final int RETRY_AFTER_MILLIS = 1_000;
@@ -124,13 +130,13 @@
 			this.bootstrap.metrics().gauge("entry.connected.upstreams", this.core::connected);
 			this.bootstrap.metrics().gauge("configuration.version", this.core::version);
 			String processName = settings.process().name() + "." + Long.toHexString(incarnation);
-			ObjectStore control = SettledWrites.of(this.bootstrap.store(), SETTLE_TRIES, BackOff.PLATFORM,
-					Delay.ofSystem(), random);
+			ObjectStore control = SettledWrites.of(this.bootstrap.store("administration", ADMINISTRATION), SETTLE_TRIES,
+					BackOff.PLATFORM, Delay.ofSystem(), random);
 			this.administration = AdminApi.start(new AdminContext(control, () -> this.inForce, this::status, this.asker,
 					ReconcilePolicy.ofDefaults(), marks(processName), Clock.systemDefaultZone()));
 			this.evacuation = EvacuationDuty.start(new EvacuationDuty.Parts(settings.process().name(), processName,
-					this.bootstrap.store(), this.bootstrap.liveList(), this.asker, ReconcilePolicy.ofDefaults(),
-					Clock.systemDefaultZone()));
+					this.bootstrap.store("evacuation", CallBudget.DUTY_HOLDER), this.bootstrap.liveList(), this.asker,
+					ReconcilePolicy.ofDefaults(), Clock.systemDefaultZone()));
 			HttpLimits limits = HttpLimits.ofDefaults()
 				.withMaxBodyBytes(settings.maxBodyBytes())
 				.withReadTimeout(settings.readTimeout());
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/evacuation/EvacuationDuty.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/evacuation/EvacuationDuty.java
@@ -44,7 +44,9 @@
 
 	private static final String DUTY = "evacuation";
 
-	private static final Duration INTERVAL = Duration.ofMillis(500);
+	private static final Duration INTERVAL = Duration.ofSeconds(1);
+
+	private static final int LIST_EVERY_TICKS = 5;
 
 	private final Parts parts;
 
@@ -56,6 +58,8 @@
 
 	private final Map<String, EvacuationRound> rounds = new HashMap<>();
 
+	private long ticks;
+
 	private Optional<Configuration> configuration = Optional.empty();
 
 	private EvacuationDuty(Parts parts) {
@@ -75,7 +79,7 @@
 	}
 
 	private void put(Runnable action) {
-		this.duty.offer(action);
+		this.duty.put(action);
 	}
 
 	/**
@@ -90,6 +94,7 @@
 	}
 
 	private void tick() {
+		this.ticks++;
 		this.lease.tick(isPreferred());
 		Optional<FencingNumber> fence = this.lease.held();
 		if (fence.isEmpty()) {
@@ -111,6 +116,9 @@
 	}
 
 	private List<String> plans() {
+		if (this.ticks % LIST_EVERY_TICKS != 0 && !this.rounds.isEmpty()) {
+			return List.copyOf(this.rounds.keySet());
+		}
 		ListResult result = this.parts.store().list(EvacuationStore.KIND + "/").toCompletableFuture().join();
 		if (result instanceof ListResult.Listed listed) {
 			return listed.objects().stream().map(EvacuationDuty::planName).toList();
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/node/Bootstrap.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/node/Bootstrap.java
@@ -7,6 +7,9 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 
 import io.bulrushrouter.http.HttpCaller;
+import io.bulrushrouter.kernel.store.ObjectStore;
+import io.bulrushrouter.platform.BudgetedStore;
+import io.bulrushrouter.platform.CallBudget;
 import io.bulrushrouter.platform.HttpObjectStore;
 import io.bulrushrouter.platform.PlatformLiveList;
 
@@ -59,13 +62,26 @@
 	}
 
 	/**
-	 * Returns the platform's object API.
+	 * Returns the platform's object API without a budget, for claims.
 	 * @return the client
 	 */
 	public HttpObjectStore store() {
 		return this.store;
 	}
 
+	/**
+	 * Returns the platform's object API within a role's budget of calls, counted in the
+	 * metrics.
+	 * @param role the role's name in the metrics
+	 * @param budget the role's budget
+	 * @return the client
+	 */
+	public ObjectStore store(String role, CallBudget budget) {
+		BudgetedStore budgeted = BudgetedStore.builder(this.store).budget(budget).build();
+		this.metrics.gauge("platform.calls." + role, () -> budgeted.counts().sent());
+		return budgeted;
+	}
+
 	/**
 	 * Returns the platform's list of instances.
 	 * @return the list
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/ProbeListener.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/ProbeListener.java
@@ -48,8 +48,7 @@
 	private Optional<SidecarInput.EngineLoad> parse() {
 		try {
 			JsonNode report = JSON.readTree(this.body.toByteArray());
-			return Optional
-				.of(new SidecarInput.EngineLoad(report.path("queuedTokens").asLong(), report.path("running").asInt()));
+			return Optional.of(new SidecarInput.EngineLoad(report.path("kvUse").asDouble()));
 		}
 		catch (IOException ex) {
 			return Optional.empty();
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/SidecarCore.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/SidecarCore.java
@@ -55,6 +55,7 @@
 
 	private final LoadWatch load;
 
+	/** The call that is being decided. */
 	private CallMessage.Call arriving;
 
 	private boolean draining;
@@ -65,7 +66,7 @@
 	private boolean healthy = true;
 
 	SidecarCore(long incarnation, SidecarCalls calls, EngineClient engine, ClaimDesk claims, OrderDesk orders,
-			TimeSource time, Metrics metrics) {
+			LoadWatch load, TimeSource time, Metrics metrics) {
 		this.incarnation = incarnation;
 		this.calls = calls;
 		this.engine = engine;
@@ -105,8 +106,8 @@
 		else if (input instanceof SidecarInput.Health health) {
 			become(health.healthy());
 		}
-		else if (input instanceof SidecarInput.EngineLoad engine) {
-			this.load.kvUse(engine.kvUse());
+		else if (input instanceof SidecarInput.EngineLoad told) {
+			this.load.kvUse(told.kvUse());
 		}
 	}
 
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/SidecarNode.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/SidecarNode.java
@@ -25,6 +25,7 @@
 import io.bulrushrouter.kernel.UpstreamId;
 import io.bulrushrouter.kernel.duty.Duty;
 import io.bulrushrouter.kernel.store.LiveInstance;
+import io.bulrushrouter.platform.CallBudget;
 import io.bulrushrouter.request.ClaimMessage;
 import io.bulrushrouter.request.ClaimRouter;
 import io.bulrushrouter.request.Claims;
@@ -121,7 +122,7 @@
 		Claims claims = Claims.builder(this.bootstrap.store(), incarnation).executor(this::onDuty).build();
 		Optional<EngineOrderClient> orderClient = this.settings.service() ? Optional.empty()
 				: Optional.of(new EngineOrderClient(this.bootstrap.caller(), this.settings.url()));
-		OrderDesk orders = new OrderDesk(this.bootstrap.store(), orderClient, this::onDuty);
+		OrderDesk orders = new OrderDesk(this.bootstrap.store("orders", CallBudget.SIDECAR), orderClient, this::onDuty);
 		LoadWatch load = new LoadWatch(LoadTracker.of(incarnation, PREFIX_CACHE_TOKENS, System.nanoTime()));
 		ClaimDesk claimDesk = new ClaimDesk(
 				ClaimRouter.of(this.settings.upstream(), ClaimsPolicy.ofDefaults(), CLAIM_ANSWER), claims,
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/spread/ConfigurationSpread.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/spread/ConfigurationSpread.java
@@ -21,6 +21,7 @@
 import io.bulrushrouter.kernel.duty.Duty;
 import io.bulrushrouter.kernel.store.LiveInstance;
 import io.bulrushrouter.kernel.store.ObjectKey;
+import io.bulrushrouter.platform.CallBudget;
 import io.bulrushrouter.platform.configuration.ConfigurationMessage;
 import io.bulrushrouter.platform.configuration.ConfigurationNode;
 import io.bulrushrouter.platform.configuration.Effects;
@@ -71,6 +72,9 @@
 
 	private PeerView view;
 
+	/** Whether the list was read: before, each process would take itself for a relay. */
+	private boolean listSeen;
+
 	private long handedOver;
 
 	private long listAskedNanos = Long.MIN_VALUE / 2;
@@ -85,7 +89,7 @@
 		this.node = ConfigurationNode.of(process.name(), Set.of(SCOPE), ConfigurationSpread::problem,
 				SpreadTerms.DEFAULT);
 		this.peers = new PeerDirectory(network, this::address);
-		this.relay = RelayDriver.builder(this.node, Set.of(SCOPE), bootstrap.store())
+		this.relay = RelayDriver.builder(this.node, Set.of(SCOPE), bootstrap.store("configuration", CallBudget.RELAY))
 			.thread(this::put)
 			.stored(this::stored)
 			.build();
@@ -110,7 +114,7 @@
 
 	private static Optional<String> problem(ConfigurationMessage.Document document) {
 		try {
-			Configuration.ofJson(document.body());
+			Configuration.ofStored(document.body());
 			return Optional.empty();
 		}
 		catch (BulrushException ex) {
@@ -119,7 +123,7 @@
 	}
 
 	private void put(Runnable action) {
-		this.duty.offer(action);
+		this.duty.put(action);
 	}
 
 	private Optional<InetSocketAddress> address(InstanceId instance) {
@@ -143,15 +147,20 @@
 		long now = this.time.nanos();
 		if (now - this.listAskedNanos > LIVE_LIST_NANOS) {
 			this.listAskedNanos = now;
-			this.bootstrap.liveList().refresh().thenAccept((answered) -> put(this::takeList));
+			this.bootstrap.liveList().refresh().thenAccept((answered) -> {
+				if (answered) {
+					put(this::takeList);
+				}
+			});
 		}
-		this.relay.tick(this.view.isRelay());
+		this.relay.tick(this.listSeen && this.view.isRelay());
 		apply(this.node.onTick(now, this.view, this.random));
 		this.peers.closeIdle(now);
 	}
 
 	private void takeList() {
 		List<LiveInstance> instances = this.bootstrap.liveList().instances();
+		this.listSeen = true;
 		this.view = view(instances);
 		this.listener.listed().accept(instances);
 	}
@@ -172,7 +181,7 @@
 
 	private void handOver(ConfigurationMessage.Document document) {
 		this.handedOver = document.version();
-		this.listener.adopted().accept(new InForce(document.version(), Configuration.ofJson(document.body())));
+		this.listener.adopted().accept(new InForce(document.version(), Configuration.ofStored(document.body())));
 	}
 
 	private static void log(Effects.Decision decision) {
--- a/bulrushrouter-daemon/src/test/java/io/bulrushrouter/daemon/process/ProcessFleet.java
+++ b/bulrushrouter-daemon/src/test/java/io/bulrushrouter/daemon/process/ProcessFleet.java
@@ -86,7 +86,7 @@
 
 	private void publish() {
 		Organisation organisation = new Organisation("organisation-1", Keys.sha256(Fleet.key(1)), 1, 0, List.of());
-		byte[] json = new Configuration(List.of(organisation), this.upstreams, List.of()).toJson();
+		byte[] json = new Configuration(List.of(organisation), this.upstreams, List.of()).toStored();
 		try (HttpObjectStore store = HttpObjectStore.of(URI.create(this.platform), Duration.ofSeconds(2))) {
 			store.write(Write.ofCreate(ConfigurationSpread.KEY, json, new WriterMark("test")))
 				.toCompletableFuture()
--- a/bulrushrouter-kernel/src/main/java/io/bulrushrouter/kernel/duty/Duty.java
+++ b/bulrushrouter-kernel/src/main/java/io/bulrushrouter/kernel/duty/Duty.java
@@ -76,12 +76,13 @@
 	 * Hands a message to the duty, waiting while its ring is full. Only threads that the
 	 * duty itself never waits for may call this.
 	 * @param message the message
-	 * @throws BulrushException with {@link ErrorCode#RING_FULL} if the duty has ended
+	 * @throws BulrushException with {@link ErrorCode#RING_FULL} if the duty has ended, or
+	 * if its ring is full and the duty itself calls
 	 */
 	public void put(T message) {
 		while (!offer(message)) {
-			if (!this.running) {
-				throw new BulrushException(ErrorCode.RING_FULL, this.thread.getName() + " has ended");
+			if (!this.running || Thread.currentThread() == this.thread) {
+				throw new BulrushException(ErrorCode.RING_FULL, this.thread.getName() + " cannot take more");
 			}
 			LockSupport.parkNanos(Builder.FULL_RING_PAUSE_NANOS);
 		}
