Search wider, rebuild far drifted layers, and fit bounded transfers

Cause: at 256 ranks moves got stuck and whole layers were rebuilt too often. A test found that a layer whose rebuild did not fit one transfer was never moved; it now gets the moves that fit.

--- a/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/experts/ExpertDay.java
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/experts/ExpertDay.java
@@ -12,7 +12,7 @@
 final class ExpertDay {
 
 	/** Ticks of a minute. */
-	static final int TICKS_A_MINUTE = 2;
+	static final int TICKS_A_MINUTE = 4;
 
 	/** Ticks of the day. */
 	static final int TICKS = 24 * 60 * TICKS_A_MINUTE;
--- a/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/experts/ExpertsExperiment.java
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/experts/ExpertsExperiment.java
@@ -6,6 +6,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
@@ -33,7 +34,7 @@
 
 	private static final int EXPERTS = 256;
 
-	private static final int THREADS = 4;
+	private static final int THREADS = 6;
 
 	private static final long SEED = 1;
 
@@ -68,7 +69,7 @@
 	private static Map<Case, Future<ExpertRun>> start(List<GroupShape> shapes) {
 		ExecutorService threads = Executors.newFixedThreadPool(THREADS);
 		Map<Case, Future<ExpertRun>> runs = new LinkedHashMap<>();
-		for (GroupShape shape : shapes) {
+		for (GroupShape shape : largestFirst(shapes)) {
 			for (PlanProfile profile : profiles()) {
 				planners().forEach((name, planner) -> runs.put(new Case(shape, profile, name),
 						threads.submit(() -> new ExpertRun(shape, planner, profile, SEED).run())));
@@ -78,6 +79,10 @@
 		return runs;
 	}
 
+	private static List<GroupShape> largestFirst(List<GroupShape> shapes) {
+		return shapes.stream().sorted(Comparator.comparingInt(GroupShape::ranks).reversed()).toList();
+	}
+
 	private static boolean print(PrintStream out, GroupShape shape, PlanProfile profile,
 			Map<Case, Future<ExpertRun>> runs, SkewPlot plot) {
 		List<double[]> lines = new ArrayList<>();
--- a/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/experts/PlanCost.java
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/experts/PlanCost.java
@@ -3,6 +3,7 @@
 import java.io.PrintStream;
 import java.lang.management.ManagementFactory;
 import java.util.Arrays;
+import java.util.List;
 import java.util.Locale;
 
 import io.bulrushrouter.experts.ExpertMap;
@@ -22,7 +23,9 @@
 
 	private static final int WARM_UPS = 3;
 
-	private static final int DRIFT_TICKS = 6 * 60 * ExpertDay.TICKS_A_MINUTE;
+	private static final int SMALL_DRIFT_MINUTES = 20;
+
+	private static final int LARGE_DRIFT_MINUTES = 6 * 60;
 
 	private PlanCost() {
 	}
@@ -33,33 +36,37 @@
 	 * @return whether the largest group is planned within a second
 	 */
 	static boolean print(PrintStream out) {
-		out.println("| ranks | experts | layers | slots a rank | seconds of one core | MB allocated | expert loads |");
-		out.println("|---|---|---|---|---|---|---|");
-		row(out, GroupShape.of(58, 256, 64, 5));
-		row(out, GroupShape.of(58, 256, 128, 3));
-		row(out, GroupShape.of(29, 256, 256, 2));
-		row(out, GroupShape.of(58, 128, 256, 2));
-		return row(out, GroupShape.of(58, 256, 256, 2)) < MOST_SECONDS;
+		out.println("| ranks | experts | layers | slots a rank | minutes of drift | seconds of one core "
+				+ "| MB allocated | expert loads |");
+		out.println("|---|---|---|---|---|---|---|---|");
+		for (GroupShape shape : List.of(GroupShape.of(58, 256, 64, 5), GroupShape.of(58, 256, 128, 3),
+				GroupShape.of(29, 256, 256, 2), GroupShape.of(58, 128, 256, 2))) {
+			row(out, shape, SMALL_DRIFT_MINUTES);
+			row(out, shape, LARGE_DRIFT_MINUTES);
+		}
+		GroupShape largest = GroupShape.of(58, 256, 256, 2);
+		double small = row(out, largest, SMALL_DRIFT_MINUTES);
+		return Math.max(small, row(out, largest, LARGE_DRIFT_MINUTES)) < MOST_SECONDS;
 	}
 
-	private static double row(PrintStream out, GroupShape shape) {
+	private static double row(PrintStream out, GroupShape shape, int driftMinutes) {
 		ExpertDay day = new ExpertDay(shape, 1);
 		double[][] loads = day.next(0);
 		ExpertMap empty = ExpertMap.ofRoundRobin(1, shape);
 		ExpertMap map = ExpertPlanners.ofAnew().plan(request(empty, loads)).map();
-		PlanRequest drifted = request(map, day.next(DRIFT_TICKS));
+		PlanRequest drifted = request(map, day.next(driftMinutes * ExpertDay.TICKS_A_MINUTE));
 		ExpertPlan plan = null;
 		double seconds = 0;
 		double megabytes = 0;
 		for (int run = 0; run <= WARM_UPS; run++) {
 			long bytes = allocated();
-			long begin = System.nanoTime();
+			long begin = ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime();
 			plan = ExpertPlanners.ofFitted().plan(drifted);
-			seconds = (System.nanoTime() - begin) / 1e9;
+			seconds = (ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime() - begin) / 1e9;
 			megabytes = (allocated() - bytes) / 1e6;
 		}
-		out.printf(Locale.ROOT, "| %d | %d | %d | %d | %.3f | %.0f | %d |%n", shape.ranks(), shape.experts(),
-				shape.layers(), shape.slots(), seconds, megabytes, plan.loads());
+		out.printf(Locale.ROOT, "| %d | %d | %d | %d | %d | %.3f | %.0f | %d |%n", shape.ranks(), shape.experts(),
+				shape.layers(), shape.slots(), driftMinutes, seconds, megabytes, plan.loads());
 		return seconds;
 	}
 
--- a/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/planning/FittedPlanner.java
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/planning/FittedPlanner.java
@@ -8,9 +8,13 @@
  */
 final class FittedPlanner extends LayerPlanner {
 
-	private static final int SWEEPS = 30;
+	private static final LayerMoves.Width WIDTH = new LayerMoves.Width(8, 32);
 
-	private static final int MOST_MOVES = 24;
+	private static final int SWEEPS = 150;
+
+	private static final int MOST_MOVES = 16;
+
+	private static final double MOST_SKEW_TO_MOVE = 2;
 
 	private static final double WORTH_CHANGING = 0.5;
 
@@ -39,15 +43,19 @@
 	private static LayerFit moved(PlanRequest request, int layer, LayerFit current, LayerFit fitted,
 			LoadBudget budget) {
 		PlanProfile profile = request.profile();
+		boolean rebuild = fitted.skew() > MOST_SKEW_TO_MOVE;
+		LayerFit built = LayerBuilder.buildNear(request.current().shape(), request.loads()[layer], request.speeds(),
+				current);
+		if (rebuild && budget.take(built.loads(current))) {
+			return built;
+		}
 		LayerFit moved = fitted.copy();
-		int moves = Math.min(MOST_MOVES, budget.left());
-		new LayerMoves(moved, request.instances()).lower(profile.targetSkew(), moves);
+		new LayerMoves(moved, request.instances(), WIDTH).lower(profile.targetSkew(),
+				Math.min(MOST_MOVES, budget.left()));
 		if (moved.skew() <= profile.moveSkew() && budget.take(moved.loads(current))) {
 			return moved;
 		}
-		LayerFit built = LayerBuilder.buildNear(request.current().shape(), request.loads()[layer], request.speeds(),
-				current);
-		if (built.skew() < moved.skew() && budget.take(built.loads(current))) {
+		if (!rebuild && built.skew() < moved.skew() && budget.take(built.loads(current))) {
 			return built;
 		}
 		return budget.take(moved.loads(current)) ? moved : fitted;
--- a/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/planning/GreedyPlanner.java
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/planning/GreedyPlanner.java
@@ -6,6 +6,8 @@
  */
 final class GreedyPlanner extends LayerPlanner {
 
+	private static final LayerMoves.Width WIDTH = new LayerMoves.Width(2, 8);
+
 	@Override
 	LayerFit planLayer(PlanRequest request, int layer, LayerFit current, LoadBudget budget) {
 		PlanProfile profile = request.profile();
@@ -14,7 +16,7 @@
 		}
 		LayerFit moved = copy(request, layer, true);
 		moved.fit(profile.targetSkew(), 1);
-		new LayerMoves(moved, request.instances()).lower(profile.targetSkew(),
+		new LayerMoves(moved, request.instances(), WIDTH).lower(profile.targetSkew(),
 				request.current().shape().slotsOfLayer());
 		return (moved.skew() < current.skew()) ? moved : current;
 	}
--- a/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/planning/LayerMoves.java
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/planning/LayerMoves.java
@@ -1,6 +1,8 @@
 package io.bulrushrouter.experts.planning;
 
 import java.util.Arrays;
+import java.util.Comparator;
+import java.util.stream.IntStream;
 
 import io.bulrushrouter.experts.ExpertMap;
 
@@ -12,9 +14,7 @@
  */
 final class LayerMoves {
 
-	private static final int HOT_RANKS = 4;
-
-	private static final int COLD_RANKS = 16;
+	private static final int HEAVIEST_EXPERTS = 6;
 
 	private static final int SWEEPS_A_MOVE = 6;
 
@@ -28,15 +28,18 @@
 
 	private final int[] instances;
 
+	private final Width width;
+
 	private int bestExpert;
 
 	private int bestSlot;
 
 	private double bestSquares;
 
-	LayerMoves(LayerFit fit, int[] instances) {
+	LayerMoves(LayerFit fit, int[] instances, Width width) {
 		this.fit = fit;
 		this.instances = instances;
+		this.width = width;
 	}
 
 	/**
@@ -56,17 +59,14 @@
 	}
 
 	private boolean moveOnce() {
-		int[] hot = ranksByTime(HOT_RANKS, -1);
-		int[] cold = ranksByTime(COLD_RANKS, 1);
+		int[] hot = ranksByTime(this.width.hotRanks(), -1);
+		int[] cold = ranksByTime(this.width.coldRanks(), 1);
 		this.bestSlot = -1;
 		this.bestSquares = this.fit.squares() * (1 - LEAST_GAIN);
 		double[] tokens = this.fit.tokens();
 		for (int from : hot) {
-			for (int slot = 0; slot < this.fit.slots(); slot++) {
-				int expert = this.fit.expertAt(from * this.fit.slots() + slot);
-				if (expert != ExpertMap.EMPTY && this.fit.tokensAt(from * this.fit.slots() + slot) > 0) {
-					tryRanks(expert, from, cold, tokens);
-				}
+			for (int at : heaviestSlots(from)) {
+				tryRanks(this.fit.expertAt(at), from, cold, tokens);
 			}
 		}
 		if (this.bestSlot < 0) {
@@ -76,6 +76,16 @@
 		return true;
 	}
 
+	private int[] heaviestSlots(int rank) {
+		return IntStream.range(rank * this.fit.slots(), (rank + 1) * this.fit.slots())
+			.filter((at) -> this.fit.expertAt(at) != ExpertMap.EMPTY && this.fit.tokensAt(at) > 0)
+			.boxed()
+			.sorted(Comparator.comparingDouble((at) -> -this.fit.tokensAt(at)))
+			.limit(HEAVIEST_EXPERTS)
+			.mapToInt(Integer::intValue)
+			.toArray();
+	}
+
 	private void tryRanks(int expert, int from, int[] cold, double[] tokens) {
 		for (int to : cold) {
 			if (this.fit.time(to) >= this.fit.time(from) || this.fit.holds(to, expert)) {
@@ -160,4 +170,13 @@
 		return false;
 	}
 
+	/**
+	 * How many ranks a move is tried from and to.
+	 *
+	 * @param hotRanks the slowest ranks
+	 * @param coldRanks the fastest ranks
+	 */
+	record Width(int hotRanks, int coldRanks) {
+	}
+
 }
--- a/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/planning/PlanProfile.java
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/planning/PlanProfile.java
@@ -26,7 +26,7 @@
 	 * @return the profile
 	 */
 	public static PlanProfile ofLowSkew() {
-		return new PlanProfile("ash", 1.01, 1.03, 1.01, 1.3, true, 4, 1, 900, 30, 25);
+		return new PlanProfile("ash", 1.01, 1.035, 1.01, 1.3, true, 4, 1, 900, 30, 25);
 	}
 
 	/**
