Describe the map switch and rank groups, and notice an outdated map

Cause: a new holder may know an older map than the ranks use, if the old holder was lost before it wrote to the platform; its prepares would be refused for ever.

--- a/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/balance/GroupBalancer.java
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/balance/GroupBalancer.java
@@ -17,6 +17,7 @@
 import io.bulrushrouter.experts.switchover.BalancerInput;
 import io.bulrushrouter.experts.switchover.BalancerOutput;
 import io.bulrushrouter.experts.switchover.MapSwitchBalancer;
+import io.bulrushrouter.experts.switchover.RefusalReason;
 import io.bulrushrouter.experts.switchover.SwitchMessage;
 
 /**
@@ -68,6 +69,8 @@
 
 	private double skew = 1;
 
+	private boolean outdated;
+
 	private GroupBalancer(GroupSettings settings, ExpertMap current, long incarnation, long fence) {
 		this.settings = settings;
 		this.current = current;
@@ -80,7 +83,7 @@
 	/**
 	 * Returns the duty of a holder that has just taken the lease.
 	 * @param settings how to balance
-	 * @param current the map in use
+	 * @param current the map in use, read from a rank; the platform's copy may be older
 	 * @param incarnation the incarnation of the group
 	 * @param fence the fencing number of the lease
 	 * @return the duty
@@ -134,7 +137,8 @@
 		List<Integer> replacements = replacements(nowNanos);
 		boolean undecided = this.balancer.phase() == MapSwitchBalancer.Phase.PREPARING
 				|| this.balancer.phase() == MapSwitchBalancer.Phase.COMMITTING;
-		if (undecided || this.balancer.superseded() || this.step < 0 || nowNanos - this.nextPlanNanos < 0) {
+		boolean done = this.balancer.superseded() || this.outdated;
+		if (undecided || done || this.step < 0 || nowNanos - this.nextPlanNanos < 0) {
 			return new BalanceActions(settled(this.balancer.on(retryOrGiveUp())), Optional.empty(), replacements);
 		}
 		this.nextPlanNanos = nowNanos + this.settings.planPeriod().toNanos();
@@ -188,6 +192,7 @@
 			this.current = this.attempted.get().plan().map();
 			this.skew = this.attempted.get().plan().skewAfter();
 		}
+		this.outdated |= settled.reason().filter((reason) -> reason == RefusalReason.OTHER_MAP).isPresent();
 		this.attempted = Optional.empty();
 	}
 
@@ -227,6 +232,15 @@
 		return this.balancer.superseded();
 	}
 
+	/**
+	 * Returns whether a rank uses another map than this duty knows: it does nothing more,
+	 * and a new one is to be made with the map that the ranks use.
+	 * @return whether one does
+	 */
+	public boolean outdated() {
+		return this.outdated;
+	}
+
 	/**
 	 * Returns how much longer the group's steps take than those of a group without skew
 	 * and stragglers.
--- a/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/balance/GroupSettings.java
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/balance/GroupSettings.java
@@ -33,7 +33,7 @@
 
 	/**
 	 * Builds settings. Defaults: the fitted planner, the low-skew profile, a plan every
-	 * 30 s, eight ranks an instance.
+	 * 15 s, eight ranks an instance.
 	 */
 	public static final class Builder {
 
@@ -47,7 +47,7 @@
 
 		private int[] instances;
 
-		private Duration planPeriod = Duration.ofSeconds(30);
+		private Duration planPeriod = Duration.ofSeconds(15);
 
 		private Duration moveAfter = Duration.ofSeconds(30);
 
--- a/bulrushrouter-experts/src/test/java/io/bulrushrouter/experts/balance/GroupBalancerTests.java
+++ b/bulrushrouter-experts/src/test/java/io/bulrushrouter/experts/balance/GroupBalancerTests.java
@@ -93,6 +93,15 @@
 		assertThat(this.balancer.tick(now(), true).decision()).isEqualTo(Optional.empty());
 	}
 
+	@Test
+	void stopsWhenItsMapIsOutdated() {
+		planUnderSkew();
+		this.balancer.on(new SwitchMessage.Refusal(1, FIRST, 0, RefusalReason.OTHER_MAP, 5));
+		assertThat(this.balancer.outdated()).isTrue();
+		steps(2000, 1);
+		assertThat(this.balancer.tick(now(), true).decision()).isEqualTo(Optional.empty());
+	}
+
 	@Test
 	void asksForReplacementOfLongStraggler() {
 		steps(200, 1);
