--- a/bulrushrouter-experts/src/test/java/io/bulrushrouter/experts/switchover/Explorer.java
+++ b/bulrushrouter-experts/src/test/java/io/bulrushrouter/experts/switchover/Explorer.java
@@ -14,6 +14,8 @@
 
 	private final Group group;
 
+	private final HealedRun healedRun;
+
 	private final int depth;
 
 	private final Set<Long> seen = new HashSet<>();
@@ -28,14 +30,15 @@
 
 	Explorer(Group group, int depth) {
 		this.group = group;
+		this.healedRun = new HealedRun(group);
 		this.depth = depth;
 	}
 
-	Optional<String> violation(List<Group.State> starts) {
-		List<Group.State> level = starts;
+	Optional<String> violation(List<GroupState> starts) {
+		List<GroupState> level = starts;
 		for (this.reached = 0; this.reached < this.depth && !level.isEmpty(); this.reached++) {
-			List<Group.State> next = new ArrayList<>();
-			for (Group.State state : level) {
+			List<GroupState> next = new ArrayList<>();
+			for (GroupState state : level) {
 				Optional<String> violation = expand(state, next);
 				if (violation.isPresent()) {
 					return violation;
@@ -54,11 +57,11 @@
 	 * @param random picks the events
 	 * @return what is wrong, or empty
 	 */
-	Optional<String> violationOnPaths(Group.State start, int paths, RandomGenerator random) {
+	Optional<String> violationOnPaths(GroupState start, int paths, RandomGenerator random) {
 		for (int path = 0; path < paths; path++) {
-			Group.State state = start;
+			GroupState state = start;
 			for (int step = 0; step < this.depth; step++) {
-				List<Group.State> next = this.group.next(state);
+				List<GroupState> next = this.group.next(state);
 				if (next.isEmpty()) {
 					break;
 				}
@@ -76,8 +79,8 @@
 		return Optional.empty();
 	}
 
-	private Optional<String> expand(Group.State state, List<Group.State> next) {
-		for (Group.State reachedState : this.group.next(state)) {
+	private Optional<String> expand(GroupState state, List<GroupState> next) {
+		for (GroupState reachedState : this.group.next(state)) {
 			this.transitions++;
 			if (reachedState.violation.isPresent()) {
 				return Optional.of(reachedState.violation.get() + this.group.describe(reachedState));
@@ -97,11 +100,11 @@
 		return Optional.empty();
 	}
 
-	private Optional<String> wrongAfterHealing(Group.State state) {
+	private Optional<String> wrongAfterHealing(GroupState state) {
 		if (!this.healed.add(state.localFingerprint())) {
 			return Optional.empty();
 		}
-		return this.group.wrongAfterHealing(state, false).or(() -> this.group.wrongAfterHealing(state, true));
+		return this.healedRun.wrong(state, false).or(() -> this.healedRun.wrong(state, true));
 	}
 
 	String figures() {
--- a/bulrushrouter-experts/src/test/java/io/bulrushrouter/experts/switchover/Group.java
+++ b/bulrushrouter-experts/src/test/java/io/bulrushrouter/experts/switchover/Group.java
@@ -8,9 +8,6 @@
 import java.util.Map;
 import java.util.Optional;
 
-import com.dynatrace.hash4j.hashing.HashStream64;
-import com.dynatrace.hash4j.hashing.Hashing;
-
 import io.bulrushrouter.experts.ExpertMap;
 import io.bulrushrouter.experts.GroupShape;
 
@@ -60,8 +57,8 @@
 		this.rules = rules;
 	}
 
-	State start(int restarts, int crashes) {
-		State state = new State();
+	GroupState start(int restarts, int crashes) {
+		GroupState state = new GroupState();
 		state.engines = new int[this.ranks];
 		state.sidecars = new int[this.ranks];
 		state.seenFence = new int[this.ranks];
@@ -83,8 +80,8 @@
 	 * @param crashes the crashes of ranks to try
 	 * @return the state
 	 */
-	State promised(int restarts, int crashes) {
-		State state = startBalancer(start(restarts, crashes), 0);
+	GroupState promised(int restarts, int crashes) {
+		GroupState state = startBalancer(start(restarts, crashes), 0);
 		for (int id = 0; id < state.sent.length(); id++) {
 			Object body = this.envelopes.value(id).body();
 			if (body instanceof SwitchMessage.Prepare prepare) {
@@ -98,8 +95,8 @@
 		return state;
 	}
 
-	List<State> next(State state) {
-		List<State> next = new ArrayList<>();
+	List<GroupState> next(GroupState state) {
+		List<GroupState> next = new ArrayList<>();
 		for (int id = state.sent.nextSetBit(0); id >= 0; id = state.sent.nextSetBit(id + 1)) {
 			deliver(state.copy("deliver " + id), id, next);
 		}
@@ -115,7 +112,7 @@
 		return next;
 	}
 
-	private void rankEvents(State state, int rank, List<State> next) {
+	private void rankEvents(GroupState state, int rank, List<GroupState> next) {
 		if (mayJoin(state, rank)) {
 			next.add(join(state.copy("join " + rank), rank));
 		}
@@ -132,12 +129,12 @@
 			.loading()
 			.ifPresent((change) -> next.add(react(state.copy("loaded " + rank), rank, new RankInput.Loaded(change))));
 		if (state.restarts > 0) {
-			State copy = state.copy("restart " + rank);
+			GroupState copy = state.copy("restart " + rank);
 			copy.restarts--;
 			next.add(restart(copy, rank));
 		}
 		if (state.crashes > 0) {
-			State copy = state.copy("crash " + rank);
+			GroupState copy = state.copy("crash " + rank);
 			copy.crashes--;
 			copy.engines[rank] = DOWN;
 			copy.broken = true;
@@ -145,7 +142,7 @@
 		}
 	}
 
-	private void balancerEvents(State state, int balancer, List<State> next) {
+	private void balancerEvents(GroupState state, int balancer, List<GroupState> next) {
 		if (mayStart(state, balancer)) {
 			next.add(startBalancer(state.copy("start " + balancer), balancer));
 		}
@@ -154,7 +151,7 @@
 		}
 	}
 
-	private boolean mayStart(State state, int balancer) {
+	private boolean mayStart(GroupState state, int balancer) {
 		if (state.engines[0] == DOWN) {
 			return false;
 		}
@@ -162,7 +159,7 @@
 				&& this.balancerMemories.value(state.balancers[balancer]).memory().attempts() < this.attempts;
 	}
 
-	State startBalancer(State state, int balancer) {
+	GroupState startBalancer(GroupState state, int balancer) {
 		if (state.balancers[balancer] == DOWN) {
 			state.balancers[balancer] = this.balancerMemories
 				.id(new BalancerMemory(engine(state, 0).incarnation(), MapSwitchBalancer.Memory.EMPTY));
@@ -174,15 +171,15 @@
 		return react(state, balancer, new BalancerInput.Start(engine(state, 0).mapVersion(), map, step));
 	}
 
-	MapSwitchBalancer.Phase phase(State state, int balancer) {
+	MapSwitchBalancer.Phase phase(GroupState state, int balancer) {
 		return this.balancerMemories.value(state.balancers[balancer]).memory().phase();
 	}
 
-	EngineState engine(State state, int rank) {
+	EngineState engine(GroupState state, int rank) {
 		return this.engines.value(state.engines[rank]);
 	}
 
-	boolean mayBegin(State state, int rank) {
+	boolean mayBegin(GroupState state, int rank) {
 		EngineState own = engine(state, rank);
 		for (int peer = 0; peer < this.ranks; peer++) {
 			if (state.engines[peer] == DOWN) {
@@ -196,7 +193,7 @@
 		return !this.rules.stopped(own);
 	}
 
-	State begin(State state, int rank) {
+	GroupState begin(GroupState state, int rank) {
 		EngineState begun = engine(state, rank).begun();
 		state.engines[rank] = this.engines.id(begun);
 		for (int peer = 0; peer < this.ranks; peer++) {
@@ -208,19 +205,19 @@
 		return state;
 	}
 
-	State reform(State state) {
+	GroupState reform(GroupState state) {
 		state.store = state.store.clone();
 		state.store[0]++;
 		state.broken = false;
 		return state;
 	}
 
-	boolean mayJoin(State state, int rank) {
+	boolean mayJoin(GroupState state, int rank) {
 		return state.store[0] > 1
 				&& (state.engines[rank] == DOWN || engine(state, rank).incarnation() < state.store[0]);
 	}
 
-	State join(State state, int rank) {
+	GroupState join(GroupState state, int rank) {
 		int fence = 0;
 		for (int balancer = 0; balancer < this.balancers; balancer++) {
 			fence = (state.balancers[balancer] != DOWN) ? balancer + 1 : fence;
@@ -231,12 +228,12 @@
 		return state;
 	}
 
-	State restart(State state, int rank) {
+	GroupState restart(GroupState state, int rank) {
 		state.sidecars[rank] = this.sidecars.id(MapSwitchRank.Memory.EMPTY);
 		return react(state, rank, new RankInput.Started());
 	}
 
-	private void deliver(State state, int id, List<State> next) {
+	void deliver(GroupState state, int id, List<GroupState> next) {
 		Envelope envelope = this.envelopes.value(id);
 		if (envelope.to() == STORE) {
 			next.add(record(state, (StoreWrite) envelope.body()));
@@ -252,7 +249,7 @@
 		}
 	}
 
-	private State record(State state, StoreWrite write) {
+	private GroupState record(GroupState state, StoreWrite write) {
 		int fence = (int) write.change().attempt().fence();
 		int number = write.change().attempt().number();
 		boolean newer = fence > state.store[2] || fence == state.store[2] && number > state.store[3];
@@ -262,7 +259,7 @@
 		return state;
 	}
 
-	State deliver(State state, int rank, SwitchMessage message) {
+	GroupState deliver(GroupState state, int rank, SwitchMessage message) {
 		EngineState before = engine(state, rank);
 		boolean mayChange = message instanceof SwitchMessage.Prepare || message instanceof SwitchMessage.Commit;
 		boolean same = message.incarnation() == before.incarnation();
@@ -277,7 +274,7 @@
 		return state;
 	}
 
-	State react(State state, int rank, RankInput input) {
+	GroupState react(GroupState state, int rank, RankInput input) {
 		List<Integer> key = List.of(rank, state.engines[rank], state.sidecars[rank], this.inputs.id(input));
 		Reaction reaction = this.reactions.computeIfAbsent(key, (unused) -> reaction(state, rank, input));
 		boolean armed = engine(state, rank).armed().isPresent();
@@ -293,7 +290,7 @@
 		return state;
 	}
 
-	private Reaction reaction(State state, int rank, RankInput input) {
+	private Reaction reaction(GroupState state, int rank, RankInput input) {
 		EngineState[] kept = { engine(state, rank) };
 		RankEngine engine = (order) -> {
 			EngineState before = kept[0];
@@ -321,7 +318,7 @@
 		}
 	}
 
-	State react(State state, int balancer, BalancerInput input) {
+	GroupState react(GroupState state, int balancer, BalancerInput input) {
 		BalancerMemory before = this.balancerMemories.value(state.balancers[balancer]);
 		MapSwitchBalancer machine = MapSwitchBalancer.of(this.ranks, before.incarnation(), balancer + 1,
 				before.memory());
@@ -339,67 +336,14 @@
 		return state;
 	}
 
-	/**
-	 * Heals every fault, loses all messages sent so far, and runs the group fairly.
-	 * @param from the state
-	 * @param withBalancers whether the balancers run too
-	 * @return what is wrong, or empty if the group steps on
-	 */
-	Optional<String> wrongAfterHealing(State from, boolean withBalancers) {
-		State state = from.copy("heal");
-		state.sent = new BitSet();
-		for (int round = 0; round < 12; round++) {
-			if (state.broken) {
-				reform(state);
-			}
-			for (int rank = 0; rank < this.ranks; rank++) {
-				if (mayJoin(state, rank)) {
-					join(state, rank);
-				}
-				react(state, rank, new RankInput.Tick());
-			}
-			for (int balancer = 0; withBalancers && balancer < this.balancers; balancer++) {
-				if (state.balancers[balancer] != DOWN) {
-					react(state, balancer, new BalancerInput.Tick());
-				}
-			}
-			drain(state);
-			for (int rank = 0; rank < this.ranks; rank++) {
-				if (mayBegin(state, rank)) {
-					begin(state, rank);
-				}
-			}
-		}
-		return state.violation.or(() -> (slowest(state) > LAST_STEP + 2) ? Optional.empty()
-				: Optional.of("stopped for ever" + describe(state)));
-	}
-
-	private void drain(State state) {
-		while (!state.sent.isEmpty()) {
-			BitSet sent = state.sent;
-			state.sent = new BitSet();
-			for (int id = sent.nextSetBit(0); id >= 0; id = sent.nextSetBit(id + 1)) {
-				deliver(state, id, new ArrayList<>());
-			}
-		}
-	}
-
-	private long slowest(State state) {
-		long slowest = Long.MAX_VALUE;
-		for (int rank = 0; rank < this.ranks; rank++) {
-			slowest = Math.min(slowest, engine(state, rank).nextStep());
-		}
-		return slowest;
-	}
-
-	String describe(State state) {
+	String describe(GroupState state) {
 		StringBuilder text = new StringBuilder();
 		for (int rank = 0; rank < this.ranks; rank++) {
 			text.append("\n rank ").append(rank).append(": ");
 			text.append((state.engines[rank] != DOWN) ? engine(state, rank) : "down");
 			text.append(' ').append(this.sidecars.value(state.sidecars[rank]));
 		}
-		for (State at = state; at != null; at = at.parent) {
+		for (GroupState at = state; at != null; at = at.parent) {
 			text.append("\n after ").append(name(at.event));
 		}
 		return text.toString();
@@ -428,93 +372,4 @@
 	private record BalancerMemory(long incarnation, MapSwitchBalancer.Memory memory) {
 	}
 
-	/** Numbers equal values. */
-	private static final class Interner<T> {
-
-		private final Map<T, Integer> ids = new HashMap<>();
-
-		private final List<T> values = new ArrayList<>();
-
-		int id(T value) {
-			Integer known = this.ids.get(value);
-			if (known != null) {
-				return known;
-			}
-			this.ids.put(value, this.values.size());
-			this.values.add(value);
-			return this.values.size() - 1;
-		}
-
-		T value(int id) {
-			return this.values.get(id);
-		}
-
-	}
-
-	/** A state of everything, as numbers of interned parts. */
-	static final class State {
-
-		int[] engines;
-
-		int[] sidecars;
-
-		int[] seenFence;
-
-		int[] balancers;
-
-		int[] store;
-
-		int restarts;
-
-		int crashes;
-
-		boolean broken;
-
-		BitSet sent;
-
-		Optional<String> violation = Optional.empty();
-
-		State parent;
-
-		String event = "start";
-
-		State copy(String newEvent) {
-			State copy = new State();
-			copy.engines = this.engines.clone();
-			copy.sidecars = this.sidecars.clone();
-			copy.seenFence = this.seenFence.clone();
-			copy.balancers = this.balancers.clone();
-			copy.store = this.store;
-			copy.restarts = this.restarts;
-			copy.crashes = this.crashes;
-			copy.broken = this.broken;
-			copy.sent = (BitSet) this.sent.clone();
-			copy.parent = this;
-			copy.event = newEvent;
-			return copy;
-		}
-
-		long fingerprint() {
-			HashStream64 hash = Hashing.komihash5_0().hashStream();
-			putLocal(hash);
-			hash.putIntArray(this.seenFence);
-			hash.putInt(this.restarts).putInt(this.crashes);
-			hash.putInt(this.store[2]).putInt(this.store[3]);
-			return hash.putLongArray(this.sent.toLongArray()).getAsLong();
-		}
-
-		/** What a healed run depends on. */
-		long localFingerprint() {
-			HashStream64 hash = Hashing.komihash5_0().hashStream();
-			putLocal(hash);
-			return hash.getAsLong();
-		}
-
-		private void putLocal(HashStream64 hash) {
-			hash.putIntArray(this.engines).putIntArray(this.sidecars).putIntArray(this.balancers);
-			hash.putInt(this.store[0]).putInt(this.store[1]).putBoolean(this.broken);
-		}
-
-	}
-
 }
--- /dev/null
+++ b/bulrushrouter-experts/src/test/java/io/bulrushrouter/experts/switchover/GroupState.java
@@ -0,0 +1,75 @@
+package io.bulrushrouter.experts.switchover;
+
+import java.util.BitSet;
+import java.util.Optional;
+
+import com.dynatrace.hash4j.hashing.HashStream64;
+import com.dynatrace.hash4j.hashing.Hashing;
+
+/**
+ * A state of everything in a {@link Group}, as numbers of interned parts.
+ */
+final class GroupState {
+
+	int[] engines;
+
+	int[] sidecars;
+
+	int[] seenFence;
+
+	int[] balancers;
+
+	int[] store;
+
+	int restarts;
+
+	int crashes;
+
+	boolean broken;
+
+	BitSet sent;
+
+	Optional<String> violation = Optional.empty();
+
+	GroupState parent;
+
+	String event = "start";
+
+	GroupState copy(String newEvent) {
+		GroupState copy = new GroupState();
+		copy.engines = this.engines.clone();
+		copy.sidecars = this.sidecars.clone();
+		copy.seenFence = this.seenFence.clone();
+		copy.balancers = this.balancers.clone();
+		copy.store = this.store;
+		copy.restarts = this.restarts;
+		copy.crashes = this.crashes;
+		copy.broken = this.broken;
+		copy.sent = (BitSet) this.sent.clone();
+		copy.parent = this;
+		copy.event = newEvent;
+		return copy;
+	}
+
+	long fingerprint() {
+		HashStream64 hash = Hashing.komihash5_0().hashStream();
+		putLocal(hash);
+		hash.putIntArray(this.seenFence);
+		hash.putInt(this.restarts).putInt(this.crashes);
+		hash.putInt(this.store[2]).putInt(this.store[3]);
+		return hash.putLongArray(this.sent.toLongArray()).getAsLong();
+	}
+
+	/** What a healed run depends on. */
+	long localFingerprint() {
+		HashStream64 hash = Hashing.komihash5_0().hashStream();
+		putLocal(hash);
+		return hash.getAsLong();
+	}
+
+	private void putLocal(HashStream64 hash) {
+		hash.putIntArray(this.engines).putIntArray(this.sidecars).putIntArray(this.balancers);
+		hash.putInt(this.store[0]).putInt(this.store[1]).putBoolean(this.broken);
+	}
+
+}
