--- a/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/experts/ExpertRun.java
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/experts/ExpertRun.java
@@ -84,7 +84,10 @@
 		this.popularity = Popularity.of(shape, Duration.ofSeconds(15), Duration.ofMinutes(5));
 	}
 
-	/** Runs the day, from a map that was built for its first tick. */
+	/**
+	 * Runs the day, from a map that was built for its first tick.
+	 * @return this run
+	 */
 	ExpertRun run() {
 		double[][] first = this.day.next(0);
 		ExpertMap empty = ExpertMap.ofRoundRobin(1, this.shape);
