--- a/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/experts/ExpertRun.java
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/experts/ExpertRun.java
@@ -86,7 +86,7 @@
 
 	/**
 	 * Runs the day, from a map that was built for its first tick.
-	 * @return this run, with its figures
+	 * @return this run
 	 */
 	ExpertRun run() {
 		double[][] first = this.day.next(0);
