--- a/bulrushrouter-evacuation/src/test/java/io/bulrushrouter/evacuation/reconcile/ReconcilerTests.java
+++ b/bulrushrouter-evacuation/src/test/java/io/bulrushrouter/evacuation/reconcile/ReconcilerTests.java
@@ -10,8 +10,10 @@
 
 import org.junit.jupiter.api.Test;
 
+import io.bulrushrouter.evacuation.Demand;
 import io.bulrushrouter.evacuation.EndState;
 import io.bulrushrouter.evacuation.EvacuationState;
+import io.bulrushrouter.evacuation.Fleet;
 import io.bulrushrouter.evacuation.FleetUpstream;
 import io.bulrushrouter.evacuation.Placement;
 import io.bulrushrouter.evacuation.ShortReason;
@@ -19,6 +21,7 @@
 import io.bulrushrouter.evacuation.TestFleet;
 import io.bulrushrouter.evacuation.UpstreamIntent;
 import io.bulrushrouter.kernel.DataCentreId;
+import io.bulrushrouter.kernel.GroupId;
 import io.bulrushrouter.kernel.ModelId;
 import io.bulrushrouter.kernel.OrganisationId;
 import io.bulrushrouter.kernel.UpstreamId;
@@ -156,12 +159,17 @@
 
 	@Test
 	void countsTheRestOfAGroupThatHasBegunToLeave() {
-		this.placements = Map.of(TestFleet.FIRST, TestFleet.OLD, TestFleet.SECOND, TestFleet.NEW);
+		ModelId model = ModelId.of("assistant");
+		List<UpstreamId> ids = List.of(RANK_0, RANK_1, BOOKING);
+		Fleet fleet = Fleet.of(ids.stream()
+			.map((id) -> new FleetUpstream(id, TestFleet.OLD, model,
+					id.equals(BOOKING) ? Optional.empty() : Optional.of(GroupId.of("g-old")), 8))
+			.toList(), List.of(new Demand(TestFleet.FIRST, model, 8)));
 		this.moves = Map.of();
-		this.accepted = List.of(new Shortage(TestFleet.OLD, ModelId.of("booking"), 4, 4));
 		see(RANK_0, Phase.LEAVING, 0);
-		assertThat(names(steps(STOP))).containsExactly("set-leaving upstream/rank-1-old",
-				"hold upstream/booking-old no-capacity");
+		Observation observed = new Observation(this.seen, Map.of(TestFleet.FIRST, TestFleet.OLD), true);
+		assertThat(names(Reconciler.of(fleet, this.policy).steps(state(), observed, STOP, 7)))
+			.containsExactly("set-leaving upstream/rank-1-old", "hold upstream/booking-old no-capacity");
 	}
 
 	@Test
