--- a/bulrushrouter-platform/src/main/java/io/bulrushrouter/platform/configuration/ScopeTrack.java
+++ b/bulrushrouter-platform/src/main/java/io/bulrushrouter/platform/configuration/ScopeTrack.java
@@ -23,6 +23,10 @@
 
 	private Optional<InstanceId> source = Optional.empty();
 
+	private Optional<Long> windowFrom = Optional.empty();
+
+	private int handed;
+
 	private Optional<Long> askedAt = Optional.empty();
 
 	ScopeTrack(String scope) {
@@ -82,6 +86,19 @@
 		return this.source;
 	}
 
+	// Returns the document in force if another may be sent within the window.
+	Optional<Document> hand(long above, int limit, Duration window, long nowNanos) {
+		if (version() <= above) {
+			return Optional.empty();
+		}
+		if (this.windowFrom.filter((from) -> nowNanos - from < window.toNanos()).isEmpty()) {
+			this.windowFrom = Optional.of(nowNanos);
+			this.handed = 0;
+		}
+		this.handed++;
+		return (this.handed <= limit) ? this.inForce : Optional.empty();
+	}
+
 	void refuse(long version) {
 		this.refused = version;
 		this.known = Math.max(this.known, version);
--- a/bulrushrouter-platform/src/test/java/io/bulrushrouter/platform/configuration/ConfigurationFaultTests.java
+++ b/bulrushrouter-platform/src/test/java/io/bulrushrouter/platform/configuration/ConfigurationFaultTests.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
@@ -29,6 +30,8 @@
 
 	private static final Duration REACH = Duration.ofSeconds(40);
 
+	private static final long LATE = SpreadTerms.DEFAULT.platformPatience().toNanos();
+
 	private static final AtomicInteger cells = new AtomicInteger();
 
 	@AfterAll
@@ -103,21 +106,60 @@
 				SpreadTerms.DEFAULT);
 		SpreadSimulation simulation = new SpreadSimulation(NODES, SpreadTerms.DEFAULT, 1);
 		PeerView view = simulation.alive().get(0).view();
+		node.onTick(0, view, new Random(1));
 		node.onMessage(self, new ConfigurationMessage.Document("main", 4, new byte[0]), 0, view);
+		List<ScopeState> equal = List.of(new ScopeState("main", 4, 4));
+		List<ScopeState> higher = List.of(new ScopeState("main", 4, 5));
 		for (int peer = 0; peer < 9; peer++) {
-			List<ScopeState> states = List.of(new ScopeState("main", 4, 4));
-			node.onMessage(InstanceId.of("u" + peer), new ConfigurationMessage.Digest(false, false, states), 0, view);
+			node.onMessage(InstanceId.of("u" + peer), new ConfigurationMessage.Digest(false, false, equal), LATE, view);
+			assertThat(node.isReady()).isFalse();
+		}
+		for (int peer = 0; peer < 9; peer++) {
+			node.onMessage(InstanceId.of("e" + peer), new ConfigurationMessage.Digest(true, false, equal), LATE - 1,
+					view);
 			assertThat(node.isReady()).isFalse();
 		}
 		for (int peer = 0; peer < 9; peer++) {
+			node.onMessage(InstanceId.of("p" + peer), new ConfigurationMessage.Digest(true, false, higher), LATE, view);
 			assertThat(node.isReady()).isFalse();
-			List<ScopeState> states = List.of(new ScopeState("main", 4, (peer == 1) ? 5 : 4));
-			node.onMessage(InstanceId.of("p" + peer), new ConfigurationMessage.Digest(true, false, states), 0, view);
 		}
-		node.onMessage(self, new ConfigurationMessage.Document("main", 5, new byte[0]), 0, view);
+		node.onMessage(self, new ConfigurationMessage.Document("main", 5, new byte[0]), LATE, view);
 		assertThat(node.isReady()).isTrue();
 	}
 
+	@Test
+	void waitsForEnoughReadyPeers() {
+		ConfigurationNode node = ConfigurationNode.of(InstanceId.of("a"), Set.of("main"),
+				(document) -> Optional.empty(), SpreadTerms.DEFAULT);
+		PeerView view = new SpreadSimulation(NODES, SpreadTerms.DEFAULT, 1).alive().get(0).view();
+		node.onTick(0, view, new Random(1));
+		node.onMessage(InstanceId.of("p1"), new ConfigurationMessage.Document("main", 4, new byte[0]), LATE, view);
+		for (int peer = 1; peer <= SpreadTerms.DEFAULT.sponsors(); peer++) {
+			assertThat(node.isReady()).isFalse();
+			List<ScopeState> states = List.of(new ScopeState("main", 4, 4));
+			node.onMessage(InstanceId.of("p" + peer), new ConfigurationMessage.Digest(true, false, states), LATE, view);
+			node.onMessage(InstanceId.of("p1"), new ConfigurationMessage.Digest(true, false, states), LATE, view);
+		}
+		assertThat(node.isReady()).isTrue();
+	}
+
+	@Test
+	void peersThatLagDoNotCountWhileThePlatformAnswers() {
+		SpreadSimulation simulation = new SpreadSimulation(NODES, SpreadTerms.DEFAULT, 1);
+		simulation.accept(SpreadSimulation.text("first"));
+		simulation.runFor(Duration.ofSeconds(10));
+		simulation.cut((from, to) -> true);
+		long second = simulation.accept(SpreadSimulation.text("second"));
+		simulation.runFor(Duration.ofSeconds(1));
+		InstanceId relay = simulation.relays().get(0);
+		simulation.cut((from, to) -> simulation.relays().contains(from) && !from.equals(relay));
+		simulation.storeLatency(Duration.ofMillis(500));
+		SpreadSimulation.SimulatedNode after = simulation.restart(relay);
+		simulation.runFor(Duration.ofSeconds(1));
+		assertThat(after.earlier().orElseThrow().version()).isEqualTo(second);
+		assertThat(after.versionWhenReady()).isEqualTo(second);
+	}
+
 	@Test
 	void outageIsNoWordOfThePlatform() {
 		RelayWatch watch = RelayWatch.of("main");
