Measure the slopes that the capacity page rests on

The page at the target size needs slopes that a command prints. The bench's experiment `capacity` drives the library code at several sizes, fits lines (slope, intercept, range, residual) and sets them against the users' limits.

--- /dev/null
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/capacity/CapacityExperiment.java
@@ -0,0 +1,30 @@
+package io.bulrushrouter.bench.capacity;
+
+import java.io.PrintStream;
+import java.util.List;
+
+import io.bulrushrouter.bench.Experiment;
+
+/**
+ * Prints the slopes that {@code docs/CAPACITY.md} rests on, and what they come to at the
+ * target size beside the users' limits. A limit that is missed is printed as missed.
+ */
+final class CapacityExperiment implements Experiment {
+
+	@Override
+	public boolean run(PrintStream out) {
+		CountedSlopes counted = CountedSlopes.of(CountedSlopes.Sizes.ofTarget());
+		print(out, "Counted: the same in each run", counted.fits());
+		List<Budget> budgets = Budget.of(counted);
+		out.printf("%n## At the target size%n%n%s%n", Budget.HEAD);
+		budgets.forEach((budget) -> out.println(budget.row()));
+		print(out, "Timed: medians of 7 counted loops, processor time of the thread", TimedSlopes.of());
+		return budgets.stream().allMatch(Budget::held);
+	}
+
+	private static void print(PrintStream out, String title, List<Fit> fits) {
+		out.printf("%n## %s%n%n%s%n", title, Fit.HEAD);
+		fits.forEach((fit) -> out.println(fit.row()));
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/capacity/ClaimHome.java
@@ -0,0 +1,146 @@
+package io.bulrushrouter.bench.capacity;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.atomic.AtomicLong;
+
+import io.bulrushrouter.kernel.OrganisationId;
+import io.bulrushrouter.kernel.RequestId;
+import io.bulrushrouter.kernel.store.ListResult;
+import io.bulrushrouter.kernel.store.ObjectKey;
+import io.bulrushrouter.kernel.store.ObjectStore;
+import io.bulrushrouter.kernel.store.ReadResult;
+import io.bulrushrouter.kernel.store.Write;
+import io.bulrushrouter.kernel.store.WriteResult;
+import io.bulrushrouter.request.ClaimOutcome;
+import io.bulrushrouter.request.ClaimRequest;
+import io.bulrushrouter.request.Claims;
+import io.bulrushrouter.request.ClaimsPolicy;
+import io.bulrushrouter.standin.MemoryObjectStore;
+
+/**
+ * The home of all shards of claims at a given rate, with a store that answers one step
+ * later.
+ */
+final class ClaimHome implements ObjectStore {
+
+	private static final Duration STEP = Duration.ofMillis(5);
+
+	private static final int STEPS_PER_SECOND = 200;
+
+	private static final int SECONDS = 10;
+
+	private static final int STEPS_PER_BATCH = 10;
+
+	private static final long EPOCH_SECONDS = 1_000_000;
+
+	private final MemoryObjectStore store = new MemoryObjectStore();
+
+	private final AtomicLong now = new AtomicLong();
+
+	private final Deque<Runnable> answers = new ArrayDeque<>();
+
+	private final Claims claims;
+
+	private long number;
+
+	private long granted;
+
+	private long bytes;
+
+	private ClaimHome(int shards) {
+		ClaimsPolicy layout = ClaimsPolicy.ofDefaults();
+		this.claims = Claims.builder(this, 1)
+			.policy(new ClaimsPolicy(shards, layout.archives(), layout.segmentClaims(), layout.writeInterval(),
+					layout.keptFor(), layout.inFlightFor(), layout.retryAfter()))
+			.clock(this.now::get)
+			.epochSeconds(() -> EPOCH_SECONDS + Duration.ofNanos(this.now.get()).toSeconds())
+			.build();
+	}
+
+	static ClaimHome run(int shards, int claimsPerSecond) {
+		ClaimHome home = new ClaimHome(shards);
+		for (int step = 1; step <= SECONDS * STEPS_PER_SECOND; step++) {
+			home.step((long) claimsPerSecond * step / STEPS_PER_SECOND);
+		}
+		return home;
+	}
+
+	private void step(long until) {
+		while (this.number < until) {
+			claim();
+		}
+		pass();
+	}
+
+	private void pass() {
+		this.now.addAndGet(STEP.toNanos());
+		for (int due = this.answers.size(); due > 0; due--) {
+			this.answers.poll().run();
+		}
+		this.claims.tick();
+	}
+
+	void claim() {
+		this.number++;
+		ClaimRequest request = new ClaimRequest(new RequestId(1, this.number).attempt(1), 1, OrganisationId.of("o"),
+				"key-" + this.number, this.number);
+		this.claims.claim(request, (outcome) -> this.granted += (outcome instanceof ClaimOutcome.Granted) ? 1 : 0);
+	}
+
+	/**
+	 * Claims a batch of keys, as many as come between two writes of a shard.
+	 * @param count how many
+	 */
+	void batch(int count) {
+		for (int index = 0; index < count; index++) {
+			claim();
+		}
+		for (int step = 0; step < STEPS_PER_BATCH; step++) {
+			pass();
+		}
+	}
+
+	double writesPerSecond() {
+		return this.store.writes() / (double) SECONDS;
+	}
+
+	double bytesPerSecond() {
+		return this.bytes / (double) SECONDS;
+	}
+
+	long granted() {
+		return this.granted;
+	}
+
+	@Override
+	public CompletionStage<ReadResult> read(ObjectKey key) {
+		return later(this.store.read(key));
+	}
+
+	@Override
+	public CompletionStage<WriteResult> write(Write write) {
+		this.bytes += write.value().length;
+		return later(this.store.write(write));
+	}
+
+	private <T> CompletionStage<T> later(CompletionStage<T> done) {
+		CompletableFuture<T> answer = new CompletableFuture<>();
+		this.answers.add(() -> done.thenAccept(answer::complete));
+		return answer;
+	}
+
+	@Override
+	public CompletionStage<ListResult> list(String prefix) {
+		return this.store.list(prefix);
+	}
+
+	@Override
+	public CompletionStage<ReadResult> watch(ObjectKey key, long afterVersion, Duration wait) {
+		return this.store.watch(key, afterVersion, wait);
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/capacity/Cost.java
@@ -0,0 +1,65 @@
+package io.bulrushrouter.bench.capacity;
+
+import java.lang.management.ManagementFactory;
+import java.util.Arrays;
+import java.util.function.Supplier;
+
+import com.sun.management.ThreadMXBean;
+
+/**
+ * Processor time and allocation of the calling thread.
+ *
+ * @param nanos processor time of one operation, in nanoseconds
+ * @param bytes allocation of one operation, in bytes
+ */
+record Cost(double nanos, double bytes) {
+
+	private static final int WARM_UPS = 3;
+
+	private static final int REPEATS = 7;
+
+	private static final ThreadMXBean THREADS = (ThreadMXBean) ManagementFactory.getThreadMXBean();
+
+	/**
+	 * Returns the medians of several repeats of a counted loop.
+	 * @param operations how many times the loop runs the operation
+	 * @param operation the operation
+	 * @return the cost of one run
+	 */
+	static Cost of(int operations, Runnable operation) {
+		double[] times = new double[REPEATS];
+		double[] sizes = new double[REPEATS];
+		for (int repeat = -WARM_UPS; repeat < REPEATS; repeat++) {
+			Cost cost = once(operations, operation);
+			if (repeat >= 0) {
+				times[repeat] = cost.nanos;
+				sizes[repeat] = cost.bytes;
+			}
+		}
+		Arrays.sort(times);
+		Arrays.sort(sizes);
+		return new Cost(times[REPEATS / 2], sizes[REPEATS / 2]);
+	}
+
+	private static Cost once(int operations, Runnable operation) {
+		long thread = Thread.currentThread().getId();
+		long bytesBefore = THREADS.getThreadAllocatedBytes(thread);
+		long nanosBefore = THREADS.getCurrentThreadCpuTime();
+		for (int i = 0; i < operations; i++) {
+			operation.run();
+		}
+		double usedNanos = THREADS.getCurrentThreadCpuTime() - nanosBefore;
+		double usedBytes = THREADS.getThreadAllocatedBytes(thread) - bytesBefore;
+		return new Cost(usedNanos / operations, usedBytes / operations);
+	}
+
+	/**
+	 * Returns the allocation of building something.
+	 * @param builder builds it
+	 * @return the bytes
+	 */
+	static double built(Supplier<?> builder) {
+		return of(1, builder::get).bytes;
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/capacity/CountedSlopes.java
@@ -0,0 +1,143 @@
+package io.bulrushrouter.bench.capacity;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+
+import io.bulrushrouter.daemon.node.ControlMessages;
+import io.bulrushrouter.experts.PopularityReport;
+import io.bulrushrouter.platform.configuration.CompressedBody;
+import io.bulrushrouter.routing.LoadReport;
+
+/**
+ * Slopes that are counted, and so are the same in each run: bytes, messages and calls.
+ *
+ * @param configurationByOrganisation bytes of a configuration over organisations
+ * @param configurationByUpstream bytes of a configuration over upstreams
+ * @param compressed bytes of a configuration after gzip over organisations
+ * @param restMessages messages of a node at rest over nodes
+ * @param restBytes bytes a second of a node at rest over nodes
+ * @param versionBytes bytes of the busiest node for a version over the version's bytes
+ * @param versionMessages messages of the mean node for a version over nodes
+ * @param leaseReads reads a second over leases
+ * @param leaseWrites writes a second over leases
+ * @param claimWrites writes a second for claims over shards
+ * @param claimBytes bytes a second written for claims over shards
+ * @param switchMessages the balancer's messages for a map switch over ranks
+ * @param switchBytes the balancer's bytes for a map switch over ranks
+ * @param progressBytes bytes of the evacuation's progress over upstreams
+ * @param reportBytes bytes of the evacuation's report over upstreams
+ */
+record CountedSlopes(Fit configurationByOrganisation, Fit configurationByUpstream, Fit compressed, Fit restMessages,
+		Fit restBytes, Fit versionBytes, Fit versionMessages, Fit leaseReads, Fit leaseWrites, Fit claimWrites,
+		Fit claimBytes, Fit switchMessages, Fit switchBytes, Fit progressBytes, Fit reportBytes) {
+
+	private static final int REST_SECONDS = 60;
+
+	private static final int SPREAD_NODES = 200;
+
+	private static final int[] BODIES = { 1_000, 50_000, 200_000, 400_000 };
+
+	/** Bytes of a load report with its frame and the network's headers. */
+	static final int LOAD_REPORT = Frames
+		.bytes(new LoadReport(Long.MAX_VALUE, 1_000_000, 400_000_000, 12_000, 60, 0.5, 0.0625, List.of()));
+
+	/** Bytes of a question to a sidecar for its state. */
+	static final int OBSERVE = Frames.bytes(new ControlMessages.ObserveUpstream(1_000_000));
+
+	/** Bytes of the answer. */
+	static final int OBSERVED = Frames.bytes(new ControlMessages.UpstreamObserved(1_000_000, "RUNNING", 60, ""));
+
+	/** Bytes of a rank's count of the tokens of each expert of one layer. */
+	static final int POPULARITY = Frames.bytes(new PopularityReport(200, 1_000, 30, Long.MAX_VALUE,
+			IntStream.range(0, TargetSize.EXPERTS).map((expert) -> 300 + expert).toArray()));
+
+	static CountedSlopes of(Sizes sizes) {
+		return new CountedSlopes(
+				Fit.of("configuration, bytes (of 600 upstreams)", "organisations", sizes.organisations(),
+						(size) -> Inventory.configuration(size, TargetSize.SIDECARS).toJson().length),
+				Fit.of("configuration, bytes (of 1,600 organisations)", "upstreams", sizes.upstreams(),
+						(size) -> Inventory.configuration(TargetSize.ORGANISATIONS, size).toJson().length),
+				Fit.of("configuration after gzip, bytes (of 600 upstreams)", "organisations", sizes.organisations(),
+						CountedSlopes::compressedBytes),
+				Fit.of("spread at rest, messages/s in and out of the mean node", "nodes", sizes.nodes(),
+						(size) -> atRest(size).meanMessages() / REST_SECONDS),
+				Fit.of("spread at rest, bytes/s in and out of the busiest node", "nodes", sizes.nodes(),
+						(size) -> atRest(size).mostBytes() / REST_SECONDS),
+				Fit.of("a version, bytes in and out of the busiest of 200 nodes", "bytes of the version", BODIES,
+						(size) -> accepted(SPREAD_NODES, size).mostBytes()),
+				Fit.of("a version, messages in and out of the mean node", "nodes", sizes.nodes(),
+						(size) -> accepted(size, BODIES[0]).meanMessages()),
+				Fit.of("leases, reads/s", "leases", sizes.leases(), (size) -> LeaseHolders.run(size).readsPerSecond()),
+				Fit.of("leases, writes/s", "leases", sizes.leases(),
+						(size) -> LeaseHolders.run(size).writesPerSecond()),
+				Fit.of("2,100 claims/s at homes, writes/s", "shards", sizes.shards(),
+						(size) -> ClaimHome.run(size, TargetSize.REQUESTS_PER_SECOND).writesPerSecond()),
+				Fit.of("2,100 claims/s at homes, bytes/s written", "shards", sizes.shards(),
+						(size) -> ClaimHome.run(size, TargetSize.REQUESTS_PER_SECOND).bytesPerSecond()),
+				Fit.of("map switch, messages of the balancer", "ranks", sizes.ranks(),
+						(size) -> SwitchGroup.run(size).messages()),
+				Fit.of("map switch, bytes of the balancer", "ranks", sizes.ranks(),
+						(size) -> SwitchGroup.run(size).bytes()),
+				Fit.of("evacuation's progress, bytes", "upstreams", sizes.upstreams(),
+						(size) -> EvacuationPlanOf.of(size).progressBytes()),
+				Fit.of("evacuation's report as JSON, bytes", "upstreams", sizes.upstreams(),
+						(size) -> EvacuationPlanOf.of(size).reportBytes()));
+	}
+
+	private static double compressedBytes(int organisations) {
+		return CompressedBody.compress(Inventory.configuration(organisations, TargetSize.SIDECARS).toJson()).length;
+	}
+
+	private static SpreadFleet atRest(int nodes) {
+		SpreadFleet fleet = new SpreadFleet(nodes);
+		fleet.reset();
+		fleet.rest(REST_SECONDS);
+		return fleet;
+	}
+
+	private static SpreadFleet accepted(int nodes, int bytes) {
+		SpreadFleet fleet = new SpreadFleet(nodes);
+		fleet.reset();
+		fleet.accept(new byte[bytes]);
+		if (!fleet.allInForce()) {
+			throw new IllegalStateException("a version did not reach all nodes");
+		}
+		return fleet;
+	}
+
+	List<Fit> fits() {
+		List<Fit> fits = new ArrayList<>();
+		fits.addAll(List.of(this.configurationByOrganisation, this.configurationByUpstream, this.compressed));
+		fits.addAll(List.of(this.restMessages, this.restBytes, this.versionBytes, this.versionMessages));
+		fits.addAll(List.of(this.leaseReads, this.leaseWrites, this.claimWrites, this.claimBytes));
+		fits.addAll(List.of(this.switchMessages, this.switchBytes, this.progressBytes, this.reportBytes));
+		return fits;
+	}
+
+	/**
+	 * The sizes that are run.
+	 *
+	 * @param nodes configuration nodes
+	 * @param organisations organisations
+	 * @param upstreams upstreams
+	 * @param leases leases
+	 * @param shards shards of claims
+	 * @param ranks ranks of a group
+	 */
+	record Sizes(int[] nodes, int[] organisations, int[] upstreams, int[] leases, int[] shards, int[] ranks) {
+
+		static Sizes ofTarget() {
+			return new Sizes(new int[] { 50, 100, 200, 400, 1000 }, new int[] { 100, 400, 800, 1600 },
+					new int[] { 100, 200, 400, 600 }, new int[] { 1, 10, 50, 100 }, new int[] { 2, 4, 8, 16 },
+					new int[] { 8, 32, 64, 128, 256 });
+		}
+
+		static Sizes ofSmall() {
+			return new Sizes(new int[] { 50, 100, 200 }, new int[] { 100, 400 }, new int[] { 50, 100 },
+					new int[] { 1, 10 }, new int[] { 4, 8 }, new int[] { 8, 32, 64 });
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/capacity/TargetSize.java
@@ -0,0 +1,60 @@
+package io.bulrushrouter.bench.capacity;
+
+/**
+ * The sizes and limits that the users have set.
+ */
+final class TargetSize {
+
+	static final int ENTRIES = 400;
+
+	static final int SIDECARS = 600;
+
+	static final int PROCESSES = ENTRIES + SIDECARS;
+
+	static final int DATA_CENTRES = 11;
+
+	static final int ORGANISATIONS = 1_600;
+
+	static final int MODELS = 34;
+
+	/** Models that an organisation uses. */
+	static final int MODELS_EACH = 3;
+
+	static final int RANKS = 256;
+
+	static final int EXPERTS = 256;
+
+	static final int LAYERS = 58;
+
+	static final int SLOTS = 2;
+
+	static final int REQUESTS_PER_SECOND = 2_100;
+
+	static final int TOKENS_PER_SECOND = 450_000;
+
+	static final int CHANGES_PER_DAY = 1_400;
+
+	static final int SECONDS_PER_DAY = 86_400;
+
+	/** Control traffic of a node, in bytes a second. */
+	static final double CONTROL_BYTES_PER_SECOND = 10_000;
+
+	/** Control's part of a core. */
+	static final double CONTROL_CORE = 0.012;
+
+	/** Control's memory of a node, in bytes. */
+	static final double CONTROL_MEMORY = 64e6;
+
+	/** The platform's reads a second. */
+	static final double PLATFORM_READS = 2_000;
+
+	/** The platform's writes a second. */
+	static final double PLATFORM_WRITES = 300;
+
+	/** The longest value of the platform, in bytes. */
+	static final double PLATFORM_VALUE = 1_000_000;
+
+	private TargetSize() {
+	}
+
+}
