--- a/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/capacity/CountedSlopes.java
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/capacity/CountedSlopes.java
@@ -8,6 +8,7 @@
 import io.bulrushrouter.experts.PopularityReport;
 import io.bulrushrouter.platform.configuration.CompressedBody;
 import io.bulrushrouter.routing.LoadReport;
+import io.bulrushrouter.routing.PrefixHint;
 
 /**
  * Slopes that are counted, and so are the same in each run: bytes, messages and calls.
@@ -39,8 +40,14 @@
 	private static final int[] BODIES = { 1_000, 50_000, 200_000, 400_000 };
 
 	/** Bytes of a load report with its frame and the network's headers. */
-	static final int LOAD_REPORT = Frames
-		.bytes(new LoadReport(Long.MAX_VALUE, 1_000_000, 400_000_000, 12_000, 60, 0.5, 0.0625, List.of()));
+	static final int LOAD_REPORT = Frames.bytes(report(List.of()));
+
+	/** Bytes of a question for an upstream's load before a choice. */
+	static final int PROBE = Frames.bytes(new ControlMessages.Probe(1_000_000, Long.MAX_VALUE));
+
+	/** Bytes of the answer. */
+	static final int PROBE_ANSWER = Frames
+		.bytes(new ControlMessages.ProbeAnswer(1_000_000, report(List.of(new PrefixHint(Long.MAX_VALUE, 1536)))));
 
 	/** Bytes of a question to a sidecar for its state. */
 	static final int OBSERVE = Frames.bytes(new ControlMessages.ObserveUpstream(1_000_000));
@@ -52,6 +59,10 @@
 	static final int POPULARITY = Frames.bytes(new PopularityReport(200, 1_000, 30, Long.MAX_VALUE,
 			IntStream.range(0, TargetSize.EXPERTS).map((expert) -> 300 + expert).toArray()));
 
+	private static LoadReport report(List<PrefixHint> hints) {
+		return new LoadReport(Long.MAX_VALUE, 1_000_000, 400_000_000, 12_000, 60, 0.5, 0.0625, hints);
+	}
+
 	static CountedSlopes of(Sizes sizes) {
 		return new CountedSlopes(
 				Fit.of("configuration, bytes (of 600 upstreams)", "organisations", sizes.organisations(),
