--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/SidecarNode.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/SidecarNode.java
@@ -118,8 +118,12 @@
 		EngineClient engine = new EngineClient(this.bootstrap.caller(), this.settings.url(),
 				(event) -> this.duty.put(new SidecarInput.Happened(event)));
 		SidecarCalls calls = SidecarCalls.ofClosed(incarnation, SidecarPolicy.of(this.settings.concurrency()),
-				new FairCallQueue(FairQueueSettings.of(this.settings.concurrency(), this::weight), System.nanoTime()));
-		Claims claims = Claims.builder(this.bootstrap.store(), incarnation).executor(this::onDuty).build();
+				new FairCallQueue(queueSettings(), System.nanoTime()));
+		Claims claims = Claims.builder(this.bootstrap.store(), incarnation)
+			.clock(TimeSource.ofSystem())
+			.epochSeconds(() -> TimeUnit.MILLISECONDS.toSeconds(System.currentTimeMillis()))
+			.executor(this::onDuty)
+			.build();
 		Optional<EngineOrderClient> orderClient = this.settings.service() ? Optional.empty()
 				: Optional.of(new EngineOrderClient(this.bootstrap.caller(), this.settings.url()));
 		OrderDesk orders = new OrderDesk(this.bootstrap.store("orders", CallBudget.SIDECAR), orderClient, this::onDuty);
@@ -132,6 +136,12 @@
 				this.bootstrap.metrics());
 	}
 
+	private FairQueueSettings queueSettings() {
+		int slots = this.settings.concurrency();
+		return this.settings.service() ? FairQueueSettings.ofService(slots, this::weight)
+				: FairQueueSettings.of(slots, this::weight);
+	}
+
 	private void adopt(InForce next) {
 		this.weights = next.configuration()
 			.organisations()
--- a/bulrushrouter-daemon/src/test/java/io/bulrushrouter/daemon/ArchitectureTests.java
+++ b/bulrushrouter-daemon/src/test/java/io/bulrushrouter/daemon/ArchitectureTests.java
@@ -37,9 +37,6 @@
 	private static final String[] DECISIONS = { "io.bulrushrouter.request..", "io.bulrushrouter.routing..",
 			"io.bulrushrouter.experts..", "io.bulrushrouter.evacuation.." };
 
-	private static final String[] CLOCKLESS = { "io.bulrushrouter.routing..", "io.bulrushrouter.experts..",
-			"io.bulrushrouter.evacuation.." };
-
 	private static final String ROOT = "io.bulrushrouter.";
 
 	@ArchTest
@@ -54,7 +51,7 @@
 	@ArchTest
 	static final ArchRule decisionsReadNoClock = ArchRuleDefinition.noClasses()
 		.that()
-		.resideInAnyPackage(CLOCKLESS)
+		.resideInAnyPackage(DECISIONS)
 		.should()
 		.accessTargetWhere(useOf(Clock.class, "system", "systemUTC", "systemDefaultZone", "tickMillis"))
 		.orShould()
--- a/bulrushrouter-daemon/src/test/java/io/bulrushrouter/daemon/demo/FleetTests.java
+++ b/bulrushrouter-daemon/src/test/java/io/bulrushrouter/daemon/demo/FleetTests.java
@@ -66,6 +66,17 @@
 		}
 	}
 
+	@Test
+	void goesOnAfterMoreRequestsThanAllUpstreamsRunAtOnce() {
+		for (int round = 0; round < 6; round++) {
+			List<CompletableFuture<Caller.Answer>> answers = new ArrayList<>();
+			for (int i = 0; i < ANSWERS; i++) {
+				answers.add(caller(i % 2, 1 + i % 10).stream("round " + round + " " + i, 2));
+			}
+			answers.forEach((answer) -> assertThat(answer.orTimeout(30, TimeUnit.SECONDS).join().clean()).isTrue());
+		}
+	}
+
 	@Test
 	void answersRepeatedReadsWithTheSameText() {
 		Caller.Answer first = caller(0, 1).stream("the same enquiry", TOKENS).join();
--- a/bulrushrouter-request/src/main/java/io/bulrushrouter/request/Claims.java
+++ b/bulrushrouter-request/src/main/java/io/bulrushrouter/request/Claims.java
@@ -87,9 +87,9 @@
 
 		ClaimsPolicy policy = ClaimsPolicy.ofDefaults();
 
-		TimeSource clock = TimeSource.ofSystem();
+		TimeSource clock;
 
-		LongSupplier epochSeconds = () -> System.currentTimeMillis() / 1000;
+		LongSupplier epochSeconds;
 
 		Executor executor = Runnable::run;
 
@@ -139,10 +139,12 @@
 		}
 
 		/**
-		 * Returns the claims.
+		 * Returns the claims. Both clocks must have been set.
 		 * @return the claims
 		 */
 		public Claims build() {
+			Objects.requireNonNull(this.clock, "clock");
+			Objects.requireNonNull(this.epochSeconds, "epochSeconds");
 			return new Claims(this);
 		}
 
--- a/bulrushrouter-request/src/main/java/io/bulrushrouter/request/SidecarCalls.java
+++ b/bulrushrouter-request/src/main/java/io/bulrushrouter/request/SidecarCalls.java
@@ -389,7 +389,10 @@
 
 	private List<EngineRun.Waiter> remove(EngineRun run) {
 		List<EngineRun.Waiter> waiters = List.copyOf(run.waiters());
-		this.active -= (run.state() == EngineRun.State.QUEUED) ? 0 : 1;
+		if (run.state() != EngineRun.State.QUEUED) {
+			this.active--;
+			this.queue.finished(run.id(), this.nowNanos);
+		}
 		this.deadlines.removeAll(waiters);
 		this.runs.remove(run);
 		return waiters;
