Send moved organisations to the data centre that the plan names

Cause: the reconciler moved organisations by writing their placement, and no entry read it, so a move had no effect on requests.

Before: a moved organisation's requests went to any data centre.

--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/EntryCore.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/EntryCore.java
@@ -108,6 +108,9 @@
 		else if (input instanceof EntryInput.Adopted adopted) {
 			adopt(adopted);
 		}
+		else if (input instanceof EntryInput.Placed placed) {
+			this.routes.placed(placed.placements());
+		}
 		else if (input instanceof EntryInput.Instances listed) {
 			listed.instances().forEach(this::listed);
 		}
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/EntryInput.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/EntryInput.java
@@ -1,9 +1,12 @@
 package io.bulrushrouter.daemon.entry;
 
 import java.util.List;
+import java.util.Map;
 
 import io.bulrushrouter.daemon.spread.InForce;
 import io.bulrushrouter.http.HttpExchange;
+import io.bulrushrouter.kernel.DataCentreId;
+import io.bulrushrouter.kernel.OrganisationId;
 import io.bulrushrouter.kernel.store.LiveInstance;
 import io.bulrushrouter.request.RequestSpec;
 import io.bulrushrouter.wire.PeerConnection;
@@ -32,6 +35,9 @@
 	record Adopted(InForce inForce) implements EntryInput {
 	}
 
+	record Placed(Map<OrganisationId, DataCentreId> placements) implements EntryInput {
+	}
+
 	record Instances(List<LiveInstance> instances) implements EntryInput {
 	}
 
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/EntryNode.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/EntryNode.java
@@ -17,6 +17,7 @@
 import io.bulrushrouter.daemon.config.Keys;
 import io.bulrushrouter.daemon.config.Organisation;
 import io.bulrushrouter.daemon.evacuation.EvacuationDuty;
+import io.bulrushrouter.daemon.evacuation.PlacementWatch;
 import io.bulrushrouter.daemon.evacuation.SidecarAsker;
 import io.bulrushrouter.daemon.node.Bootstrap;
 import io.bulrushrouter.daemon.node.ErrorReply;
@@ -144,6 +145,8 @@
 					new OperatorsPort(this.bootstrap.metrics(), this::isReady, this.administration));
 			this.callers = HttpServer.start(this.bootstrap.network(), settings.callers(), limits, new Callers());
 			this.peerPort = this.peers.listen(settings.peers());
+			PlacementWatch.start(this.bootstrap.store("placements", CallBudget.ENTRY), this.bootstrap.network(),
+					(placements) -> inbox().offer(new EntryInput.Placed(placements)));
 			this.configurations = ConfigurationSpread.start(settings.process(), this.bootstrap, listed(), this.peers,
 					random, new ConfigurationSpread.Listener(this::adopt,
 							(instances) -> inbox().offer(new EntryInput.Instances(instances))));
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/RouteBook.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/RouteBook.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
@@ -14,6 +15,7 @@
 import io.bulrushrouter.kernel.DataCentreId;
 import io.bulrushrouter.kernel.GroupId;
 import io.bulrushrouter.kernel.ModelId;
+import io.bulrushrouter.kernel.OrganisationId;
 import io.bulrushrouter.kernel.RequestId;
 import io.bulrushrouter.kernel.UpstreamId;
 import io.bulrushrouter.request.RequestSpec;
@@ -53,6 +55,10 @@
 
 	private Set<ModelId> models = Set.of();
 
+	private Map<UpstreamId, DataCentreId> dataCentres = Map.of();
+
+	private Map<OrganisationId, DataCentreId> placements = Map.of();
+
 	RouteBook(DataCentreId dataCentre, UpstreamChooser chooser, RandomGenerator random) {
 		this.dataCentre = dataCentre;
 		this.chooser = chooser;
@@ -67,6 +73,9 @@
 				this.unreachable.add(upstream.id());
 			}
 		}
+		this.dataCentres = configuration.upstreams()
+			.stream()
+			.collect(Collectors.toMap(Upstream::id, (upstream) -> DataCentreId.of(upstream.dataCentre())));
 		this.models = specs.stream().map(UpstreamSpec::model).collect(Collectors.toSet());
 		this.table.configured(specs);
 		this.ejection.configured(specs);
@@ -77,6 +86,13 @@
 		return new UpstreamSpec(upstream.id(), model, DataCentreId.of(upstream.dataCentre()), group, 1);
 	}
 
+	void placed(Map<OrganisationId, DataCentreId> next) {
+		if (!next.equals(this.placements)) {
+			DecisionLog.of("placements").with("placements", next).write();
+		}
+		this.placements = next;
+	}
+
 	boolean serves(ModelId model) {
 		return this.models.contains(model);
 	}
@@ -113,13 +129,34 @@
 
 	Optional<UpstreamId> pick(RequestId id, RequestSpec spec, Set<UpstreamId> excluded, long now) {
 		this.ejection.applyTo(this.table, now);
-		Choice choice = this.chooser.choose(query(spec, avoided(excluded)), this.table, now, this.random);
+		Choice choice = choose(spec, withoutOtherDataCentres(spec, avoided(excluded)), now);
+		if (choice.upstream().isEmpty() && this.placements.containsKey(spec.organisation())) {
+			// An answer from another data centre is better than none.
+			choice = choose(spec, avoided(excluded), now);
+		}
 		log(id, spec, choice);
 		return choice.upstream();
 	}
 
 	List<UpstreamId> probes(RequestSpec spec, long now) {
-		return this.chooser.probes(query(spec, avoided(Set.of())), this.table, now, this.random);
+		return this.chooser.probes(query(spec, withoutOtherDataCentres(spec, avoided(Set.of()))), this.table, now,
+				this.random);
+	}
+
+	private Choice choose(RequestSpec spec, Set<UpstreamId> excluded, long now) {
+		return this.chooser.choose(query(spec, excluded), this.table, now, this.random);
+	}
+
+	private Set<UpstreamId> withoutOtherDataCentres(RequestSpec spec, Set<UpstreamId> avoided) {
+		DataCentreId placed = this.placements.get(spec.organisation());
+		if (placed != null) {
+			this.dataCentres.forEach((upstream, dataCentre) -> {
+				if (!dataCentre.equals(placed)) {
+					avoided.add(upstream);
+				}
+			});
+		}
+		return avoided;
 	}
 
 	private Set<UpstreamId> avoided(Set<UpstreamId> excluded) {
--- /dev/null
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/evacuation/PlacementWatch.java
@@ -0,0 +1,81 @@
+package io.bulrushrouter.daemon.evacuation;
+
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import io.netty.channel.EventLoopGroup;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import io.bulrushrouter.evacuation.EvacuationJson;
+import io.bulrushrouter.evacuation.HolderStore;
+import io.bulrushrouter.evacuation.Placements;
+import io.bulrushrouter.kernel.BulrushException;
+import io.bulrushrouter.kernel.DataCentreId;
+import io.bulrushrouter.kernel.OrganisationId;
+import io.bulrushrouter.kernel.store.ListResult;
+import io.bulrushrouter.kernel.store.ObjectStore;
+import io.bulrushrouter.kernel.store.Versioned;
+
+/**
+ * Follows where evacuation plans send the organisations' requests. An outage leaves the
+ * last placements in place.
+ */
+public final class PlacementWatch {
+
+	private static final Logger logger = LoggerFactory.getLogger(PlacementWatch.class);
+
+	private static final long INTERVAL_MILLIS = 3_000;
+
+	private final ObjectStore store;
+
+	private final EventLoopGroup timers;
+
+	private final Consumer<Map<OrganisationId, DataCentreId>> consumer;
+
+	private PlacementWatch(ObjectStore store, EventLoopGroup timers,
+			Consumer<Map<OrganisationId, DataCentreId>> consumer) {
+		this.store = store;
+		this.timers = timers;
+		this.consumer = consumer;
+	}
+
+	/**
+	 * Starts to follow the placements, until the timers end.
+	 * @param store the platform
+	 * @param timers runs the pauses, which the caller owns
+	 * @param consumer takes all placements, on a network thread
+	 */
+	public static void start(ObjectStore store, EventLoopGroup timers,
+			Consumer<Map<OrganisationId, DataCentreId>> consumer) {
+		new PlacementWatch(store, timers, consumer).ask();
+	}
+
+	private void ask() {
+		this.store.list(HolderStore.PLACEMENT_KIND + "/").thenAccept(this::take);
+	}
+
+	private void take(ListResult result) {
+		if (result instanceof ListResult.Listed listed) {
+			Map<OrganisationId, DataCentreId> placements = new TreeMap<>();
+			listed.objects().forEach((object) -> placements.putAll(placements(object)));
+			this.consumer.accept(placements);
+		}
+		if (!this.timers.isShuttingDown()) {
+			this.timers.schedule(this::ask, INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+		}
+	}
+
+	private static Map<OrganisationId, DataCentreId> placements(Versioned object) {
+		try {
+			return EvacuationJson.read(object.value(), Placements.class).byOrganisation();
+		}
+		catch (BulrushException ex) {
+			logger.error("event=placements-refused key={} reason={}", object.key(), ex.getMessage());
+			return Map.of();
+		}
+	}
+
+}
--- a/bulrushrouter-daemon/src/test/java/io/bulrushrouter/daemon/demo/FleetTests.java
+++ b/bulrushrouter-daemon/src/test/java/io/bulrushrouter/daemon/demo/FleetTests.java
@@ -1,6 +1,7 @@
 package io.bulrushrouter.daemon.demo;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -12,7 +13,16 @@
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
 
+import io.bulrushrouter.evacuation.EvacuationJson;
+import io.bulrushrouter.evacuation.HolderStore;
+import io.bulrushrouter.evacuation.Placements;
 import io.bulrushrouter.http.HttpCaller;
+import io.bulrushrouter.kernel.DataCentreId;
+import io.bulrushrouter.kernel.OrganisationId;
+import io.bulrushrouter.kernel.store.ObjectKey;
+import io.bulrushrouter.kernel.store.Write;
+import io.bulrushrouter.kernel.store.WriterMark;
+import io.bulrushrouter.standin.EngineStandin;
 import io.bulrushrouter.standin.EngineText;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -77,6 +87,51 @@
 		}
 	}
 
+	@Test
+	void sendsAMovedOrganisationToItsDataCentre() {
+		byte[] json = EvacuationJson
+			.write(Placements.of(1, Map.of(OrganisationId.of("organisation-9"), DataCentreId.of("dc-3"))));
+		fleet.platform()
+			.store()
+			.write(Write.ofCreate(ObjectKey.of(HolderStore.PLACEMENT_KIND, "test"), json, new WriterMark("test")));
+		int outside = sendMoved(0);
+		for (int round = 1; round < 60 && outside > 0; round++) {
+			pause();
+			outside = sendMoved(round);
+		}
+		assertThat(outside).isEqualTo(0);
+		assertThat(sendMoved(60)).isEqualTo(0);
+	}
+
+	private static int sendMoved(int round) {
+		int before = runsOutside("dc-3").size();
+		for (int i = 0; i < 20; i++) {
+			caller(i % 2, 9).stream("moved " + round + " " + i, 1).join();
+		}
+		return runsOutside("dc-3").size() - before;
+	}
+
+	private static Map<String, Integer> runsOutside(String dataCentre) {
+		Map<String, Integer> runs = new HashMap<>();
+		int number = 0;
+		for (EngineStandin engine : fleet.engines().values()) {
+			number++;
+			if (!dataCentre.equals("dc-" + (1 + (number - 1) % 3))) {
+				runs.putAll(engine.runs());
+			}
+		}
+		return runs;
+	}
+
+	private static void pause() {
+		try {
+			TimeUnit.MILLISECONDS.sleep(200);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 	@Test
 	void answersRepeatedReadsWithTheSameText() {
 		Caller.Answer first = caller(0, 1).stream("the same enquiry", TOKENS).join();
