--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/EntryCore.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/EntryCore.java
@@ -1,7 +1,5 @@
 package io.bulrushrouter.daemon.entry;
 
-import java.io.ByteArrayOutputStream;
-import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -349,22 +347,11 @@
 
 	private static void breakStream(OpenCall open, Verdict verdict) {
 		if (open.spec.stream()) {
-			ErrorCode code = verdict.failure().orElse(ErrorCode.STREAM_BROKEN);
-			byte[] json = ErrorReply.json(verdict, code, message(verdict));
-			open.exchange.write(concat("event: error\ndata: ".getBytes(StandardCharsets.US_ASCII), json,
-					"\n\n".getBytes(StandardCharsets.US_ASCII)));
+			open.exchange.write(ErrorReply.event(verdict, message(verdict)));
 		}
 		open.exchange.abort();
 	}
 
-	private static byte[] concat(byte[]... parts) {
-		ByteArrayOutputStream all = new ByteArrayOutputStream();
-		for (byte[] part : parts) {
-			all.writeBytes(part);
-		}
-		return all.toByteArray();
-	}
-
 	private static String message(Verdict verdict) {
 		if (verdict.mayHaveRun()) {
 			return "the request may have run and its answer is not whole";
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/node/ErrorReply.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/node/ErrorReply.java
@@ -1,5 +1,6 @@
 package io.bulrushrouter.daemon.node;
 
+import java.nio.charset.StandardCharsets;
 import java.util.Map;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
@@ -71,13 +72,18 @@
 	}
 
 	/**
-	 * Returns the body of the answer, which also ends a broken stream.
+	 * Returns the event that ends a stream whose answer is not whole.
 	 * @param verdict what became of the request
-	 * @param code the stable code
 	 * @param message details for a person
-	 * @return the JSON text as UTF-8
+	 * @return one server-sent event as UTF-8
 	 */
-	public static byte[] json(Verdict verdict, ErrorCode code, String message) {
+	public static byte[] event(Verdict verdict, String message) {
+		ErrorCode code = verdict.failure().orElse(ErrorCode.STREAM_BROKEN);
+		String data = new String(json(verdict, code, message), StandardCharsets.UTF_8);
+		return ("event: error\ndata: " + data + "\n\n").getBytes(StandardCharsets.UTF_8);
+	}
+
+	private static byte[] json(Verdict verdict, ErrorCode code, String message) {
 		try {
 			return JSON.writeValueAsBytes(
 					Map.of("error", Map.of("code", code.text(), "message", message, "verdict", verdict.text())));
