--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/evacuation/EvacuationDuty.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/evacuation/EvacuationDuty.java
@@ -58,6 +58,8 @@
 
 	private final Map<String, EvacuationRound> rounds = new HashMap<>();
 
+	private final Map<String, List<String>> loggedHolds = new HashMap<>();
+
 	private long ticks;
 
 	private Optional<Configuration> configuration = Optional.empty();
@@ -134,10 +136,16 @@
 		EvacuationRound round = this.rounds.computeIfAbsent(plan, this::newRound);
 		RoundResult result = round.run(LocalDateTime.now(this.parts.clock()), fence.value());
 		result.outcomes().forEach((outcome) -> log(plan, outcome));
-		result.steps()
-			.stream()
-			.filter((step) -> !(step instanceof Step.Order))
-			.forEach((step) -> DecisionLog.of("evacuation-hold").with("plan", plan).with("step", step).write());
+		logHolds(plan, result.steps().stream().filter((step) -> !(step instanceof Step.Order)).toList());
+	}
+
+	private void logHolds(String plan, List<Step> holds) {
+		List<String> before = this.loggedHolds.getOrDefault(plan, List.of());
+		List<String> now = holds.stream().map(Step::toString).toList();
+		this.loggedHolds.put(plan, now);
+		now.stream()
+			.filter((hold) -> !before.contains(hold))
+			.forEach((hold) -> DecisionLog.of("evacuation-hold").with("plan", plan).with("step", hold).write());
 	}
 
 	private EvacuationRound newRound(String plan) {
