--- a/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/capacity/Budget.java
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/capacity/Budget.java
@@ -36,6 +36,8 @@
 	/** Looks at the list of instances a second. */
 	private static final double LIST_READS_PER_SECOND = 0.2;
 
+	private static final double PLACEMENT_READS_PER_SECOND = 1.0 / 3;
+
 	private static final int RELAYS_PER_DATA_CENTRE = 2;
 
 	private static final int DUTIES = 50;
@@ -101,7 +103,8 @@
 	private static double reads(CountedSlopes slopes) {
 		double lists = TargetSize.PROCESSES * LIST_READS_PER_SECOND;
 		double watches = RELAYS_PER_DATA_CENTRE * TargetSize.DATA_CENTRES;
-		return lists + watches + slopes.leaseReads().at(DUTIES) + ROUNDS_PER_SECOND * READS_PER_ROUND;
+		double placements = TargetSize.ENTRIES * PLACEMENT_READS_PER_SECOND;
+		return lists + watches + placements + slopes.leaseReads().at(DUTIES) + ROUNDS_PER_SECOND * READS_PER_ROUND;
 	}
 
 	boolean held() {
