--- a/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/capacity/CountedSlopes.java
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/capacity/CountedSlopes.java
@@ -6,7 +6,7 @@
 
 import io.bulrushrouter.daemon.node.ControlMessages;
 import io.bulrushrouter.experts.PopularityReport;
-import io.bulrushrouter.platform.configuration.CompressedBody;
+import io.bulrushrouter.coordination.configuration.CompressedBody;
 import io.bulrushrouter.routing.LoadReport;
 import io.bulrushrouter.routing.PrefixHint;
 
--- a/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/capacity/LeaseHolders.java
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/capacity/LeaseHolders.java
@@ -6,9 +6,9 @@
 import java.util.stream.IntStream;
 
 import io.bulrushrouter.kernel.store.ObjectKey;
-import io.bulrushrouter.platform.lease.Lease;
-import io.bulrushrouter.platform.lease.LeaseDriver;
-import io.bulrushrouter.platform.lease.LeaseTerms;
+import io.bulrushrouter.coordination.lease.Lease;
+import io.bulrushrouter.coordination.lease.LeaseDriver;
+import io.bulrushrouter.coordination.lease.LeaseTerms;
 import io.bulrushrouter.standin.MemoryObjectStore;
 
 /**
--- a/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/capacity/SpreadFleet.java
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/capacity/SpreadFleet.java
@@ -14,11 +14,11 @@
 
 import io.bulrushrouter.kernel.InstanceId;
 import io.bulrushrouter.kernel.store.LiveInstance;
-import io.bulrushrouter.platform.configuration.ConfigurationMessage;
-import io.bulrushrouter.platform.configuration.ConfigurationNode;
-import io.bulrushrouter.platform.configuration.Effects;
-import io.bulrushrouter.platform.configuration.PeerView;
-import io.bulrushrouter.platform.configuration.SpreadTerms;
+import io.bulrushrouter.coordination.configuration.ConfigurationMessage;
+import io.bulrushrouter.coordination.configuration.ConfigurationNode;
+import io.bulrushrouter.coordination.configuration.Effects;
+import io.bulrushrouter.coordination.configuration.PeerView;
+import io.bulrushrouter.coordination.configuration.SpreadTerms;
 
 /**
  * Configuration nodes whose messages arrive in order and without delay.
--- a/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/platform/BudgetFleet.java
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/platform/BudgetFleet.java
@@ -20,8 +20,8 @@
 import io.bulrushrouter.kernel.store.Write;
 import io.bulrushrouter.kernel.store.WriteResult;
 import io.bulrushrouter.kernel.store.WriterMark;
-import io.bulrushrouter.platform.CallCounts;
-import io.bulrushrouter.platform.configuration.RelayWatch;
+import io.bulrushrouter.coordination.CallCounts;
+import io.bulrushrouter.coordination.configuration.RelayWatch;
 import io.bulrushrouter.standin.MemoryObjectStore;
 
 /**
--- a/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/platform/BudgetProcess.java
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/platform/BudgetProcess.java
@@ -16,17 +16,17 @@
 import io.bulrushrouter.kernel.store.ReadResult;
 import io.bulrushrouter.kernel.store.Write;
 import io.bulrushrouter.kernel.store.WriterMark;
-import io.bulrushrouter.platform.BudgetedStore;
-import io.bulrushrouter.platform.CallBudget;
-import io.bulrushrouter.platform.CallCounts;
-import io.bulrushrouter.platform.configuration.ConfigurationNode;
-import io.bulrushrouter.platform.configuration.PeerView;
-import io.bulrushrouter.platform.configuration.RelayDriver;
-import io.bulrushrouter.platform.configuration.SpreadTerms;
-import io.bulrushrouter.platform.lease.DutyPlacement;
-import io.bulrushrouter.platform.lease.Lease;
-import io.bulrushrouter.platform.lease.LeaseDriver;
-import io.bulrushrouter.platform.lease.LeaseTerms;
+import io.bulrushrouter.coordination.BudgetedStore;
+import io.bulrushrouter.coordination.CallBudget;
+import io.bulrushrouter.coordination.CallCounts;
+import io.bulrushrouter.coordination.configuration.ConfigurationNode;
+import io.bulrushrouter.coordination.configuration.PeerView;
+import io.bulrushrouter.coordination.configuration.RelayDriver;
+import io.bulrushrouter.coordination.configuration.SpreadTerms;
+import io.bulrushrouter.coordination.lease.DutyPlacement;
+import io.bulrushrouter.coordination.lease.Lease;
+import io.bulrushrouter.coordination.lease.LeaseDriver;
+import io.bulrushrouter.coordination.lease.LeaseTerms;
 
 /**
  * One process of the fleet, with what it calls the platform for.
--- a/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/platform/PlatformBudgetExperiment.java
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/platform/PlatformBudgetExperiment.java
@@ -6,7 +6,7 @@
 import java.util.function.ToDoubleFunction;
 
 import io.bulrushrouter.bench.Experiment;
-import io.bulrushrouter.platform.CallBudget;
+import io.bulrushrouter.coordination.CallBudget;
 
 /**
  * Counts the calls of each role to the platform at 400 entries and 600 sidecars, on a
--- a/bulrushrouter-platform/src/main/java/io/bulrushrouter/platform/CallBudget.java
+++ b/bulrushrouter-coordination/src/main/java/io/bulrushrouter/coordination/CallBudget.java
@@ -1,4 +1,4 @@
-package io.bulrushrouter.platform;
+package io.bulrushrouter.coordination;
 
 /**
  * How many calls of the platform a process may make in one role.
--- a/bulrushrouter-platform/src/main/java/io/bulrushrouter/platform/CallCounts.java
+++ b/bulrushrouter-coordination/src/main/java/io/bulrushrouter/coordination/CallCounts.java
@@ -1,4 +1,4 @@
-package io.bulrushrouter.platform;
+package io.bulrushrouter.coordination;
 
 /**
  * The calls of one {@link BudgetedStore} since its start.
--- a/bulrushrouter-platform/src/main/java/io/bulrushrouter/platform/CallKind.java
+++ b/bulrushrouter-coordination/src/main/java/io/bulrushrouter/coordination/CallKind.java
@@ -1,4 +1,4 @@
-package io.bulrushrouter.platform;
+package io.bulrushrouter.coordination;
 
 /**
  * The kinds of call that a budget tells apart.
--- a/bulrushrouter-platform/src/main/java/io/bulrushrouter/platform/HttpObjectStore.java
+++ b/bulrushrouter-coordination/src/main/java/io/bulrushrouter/coordination/HttpObjectStore.java
@@ -1,4 +1,4 @@
-package io.bulrushrouter.platform;
+package io.bulrushrouter.coordination;
 
 import java.io.IOException;
 import java.net.ConnectException;
--- a/bulrushrouter-platform/src/main/java/io/bulrushrouter/platform/configuration/ConfigurationMessage.java
+++ b/bulrushrouter-coordination/src/main/java/io/bulrushrouter/coordination/configuration/ConfigurationMessage.java
@@ -1,4 +1,4 @@
-package io.bulrushrouter.platform.configuration;
+package io.bulrushrouter.coordination.configuration;
 
 import java.util.List;
 import java.util.Objects;
--- a/bulrushrouter-platform/src/main/java/io/bulrushrouter/platform/configuration/ConfigurationNode.java
+++ b/bulrushrouter-coordination/src/main/java/io/bulrushrouter/coordination/configuration/ConfigurationNode.java
@@ -1,4 +1,4 @@
-package io.bulrushrouter.platform.configuration;
+package io.bulrushrouter.coordination.configuration;
 
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -10,12 +10,12 @@
 import java.util.random.RandomGenerator;
 
 import io.bulrushrouter.kernel.InstanceId;
-import io.bulrushrouter.platform.configuration.ConfigurationMessage.Digest;
-import io.bulrushrouter.platform.configuration.ConfigurationMessage.Document;
-import io.bulrushrouter.platform.configuration.ConfigurationMessage.Request;
-import io.bulrushrouter.platform.configuration.ConfigurationMessage.Status;
-import io.bulrushrouter.platform.configuration.ConfigurationMessage.StatusQuery;
-import io.bulrushrouter.platform.configuration.ConfigurationMessage.StatusReport;
+import io.bulrushrouter.coordination.configuration.ConfigurationMessage.Digest;
+import io.bulrushrouter.coordination.configuration.ConfigurationMessage.Document;
+import io.bulrushrouter.coordination.configuration.ConfigurationMessage.Request;
+import io.bulrushrouter.coordination.configuration.ConfigurationMessage.Status;
+import io.bulrushrouter.coordination.configuration.ConfigurationMessage.StatusQuery;
+import io.bulrushrouter.coordination.configuration.ConfigurationMessage.StatusReport;
 
 /**
  * Decides which configuration is in force at one node, and whom to tell. It does no I/O
--- a/bulrushrouter-platform/src/main/java/io/bulrushrouter/platform/configuration/PeerView.java
+++ b/bulrushrouter-coordination/src/main/java/io/bulrushrouter/coordination/configuration/PeerView.java
@@ -1,4 +1,4 @@
-package io.bulrushrouter.platform.configuration;
+package io.bulrushrouter.coordination.configuration;
 
 import java.util.ArrayList;
 import java.util.Collections;
@@ -11,7 +11,7 @@
 import io.bulrushrouter.kernel.DataCentreId;
 import io.bulrushrouter.kernel.InstanceId;
 import io.bulrushrouter.kernel.store.LiveInstance;
-import io.bulrushrouter.platform.lease.DutyPlacement;
+import io.bulrushrouter.coordination.lease.DutyPlacement;
 
 /**
  * One node's place among the others, computed from the lagging list of instances: the
--- a/bulrushrouter-platform/src/main/java/io/bulrushrouter/platform/configuration/ScopeTrack.java
+++ b/bulrushrouter-coordination/src/main/java/io/bulrushrouter/coordination/configuration/ScopeTrack.java
@@ -1,10 +1,10 @@
-package io.bulrushrouter.platform.configuration;
+package io.bulrushrouter.coordination.configuration;
 
 import java.time.Duration;
 import java.util.Optional;
 
 import io.bulrushrouter.kernel.InstanceId;
-import io.bulrushrouter.platform.configuration.ConfigurationMessage.Document;
+import io.bulrushrouter.coordination.configuration.ConfigurationMessage.Document;
 
 /**
  * One scope at one node: what is in force, what is known, and what was asked for.
--- a/bulrushrouter-platform/src/main/java/io/bulrushrouter/platform/configuration/package-info.java
+++ b/bulrushrouter-coordination/src/main/java/io/bulrushrouter/coordination/configuration/package-info.java
@@ -2,4 +2,4 @@
  * Spreads accepted configurations from the platform to every node, so that no node goes
  * back to an older one.
  */
-package io.bulrushrouter.platform.configuration;
+package io.bulrushrouter.coordination.configuration;
--- a/bulrushrouter-platform/src/main/java/io/bulrushrouter/platform/lease/FenceGuard.java
+++ b/bulrushrouter-coordination/src/main/java/io/bulrushrouter/coordination/lease/FenceGuard.java
@@ -1,4 +1,4 @@
-package io.bulrushrouter.platform.lease;
+package io.bulrushrouter.coordination.lease;
 
 /**
  * Refuses fencing numbers that are lower than the highest one seen.
--- a/bulrushrouter-platform/src/main/java/io/bulrushrouter/platform/lease/FencingNumber.java
+++ b/bulrushrouter-coordination/src/main/java/io/bulrushrouter/coordination/lease/FencingNumber.java
@@ -1,4 +1,4 @@
-package io.bulrushrouter.platform.lease;
+package io.bulrushrouter.coordination.lease;
 
 /**
  * A number that rises with each acquisition of a lease. Whoever obeys a lease's holder
--- a/bulrushrouter-platform/src/main/java/io/bulrushrouter/platform/lease/LeaseAction.java
+++ b/bulrushrouter-coordination/src/main/java/io/bulrushrouter/coordination/lease/LeaseAction.java
@@ -1,4 +1,4 @@
-package io.bulrushrouter.platform.lease;
+package io.bulrushrouter.coordination.lease;
 
 import io.bulrushrouter.kernel.store.ObjectKey;
 import io.bulrushrouter.kernel.store.Write;
--- a/bulrushrouter-platform/src/main/java/io/bulrushrouter/platform/lease/package-info.java
+++ b/bulrushrouter-coordination/src/main/java/io/bulrushrouter/coordination/lease/package-info.java
@@ -1,4 +1,4 @@
 /**
  * Leases with fencing numbers, and the placing of duties on instances.
  */
-package io.bulrushrouter.platform.lease;
+package io.bulrushrouter.coordination.lease;
--- a/bulrushrouter-platform/src/main/java/io/bulrushrouter/platform/order/EngineOrder.java
+++ b/bulrushrouter-coordination/src/main/java/io/bulrushrouter/coordination/order/EngineOrder.java
@@ -1,8 +1,8 @@
-package io.bulrushrouter.platform.order;
+package io.bulrushrouter.coordination.order;
 
 import java.util.Objects;
 
-import io.bulrushrouter.platform.lease.FencingNumber;
+import io.bulrushrouter.coordination.lease.FencingNumber;
 
 /**
  * What a lease's holder wants an engine's state to be.
--- a/bulrushrouter-platform/src/main/java/io/bulrushrouter/platform/order/EngineOrders.java
+++ b/bulrushrouter-coordination/src/main/java/io/bulrushrouter/coordination/order/EngineOrders.java
@@ -1,10 +1,10 @@
-package io.bulrushrouter.platform.order;
+package io.bulrushrouter.coordination.order;
 
 import java.time.Duration;
 import java.util.Optional;
 
-import io.bulrushrouter.platform.lease.FenceGuard;
-import io.bulrushrouter.platform.lease.FencingNumber;
+import io.bulrushrouter.coordination.lease.FenceGuard;
+import io.bulrushrouter.coordination.lease.FencingNumber;
 
 /**
  * Brings one engine to the state that was ordered. It runs in the sidecar, does no I/O
--- a/bulrushrouter-platform/src/main/java/io/bulrushrouter/platform/order/EngineOrdersDriver.java
+++ b/bulrushrouter-coordination/src/main/java/io/bulrushrouter/coordination/order/EngineOrdersDriver.java
@@ -1,4 +1,4 @@
-package io.bulrushrouter.platform.order;
+package io.bulrushrouter.coordination.order;
 
 import java.util.concurrent.Executor;
 
@@ -8,7 +8,7 @@
 import io.bulrushrouter.kernel.TimeSource;
 import io.bulrushrouter.kernel.store.ObjectKey;
 import io.bulrushrouter.kernel.store.ObjectStore;
-import io.bulrushrouter.platform.lease.LeaseFence;
+import io.bulrushrouter.coordination.lease.LeaseFence;
 
 /**
  * Carries out {@link EngineOrders} at an engine and the platform. All methods are called
--- a/bulrushrouter-platform/src/main/java/io/bulrushrouter/platform/order/EngineRole.java
+++ b/bulrushrouter-coordination/src/main/java/io/bulrushrouter/coordination/order/EngineRole.java
@@ -1,4 +1,4 @@
-package io.bulrushrouter.platform.order;
+package io.bulrushrouter.coordination.order;
 
 /**
  * What an engine does for its models.
--- a/bulrushrouter-platform/src/main/java/io/bulrushrouter/platform/order/FenceChecking.java
+++ b/bulrushrouter-coordination/src/main/java/io/bulrushrouter/coordination/order/FenceChecking.java
@@ -1,4 +1,4 @@
-package io.bulrushrouter.platform.order;
+package io.bulrushrouter.coordination.order;
 
 import java.util.Locale;
 
--- a/bulrushrouter-platform/src/main/java/io/bulrushrouter/platform/order/OrderAction.java
+++ b/bulrushrouter-coordination/src/main/java/io/bulrushrouter/coordination/order/OrderAction.java
@@ -1,7 +1,7 @@
-package io.bulrushrouter.platform.order;
+package io.bulrushrouter.coordination.order;
 
 import io.bulrushrouter.kernel.ModelId;
-import io.bulrushrouter.platform.lease.FencingNumber;
+import io.bulrushrouter.coordination.lease.FencingNumber;
 
 /**
  * What the sidecar does next about its engine's orders.
--- a/bulrushrouter-platform/src/main/java/io/bulrushrouter/platform/order/package-info.java
+++ b/bulrushrouter-coordination/src/main/java/io/bulrushrouter/coordination/order/package-info.java
@@ -1,4 +1,4 @@
 /**
  * Orders to engines: fenced, level-triggered and read back.
  */
-package io.bulrushrouter.platform.order;
+package io.bulrushrouter.coordination.order;
--- a/bulrushrouter-platform/src/main/java/io/bulrushrouter/platform/package-info.java
+++ b/bulrushrouter-coordination/src/main/java/io/bulrushrouter/coordination/package-info.java
@@ -1,4 +1,4 @@
 /**
  * The object API client, leases, configuration spread and orders to engines.
  */
-package io.bulrushrouter.platform;
+package io.bulrushrouter.coordination;
--- a/bulrushrouter-platform/src/test/java/io/bulrushrouter/platform/Fault.java
+++ b/bulrushrouter-coordination/src/test/java/io/bulrushrouter/coordination/Fault.java
@@ -1,4 +1,4 @@
-package io.bulrushrouter.platform;
+package io.bulrushrouter.coordination;
 
 /**
  * What goes wrong at one call of a process.
--- a/bulrushrouter-platform/src/test/java/io/bulrushrouter/platform/FaultyStore.java
+++ b/bulrushrouter-coordination/src/test/java/io/bulrushrouter/coordination/FaultyStore.java
@@ -1,4 +1,4 @@
-package io.bulrushrouter.platform;
+package io.bulrushrouter.coordination;
 
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
--- a/bulrushrouter-platform/src/test/java/io/bulrushrouter/platform/HttpObjectStoreTests.java
+++ b/bulrushrouter-coordination/src/test/java/io/bulrushrouter/coordination/HttpObjectStoreTests.java
@@ -1,4 +1,4 @@
-package io.bulrushrouter.platform;
+package io.bulrushrouter.coordination;
 
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
--- a/bulrushrouter-platform/src/test/java/io/bulrushrouter/platform/lease/Contender.java
+++ b/bulrushrouter-coordination/src/test/java/io/bulrushrouter/coordination/lease/Contender.java
@@ -1,4 +1,4 @@
-package io.bulrushrouter.platform.lease;
+package io.bulrushrouter.coordination.lease;
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -14,10 +14,10 @@
 import io.bulrushrouter.kernel.store.Write;
 import io.bulrushrouter.kernel.store.WriteResult;
 import io.bulrushrouter.kernel.store.WriterMark;
-import io.bulrushrouter.platform.BackOff;
-import io.bulrushrouter.platform.FaultyStore;
-import io.bulrushrouter.platform.ManualClock;
-import io.bulrushrouter.platform.SettledWrites;
+import io.bulrushrouter.coordination.BackOff;
+import io.bulrushrouter.coordination.FaultyStore;
+import io.bulrushrouter.coordination.ManualClock;
+import io.bulrushrouter.coordination.SettledWrites;
 
 /**
  * A process that contends for a lease. While it holds it, it appends acts to an object
--- a/bulrushrouter-platform/src/test/java/io/bulrushrouter/platform/lease/DutyPlacementTests.java
+++ b/bulrushrouter-coordination/src/test/java/io/bulrushrouter/coordination/lease/DutyPlacementTests.java
@@ -1,4 +1,4 @@
-package io.bulrushrouter.platform.lease;
+package io.bulrushrouter.coordination.lease;
 
 import java.util.ArrayList;
 import java.util.Collections;
--- a/bulrushrouter-platform/src/test/java/io/bulrushrouter/platform/lease/LeaseFaultTests.java
+++ b/bulrushrouter-coordination/src/test/java/io/bulrushrouter/coordination/lease/LeaseFaultTests.java
@@ -1,4 +1,4 @@
-package io.bulrushrouter.platform.lease;
+package io.bulrushrouter.coordination.lease;
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -21,9 +21,9 @@
 import io.bulrushrouter.kernel.store.Write;
 import io.bulrushrouter.kernel.store.WriteResult;
 import io.bulrushrouter.kernel.store.WriterMark;
-import io.bulrushrouter.platform.Fault;
-import io.bulrushrouter.platform.FaultyStore;
-import io.bulrushrouter.platform.ManualClock;
+import io.bulrushrouter.coordination.Fault;
+import io.bulrushrouter.coordination.FaultyStore;
+import io.bulrushrouter.coordination.ManualClock;
 import io.bulrushrouter.standin.MemoryObjectStore;
 
 import static com.google.common.truth.Truth.assertThat;
--- a/bulrushrouter-platform/src/test/java/io/bulrushrouter/platform/order/EngineOrdersFaultTests.java
+++ b/bulrushrouter-coordination/src/test/java/io/bulrushrouter/coordination/order/EngineOrdersFaultTests.java
@@ -1,4 +1,4 @@
-package io.bulrushrouter.platform.order;
+package io.bulrushrouter.coordination.order;
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -20,10 +20,10 @@
 import io.bulrushrouter.kernel.store.ReadResult;
 import io.bulrushrouter.kernel.store.Write;
 import io.bulrushrouter.kernel.store.WriterMark;
-import io.bulrushrouter.platform.Fault;
-import io.bulrushrouter.platform.FaultyStore;
-import io.bulrushrouter.platform.ManualClock;
-import io.bulrushrouter.platform.lease.FencingNumber;
+import io.bulrushrouter.coordination.Fault;
+import io.bulrushrouter.coordination.FaultyStore;
+import io.bulrushrouter.coordination.ManualClock;
+import io.bulrushrouter.coordination.lease.FencingNumber;
 import io.bulrushrouter.standin.MemoryObjectStore;
 
 import static com.google.common.truth.Truth.assertThat;
--- a/bulrushrouter-platform/src/test/java/io/bulrushrouter/platform/order/FakeEngine.java
+++ b/bulrushrouter-coordination/src/test/java/io/bulrushrouter/coordination/order/FakeEngine.java
@@ -1,4 +1,4 @@
-package io.bulrushrouter.platform.order;
+package io.bulrushrouter.coordination.order;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -8,8 +8,8 @@
 import java.util.concurrent.CompletionStage;
 
 import io.bulrushrouter.kernel.ModelId;
-import io.bulrushrouter.platform.Fault;
-import io.bulrushrouter.platform.lease.FencingNumber;
+import io.bulrushrouter.coordination.Fault;
+import io.bulrushrouter.coordination.lease.FencingNumber;
 
 /**
  * An engine on whose way one call goes wrong.
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/config/Configuration.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/config/Configuration.java
@@ -15,7 +15,7 @@
 import io.bulrushrouter.kernel.BulrushException;
 import io.bulrushrouter.kernel.ErrorCode;
 import io.bulrushrouter.kernel.UpstreamId;
-import io.bulrushrouter.platform.configuration.CompressedBody;
+import io.bulrushrouter.coordination.configuration.CompressedBody;
 
 /**
  * One accepted configuration, whole and checked.
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/evacuation/EvacuationDuty.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/evacuation/EvacuationDuty.java
@@ -26,11 +26,11 @@
 import io.bulrushrouter.kernel.store.ObjectKey;
 import io.bulrushrouter.kernel.store.ObjectStore;
 import io.bulrushrouter.kernel.store.Versioned;
-import io.bulrushrouter.platform.lease.DutyPlacement;
-import io.bulrushrouter.platform.lease.FencingNumber;
-import io.bulrushrouter.platform.lease.Lease;
-import io.bulrushrouter.platform.lease.LeaseDriver;
-import io.bulrushrouter.platform.lease.LeaseTerms;
+import io.bulrushrouter.coordination.lease.DutyPlacement;
+import io.bulrushrouter.coordination.lease.FencingNumber;
+import io.bulrushrouter.coordination.lease.Lease;
+import io.bulrushrouter.coordination.lease.LeaseDriver;
+import io.bulrushrouter.coordination.lease.LeaseTerms;
 
 /**
  * The entry's part in carrying out evacuation plans: contends for the lease if the live
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/node/Bootstrap.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/node/Bootstrap.java
@@ -8,10 +8,10 @@
 
 import io.bulrushrouter.http.HttpCaller;
 import io.bulrushrouter.kernel.store.ObjectStore;
-import io.bulrushrouter.platform.BudgetedStore;
-import io.bulrushrouter.platform.CallBudget;
-import io.bulrushrouter.platform.HttpObjectStore;
-import io.bulrushrouter.platform.PlatformLiveList;
+import io.bulrushrouter.coordination.BudgetedStore;
+import io.bulrushrouter.coordination.CallBudget;
+import io.bulrushrouter.coordination.HttpObjectStore;
+import io.bulrushrouter.coordination.PlatformLiveList;
 
 /**
  * The threads and clients that a daemon owns, closed together.
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/OrderDesk.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/OrderDesk.java
@@ -12,9 +12,9 @@
 import io.bulrushrouter.daemon.node.DecisionLog;
 import io.bulrushrouter.evacuation.reconcile.Phase;
 import io.bulrushrouter.kernel.store.ObjectStore;
-import io.bulrushrouter.platform.lease.FenceGuard;
-import io.bulrushrouter.platform.lease.FencingNumber;
-import io.bulrushrouter.platform.lease.LeaseFence;
+import io.bulrushrouter.coordination.lease.FenceGuard;
+import io.bulrushrouter.coordination.lease.FencingNumber;
+import io.bulrushrouter.coordination.lease.LeaseFence;
 
 /**
  * Takes the orders of evacuations. Before it obeys one it reads the highest fencing
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/SidecarNode.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/SidecarNode.java
@@ -25,7 +25,7 @@
 import io.bulrushrouter.kernel.UpstreamId;
 import io.bulrushrouter.kernel.duty.Duty;
 import io.bulrushrouter.kernel.store.LiveInstance;
-import io.bulrushrouter.platform.CallBudget;
+import io.bulrushrouter.coordination.CallBudget;
 import io.bulrushrouter.request.ClaimMessage;
 import io.bulrushrouter.request.ClaimRouter;
 import io.bulrushrouter.request.Claims;
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/spread/SpreadMessages.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/spread/SpreadMessages.java
@@ -6,7 +6,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
-import io.bulrushrouter.platform.configuration.ConfigurationMessage;
+import io.bulrushrouter.coordination.configuration.ConfigurationMessage;
 import io.bulrushrouter.wire.ControlCodec;
 import io.bulrushrouter.wire.WireMessage;
 
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/spread/package-info.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/spread/package-info.java
@@ -1,5 +1,5 @@
 /**
  * Spreads configurations between the processes: carries out what the platform module's
- * {@link io.bulrushrouter.platform.configuration.ConfigurationNode} decides.
+ * {@link io.bulrushrouter.coordination.configuration.ConfigurationNode} decides.
  */
 package io.bulrushrouter.daemon.spread;
--- a/bulrushrouter-daemon/src/test/java/io/bulrushrouter/daemon/process/ProcessFleet.java
+++ b/bulrushrouter-daemon/src/test/java/io/bulrushrouter/daemon/process/ProcessFleet.java
@@ -22,7 +22,7 @@
 import io.bulrushrouter.daemon.spread.ConfigurationSpread;
 import io.bulrushrouter.kernel.store.Write;
 import io.bulrushrouter.kernel.store.WriterMark;
-import io.bulrushrouter.platform.HttpObjectStore;
+import io.bulrushrouter.coordination.HttpObjectStore;
 
 /**
  * A platform, two engines, one service, their sidecars and one entry, each a process of
--- /dev/null
+++ b/bulrushrouter-edge/src/main/java/io/bulrushrouter/edge/JsonLine.java
@@ -0,0 +1,101 @@
+package io.bulrushrouter.edge;
+
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.classic.spi.IThrowableProxy;
+import ch.qos.logback.classic.spi.StackTraceElementProxy;
+import com.fasterxml.jackson.core.io.JsonStringEncoder;
+
+/**
+ * One event of the log as a line of JSON. Messages are written as {@code key=value} pairs
+ * and become fields; a value in quotes may hold blanks.
+ */
+final class JsonLine {
+
+	private static final int MOST_FRAMES = 12;
+
+	private JsonLine() {
+	}
+
+	static String of(ILoggingEvent event) {
+		StringBuilder line = new StringBuilder(256);
+		line.append("{\"time\":").append(event.getTimeStamp());
+		line.append(",\"level\":\"").append(event.getLevel()).append('"');
+		String message = event.getFormattedMessage();
+		if (message.startsWith("event=")) {
+			pairs(message, line);
+		}
+		else {
+			field("logger", event.getLoggerName(), line);
+			field("message", message, line);
+		}
+		if (event.getThrowableProxy() != null) {
+			field("trace", trace(event.getThrowableProxy()), line);
+		}
+		return line.append("}\n").toString();
+	}
+
+	private static void pairs(String message, StringBuilder line) {
+		int index = 0;
+		while (index < message.length()) {
+			int equals = message.indexOf('=', index);
+			if (equals < 0) {
+				return;
+			}
+			String key = message.substring(index, equals);
+			boolean quoted = equals + 1 < message.length() && message.charAt(equals + 1) == '"';
+			int from = quoted ? equals + 2 : equals + 1;
+			int end = quoted ? closingQuote(message, from) : blank(message, from);
+			field(key, message.substring(from, end), line);
+			index = end + (quoted ? 2 : 1);
+		}
+	}
+
+	/**
+	 * Finds the quote that ends a value: the next one that a blank or the end follows.
+	 */
+	private static int closingQuote(String message, int from) {
+		int end = message.indexOf('"', from);
+		while (end >= 0 && end + 1 < message.length() && message.charAt(end + 1) != ' ') {
+			end = message.indexOf('"', end + 1);
+		}
+		return (end < 0) ? message.length() : end;
+	}
+
+	private static int blank(String message, int from) {
+		int end = message.indexOf(' ', from);
+		return (end < 0) ? message.length() : end;
+	}
+
+	private static void field(String key, String value, StringBuilder line) {
+		line.append(",\"").append(key).append("\":");
+		if (number(value)) {
+			line.append(value);
+			return;
+		}
+		line.append('"');
+		JsonStringEncoder.getInstance().quoteAsString(value, line);
+		line.append('"');
+	}
+
+	private static boolean number(String value) {
+		if (value.isEmpty() || value.length() > 15 || (value.length() > 1 && value.charAt(0) == '0')) {
+			return false;
+		}
+		for (int index = 0; index < value.length(); index++) {
+			if (value.charAt(index) < '0' || value.charAt(index) > '9') {
+				return false;
+			}
+		}
+		return true;
+	}
+
+	private static String trace(IThrowableProxy thrown) {
+		StringBuilder trace = new StringBuilder(thrown.getClassName()).append(": ").append(thrown.getMessage());
+		StackTraceElementProxy[] frames = thrown.getStackTraceElementProxyArray();
+		for (int index = 0; index < Math.min(MOST_FRAMES, frames.length); index++) {
+			trace.append(" | ").append(frames[index].getStackTraceElement());
+		}
+		return trace.toString();
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-edge/src/main/java/io/bulrushrouter/edge/LineAppender.java
@@ -0,0 +1,96 @@
+package io.bulrushrouter.edge;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
+
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.AppenderBase;
+
+/**
+ * Writes the log as JSON lines. A log call never waits: it puts its line into a bounded
+ * queue or, if that is full, counts it as dropped. One thread writes what has gathered,
+ * many lines at a time.
+ */
+final class LineAppender extends AppenderBase<ILoggingEvent> {
+
+	/** Lines that wait at most; at 300 bytes each they take about 2 MB. */
+	private static final int MOST_WAITING = 8_192;
+
+	/** How long lines gather: each wake-up of the writer costs processor time. */
+	private static final long GATHER_NANOS = 200_000_000;
+
+	private final OutputStream out;
+
+	private final BlockingQueue<String> waiting = new ArrayBlockingQueue<>(MOST_WAITING);
+
+	private final AtomicLong dropped = new AtomicLong();
+
+	private volatile boolean running;
+
+	private Thread writer;
+
+	LineAppender(PrintStream out) {
+		this.out = out;
+	}
+
+	@Override
+	public void start() {
+		this.running = true;
+		this.writer = new Thread(this::run, "log");
+		this.writer.setDaemon(true);
+		this.writer.start();
+		super.start();
+	}
+
+	@Override
+	protected void append(ILoggingEvent event) {
+		if (!this.waiting.offer(JsonLine.of(event))) {
+			this.dropped.incrementAndGet();
+		}
+	}
+
+	private void run() {
+		while (this.running) {
+			LockSupport.parkNanos(GATHER_NANOS);
+			write();
+		}
+	}
+
+	private synchronized void write() {
+		StringBuilder lines = new StringBuilder();
+		long lost = this.dropped.getAndSet(0);
+		if (lost > 0) {
+			lines.append("{\"event\":\"log-lines-dropped\",\"count\":").append(lost).append("}\n");
+		}
+		String line = this.waiting.poll();
+		while (line != null) {
+			lines.append(line);
+			line = this.waiting.poll();
+		}
+		if (lines.length() == 0) {
+			return;
+		}
+		try {
+			this.out.write(lines.toString().getBytes(StandardCharsets.UTF_8));
+			this.out.flush();
+		}
+		catch (IOException ex) {
+			// Nobody reads the log; there is no other place to say so.
+			this.running = false;
+		}
+	}
+
+	@Override
+	public void stop() {
+		this.running = false;
+		write();
+		super.stop();
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-edge/src/main/java/io/bulrushrouter/edge/LogSetup.java
@@ -0,0 +1,39 @@
+package io.bulrushrouter.edge;
+
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.LoggerContext;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Sets the log up in code: reading a file of settings costs more processor time at the
+ * start than all else of the log.
+ */
+final class LogSetup implements AutoCloseable {
+
+	private final LineAppender appender;
+
+	private LogSetup(LineAppender appender) {
+		this.appender = appender;
+	}
+
+	static LogSetup install() {
+		LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
+		context.reset();
+		LineAppender appender = new LineAppender(System.out);
+		appender.setContext(context);
+		appender.setName("lines");
+		appender.start();
+		Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
+		root.setLevel(Level.WARN);
+		root.addAppender(appender);
+		context.getLogger("io.bulrushrouter").setLevel(Level.INFO);
+		return new LogSetup(appender);
+	}
+
+	@Override
+	public void close() {
+		this.appender.stop();
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-edge/src/main/java/io/bulrushrouter/edge/Main.java
@@ -0,0 +1,87 @@
+package io.bulrushrouter.edge;
+
+import java.nio.file.Path;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import io.bulrushrouter.gateway.node.Gateway;
+import io.bulrushrouter.gateway.node.GatewaySettings;
+import io.bulrushrouter.kernel.BulrushException;
+import io.bulrushrouter.kernel.plugin.PluginRegistry;
+import io.bulrushrouter.kernel.settings.Settings;
+
+/**
+ * The program.
+ */
+public final class Main {
+
+	/** Exit code for wrong arguments or settings. */
+	private static final int BAD_USE = 2;
+
+	private Main() {
+	}
+
+	/**
+	 * Runs a gateway entry until it is told to stop.
+	 * @param args the arguments
+	 */
+	public static void main(String[] args) {
+		System.exit(run(args));
+	}
+
+	private static int run(String[] args) {
+		ArgumentParser parser = ArgumentParsers.newFor("bulrushrouter-edge")
+			.build()
+			.description("Runs a gateway entry before upstreams that are reached over HTTP.");
+		parser.addArgument("--settings").metavar("FILE").help("the INI settings");
+		parser.addArgument("--settings-from")
+			.metavar("VARIABLE")
+			.help("the environment variable that names the INI settings");
+		LogSetup logSetup = LogSetup.install();
+		try {
+			Namespace arguments = parser.parseArgs(args);
+			Path file = settingsFile(arguments);
+			serve(file);
+			return 0;
+		}
+		catch (ArgumentParserException ex) {
+			parser.handleError(ex);
+			return BAD_USE;
+		}
+		catch (BulrushException ex) {
+			logger().error("event=failed code={} detail=\"{}\"", ex.code().text(), ex.getMessage());
+			return BAD_USE;
+		}
+		finally {
+			logSetup.close();
+		}
+	}
+
+	private static Path settingsFile(Namespace arguments) throws ArgumentParserException {
+		Optional<String> named = Optional.ofNullable(arguments.getString("settings"))
+			.or(() -> Optional.ofNullable(arguments.getString("settings_from")).map(System::getenv));
+		return named.map(Path::of)
+			.orElseThrow(() -> new ArgumentParserException("--settings or --settings-from is needed", null));
+	}
+
+	private static void serve(Path file) {
+		GatewaySettings settings = GatewaySettings.of(Settings.ofFile(file));
+		try (Gateway gateway = Gateway.start(settings, PluginRegistry.ofClassPath(), RandomGenerator.getDefault());
+				Signals signals = Signals.handle(gateway, file)) {
+			signals.watch(settings);
+			gateway.awaitStopped();
+		}
+	}
+
+	private static Logger logger() {
+		return LoggerFactory.getLogger(Main.class);
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/admission/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Who may be tried again: decisions without input or output.
+ */
+package io.bulrushrouter.gateway.admission;
--- /dev/null
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/AnswerRelay.java
@@ -0,0 +1,300 @@
+package io.bulrushrouter.gateway.forward;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+
+import io.bulrushrouter.gateway.config.Route;
+import io.bulrushrouter.gateway.config.RouteKind;
+import io.bulrushrouter.gateway.source.HeaderNames;
+import io.bulrushrouter.gateway.stream.EventSplitter;
+import io.bulrushrouter.gateway.stream.EventSplitter.Event;
+import io.bulrushrouter.kernel.ErrorCode;
+import io.bulrushrouter.kernel.Verdict;
+
+/**
+ * Passes the answer of an upstream on to the caller: plain answers once they are whole,
+ * or once they are long; streams event by event. The caller sees one answer, also if
+ * several attempts make it.
+ */
+final class AnswerRelay {
+
+	/** Plain answers up to this size are held until they are whole. */
+	private static final int HELD_BYTES = 64 * 1024;
+
+	private static final int MISDIRECTED = 421;
+
+	private final GatewayContext context;
+
+	private final CallerLink caller;
+
+	private final Route route;
+
+	private final CallerRequest request;
+
+	private HttpResponse head;
+
+	private UpstreamConnection connection;
+
+	private EventSplitter splitter;
+
+	private List<ByteBuf> held = new ArrayList<>();
+
+	private int heldBytes;
+
+	private boolean started;
+
+	private boolean passThrough;
+
+	private Optional<String> lastEventId = Optional.empty();
+
+	private int eventsSent;
+
+	AnswerRelay(GatewayContext context, CallerLink caller, Route route, CallerRequest request) {
+		this.context = context;
+		this.caller = caller;
+		this.route = route;
+		this.request = request;
+	}
+
+	void attemptStarts(UpstreamConnection connection) {
+		this.connection = connection;
+		this.splitter = null;
+		this.held = new ArrayList<>();
+		this.heldBytes = 0;
+		if (!this.started) {
+			this.head = null;
+		}
+	}
+
+	/**
+	 * Tells whether the caller has got a part of the answer.
+	 * @return whether the answer has started
+	 */
+	boolean started() {
+		return this.started;
+	}
+
+	int status() {
+		return this.head.status().code();
+	}
+
+	int eventsSent() {
+		return this.eventsSent;
+	}
+
+	/**
+	 * Returns the last event that the caller got from this entry.
+	 * @return its identifier, or empty if it got none
+	 */
+	Optional<String> lastEventId() {
+		return this.lastEventId;
+	}
+
+	/**
+	 * Takes the head of an answer.
+	 * @param received the head
+	 * @param reusedConnection whether another answer came on the same connection before
+	 * @return why the answer is of no use, or empty
+	 */
+	Optional<Rejected> head(HttpResponse received, boolean reusedConnection) {
+		Optional<Rejected> rejected = check(received, reusedConnection);
+		if (rejected.isPresent()) {
+			return rejected;
+		}
+		if (!this.started) {
+			this.head = received;
+		}
+		boolean events = this.route.kind() == RouteKind.STREAM && success(received);
+		this.splitter = events ? new EventSplitter() : null;
+		return Optional.empty();
+	}
+
+	private Optional<Rejected> check(HttpResponse received, boolean reusedConnection) {
+		HeaderNames names = this.context.headers();
+		HttpHeaders headers = received.headers();
+		int status = received.status().code();
+		String asked = this.request.header(names.attemptId());
+		String echoed = headers.get(names.attemptId());
+		if (asked != null && echoed != null && !asked.equals(echoed)) {
+			return mayHaveRun(ErrorCode.CONNECTION_LOST, "the answer belongs to another request");
+		}
+		if (headers.contains(names.notRun()) || status == MISDIRECTED) {
+			return refused(received, echoed != null || !reusedConnection);
+		}
+		if (success(received)) {
+			if (asked != null && echoed == null) {
+				return mayHaveRun(ErrorCode.ENGINE_ERROR, "the answer names no request");
+			}
+			if (!headers.contains(names.stamp())) {
+				return mayHaveRun(ErrorCode.ENGINE_ERROR, "the answer has no stamp of its upstream");
+			}
+			if (headers.contains(HttpHeaderNames.CONTENT_ENCODING)) {
+				return mayHaveRun(ErrorCode.ENGINE_ERROR, "the answer is encoded, which nobody asked for");
+			}
+		}
+		else if (this.started) {
+			return mayHaveRun(ErrorCode.STREAM_BROKEN, "the stream cannot go on: status " + status);
+		}
+		else if (status >= 500 && this.route.repeatable()) {
+			return mayHaveRun(ErrorCode.ENGINE_ERROR, "the upstream answered " + status);
+		}
+		return Optional.empty();
+	}
+
+	private Optional<Rejected> refused(HttpResponse received, boolean surelyOurs) {
+		int status = received.status().code();
+		String detail = "the upstream refused with " + status + " "
+				+ received.headers().get(this.context.headers().faultyUpstream(), "");
+		if (!surelyOurs) {
+			return mayHaveRun(ErrorCode.CONNECTION_LOST, detail + " on a used connection, without naming the request");
+		}
+		ErrorCode code = (status == MISDIRECTED) ? ErrorCode.ENGINE_UNREACHABLE : ErrorCode.OVERLOADED;
+		return Optional.of(new Rejected(Verdict.ofNotRun(code), detail));
+	}
+
+	private static Optional<Rejected> mayHaveRun(ErrorCode code, String detail) {
+		return Optional.of(new Rejected(Verdict.ofMayHaveRun(code), detail));
+	}
+
+	private static boolean success(HttpResponse received) {
+		int status = received.status().code();
+		return status >= 200 && status < 300;
+	}
+
+	/**
+	 * Takes a part of the answer's body.
+	 * @param part the bytes
+	 * @return why the answer is of no more use, or empty
+	 */
+	Optional<Rejected> content(ByteBuf part) {
+		if (this.splitter == null) {
+			plain(part);
+			return Optional.empty();
+		}
+		List<Event> events;
+		try {
+			events = this.splitter.split(part);
+		}
+		catch (IllegalStateException ex) {
+			return mayHaveRun(ErrorCode.STREAM_BROKEN, ex.getMessage());
+		}
+		finally {
+			part.release();
+		}
+		for (Event event : events) {
+			if (!follows(event)) {
+				return mayHaveRun(ErrorCode.STREAM_BROKEN, "event " + event.id().orElse("-") + " does not follow "
+						+ this.lastEventId.orElse("-"));
+			}
+			startIfNeeded();
+			this.caller.part(event.bytes());
+			event.id().ifPresent((id) -> this.lastEventId = Optional.of(id));
+			this.eventsSent++;
+		}
+		throttle();
+		return Optional.empty();
+	}
+
+	/**
+	 * Tells whether an event may come after the last one. Identifiers that are numbers
+	 * grow; others cannot be compared.
+	 */
+	private boolean follows(Event event) {
+		if (event.id().isEmpty() || this.lastEventId.isEmpty()) {
+			return true;
+		}
+		try {
+			return Long.parseLong(event.id().get()) > Long.parseLong(this.lastEventId.get());
+		}
+		catch (NumberFormatException ex) {
+			return true;
+		}
+	}
+
+	private void plain(ByteBuf part) {
+		if (this.passThrough) {
+			this.caller.part(part);
+			throttle();
+			return;
+		}
+		this.held.add(part);
+		this.heldBytes += part.readableBytes();
+		if (this.heldBytes > HELD_BYTES) {
+			startIfNeeded();
+			this.passThrough = true;
+			this.held.forEach(this.caller::part);
+			this.held.clear();
+			throttle();
+		}
+	}
+
+	private void throttle() {
+		if (!this.caller.writable()) {
+			this.connection.reading(false);
+		}
+	}
+
+	private void startIfNeeded() {
+		if (this.started) {
+			return;
+		}
+		this.started = true;
+		this.context.metrics()
+			.firstByte()
+			.record(this.context.nowNanos() - this.request.arrivedNanos(), TimeUnit.NANOSECONDS);
+		this.caller.start(this.head.status(), endToEnd());
+	}
+
+	private HttpHeaders endToEnd() {
+		HttpHeaders headers = new DefaultHttpHeaders();
+		RequestChecks.copyEndToEnd(this.head.headers(), headers);
+		return headers;
+	}
+
+	/**
+	 * Takes the end of the answer.
+	 * @return why the answer is of no use, or empty
+	 */
+	Optional<Rejected> end() {
+		if (this.splitter != null) {
+			ByteBuf rest = this.splitter.rest();
+			startIfNeeded();
+			if (rest.isReadable()) {
+				this.caller.part(rest);
+			}
+			this.caller.finish();
+		}
+		else if (this.started) {
+			this.caller.finish();
+		}
+		else {
+			HttpResponseStatus status = this.head.status();
+			this.started = true;
+			this.caller.answer(status, endToEnd(), Unpooled.wrappedBuffer(this.held.toArray(ByteBuf[]::new)));
+		}
+		this.context.metrics()
+			.whole()
+			.record(this.context.nowNanos() - this.request.arrivedNanos(), TimeUnit.NANOSECONDS);
+		return Optional.empty();
+	}
+
+	/**
+	 * Why an answer is of no use.
+	 *
+	 * @param verdict whether the request may have run
+	 * @param detail details for the log
+	 */
+	record Rejected(Verdict verdict, String detail) {
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/CallerConnection.java
@@ -0,0 +1,358 @@
+package io.bulrushrouter.gateway.forward;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.util.ReferenceCountUtil;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import io.bulrushrouter.kernel.ErrorCode;
+import io.bulrushrouter.kernel.Verdict;
+
+/**
+ * One caller's connection: reads one request after the other, each with its bounds, and
+ * writes the answers.
+ */
+final class CallerConnection extends ChannelInboundHandlerAdapter implements CallerLink {
+
+	private static final Logger logger = LoggerFactory.getLogger(CallerConnection.class);
+
+	/** Parts of further requests that are held while one is served. */
+	private static final int MOST_HELD_AHEAD = 16;
+
+	/** How long a closing connection is still read, so that the answer is not reset. */
+	private static final long LINGER_MILLIS = 400;
+
+	private final GatewayContext context;
+
+	private final AdmissionDesk desk;
+
+	private final StrictRequestDecoder decoder;
+
+	private final Deque<HttpObject> ahead = new ArrayDeque<>();
+
+	private Channel channel;
+
+	private HttpRequest head;
+
+	private ByteArrayOutputStream body;
+
+	private long reservedBytes;
+
+	private long arrivedNanos;
+
+	private long waitingSinceNanos;
+
+	private Exchange exchange;
+
+	private boolean answering;
+
+	private boolean keepAlive = true;
+
+	private boolean closing;
+
+	CallerConnection(GatewayContext context, AdmissionDesk desk, StrictRequestDecoder decoder) {
+		this.context = context;
+		this.desk = desk;
+		this.decoder = decoder;
+	}
+
+	@Override
+	public void channelActive(ChannelHandlerContext handlerContext) {
+		this.channel = handlerContext.channel();
+		this.waitingSinceNanos = this.context.nowNanos();
+	}
+
+	/**
+	 * Refuses a request that takes too long to come, closes a connection that is idle.
+	 * @param nowNanos the time
+	 */
+	void sweep(long nowNanos) {
+		if (this.answering || this.closing || this.channel == null) {
+			return;
+		}
+		long waited = nowNanos - this.waitingSinceNanos;
+		if (this.head != null) {
+			if (waited > this.context.limits().idleTimeout().toNanos()) {
+				refuse(408, ErrorCode.TIMED_OUT_READING, "the body did not come in time");
+			}
+		}
+		else if (this.decoder.midHead()) {
+			if (waited > this.context.limits().headerTimeout().toNanos()) {
+				refuse(408, ErrorCode.TIMED_OUT_READING, "the head did not come in time");
+			}
+		}
+		else if (waited > this.context.limits().idleTimeout().toNanos() || this.context.refusing()) {
+			this.closing = true;
+			this.channel.close();
+		}
+	}
+
+	@Override
+	public void channelRead(ChannelHandlerContext handlerContext, Object message) {
+		if (this.closing) {
+			ReferenceCountUtil.release(message);
+			return;
+		}
+		if (this.answering) {
+			this.ahead.add((HttpObject) message);
+			if (this.ahead.size() >= MOST_HELD_AHEAD) {
+				this.channel.config().setAutoRead(false);
+			}
+			return;
+		}
+		read((HttpObject) message);
+	}
+
+	private void read(HttpObject message) {
+		if (message.decoderResult().isFailure()) {
+			ReferenceCountUtil.release(message);
+			malformed(message.decoderResult().cause());
+			return;
+		}
+		if (message instanceof HttpRequest request) {
+			begin(request);
+		}
+		if (message instanceof HttpContent content) {
+			append(content);
+		}
+	}
+
+	private void malformed(Throwable cause) {
+		if (cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException) {
+			refuse(431, ErrorCode.TOO_LARGE, cause.getMessage());
+		}
+		else {
+			refuse(400, ErrorCode.BAD_REQUEST, String.valueOf(cause.getMessage()));
+		}
+	}
+
+	private void begin(HttpRequest request) {
+		this.head = request;
+		this.body = new ByteArrayOutputStream(0);
+		this.arrivedNanos = this.context.nowNanos();
+		this.waitingSinceNanos = this.arrivedNanos;
+		this.keepAlive = HttpUtil.isKeepAlive(request);
+		Optional<String> problem = RequestChecks.problem(request);
+		if (problem.isPresent()) {
+			refuse(400, ErrorCode.BAD_REQUEST, problem.get());
+			return;
+		}
+		if (HttpUtil.getContentLength(request, 0L) > this.context.limits().bodyBytes()) {
+			refuse(413, ErrorCode.TOO_LARGE, "the body is longer than the limit");
+			return;
+		}
+		if (HttpUtil.is100ContinueExpected(request)) {
+			this.channel.writeAndFlush(
+					new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+		}
+	}
+
+	private void append(HttpContent content) {
+		ByteBuf bytes = content.content();
+		int length = bytes.readableBytes();
+		if (this.closing || this.head == null) {
+			content.release();
+			return;
+		}
+		if (this.body.size() + length > this.context.limits().bodyBytes()) {
+			content.release();
+			refuse(413, ErrorCode.TOO_LARGE, "the body is longer than the limit");
+			return;
+		}
+		if (!this.context.reserve(length)) {
+			content.release();
+			refuse(503, ErrorCode.OVERLOADED, "too many bytes are held");
+			return;
+		}
+		this.reservedBytes += length;
+		if (length > 0) {
+			byte[] copy = ByteBufUtil.getBytes(bytes);
+			this.body.write(copy, 0, copy.length);
+			this.waitingSinceNanos = this.context.nowNanos();
+		}
+		content.release();
+		if (content instanceof LastHttpContent) {
+			serve();
+		}
+	}
+
+	private void serve() {
+		this.answering = true;
+		CallerRequest request = new CallerRequest(this.head, this.body.toByteArray(), this.arrivedNanos);
+		this.body = null;
+		this.desk.admit(request, this).ifPresent((admitted) -> {
+			this.exchange = new Exchange(this.context, this, admitted, () -> this.exchange = null);
+			this.exchange.start();
+		});
+	}
+
+	/**
+	 * Refuses what cannot be read on, and closes the connection after the answer.
+	 */
+	private void refuse(int status, ErrorCode code, String detail) {
+		logger.info("event=refused status={} verdict=not-run code={} detail=\"{}\"", status, code.text(), detail);
+		this.context.metrics().answered(status, code.text());
+		this.keepAlive = false;
+		this.answering = true;
+		Refusal.send(this, status, Verdict.ofNotRun(code), 0);
+	}
+
+	@Override
+	public void answer(HttpResponseStatus status, HttpHeaders headers, ByteBuf content) {
+		DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
+				headAsked() ? Unpooled.EMPTY_BUFFER : content);
+		response.headers().set(headers);
+		if (status.code() != 204 && status.code() != 304) {
+			response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
+		}
+		connectionHeader(response);
+		this.channel.write(response);
+		answered();
+	}
+
+	private boolean headAsked() {
+		return this.head != null && this.head.method().equals(HttpMethod.HEAD);
+	}
+
+	private void connectionHeader(HttpResponse response) {
+		if (this.context.draining()) {
+			this.keepAlive = false;
+		}
+		if (!this.keepAlive) {
+			response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+		}
+		else if (this.head != null && this.head.protocolVersion().equals(HttpVersion.HTTP_1_0)) {
+			response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.KEEP_ALIVE);
+		}
+	}
+
+	@Override
+	public void start(HttpResponseStatus status, HttpHeaders headers) {
+		HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, status);
+		response.headers().set(headers);
+		if (this.head.protocolVersion().equals(HttpVersion.HTTP_1_0)) {
+			this.keepAlive = false;
+		}
+		else {
+			response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+		}
+		connectionHeader(response);
+		this.channel.write(response);
+	}
+
+	@Override
+	public void part(ByteBuf part) {
+		this.channel.writeAndFlush(new DefaultHttpContent(part));
+	}
+
+	@Override
+	public void finish() {
+		this.channel.write(LastHttpContent.EMPTY_LAST_CONTENT);
+		answered();
+	}
+
+	@Override
+	public void breakOff() {
+		this.closing = true;
+		this.channel.flush();
+		this.channel.close();
+	}
+
+	@Override
+	public boolean writable() {
+		return this.channel.isWritable();
+	}
+
+	private void answered() {
+		this.channel.flush();
+		this.context.release(this.reservedBytes);
+		this.reservedBytes = 0;
+		this.head = null;
+		if (!this.keepAlive) {
+			lingerAndClose();
+			return;
+		}
+		this.answering = false;
+		this.waitingSinceNanos = this.context.nowNanos();
+		this.context.loop().execute(this::readAhead);
+	}
+
+	private void lingerAndClose() {
+		this.closing = true;
+		if (this.channel instanceof SocketChannel socket) {
+			this.channel.writeAndFlush(Unpooled.EMPTY_BUFFER)
+				.addListener((ChannelFutureListener) (done) -> socket.shutdownOutput());
+		}
+		this.channel.config().setAutoRead(true);
+		this.context.loop().schedule(() -> this.channel.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	private void readAhead() {
+		while (!this.answering && !this.closing && !this.ahead.isEmpty()) {
+			read(this.ahead.poll());
+		}
+		if (this.ahead.size() < MOST_HELD_AHEAD) {
+			this.channel.config().setAutoRead(true);
+		}
+	}
+
+	@Override
+	public void channelWritabilityChanged(ChannelHandlerContext handlerContext) {
+		if (this.exchange != null) {
+			this.exchange.callerWritable(this.channel.isWritable());
+		}
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext handlerContext) {
+		this.closing = true;
+		this.ahead.forEach(ReferenceCountUtil::release);
+		this.ahead.clear();
+		this.context.release(this.reservedBytes);
+		this.reservedBytes = 0;
+		if (this.exchange != null) {
+			this.exchange.callerLeft();
+		}
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext handlerContext, Throwable cause) {
+		if (!(cause instanceof IOException)) {
+			logger.warn("event=connection-failed detail=\"{}\"", cause.toString(), cause);
+		}
+		this.closing = true;
+		this.channel.close();
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/CallerRequest.java
@@ -0,0 +1,24 @@
+package io.bulrushrouter.gateway.forward;
+
+import io.netty.handler.codec.http.HttpRequest;
+
+/**
+ * A request as it was read from a caller.
+ *
+ * @param head method, target and headers
+ * @param body the whole body
+ * @param arrivedNanos when its head was read
+ */
+record CallerRequest(HttpRequest head, byte[] body, long arrivedNanos) {
+
+	String path() {
+		String target = this.head.uri();
+		int query = target.indexOf('?');
+		return (query < 0) ? target : target.substring(0, query);
+	}
+
+	String header(String name) {
+		return this.head.headers().get(name);
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ForwardMetrics.java
@@ -0,0 +1,64 @@
+package io.bulrushrouter.gateway.forward;
+
+import java.time.Duration;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Timer;
+
+/**
+ * Counters and timers of the way of a request.
+ */
+public final class ForwardMetrics {
+
+	private static final String PREFIX = "bulrush.gateway.";
+
+	/** Bounds of the buckets of times, around the objectives and deadlines in use. */
+	private static final Duration[] BUCKETS = { Duration.ofMillis(25), Duration.ofMillis(50), Duration.ofMillis(100),
+			Duration.ofMillis(200), Duration.ofMillis(400), Duration.ofMillis(800), Duration.ofMillis(1_600),
+			Duration.ofMillis(3_200), Duration.ofMillis(8_000) };
+
+	private final MeterRegistry registry;
+
+	private final Counter upstreamConnects;
+
+	private final Timer firstByte;
+
+	private final Timer whole;
+
+	/**
+	 * Creates the meters.
+	 * @param registry holds them
+	 */
+	public ForwardMetrics(MeterRegistry registry) {
+		this.registry = registry;
+		this.upstreamConnects = registry.counter(PREFIX + "upstream.connects");
+		this.firstByte = timer("first.byte");
+		this.whole = timer("answer");
+	}
+
+	private Timer timer(String name) {
+		return Timer.builder(PREFIX + name).serviceLevelObjectives(BUCKETS).register(this.registry);
+	}
+
+	Counter upstreamConnects() {
+		return this.upstreamConnects;
+	}
+
+	Timer firstByte() {
+		return this.firstByte;
+	}
+
+	Timer whole() {
+		return this.whole;
+	}
+
+	void answered(int status, String reason) {
+		this.registry.counter(PREFIX + "answers", "status", Integer.toString(status), "reason", reason).increment();
+	}
+
+	void attempt(String outcome) {
+		this.registry.counter(PREFIX + "attempts", "outcome", outcome).increment();
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/RetryAfter.java
@@ -0,0 +1,23 @@
+package io.bulrushrouter.gateway.forward;
+
+import java.util.random.RandomGenerator;
+
+/**
+ * When a refused caller is asked to come back.
+ */
+final class RetryAfter {
+
+	/** The soonest; a batch of an engine frees a slot about this often. */
+	private static final long SOONEST_MILLIS = 300;
+
+	/** Width of the interval that returns are spread over. */
+	private static final long SPREAD_MILLIS = 700;
+
+	private RetryAfter() {
+	}
+
+	static long millis(RandomGenerator random) {
+		return SOONEST_MILLIS + random.nextLong(SPREAD_MILLIS);
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamConnection.java
@@ -0,0 +1,230 @@
+package io.bulrushrouter.gateway.forward;
+
+import java.util.function.Consumer;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+
+import io.bulrushrouter.kernel.ErrorCode;
+import io.bulrushrouter.kernel.Verdict;
+
+/**
+ * One connection to an upstream. It carries one request at a time and is given up as soon
+ * as anything comes that no request asked for.
+ */
+final class UpstreamConnection extends ChannelInboundHandlerAdapter {
+
+	private final Channel channel;
+
+	private final Consumer<UpstreamConnection> idle;
+
+	private final Consumer<UpstreamConnection> gone;
+
+	private Attempt attempt;
+
+	private boolean headSeen;
+
+	private boolean reusable;
+
+	private boolean written;
+
+	private boolean ended;
+
+	private int requests;
+
+	private long idleSinceNanos;
+
+	private long idleLimitNanos;
+
+	/**
+	 * Wraps a connection.
+	 * @param channel the channel
+	 * @param idle is told when the connection can carry the next request
+	 * @param gone is told when the connection has closed
+	 */
+	UpstreamConnection(Channel channel, Consumer<UpstreamConnection> idle, Consumer<UpstreamConnection> gone) {
+		this.channel = channel;
+		this.idle = idle;
+		this.gone = gone;
+	}
+
+	/**
+	 * Sends a request.
+	 * @param request the request
+	 * @param attempt is told what comes of it
+	 */
+	void send(FullHttpRequest request, Attempt attempt) {
+		this.attempt = attempt;
+		this.headSeen = false;
+		this.ended = false;
+		this.written = false;
+		this.reusable = true;
+		this.requests++;
+		this.channel.config().setAutoRead(true);
+		this.channel.writeAndFlush(request).addListener((ChannelFutureListener) (future) -> {
+			this.written = future.isSuccess();
+			if (!future.isSuccess()) {
+				fail(ErrorCode.CONNECTION_LOST, "write failed: " + future.cause());
+			}
+			else if (this.ended) {
+				offerForReuse();
+			}
+		});
+	}
+
+	/**
+	 * Gives up the request in flight, and the connection with it.
+	 */
+	void abandon() {
+		this.attempt = null;
+		this.channel.close();
+	}
+
+	/**
+	 * Pauses or goes on with reading the answer.
+	 * @param reading whether to read
+	 */
+	void reading(boolean reading) {
+		this.channel.config().setAutoRead(reading);
+	}
+
+	boolean active() {
+		return this.channel.isActive();
+	}
+
+	boolean carriedRequestBefore() {
+		return this.requests > 1;
+	}
+
+	void idleSince(long nanos) {
+		this.idleSinceNanos = nanos;
+	}
+
+	long idleSince() {
+		return this.idleSinceNanos;
+	}
+
+	/**
+	 * Returns how long the connection may stay idle.
+	 * @return nanoseconds, 0 if the upstream named no limit
+	 */
+	long idleLimitNanos() {
+		return this.idleLimitNanos;
+	}
+
+	@Override
+	public void channelRead(ChannelHandlerContext context, Object message) {
+		if (this.attempt == null || this.ended) {
+			ReferenceCountUtil.release(message);
+			this.reusable = false;
+			this.channel.close();
+			return;
+		}
+		if (message instanceof HttpResponse head) {
+			readHead(head);
+		}
+		if (message instanceof HttpContent content && this.attempt != null) {
+			readContent(content);
+		}
+	}
+
+	private void readHead(HttpResponse head) {
+		if (head.decoderResult().isFailure()) {
+			fail(ErrorCode.CONNECTION_LOST, "the answer cannot be read: " + head.decoderResult().cause());
+			return;
+		}
+		int status = head.status().code();
+		if (status < 200) {
+			if (status == 101) {
+				fail(ErrorCode.ENGINE_ERROR, "the upstream switched protocols unasked");
+			}
+			return;
+		}
+		if (this.headSeen) {
+			fail(ErrorCode.CONNECTION_LOST, "a second answer came inside the first");
+			return;
+		}
+		this.headSeen = true;
+		this.reusable = HttpUtil.isKeepAlive(head)
+				&& (HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head));
+		this.idleLimitNanos = KeepAlive.limitNanos(head);
+		this.attempt.head(head);
+	}
+
+	private void readContent(HttpContent content) {
+		boolean last = content instanceof LastHttpContent;
+		if (content.decoderResult().isFailure()) {
+			content.release();
+			fail(ErrorCode.CONNECTION_LOST, "the answer's body cannot be read");
+			return;
+		}
+		if (!this.headSeen) {
+			// The end of an informational answer.
+			content.release();
+			return;
+		}
+		if (content.content().isReadable()) {
+			this.attempt.content(content.content());
+		}
+		else {
+			content.release();
+		}
+		if (last && this.attempt != null) {
+			Attempt done = this.attempt;
+			this.ended = true;
+			done.end();
+		}
+	}
+
+	@Override
+	public void channelReadComplete(ChannelHandlerContext context) {
+		// Not earlier: an answer that nobody asked for may follow in the same bytes.
+		if (this.ended && this.written) {
+			offerForReuse();
+		}
+	}
+
+	private void offerForReuse() {
+		if (this.attempt == null) {
+			return;
+		}
+		this.attempt = null;
+		if (this.reusable && this.channel.isActive()) {
+			this.idle.accept(this);
+		}
+		else {
+			this.channel.close();
+		}
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		fail(ErrorCode.CONNECTION_LOST, cause.toString());
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext context) {
+		fail(ErrorCode.CONNECTION_LOST, "the upstream closed the connection");
+		this.gone.accept(this);
+	}
+
+	private void fail(ErrorCode code, String detail) {
+		Attempt failed = this.attempt;
+		boolean answered = this.ended;
+		this.attempt = null;
+		this.reusable = false;
+		this.channel.close();
+		if (failed != null && !answered) {
+			failed.failed(Verdict.ofMayHaveRun(code), detail);
+		}
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/Gateway.java
@@ -0,0 +1,256 @@
+package io.bulrushrouter.gateway.node;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import io.bulrushrouter.gateway.config.ConfigurationInForce;
+import io.bulrushrouter.gateway.config.GatewayConfiguration;
+import io.bulrushrouter.gateway.forward.CallerServer;
+import io.bulrushrouter.gateway.forward.ForwardMetrics;
+import io.bulrushrouter.gateway.forward.GatewayContext;
+import io.bulrushrouter.gateway.source.FeedAnswer.Item;
+import io.bulrushrouter.gateway.source.FeedFollower;
+import io.bulrushrouter.gateway.source.FleetSource;
+import io.bulrushrouter.gateway.source.FreshnessProof;
+import io.bulrushrouter.gateway.source.UpstreamRecord;
+import io.bulrushrouter.gateway.upstream.UpstreamChoice;
+import io.bulrushrouter.gateway.upstream.UpstreamDirectory;
+import io.bulrushrouter.kernel.TimeSource;
+import io.bulrushrouter.kernel.plugin.PluginRegistry;
+
+/**
+ * A running gateway entry. One event loop does all of its work.
+ */
+public final class Gateway implements AutoCloseable {
+
+	private static final Logger logger = LoggerFactory.getLogger(Gateway.class);
+
+	/** How often slow callers, idle connections and lapsed entries are looked for. */
+	private static final long SWEEP_MILLIS = 500;
+
+	/**
+	 * How long a watch waits. Two waits and an answer's way must end within the time in
+	 * which a revoked key must be refused, and a silent connection must show.
+	 */
+	private static final Duration WATCH_WAIT = Duration.ofMillis(1_500);
+
+	private final GatewaySettings settings;
+
+	private final NioEventLoopGroup group;
+
+	private final EventLoop loop;
+
+	private final TimeSource clock = TimeSource.ofSystem();
+
+	private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+
+	private final UpstreamDirectory directory = new UpstreamDirectory();
+
+	private final FreshnessProof freshness = new FreshnessProof(this.clock, System::currentTimeMillis);
+
+	private final GatewayContext context;
+
+	private final CallerServer callers;
+
+	private final StatusServer readiness;
+
+	private final StatusServer metrics;
+
+	private final FleetSource source;
+
+	private final FeedFollower<GatewayConfiguration> configurations;
+
+	private final FeedFollower<UpstreamRecord> upstreams;
+
+	private final CompletableFuture<Void> stopped = new CompletableFuture<>();
+
+	private final Stop stop;
+
+	private long version = -1;
+
+	private Gateway(GatewaySettings settings, PluginRegistry plugins, RandomGenerator random) {
+		this.settings = settings;
+		this.group = new NioEventLoopGroup(1, new DefaultThreadFactory("gateway"));
+		this.loop = this.group.next();
+		FleetSource.Factory factory = plugins.require(FleetSource.Factory.class, settings.source());
+		this.context = new GatewayContext(this.loop, this.clock, random, factory.headers(), settings.forward(),
+				this.directory, new UpstreamChoice(settings.dataCentre(), random), this.freshness,
+				new ForwardMetrics(this.registry));
+		this.callers = new CallerServer(this.context, settings.mostConnections());
+		this.readiness = new StatusServer(this.loop, this::readinessPage);
+		this.metrics = new StatusServer(this.loop, (path) -> new StatusServer.Page(200, this.registry.scrape()));
+		this.source = factory.connect(settings.store().getHostString(), settings.store().getPort(), this.group);
+		this.configurations = FeedFollower.builder("configuration", this.source.configuration(), new Configurations())
+			.wait(WATCH_WAIT)
+			.loop(this.loop)
+			.random(random)
+			.build();
+		this.upstreams = FeedFollower.builder("upstreams", this.source.upstreams(), new Upstreams())
+			.wait(WATCH_WAIT)
+			.loop(this.loop)
+			.random(random)
+			.build();
+		this.stop = new Stop(this.loop, this.context, this.callers, settings.grace(), this.stopped);
+		this.registry.gauge("bulrush.gateway.open", this.context, GatewayContext::open);
+		this.registry.gauge("bulrush.gateway.store.calls", this.source, FleetSource::calls);
+		this.registry.gauge("bulrush.gateway.configuration", this, (gateway) -> gateway.version);
+		this.registry.gauge("bulrush.gateway.callers", this.callers, CallerServer::connections);
+	}
+
+	/**
+	 * Starts an entry.
+	 * @param settings the settings
+	 * @param plugins the plug-ins
+	 * @param random the random source
+	 * @return the running entry
+	 */
+	public static Gateway start(GatewaySettings settings, PluginRegistry plugins, RandomGenerator random) {
+		Gateway gateway = new Gateway(settings, plugins, random);
+		gateway.callers.listen(settings.callers());
+		gateway.readiness.listen(settings.readiness());
+		gateway.metrics.listen(settings.metrics());
+		gateway.loop.execute(() -> {
+			gateway.configurations.start();
+			gateway.upstreams.start();
+		});
+		gateway.loop.scheduleWithFixedDelay(gateway::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+		logger.info("event=started instance={} data-centre={} callers={} store={}", settings.instance(),
+				settings.dataCentre(), settings.callers(), settings.store());
+		return gateway;
+	}
+
+	private StatusServer.Page readinessPage(String path) {
+		boolean ready = this.context.serving() && !this.stop.asked();
+		return new StatusServer.Page(ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
+	}
+
+	private void sweep() {
+		this.context.sweep();
+		this.callers.sweep(this.clock.nanos());
+	}
+
+	/**
+	 * Stops the entry: no more requests, those in flight are finished.
+	 */
+	public void stop() {
+		this.loop.execute(this.stop::ask);
+	}
+
+	/**
+	 * Takes settings that were read again. Addresses stay as they are until the process
+	 * starts again.
+	 * @param read the settings
+	 */
+	public void reload(GatewaySettings read) {
+		this.loop.execute(() -> {
+			this.context.settings(read.forward());
+			this.stop.grace(read.grace());
+		});
+	}
+
+	/**
+	 * Waits until the entry has stopped.
+	 */
+	public void awaitStopped() {
+		this.stopped.join();
+	}
+
+	/**
+	 * Returns where callers connect.
+	 * @return the address
+	 */
+	public InetSocketAddress callersAddress() {
+		return this.settings.callers();
+	}
+
+	@Override
+	public void close() {
+		this.configurations.close();
+		this.upstreams.close();
+		this.callers.close();
+		this.readiness.close();
+		this.metrics.close();
+		this.source.close();
+		this.group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+	}
+
+	/**
+	 * Puts newer configurations in force, whole, and never goes back.
+	 */
+	private final class Configurations implements FeedFollower.Listener<GatewayConfiguration> {
+
+		@Override
+		public void listed(List<Item<GatewayConfiguration>> items, long askedNanos) {
+			changed(items, askedNanos);
+		}
+
+		@Override
+		public void changed(List<Item<GatewayConfiguration>> changes, long askedNanos) {
+			for (Item<GatewayConfiguration> item : changes) {
+				item.value().ifPresent(this::adopt);
+			}
+			Gateway.this.freshness.prove(askedNanos);
+		}
+
+		private void adopt(GatewayConfiguration configuration) {
+			if (configuration.version() <= Gateway.this.version) {
+				return;
+			}
+			Gateway.this.version = configuration.version();
+			Gateway.this.context.configuration(ConfigurationInForce.of(configuration));
+			logger.info("event=configuration-in-force version={} routes={} services={} organisations={}",
+					configuration.version(), configuration.routes().size(), configuration.services().size(),
+					configuration.organisations().size());
+		}
+
+		@Override
+		public void unavailable() {
+			// The proof of the last answer grows old by itself.
+		}
+
+	}
+
+	/**
+	 * Keeps the list of upstreams.
+	 */
+	private final class Upstreams implements FeedFollower.Listener<UpstreamRecord> {
+
+		@Override
+		public void listed(List<Item<UpstreamRecord>> items, long askedNanos) {
+			log(items);
+			Gateway.this.directory.replace(items, Gateway.this.clock.nanos());
+		}
+
+		@Override
+		public void changed(List<Item<UpstreamRecord>> changes, long askedNanos) {
+			log(changes);
+			Gateway.this.directory.change(changes, Gateway.this.clock.nanos());
+		}
+
+		private void log(List<Item<UpstreamRecord>> items) {
+			items.forEach((item) -> logger.info("event=upstream id={} state={} service={} address={}", item.name(),
+					item.value().map((record) -> record.leaving() ? "leaving" : "ready").orElse("gone"),
+					item.value().map(UpstreamRecord::service).orElse("-"),
+					item.value().map((record) -> record.address().toString()).orElse("-")));
+		}
+
+		@Override
+		public void unavailable() {
+			Gateway.this.directory.storeLost();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Assembles a gateway entry from its parts and runs it.
+ */
+package io.bulrushrouter.gateway.node;
--- /dev/null
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamDirectory.java
@@ -0,0 +1,159 @@
+package io.bulrushrouter.gateway.upstream;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Stream;
+
+import io.bulrushrouter.gateway.source.FeedAnswer.Item;
+import io.bulrushrouter.gateway.source.UpstreamRecord;
+
+/**
+ * The upstreams that may take requests. An upstream that is listed as leaving or is
+ * removed from the list gets nothing new at once. Only while the store comes back from an
+ * outage, in which entries may have lapsed though their upstreams live, a removed one is
+ * kept for the time in which it would be listed again.
+ */
+public final class UpstreamDirectory {
+
+	/**
+	 * The time after the store's return in which lapsed entries come back: two seconds by
+	 * the platform's word.
+	 */
+	public static final Duration LAPSE_RETURN = Duration.ofMillis(2_200);
+
+	private final Map<String, UpstreamRecord> listed = new HashMap<>();
+
+	private final Map<String, UpstreamRecord> lapsed = new HashMap<>();
+
+	private final Map<String, List<UpstreamRecord>> byService = new HashMap<>();
+
+	private boolean known;
+
+	private boolean storeLost;
+
+	private long lapseUntilNanos = Long.MIN_VALUE;
+
+	/**
+	 * Tells whether the list has been read.
+	 * @return whether it is known
+	 */
+	public boolean known() {
+		return this.known;
+	}
+
+	/**
+	 * Replaces the list.
+	 * @param items all entries
+	 * @param nowNanos the time
+	 */
+	public void replace(Collection<Item<UpstreamRecord>> items, long nowNanos) {
+		storeAnswered(nowNanos);
+		Set<String> gone = new HashSet<>(this.listed.keySet());
+		items.forEach((item) -> {
+			gone.remove(item.name());
+			put(item, nowNanos);
+		});
+		gone.forEach((id) -> remove(id, nowNanos));
+		this.known = true;
+		this.byService.clear();
+	}
+
+	/**
+	 * Applies changes.
+	 * @param items the changed or removed entries, in order
+	 * @param nowNanos the time
+	 */
+	public void change(Collection<Item<UpstreamRecord>> items, long nowNanos) {
+		storeAnswered(nowNanos);
+		items.forEach((item) -> put(item, nowNanos));
+		if (!items.isEmpty()) {
+			this.byService.clear();
+		}
+	}
+
+	/**
+	 * Notes that the store does not answer.
+	 */
+	public void storeLost() {
+		this.storeLost = true;
+	}
+
+	private void storeAnswered(long nowNanos) {
+		if (this.storeLost) {
+			this.storeLost = false;
+			this.lapseUntilNanos = nowNanos + LAPSE_RETURN.toNanos();
+		}
+	}
+
+	private void put(Item<UpstreamRecord> item, long nowNanos) {
+		Optional<UpstreamRecord> value = item.value();
+		if (value.isEmpty()) {
+			remove(item.name(), nowNanos);
+			return;
+		}
+		this.lapsed.remove(item.name());
+		this.listed.put(item.name(), value.get());
+	}
+
+	private void remove(String id, long nowNanos) {
+		UpstreamRecord before = this.listed.remove(id);
+		if (before != null && !before.leaving() && nowNanos < this.lapseUntilNanos) {
+			this.lapsed.put(id, before);
+		}
+	}
+
+	/**
+	 * Drops the removed upstreams that have not come back in time.
+	 * @param nowNanos the time
+	 */
+	public void expire(long nowNanos) {
+		if (!this.lapsed.isEmpty() && nowNanos >= this.lapseUntilNanos) {
+			this.lapsed.clear();
+			this.byService.clear();
+		}
+	}
+
+	/**
+	 * Returns the upstreams of a service that may get requests.
+	 * @param service the service
+	 * @return the upstreams, by identifier
+	 */
+	public List<UpstreamRecord> ready(String service) {
+		return this.byService.computeIfAbsent(service, this::collect);
+	}
+
+	private List<UpstreamRecord> collect(String service) {
+		return Stream.concat(this.listed.values().stream(), this.lapsed.values().stream())
+			.filter((upstream) -> !upstream.leaving() && upstream.service().equals(service))
+			.sorted(Comparator.comparing(UpstreamRecord::id))
+			.toList();
+	}
+
+	/**
+	 * Tells whether an upstream may get requests.
+	 * @param id the upstream
+	 * @return whether it is listed and not leaving
+	 */
+	public boolean accepts(String id) {
+		UpstreamRecord found = this.listed.getOrDefault(id, this.lapsed.get(id));
+		return found != null && !found.leaving();
+	}
+
+	/**
+	 * Returns the identifiers that are listed, leaving ones too.
+	 * @return the identifiers
+	 */
+	public Set<String> identifiers() {
+		Set<String> all = new HashSet<>(this.listed.keySet());
+		all.addAll(this.lapsed.keySet());
+		return all;
+	}
+
+}
