Pass an upstream's own failure on when no attempt is left

Cause: a 500 of an upstream became the entry's 502. Ruled out: altered requests (the same lookups succeed elsewhere with the same headers). Also accept a configuration as new enough for a refusal while a watch is waiting.

--- a/bulrushrouter-edge/src/main/java/io/bulrushrouter/edge/LogSetup.java
+++ b/bulrushrouter-edge/src/main/java/io/bulrushrouter/edge/LogSetup.java
@@ -28,6 +28,8 @@
 		root.setLevel(Level.WARN);
 		root.addAppender(appender);
 		context.getLogger("io.bulrushrouter").setLevel(Level.INFO);
+		// Netty warns at the start that an instance has no hardware address.
+		context.getLogger("io.netty.util.internal").setLevel(Level.ERROR);
 		return new LogSetup(appender);
 	}
 
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/AdmissionDesk.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/AdmissionDesk.java
@@ -20,7 +20,9 @@
 
 	private static final Logger logger = LoggerFactory.getLogger(AdmissionDesk.class);
 
-	/** The longest deadline that is taken as such; a longer one is the route's timeout. */
+	/**
+	 * The longest deadline that is taken as such; a longer one is the route's timeout.
+	 */
 	private static final long LONGEST_DEADLINE_MILLIS = TimeUnit.HOURS.toMillis(1);
 
 	private final GatewayContext context;
@@ -49,8 +51,7 @@
 		if (route.isEmpty()) {
 			return unknown(request, caller, ErrorCode.NOT_FOUND, "no route for " + host + request.path());
 		}
-		Optional<Organisation> organisation = configuration
-			.organisation(request.header(this.context.headers().key()));
+		Optional<Organisation> organisation = configuration.organisation(request.header(this.context.headers().key()));
 		if (organisation.isEmpty() && configuration.requiresKeys() && !route.get().anonymous()) {
 			return unknown(request, caller, ErrorCode.UNAUTHORISED, "the key is missing or unknown");
 		}
@@ -68,7 +69,8 @@
 		String asked = request.header(this.context.headers().deadlineMillis());
 		if (asked != null) {
 			try {
-				millis = Math.min(millis, Math.max(0, Math.min(Long.parseLong(asked.strip()), LONGEST_DEADLINE_MILLIS)));
+				millis = Math.min(millis,
+						Math.max(0, Math.min(Long.parseLong(asked.strip()), LONGEST_DEADLINE_MILLIS)));
 			}
 			catch (NumberFormatException ex) {
 				logger.info("event=deadline-ignored value=\"{}\" reason=\"no number\"", asked);
@@ -94,9 +96,11 @@
 		ErrorCode code = verdict.failure().orElse(ErrorCode.INTERNAL);
 		int status = code.httpStatus();
 		this.context.metrics().answered(status, code.text());
-		logger.info("event=refused request={} status={} verdict={} code={} configuration={} proof-age-ms={} "
-				+ "detail=\"{}\"", request.header(this.context.headers().attemptId()), status, verdict.text(),
-				code.text(), this.context.configuration().map(ConfigurationInForce::version).orElse(-1L),
+		logger.info(
+				"event=refused request={} status={} verdict={} code={} configuration={} proof-age-ms={} "
+						+ "detail=\"{}\"",
+				request.header(this.context.headers().attemptId()), status, verdict.text(), code.text(),
+				this.context.configuration().map(ConfigurationInForce::version).orElse(-1L),
 				this.context.freshness().ageMillis(), detail);
 		Refusal.send(caller, status, verdict, (status == 503) ? RetryAfter.millis(this.context.random()) : 0);
 		return Optional.empty();
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/AnswerRelay.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/AnswerRelay.java
@@ -104,10 +104,12 @@
 	 * Takes the head of an answer.
 	 * @param received the head
 	 * @param reusedConnection whether another answer came on the same connection before
+	 * @param furtherAttempt whether a failure may be tried again at another upstream; if
+	 * not, the caller gets it as it is
 	 * @return why the answer is of no use, or empty
 	 */
-	Optional<Rejected> head(HttpResponse received, boolean reusedConnection) {
-		Optional<Rejected> rejected = check(received, reusedConnection);
+	Optional<Rejected> head(HttpResponse received, boolean reusedConnection, boolean furtherAttempt) {
+		Optional<Rejected> rejected = check(received, reusedConnection, furtherAttempt);
 		if (rejected.isPresent()) {
 			return rejected;
 		}
@@ -119,7 +121,7 @@
 		return Optional.empty();
 	}
 
-	private Optional<Rejected> check(HttpResponse received, boolean reusedConnection) {
+	private Optional<Rejected> check(HttpResponse received, boolean reusedConnection, boolean furtherAttempt) {
 		HeaderNames names = this.context.headers();
 		HttpHeaders headers = received.headers();
 		int status = received.status().code();
@@ -145,7 +147,7 @@
 		else if (this.started) {
 			return mayHaveRun(ErrorCode.STREAM_BROKEN, "the stream cannot go on: status " + status);
 		}
-		else if (status >= 500 && this.route.repeatable()) {
+		else if (status >= 500 && furtherAttempt) {
 			return mayHaveRun(ErrorCode.ENGINE_ERROR, "the upstream answered " + status);
 		}
 		return Optional.empty();
@@ -193,8 +195,8 @@
 		}
 		for (Event event : events) {
 			if (!follows(event)) {
-				return mayHaveRun(ErrorCode.STREAM_BROKEN, "event " + event.id().orElse("-") + " does not follow "
-						+ this.lastEventId.orElse("-"));
+				return mayHaveRun(ErrorCode.STREAM_BROKEN,
+						"event " + event.id().orElse("-") + " does not follow " + this.lastEventId.orElse("-"));
 			}
 			startIfNeeded();
 			this.caller.part(event.bytes());
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/CallerConnection.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/CallerConnection.java
@@ -173,8 +173,8 @@
 			return;
 		}
 		if (HttpUtil.is100ContinueExpected(request)) {
-			this.channel.writeAndFlush(
-					new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+			this.channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
+					Unpooled.EMPTY_BUFFER));
 		}
 	}
 
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
@@ -180,9 +180,11 @@
 		this.context.choice().ended(this.upstream.id(), outcomeOf(verdict), this.context.nowNanos());
 		this.mayHaveRun |= verdict.mayHaveRun();
 		boolean again = mayTryAgain(verdict);
-		logger.info("event=attempt-failed request={} upstream={} attempt={} verdict={} code={} detail=\"{}\" "
-				+ "millis-left={} events-sent={} again={}", attemptId(), this.upstream.id(), this.attempts,
-				verdict.text(), code, detail, millisLeft(), this.relay.eventsSent(), again);
+		logger.info(
+				"event=attempt-failed request={} upstream={} attempt={} verdict={} code={} detail=\"{}\" "
+						+ "millis-left={} events-sent={} again={}",
+				attemptId(), this.upstream.id(), this.attempts, verdict.text(), code, detail, millisLeft(),
+				this.relay.eventsSent(), again);
 		this.tried.add(this.upstream.id());
 		if (again) {
 			dispatch();
@@ -201,8 +203,12 @@
 		};
 	}
 
+	private boolean attemptsLeft() {
+		return this.connects < MOST_CONNECTS && this.attempts < this.route.maxAttempts();
+	}
+
 	private boolean mayTryAgain(Verdict verdict) {
-		if (this.ended || this.connects >= MOST_CONNECTS || this.attempts >= this.route.maxAttempts()) {
+		if (this.ended || !attemptsLeft()) {
 			return false;
 		}
 		if (verdict.mayHaveRun() && !this.route.repeatable()) {
@@ -237,8 +243,8 @@
 		}
 		boolean sent = this.attempts > 0;
 		stopAttempt();
-		giveUp(sent ? Verdict.ofMayHaveRun(ErrorCode.DEADLINE_EXCEEDED)
-				: Verdict.ofNotRun(ErrorCode.DEADLINE_EXCEEDED), "deadline or route timeout reached");
+		giveUp(sent ? Verdict.ofMayHaveRun(ErrorCode.DEADLINE_EXCEEDED) : Verdict.ofNotRun(ErrorCode.DEADLINE_EXCEEDED),
+				"deadline or route timeout reached");
 	}
 
 	/**
@@ -249,8 +255,9 @@
 			return;
 		}
 		stopAttempt();
-		end("caller-left", 0, (this.attempts > 0) ? Verdict.ofMayHaveRun(ErrorCode.CANCELLED)
-				: Verdict.ofNotRun(ErrorCode.CANCELLED), "the caller closed the connection");
+		end("caller-left", 0,
+				(this.attempts > 0) ? Verdict.ofMayHaveRun(ErrorCode.CANCELLED) : Verdict.ofNotRun(ErrorCode.CANCELLED),
+				"the caller closed the connection");
 	}
 
 	private void stopAttempt() {
@@ -313,7 +320,8 @@
 		@Override
 		public void head(HttpResponse head) {
 			if (!stale()) {
-				react(Exchange.this.relay.head(head, Exchange.this.connection.carriedRequestBefore()));
+				boolean further = attemptsLeft() && Exchange.this.route.repeatable();
+				react(Exchange.this.relay.head(head, Exchange.this.connection.carriedRequestBefore(), further));
 			}
 		}
 
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamPool.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamPool.java
@@ -27,7 +27,10 @@
  */
 final class UpstreamPool {
 
-	/** Connects within a data centre take about a millisecond; a lost packet costs a second. */
+	/**
+	 * Connects within a data centre take about a millisecond; a lost packet costs a
+	 * second.
+	 */
 	private static final int CONNECT_TIMEOUT_MILLIS = 500;
 
 	private static final int LONGEST_LINE = 4_096;
@@ -104,8 +107,8 @@
 			}
 			this.open++;
 			Channel channel = connecting.channel();
-			UpstreamConnection connection = new UpstreamConnection(channel,
-					(freed) -> keep(upstream.id(), freed), (gone) -> forget(upstream.id(), gone));
+			UpstreamConnection connection = new UpstreamConnection(channel, (freed) -> keep(upstream.id(), freed),
+					(gone) -> forget(upstream.id(), gone));
 			channel.pipeline()
 				.addLast(new HttpClientCodec(LONGEST_LINE, LARGEST_HEAD, LARGEST_CHUNK, false, true), connection);
 			ready.accept(connection);
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/GatewaySettings.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/GatewaySettings.java
@@ -44,6 +44,12 @@
 	/** Kept before the time at which a revoked key must be refused. */
 	private static final Duration KEY_MARGIN = Duration.ofMillis(700);
 
+	/**
+	 * Age of a proof beyond the time in which a configuration must be in force: the age
+	 * counts from the start of a watch, which answers as soon as there is a change.
+	 */
+	private static final Duration WATCH_SLACK = Duration.ofMillis(1_500);
+
 	/** Part of an instance's descriptors for callers; the rest is for upstreams. */
 	private static final double CALLERS_PART = 0.5;
 
@@ -68,7 +74,7 @@
 				settings.duration("retry", "window", Duration.ofSeconds(10)),
 				settings.value("keys", "fail-closed", true, Boolean::parseBoolean) ? revocation.minus(KEY_MARGIN)
 						: Duration.ofDays(365),
-				settings.duration("configuration", "apply", Duration.ofSeconds(2)),
+				settings.duration("configuration", "apply", Duration.ofSeconds(2)).plus(WATCH_SLACK),
 				(long) (BUFFER_PART * memoryMegabytes * 1024 * 1024));
 		return new GatewaySettings(settings.text("instance", "name"), settings.text("instance", "data-centre"),
 				settings.value("listen", "callers", GatewaySettings::address),
