--- a/bulrushrouter-edge/src/main/java/io/bulrushrouter/edge/Main.java
+++ b/bulrushrouter-edge/src/main/java/io/bulrushrouter/edge/Main.java
@@ -16,6 +16,8 @@
 import io.bulrushrouter.kernel.BulrushException;
 import io.bulrushrouter.kernel.plugin.PluginRegistry;
 import io.bulrushrouter.kernel.settings.Settings;
+import io.bulrushrouter.ranks.RankSettings;
+import io.bulrushrouter.ranks.RankSidecar;
 
 /**
  * The program.
@@ -25,6 +27,10 @@
 	/** Exit code for wrong arguments or settings. */
 	private static final int BAD_USE = 2;
 
+	private static final String GATEWAY = "gateway";
+
+	private static final String RANK = "rank";
+
 	private Main() {
 	}
 
@@ -39,7 +45,8 @@
 	private static int run(String[] args) {
 		ArgumentParser parser = ArgumentParsers.newFor("bulrushrouter-edge")
 			.build()
-			.description("Runs a gateway entry before upstreams that are reached over HTTP.");
+			.description("Runs a gateway entry, or the balancer beside a rank of a model group.");
+		parser.addArgument("role").choices(GATEWAY, RANK).help("what to run");
 		parser.addArgument("--settings").metavar("FILE").help("the INI settings");
 		parser.addArgument("--settings-from")
 			.metavar("VARIABLE")
@@ -48,7 +55,12 @@
 		try {
 			Namespace arguments = parser.parseArgs(args);
 			Path file = settingsFile(arguments);
-			serve(file);
+			if (arguments.getString("role").equals(RANK)) {
+				balance(file);
+			}
+			else {
+				serve(file);
+			}
 			return 0;
 		}
 		catch (ArgumentParserException ex) {
@@ -74,12 +86,24 @@
 	private static void serve(Path file) {
 		GatewaySettings settings = GatewaySettings.of(Settings.ofFile(file));
 		try (Gateway gateway = Gateway.start(settings, PluginRegistry.ofClassPath(), RandomGenerator.getDefault());
-				Signals signals = Signals.handle(gateway, file)) {
-			signals.watch(settings);
+				SettingsWatch<GatewaySettings> watch = SettingsWatch.of(file, GatewaySettings::of, settings,
+						gateway::reload)) {
+			Signals.handle(gateway::stop, watch::reload);
 			gateway.awaitStopped();
 		}
 	}
 
+	private static void balance(Path file) {
+		RankSettings settings = RankSettings.of(Settings.ofFile(file));
+		try (RankSidecar sidecar = RankSidecar.start(settings, PluginRegistry.ofClassPath(),
+				RandomGenerator.getDefault());
+				SettingsWatch<RankSettings> watch = SettingsWatch.of(file, RankSettings::of, settings,
+						(read) -> logger().info("event=settings-need-restart"))) {
+			Signals.handle(sidecar::stop, watch::reload);
+			sidecar.awaitStopped();
+		}
+	}
+
 	private static Logger logger() {
 		return LoggerFactory.getLogger(Main.class);
 	}
--- /dev/null
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/GroupSwitch.java
@@ -0,0 +1,357 @@
+package io.bulrushrouter.experts.live;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+
+/**
+ * Decides the next orders of a switch from one map to the next, so that no pass runs on
+ * two maps. Works by rounds: the ranks are asked for their status, the orders that follow
+ * from it are sent, their answers are awaited for a while, and the next round begins.
+ * What is not answered may take effect much later; the decisions hold whenever it does.
+ * <p>
+ * The order is: prepare all; hold the group before a pass ahead; arm all for that pass;
+ * once all are seen armed, go. Only while the group is held can ranks differ in what they
+ * are armed for. If the arming is given up, armed ranks are disarmed and the prepared map
+ * is replaced by the one in use, so that a late arm finds nothing to switch to, before
+ * the group goes on. Versions and passes are never used twice.
+ */
+public final class GroupSwitch {
+
+	/** Passes between the last one begun and the one before which the group is held. */
+	static final int PASSES_AHEAD = 5;
+
+	/**
+	 * The furthest that a pass to hold is ahead of the last one begun: passes of holds
+	 * are never used twice, and those of an idle group add up.
+	 */
+	static final int MOST_PASSES_AHEAD = 4 * PASSES_AHEAD;
+
+	/** Rounds in which ranks that did not answer are armed again. */
+	private static final int MOST_ARM_ROUNDS = 6;
+
+	/** Rounds in which ranks that are not prepared are waited for. */
+	private static final int MOST_PREPARE_ROUNDS = 40;
+
+	private final long versionBase;
+
+	private final Guards guards;
+
+	/** Versions of maps that equal the one in use; no arm for them was ever sent. */
+	private final Set<Long> neutralVersions = new HashSet<>();
+
+	private long versionsUsed;
+
+	private long epoch = -1;
+
+	private long highestHold;
+
+	/** The last version that the group was let go to switch to. */
+	private long committed = -1;
+
+	private int[][][] inUse;
+
+	private Intent intent;
+
+	private GroupSwitch(long versionBase, Guards guards) {
+		this.versionBase = versionBase;
+		this.guards = guards;
+	}
+
+	/**
+	 * Returns the switch of a group.
+	 * @param versionBase a number above all versions that any earlier holder of this duty
+	 * has used
+	 * @return the switch
+	 */
+	public static GroupSwitch of(long versionBase) {
+		return new GroupSwitch(versionBase, Guards.ALL);
+	}
+
+	/**
+	 * Returns a switch that lacks some of its guards, to show what they are for.
+	 * @param versionBase a number above all versions used before
+	 * @param guards the guards that it has
+	 * @return the switch
+	 */
+	static GroupSwitch ofGuards(long versionBase, Guards guards) {
+		return new GroupSwitch(versionBase, guards);
+	}
+
+	/**
+	 * Tells whether a new map may be proposed.
+	 * @return whether no switch is under way
+	 */
+	public boolean idle() {
+		return this.intent == null;
+	}
+
+	/**
+	 * Proposes a map.
+	 * @param experts the experts by set and rank
+	 * @return the version that the map gets
+	 */
+	public long propose(int[][][] experts) {
+		this.intent = new Intent(nextVersion(), experts);
+		return this.intent.version;
+	}
+
+	private long nextVersion() {
+		return this.versionBase + ++this.versionsUsed;
+	}
+
+	/**
+	 * Decides the orders of a round.
+	 * @param view the ranks' statuses
+	 * @param experts the map in use, by set and rank
+	 * @return the orders
+	 */
+	public List<RankCommand> next(GroupView view, int[][][] experts) {
+		this.inUse = experts;
+		if (view.epoch() != this.epoch) {
+			startEpoch(view);
+		}
+		OptionalLong held = view.rank(0).held();
+		if (held.isPresent()) {
+			this.highestHold = Math.max(this.highestHold, held.getAsLong());
+			return whileHeld(view, held.getAsLong());
+		}
+		if (view.armedByAny()) {
+			return whileArmed(view);
+		}
+		if (this.intent == null) {
+			return List.of();
+		}
+		return prepareThenHold(view);
+	}
+
+	/**
+	 * Forgets what was under way in another epoch. An earlier holder of this duty may
+	 * have used passes as far ahead as {@link #PASSES_AHEAD} of a pass that had begun.
+	 */
+	private void startEpoch(GroupView view) {
+		this.epoch = view.epoch();
+		this.intent = null;
+		this.committed = -1;
+		this.highestHold = view.step() + MOST_PASSES_AHEAD;
+	}
+
+	private List<RankCommand> prepareThenHold(GroupView view) {
+		if (this.intent.holdSent && view.step() >= this.intent.step) {
+			this.intent = this.intent.again();
+		}
+		if (this.guards.prepareAll() && !view.preparedByAll(this.intent.version)) {
+			return prepare(view);
+		}
+		long step = Math.max(view.step() + PASSES_AHEAD, this.highestHold + 1);
+		if (step > view.step() + 2 * MOST_PASSES_AHEAD) {
+			return List.of();
+		}
+		this.intent.step = step;
+		this.highestHold = this.intent.step;
+		this.intent.holdSent = true;
+		return List.of(new RankCommand(0, new RankOrder.Hold(this.intent.step)));
+	}
+
+	private List<RankCommand> prepare(GroupView view) {
+		if (this.intent.prepareRounds++ > MOST_PREPARE_ROUNDS) {
+			this.intent = null;
+			return List.of();
+		}
+		List<RankCommand> commands = new ArrayList<>();
+		for (int rank = 0; rank < view.size(); rank++) {
+			if (!this.intent.accepted.contains(rank) && !prepared(view.rank(rank), this.intent.version)) {
+				commands.add(new RankCommand(rank, new RankOrder.Prepare(this.intent.version, this.intent.experts)));
+			}
+		}
+		return commands;
+	}
+
+	private static boolean prepared(RankStatus status, long version) {
+		return status.prepared().isPresent() && status.prepared().getAsLong() == version;
+	}
+
+	private List<RankCommand> whileHeld(GroupView view, long held) {
+		boolean ours = this.intent != null && this.intent.holdSent && this.intent.step == held
+				&& !(this.guards.neverForwardAgain() && this.intent.givenUp);
+		Optional<RankStatus.Armed> all = view.armedByAll();
+		if (all.isPresent() && mayCommit(all.get(), ours)) {
+			this.committed = all.get().version();
+			this.intent = null;
+			return List.of(new RankCommand(0, new RankOrder.Go(held)));
+		}
+		if (ours) {
+			if (this.intent.armRounds++ < MOST_ARM_ROUNDS && armable(view)) {
+				return arm(view, held);
+			}
+			this.intent.givenUp = true;
+		}
+		return undo(view, held);
+	}
+
+	/**
+	 * A switch is let go only if no order to give it up was ever sent, since that could
+	 * still reach one rank. An earlier holder of this duty may have sent such orders.
+	 */
+	private boolean mayCommit(RankStatus.Armed armed, boolean ours) {
+		return armed.version() == this.committed || (ours && armed.version() == this.intent.version);
+	}
+
+	private boolean armable(GroupView view) {
+		for (int rank = 0; rank < view.size(); rank++) {
+			RankStatus status = view.rank(rank);
+			boolean armed = status.armed().filter((switched) -> switched.version() == this.intent.version).isPresent();
+			if (!armed && !prepared(status, this.intent.version)) {
+				return false;
+			}
+		}
+		return true;
+	}
+
+	private List<RankCommand> arm(GroupView view, long step) {
+		this.intent.armsSent = true;
+		List<RankCommand> commands = new ArrayList<>();
+		for (int rank = 0; rank < view.size(); rank++) {
+			if (view.rank(rank).armed().isEmpty()) {
+				commands.add(new RankCommand(rank, new RankOrder.Arm(this.intent.version, step)));
+			}
+		}
+		return commands;
+	}
+
+	/**
+	 * Makes sure that no rank is armed nor can become so by an arm that is still on its
+	 * way, then lets the group go on.
+	 */
+	private List<RankCommand> undo(GroupView view, long held) {
+		List<RankCommand> commands = new ArrayList<>();
+		long current = (this.intent != null) ? this.intent.version : -1;
+		boolean armsSent = this.intent == null || this.intent.armsSent;
+		long neutral = -1;
+		for (int rank = 0; rank < view.size(); rank++) {
+			RankStatus status = view.rank(rank);
+			if (status.armed().isPresent()) {
+				commands.add(new RankCommand(rank, new RankOrder.Disarm(status.armed().get().version())));
+			}
+			else if (this.guards.replacePrepared() && mayBeArmedLate(status, current, armsSent)) {
+				neutral = (neutral < 0) ? neutralVersion() : neutral;
+				commands.add(new RankCommand(rank, new RankOrder.Prepare(neutral, this.inUse)));
+			}
+		}
+		if (!commands.isEmpty()) {
+			return commands;
+		}
+		if (armsSent) {
+			this.intent = null;
+		}
+		return List.of(new RankCommand(0, new RankOrder.Go(held)));
+	}
+
+	private boolean mayBeArmedLate(RankStatus status, long current, boolean armsSent) {
+		if (status.prepared().isEmpty() || this.neutralVersions.contains(status.prepared().getAsLong())) {
+			return false;
+		}
+		return armsSent || status.prepared().getAsLong() != current;
+	}
+
+	private long neutralVersion() {
+		long version = nextVersion();
+		this.neutralVersions.add(version);
+		return version;
+	}
+
+	/**
+	 * Not held and armed: the group was let go after all were seen armed, and the pass
+	 * has not begun yet. If ranks differ all the same, the group is stopped.
+	 */
+	private List<RankCommand> whileArmed(GroupView view) {
+		if (view.armedByAll().isPresent()) {
+			return List.of();
+		}
+		long step = view.step() + 1;
+		return List.of(new RankCommand(0, new RankOrder.Hold(step)));
+	}
+
+	/**
+	 * Notes what came of an order.
+	 * @param command the order
+	 * @param result what came of it
+	 */
+	public void answered(RankCommand command, OrderResult result) {
+		if (this.intent == null || !(command.order() instanceof RankOrder.Prepare prepare)
+				|| prepare.version() != this.intent.version) {
+			return;
+		}
+		if (result == OrderResult.UNKNOWN) {
+			this.intent.unanswered.add(command.rank());
+		}
+		else if (result == OrderResult.ACCEPTED || this.intent.unanswered.contains(command.rank())) {
+			// An order that was sent before without an answer may be what it is refused
+			// for.
+			this.intent.accepted.add(command.rank());
+		}
+		else if (!this.intent.holdSent) {
+			this.intent = null;
+		}
+	}
+
+	/**
+	 * Which guards a switch has; taking one out is for tests.
+	 *
+	 * @param prepareAll whether the group is held only once all ranks have the weights
+	 * @param replacePrepared whether the prepared map is replaced before a given-up
+	 * switch is let go
+	 * @param neverForwardAgain whether a switch that was given up is never let go
+	 */
+	record Guards(boolean prepareAll, boolean replacePrepared, boolean neverForwardAgain) {
+
+		static final Guards ALL = new Guards(true, true, true);
+
+	}
+
+	/**
+	 * A map on its way into use.
+	 */
+	private static final class Intent {
+
+		private final long version;
+
+		private final int[][][] experts;
+
+		private final Set<Integer> accepted = new HashSet<>();
+
+		private final Set<Integer> unanswered = new HashSet<>();
+
+		private int prepareRounds;
+
+		private int armRounds;
+
+		private long step;
+
+		private boolean holdSent;
+
+		private boolean armsSent;
+
+		private boolean givenUp;
+
+		private Intent(long version, int[][][] experts) {
+			this.version = version;
+			this.experts = experts;
+		}
+
+		/**
+		 * The hold came too late for its pass: the same map, held before a later pass.
+		 */
+		private Intent again() {
+			Intent again = new Intent(this.version, this.experts);
+			again.accepted.addAll(this.accepted);
+			again.prepareRounds = this.prepareRounds;
+			return again;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/PlacementPlan.java
@@ -0,0 +1,37 @@
+package io.bulrushrouter.experts.live;
+
+/**
+ * A map that may follow the one in use.
+ *
+ * @param experts the experts by set and rank
+ * @param copies the experts that all ranks copy for it
+ * @param mostCopies the experts that one rank copies at most
+ * @param skewBefore the load of the most loaded rank over the mean on the map in use, as
+ * a mean over sets
+ * @param skewAfter the same on the new map
+ */
+public record PlacementPlan(int[][][] experts, int copies, int mostCopies, double skewBefore, double skewAfter) {
+
+	/**
+	 * Passes take this much longer while weights are copied: the engines' published part.
+	 */
+	private static final double SLOWER_WHILE_COPYING = 0.15;
+
+	/** How long a plan is expected to fit demand; topics turn about as often. */
+	private static final double HORIZON_SECONDS = 4;
+
+	/** The gain of skew below which a switch is not worth its orders. */
+	private static final double LEAST_GAIN = 0.02;
+
+	/**
+	 * Tells whether the map pays for its copies.
+	 * @param secondsForCopy the time that a rank needs to copy one expert
+	 * @return whether the passes that become shorter save more than the copying costs
+	 */
+	public boolean pays(double secondsForCopy) {
+		double gain = (this.skewBefore - this.skewAfter) / this.skewBefore;
+		double cost = SLOWER_WHILE_COPYING * this.mostCopies * secondsForCopy;
+		return gain > LEAST_GAIN && gain * HORIZON_SECONDS > cost;
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/PlacementPlanner.java
@@ -0,0 +1,186 @@
+package io.bulrushrouter.experts.live;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+import io.bulrushrouter.experts.live.SetPlacement.Change;
+import io.bulrushrouter.experts.live.SetPlacement.Change.Step;
+
+/**
+ * Plans the next map of a group whose ranks share an expert's tokens evenly. From the map
+ * in use it takes work off the most loaded rank of the set that needs it most, one change
+ * at a time: an expert gets a further replica, moves, or is exchanged. Each change is
+ * worth its copies; a plan stays within what ranks may copy.
+ */
+public final class PlacementPlanner {
+
+	/** A set below this skew is left as it is. */
+	private static final double GOOD_SKEW = 1.03;
+
+	/** The least gain of skew that a copied expert must bring. */
+	private static final double LEAST_GAIN = 0.004;
+
+	/** Experts of the most loaded rank that are looked at, and ranks that take them. */
+	private static final int WIDTH = 6;
+
+	private static final int MOST_CHANGES = 400;
+
+	private final PlacementLimits limits;
+
+	/**
+	 * Creates a planner.
+	 * @param limits what one plan may do
+	 */
+	public PlacementPlanner(PlacementLimits limits) {
+		this.limits = limits;
+	}
+
+	/**
+	 * Plans.
+	 * @param inUse the map in use, by set and rank
+	 * @param demand the demand, by set and expert
+	 * @return the plan
+	 */
+	public PlacementPlan plan(int[][][] inUse, double[][] demand) {
+		SetPlacement[] sets = new SetPlacement[inUse.length];
+		for (int set = 0; set < sets.length; set++) {
+			sets[set] = new SetPlacement(inUse[set], demand[set]);
+		}
+		double before = meanSkew(sets);
+		boolean[] done = new boolean[sets.length];
+		for (int change = 0; change < MOST_CHANGES; change++) {
+			int worst = worst(sets, done);
+			if (worst < 0) {
+				break;
+			}
+			done[worst] = !improve(sets, worst);
+		}
+		int[][][] experts = new int[sets.length][][];
+		int copies = 0;
+		int mostCopies = 0;
+		for (int set = 0; set < sets.length; set++) {
+			experts[set] = sets[set].experts();
+		}
+		for (int rank = 0; rank < sets[0].ranks(); rank++) {
+			int ofRank = copiesOfRank(sets, rank);
+			copies += ofRank;
+			mostCopies = Math.max(mostCopies, ofRank);
+		}
+		return new PlacementPlan(experts, copies, mostCopies, before, meanSkew(sets));
+	}
+
+	private static double meanSkew(SetPlacement[] sets) {
+		double sum = 0;
+		for (SetPlacement set : sets) {
+			sum += set.skew();
+		}
+		return sum / sets.length;
+	}
+
+	private static int worst(SetPlacement[] sets, boolean[] done) {
+		int worst = -1;
+		for (int set = 0; set < sets.length; set++) {
+			if (!done[set] && sets[set].skew() > GOOD_SKEW && (worst < 0 || sets[set].skew() > sets[worst].skew())) {
+				worst = set;
+			}
+		}
+		return worst;
+	}
+
+	private boolean improve(SetPlacement[] sets, int set) {
+		SetPlacement placement = sets[set];
+		double before = placement.roughness();
+		Change best = null;
+		double bestWorth = LEAST_GAIN;
+		for (Change change : changes(sets, set)) {
+			placement.apply(change);
+			double after = placement.roughness();
+			boolean allowed = withinLimits(sets, set, change);
+			placement.revert(change);
+			double worth = (root(before) - root(after)) / Math.max(0.5, copies(placement, change));
+			if (allowed && worth > bestWorth) {
+				best = change;
+				bestWorth = worth;
+			}
+		}
+		if (best != null) {
+			placement.apply(best);
+		}
+		return best != null;
+	}
+
+	private static double root(double roughness) {
+		return Math.pow(roughness, 1.0 / 6);
+	}
+
+	private static int copies(SetPlacement placement, Change change) {
+		int copies = 0;
+		for (Step step : change.steps()) {
+			if (step.added() && placement.isNew(step.rank(), step.expert())) {
+				copies++;
+			}
+		}
+		return copies;
+	}
+
+	private boolean withinLimits(SetPlacement[] sets, int set, Change change) {
+		for (Step step : change.steps()) {
+			if (step.added() && (sets[set].newExperts(step.rank()) > this.limits.newOfSet()
+					|| copiesOfRank(sets, step.rank()) > this.limits.newOfRank())) {
+				return false;
+			}
+		}
+		return true;
+	}
+
+	private static int copiesOfRank(SetPlacement[] sets, int rank) {
+		int copies = 0;
+		for (SetPlacement set : sets) {
+			copies += set.newExperts(rank);
+		}
+		return copies;
+	}
+
+	private List<Change> changes(SetPlacement[] sets, int set) {
+		SetPlacement placement = sets[set];
+		int from = placement.mostLoaded();
+		List<Change> changes = new ArrayList<>();
+		List<Integer> heaviest = placement.held(from)
+			.stream()
+			.sorted(Comparator.comparingDouble((Integer expert) -> -placement.part(expert)))
+			.limit(WIDTH)
+			.toList();
+		for (int expert : heaviest) {
+			for (int to = 0; to < placement.ranks(); to++) {
+				if (to != from && !placement.holds(to, expert)) {
+					addChanges(placement, from, to, expert, changes);
+				}
+			}
+			if (placement.replicas(expert) > 1) {
+				changes.add(Change.of(new Step(from, expert, false)));
+			}
+		}
+		return changes;
+	}
+
+	private void addChanges(SetPlacement placement, int from, int to, int expert, List<Change> changes) {
+		Step gets = new Step(to, expert, true);
+		Step leaves = new Step(from, expert, false);
+		if (placement.held(to).size() < this.limits.places()) {
+			changes.add(Change.of(gets));
+			changes.add(Change.of(gets, leaves));
+		}
+		for (int other : placement.held(to)) {
+			Step makesRoom = new Step(to, other, false);
+			if (placement.replicas(other) > 1) {
+				changes.add(Change.of(makesRoom, gets));
+				changes.add(Change.of(makesRoom, gets, leaves));
+			}
+			else if (placement.part(other) < placement.part(expert) && !placement.holds(from, other)) {
+				changes.add(Change.of(leaves, makesRoom, gets, new Step(from, other, true)));
+			}
+		}
+	}
+
+}
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/config/EngineSpec.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/config/EngineSpec.java
@@ -1,5 +1,7 @@
 package io.bulrushrouter.gateway.config;
 
+import java.util.Optional;
+
 /**
  * The published figures of a service's model engines.
  *
@@ -10,7 +12,8 @@
  * @param stepsPerPass the token steps of one pass
  * @param usualPromptTokens the mean prompt
  * @param usualAnswerTokens the mean answer
+ * @param experts the figures of its experts, or empty if it has none
  */
 public record EngineSpec(int slots, double stepMillis, double stepMillisPerSequence, double prefillTokensPerSecond,
-		int stepsPerPass, int usualPromptTokens, int usualAnswerTokens) {
+		int stepsPerPass, int usualPromptTokens, int usualAnswerTokens, Optional<ExpertSpec> experts) {
 }
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/GatewaySettings.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/GatewaySettings.java
@@ -77,19 +77,10 @@
 				settings.duration("configuration", "apply", Duration.ofSeconds(2)).plus(WATCH_SLACK),
 				(long) (BUFFER_PART * memoryMegabytes * 1024 * 1024));
 		return new GatewaySettings(settings.text("instance", "name"), settings.text("instance", "data-centre"),
-				settings.value("listen", "callers", GatewaySettings::address),
-				settings.value("listen", "readiness", GatewaySettings::address),
-				settings.value("listen", "metrics", GatewaySettings::address), settings.text("source", "kind"),
-				settings.value("source", "store", GatewaySettings::address), forward,
-				settings.duration("stop", "grace", Duration.ofSeconds(8)), (int) (CALLERS_PART * descriptors));
-	}
-
-	private static InetSocketAddress address(String text) {
-		int colon = text.lastIndexOf(':');
-		if (colon <= 0) {
-			throw new IllegalArgumentException("must be HOST:PORT");
-		}
-		return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+				settings.address("listen", "callers"), settings.address("listen", "readiness"),
+				settings.address("listen", "metrics"), settings.text("source", "kind"),
+				settings.address("source", "store"), forward, settings.duration("stop", "grace", Duration.ofSeconds(8)),
+				(int) (CALLERS_PART * descriptors));
 	}
 
 }
--- a/bulrushrouter-kernel/src/main/java/io/bulrushrouter/kernel/settings/Settings.java
+++ b/bulrushrouter-kernel/src/main/java/io/bulrushrouter/kernel/settings/Settings.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.Reader;
+import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -209,6 +210,26 @@
 		return value(section, key, fallback, Settings::parseDuration);
 	}
 
+	/**
+	 * Returns an address such as {@code 10.0.0.1:8080}.
+	 * @param section the section
+	 * @param key the key
+	 * @return the address, not resolved by name
+	 * @throws BulrushException with {@link ErrorCode#BAD_SETTINGS} if it is not set or
+	 * malformed
+	 */
+	public InetSocketAddress address(String section, String key) {
+		return value(section, key, Settings::parseAddress);
+	}
+
+	private static InetSocketAddress parseAddress(String text) {
+		int colon = text.lastIndexOf(':');
+		if (colon <= 0) {
+			throw new IllegalArgumentException("must be HOST:PORT");
+		}
+		return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+	}
+
 	private static Duration parseDuration(String text) {
 		if (text.endsWith("ms")) {
 			return Duration.ofMillis(Long.parseLong(text.substring(0, text.length() - 2)));
--- /dev/null
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/PeerClient.java
@@ -0,0 +1,112 @@
+package io.bulrushrouter.ranks;
+
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.EventLoop;
+
+import io.bulrushrouter.experts.live.OrderResult;
+import io.bulrushrouter.experts.live.RankOrder;
+
+/**
+ * Asks the process beside another rank. An answer that does not come in time counts as
+ * none, and the connection is given up.
+ */
+final class PeerClient implements AutoCloseable {
+
+	/** A peer answers within some milliseconds; a slowed one within some hundred. */
+	private static final long ANSWER_MILLIS = 600;
+
+	private final EventLoop loop;
+
+	private final InetSocketAddress address;
+
+	private final Map<Long, CompletableFuture<Optional<PeerCodec.Message>>> open = new HashMap<>();
+
+	private Channel channel;
+
+	private ChannelFuture connecting;
+
+	private long lastId;
+
+	PeerClient(EventLoop loop, InetSocketAddress address) {
+		this.loop = loop;
+		this.address = address;
+	}
+
+	CompletionStage<Optional<RankReport>> report() {
+		return ask(new PeerCodec.AskReport(++this.lastId)).thenApply((answer) -> answer
+			.flatMap((message) -> (message instanceof PeerCodec.Report report) ? report.report() : Optional.empty()));
+	}
+
+	CompletionStage<OrderResult> order(RankOrder order, long epoch, long fence) {
+		return ask(new PeerCodec.GiveOrder(++this.lastId, epoch, fence, order)).thenApply((answer) -> answer
+			.map((message) -> (message instanceof PeerCodec.Ordered ordered) ? ordered.result() : OrderResult.UNKNOWN)
+			.orElse(OrderResult.UNKNOWN));
+	}
+
+	private CompletionStage<Optional<PeerCodec.Message>> ask(PeerCodec.Message question) {
+		CompletableFuture<Optional<PeerCodec.Message>> answer = new CompletableFuture<>();
+		this.open.put(question.id(), answer);
+		this.loop.schedule(() -> timeOut(question.id()), ANSWER_MILLIS, TimeUnit.MILLISECONDS);
+		if (this.channel != null && this.channel.isActive()) {
+			PeerChannels.send(this.channel, question);
+			return answer;
+		}
+		if (this.connecting == null) {
+			connect();
+		}
+		this.connecting.addListener((done) -> {
+			if (done.isSuccess() && this.channel != null) {
+				PeerChannels.send(this.channel, question);
+			}
+			else {
+				complete(question.id(), Optional.empty());
+			}
+		});
+		return answer;
+	}
+
+	private void connect() {
+		this.connecting = PeerChannels
+			.client(this.loop, (from, message) -> complete(message.id(), Optional.of(message)))
+			.connect(this.address);
+		ChannelFuture started = this.connecting;
+		started.addListener((done) -> {
+			this.channel = done.isSuccess() ? started.channel() : null;
+			this.connecting = null;
+		});
+	}
+
+	private void timeOut(long id) {
+		if (this.open.containsKey(id)) {
+			complete(id, Optional.empty());
+			if (this.channel != null) {
+				this.channel.close();
+				this.channel = null;
+			}
+		}
+	}
+
+	private void complete(long id, Optional<PeerCodec.Message> answer) {
+		CompletableFuture<Optional<PeerCodec.Message>> waiting = this.open.remove(id);
+		if (waiting != null) {
+			waiting.complete(answer);
+		}
+	}
+
+	@Override
+	public void close() {
+		if (this.channel != null) {
+			this.channel.close();
+		}
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/RankReport.java
@@ -0,0 +1,13 @@
+package io.bulrushrouter.ranks;
+
+import io.bulrushrouter.experts.live.RankStatus;
+
+/**
+ * What the process beside a rank tells the balancer.
+ *
+ * @param status the rank's status
+ * @param counts how often each expert was chosen, by set and expert
+ * @param experts the rank's experts of the map in use, by set
+ */
+record RankReport(RankStatus status, long[] counts, int[][] experts) {
+}
--- /dev/null
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/RankReporter.java
@@ -0,0 +1,49 @@
+package io.bulrushrouter.ranks;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+import io.bulrushrouter.experts.live.RankStatus;
+import io.bulrushrouter.ranks.RankEngine.HeldExperts;
+
+/**
+ * Makes reports of the engine beside this process.
+ */
+final class RankReporter {
+
+	private final RankEngine engine;
+
+	private HeldExperts held;
+
+	private long heldEpoch = -1;
+
+	RankReporter(RankEngine engine) {
+		this.engine = engine;
+	}
+
+	CompletionStage<Optional<RankReport>> report() {
+		return this.engine.counts()
+			.thenCompose((counts) -> this.engine.status().thenCompose((status) -> complete(status, counts)));
+	}
+
+	private CompletionStage<Optional<RankReport>> complete(Optional<RankStatus> status, Optional<long[]> counts) {
+		if (status.isEmpty() || counts.isEmpty()) {
+			return CompletableFuture.completedFuture(Optional.empty());
+		}
+		RankStatus known = status.get();
+		if (this.held != null && this.held.version() == known.map() && this.heldEpoch == known.epoch()) {
+			return CompletableFuture
+				.completedFuture(Optional.of(new RankReport(known, counts.get(), this.held.experts())));
+		}
+		return this.engine.experts().thenApply((read) -> {
+			if (read.isEmpty() || read.get().version() != known.map()) {
+				return Optional.empty();
+			}
+			this.held = read.get();
+			this.heldEpoch = known.epoch();
+			return Optional.of(new RankReport(known, counts.get(), this.held.experts()));
+		});
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/RankSettings.java
@@ -0,0 +1,41 @@
+package io.bulrushrouter.ranks;
+
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.Set;
+
+import io.bulrushrouter.kernel.settings.Settings;
+
+/**
+ * The settings of the process beside a rank.
+ *
+ * @param instance the instance's name, for logs
+ * @param address the instance's address
+ * @param peerPort the port on which these processes talk to each other
+ * @param engine where the engine listens
+ * @param service the service that the engine belongs to
+ * @param source the name of the plug-in that knows the fleet
+ * @param store the store's address
+ */
+public record RankSettings(String instance, String address, int peerPort, InetSocketAddress engine, String service,
+		String source, InetSocketAddress store) {
+
+	private static final Map<String, Set<String>> KNOWN = Map.of("instance", Set.of("name", "address"), "peers",
+			Set.of("port"), "engine", Set.of("address", "service"), "source", Set.of("kind", "store"));
+
+	/**
+	 * Reads the settings.
+	 * @param settings the INI settings
+	 * @return the settings
+	 * @throws io.bulrushrouter.kernel.BulrushException with
+	 * {@link io.bulrushrouter.kernel.ErrorCode#BAD_SETTINGS} that names the setting
+	 */
+	public static RankSettings of(Settings settings) {
+		settings.requireKnown(KNOWN);
+		return new RankSettings(settings.text("instance", "name"), settings.text("instance", "address"),
+				settings.integer("peers", "port", 1, 65_535), settings.address("engine", "address"),
+				settings.text("engine", "service"), settings.text("source", "kind"),
+				settings.address("source", "store"));
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/RankSidecar.java
@@ -0,0 +1,93 @@
+package io.bulrushrouter.ranks;
+
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+
+import io.netty.channel.Channel;
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import io.bulrushrouter.kernel.plugin.PluginRegistry;
+
+/**
+ * A running process beside a rank. One event loop does all of its work.
+ */
+public final class RankSidecar implements AutoCloseable {
+
+	private static final Logger logger = LoggerFactory.getLogger(RankSidecar.class);
+
+	private final NioEventLoopGroup group = new NioEventLoopGroup(1, new DefaultThreadFactory("rank"));
+
+	private final CompletableFuture<Void> stopped = new CompletableFuture<>();
+
+	private final RankSource source;
+
+	private final Balancer balancer;
+
+	private RankSidecar(RankSettings settings, PluginRegistry plugins, RandomGenerator random) {
+		EventLoop loop = this.group.next();
+		this.source = plugins.require(RankSource.Factory.class, settings.source())
+			.connect(settings.engine(), settings.store(), this.group);
+		FleetView fleet = new FleetView(loop, this.source.fleet(), settings.service(), settings.address(), random);
+		this.balancer = new Balancer(loop, this.source, fleet, settings.instance() + "/" + random.nextLong(),
+				settings.peerPort());
+		PeerChannels.server(loop, this::answer)
+			.bind(new InetSocketAddress(settings.address(), settings.peerPort()))
+			.syncUninterruptibly();
+		loop.execute(this.balancer::start);
+	}
+
+	/**
+	 * Starts the process.
+	 * @param settings the settings
+	 * @param plugins the plug-ins
+	 * @param random the random source
+	 * @return the running process
+	 */
+	public static RankSidecar start(RankSettings settings, PluginRegistry plugins, RandomGenerator random) {
+		RankSidecar sidecar = new RankSidecar(settings, plugins, random);
+		logger.info("event=started instance={} engine={} service={}", settings.instance(), settings.engine(),
+				settings.service());
+		return sidecar;
+	}
+
+	private void answer(Channel channel, PeerCodec.Message message) {
+		if (message instanceof PeerCodec.AskReport ask) {
+			this.balancer.reporter()
+				.report()
+				.thenAccept((report) -> PeerChannels.send(channel, new PeerCodec.Report(ask.id(), report)));
+		}
+		else if (message instanceof PeerCodec.GiveOrder give) {
+			this.source.engine()
+				.order(give.order(), give.epoch(), give.fence())
+				.thenAccept((result) -> PeerChannels.send(channel, new PeerCodec.Ordered(give.id(), result)));
+		}
+	}
+
+	/**
+	 * Stops the process.
+	 */
+	public void stop() {
+		logger.info("event=stopped");
+		this.stopped.complete(null);
+	}
+
+	/**
+	 * Waits until the process has stopped.
+	 */
+	public void awaitStopped() {
+		this.stopped.join();
+	}
+
+	@Override
+	public void close() {
+		this.source.close();
+		this.group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+	}
+
+}
