React to a turn of topics within one copied expert

Cause: streams were late while the group waited for plans of three copies a rank (1.2 s) and while demand was averaged over 0.7 s. Plans of few copies now compete by what they cost until they are in use, demand counts half after 0.4 s, holds are two passes ahead.

--- a/bulrushrouter-edge/src/main/java/io/bulrushrouter/edge/Main.java
+++ b/bulrushrouter-edge/src/main/java/io/bulrushrouter/edge/Main.java
@@ -31,6 +31,8 @@
 
 	private static final String RANK = "rank";
 
+	private static final String LOAD_CLASSES = "load-classes";
+
 	private Main() {
 	}
 
@@ -46,7 +48,7 @@
 		ArgumentParser parser = ArgumentParsers.newFor("bulrushrouter-edge")
 			.build()
 			.description("Runs a gateway entry, or the balancer beside a rank of a model group.");
-		parser.addArgument("role").choices(GATEWAY, RANK).help("what to run");
+		parser.addArgument("role").choices(GATEWAY, RANK, LOAD_CLASSES).help("what to run");
 		parser.addArgument("--settings").metavar("FILE").help("the INI settings");
 		parser.addArgument("--settings-from")
 			.metavar("VARIABLE")
@@ -54,6 +56,10 @@
 		LogSetup logSetup = LogSetup.install();
 		try {
 			Namespace arguments = parser.parseArgs(args);
+			if (arguments.getString("role").equals(LOAD_CLASSES)) {
+				ClassLoadingRun.run();
+				return 0;
+			}
 			Path file = settingsFile(arguments);
 			if (arguments.getString("role").equals(RANK)) {
 				balance(file);
--- a/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/Demand.java
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/Demand.java
@@ -10,7 +10,7 @@
 public final class Demand {
 
 	/** The age at which demand counts half: topics turn within seconds. */
-	private static final double HALF_LIFE_MILLIS = 700;
+	private static final double HALF_LIFE_MILLIS = 400;
 
 	private final int sets;
 
--- a/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/GroupSwitch.java
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/GroupSwitch.java
@@ -21,8 +21,11 @@
  */
 public final class GroupSwitch {
 
-	/** Passes between the last one begun and the one before which the group is held. */
-	static final int PASSES_AHEAD = 5;
+	/**
+	 * Passes between the last one begun and the one before which the group is held:
+	 * asking and arming all ranks takes about one pass.
+	 */
+	static final int PASSES_AHEAD = 2;
 
 	/**
 	 * The furthest that a pass to hold is ahead of the last one begun: passes of holds
--- a/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/PlacementPlan.java
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/PlacementPlan.java
@@ -20,6 +20,12 @@
 	/** How long a plan is expected to fit demand; topics turn about as often. */
 	private static final double HORIZON_SECONDS = 4;
 
+	/** Time from the plan to the switch beside the copying. */
+	private static final double SWITCH_SECONDS = 0.3;
+
+	/** The time over which plans of more and of fewer copies are compared. */
+	private static final double COMPARED_SECONDS = 2;
+
 	/** The gain of skew below which a switch is not worth its orders. */
 	private static final double LEAST_GAIN = 0.02;
 
@@ -34,4 +40,16 @@
 		return gain > LEAST_GAIN && gain * HORIZON_SECONDS > cost;
 	}
 
+	/**
+	 * Returns what a plan costs in the next seconds: the skew before it is in use and
+	 * after, over time. A plan of few copies is in use earlier, and others can follow it.
+	 * @param secondsForCopy the time that a rank needs to copy one expert
+	 * @return the skew over time, in seconds
+	 */
+	public double cost(double secondsForCopy) {
+		double copying = this.mostCopies * secondsForCopy;
+		double delay = Math.min(COMPARED_SECONDS, SWITCH_SECONDS + copying);
+		return this.skewBefore * (delay + SLOWER_WHILE_COPYING * copying) + this.skewAfter * (COMPARED_SECONDS - delay);
+	}
+
 }
--- a/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/PlacementPlanner.java
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/PlacementPlanner.java
@@ -36,6 +36,30 @@
 		this.limits = limits;
 	}
 
+	/**
+	 * Plans with more and with fewer copies, and returns the plan that costs least.
+	 * @param inUse the map in use, by set and rank
+	 * @param demand the demand, by set and expert
+	 * @param limits what one plan may do at most
+	 * @param secondsForCopy the time that a rank needs to copy one expert
+	 * @return the plan
+	 */
+	public static PlacementPlan cheapest(int[][][] inUse, double[][] demand, PlacementLimits limits,
+			double secondsForCopy) {
+		PlacementPlan best = null;
+		for (int copies = 1; copies <= limits.newOfRank(); copies++) {
+			PlacementLimits fewer = new PlacementLimits(limits.places(), limits.newOfSet(), copies);
+			PlacementPlan plan = new PlacementPlanner(fewer).plan(inUse, demand);
+			if (best == null || plan.cost(secondsForCopy) < best.cost(secondsForCopy)) {
+				best = plan;
+			}
+			if (plan.mostCopies() < copies) {
+				break;
+			}
+		}
+		return best;
+	}
+
 	/**
 	 * Plans.
 	 * @param inUse the map in use, by set and rank
--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/Balancer.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/Balancer.java
@@ -35,7 +35,7 @@
 	private static final Logger logger = LoggerFactory.getLogger(Balancer.class);
 
 	/** Pause between two looks at a group in which nothing is under way. */
-	private static final long LOOK_MILLIS = 300;
+	private static final long LOOK_MILLIS = 150;
 
 	/** Pause between two looks while a switch is under way. */
 	private static final long BUSY_LOOK_MILLIS = 60;
@@ -44,7 +44,7 @@
 	private static final long HELD_LOOK_MILLIS = 5;
 
 	/** Choices of a set that a plan needs to rest on. */
-	private static final double LEAST_CHOICES = 4_000;
+	private static final double LEAST_CHOICES = 3_000;
 
 	/**
 	 * The longest that one plan's copies may take at a rank; demand turns within seconds.
@@ -141,9 +141,11 @@
 			return;
 		}
 		List<CompletableFuture<Optional<RankReport>>> answers = new ArrayList<>();
-		answers.add(this.own.report().toCompletableFuture());
+		// Counts cost the most; they are of no use while a switch is under way.
+		boolean counts = this.duty.orElseThrow().idle();
+		answers.add(this.own.report(counts).toCompletableFuture());
 		for (InetSocketAddress other : others) {
-			answers.add(peer(other).report().toCompletableFuture());
+			answers.add(peer(other).report(counts).toCompletableFuture());
 		}
 		CompletableFuture.allOf(answers.toArray(CompletableFuture[]::new))
 			.thenRun(() -> decide(spec.get(), others, answers.stream().map(CompletableFuture::join).toList()))
@@ -229,7 +231,7 @@
 		}
 		long nowMillis = TimeUnit.NANOSECONDS.toMillis(this.clock.nanos());
 		for (RankReport report : reports) {
-			if (report.status().group().equals(this.dutyGroup)) {
+			if (report.status().group().equals(this.dutyGroup) && report.counts().length > 0) {
 				this.demand.observe(ranks.epoch(), report.status().rank(), report.counts(), nowMillis);
 			}
 		}
@@ -240,8 +242,8 @@
 			return;
 		}
 		int copies = Math.max(1, (int) (LONGEST_COPY_SECONDS / spec.copySeconds()));
-		PlacementPlanner planner = new PlacementPlanner(new PlacementLimits(spec.places(), spec.spare(), copies));
-		PlacementPlan plan = planner.plan(inUse, this.demand.loads());
+		PlacementPlan plan = PlacementPlanner.cheapest(inUse, this.demand.loads(),
+				new PlacementLimits(spec.places(), spec.spare(), copies), spec.copySeconds());
 		if (plan.pays(spec.copySeconds())) {
 			long version = decisions.propose(plan.experts());
 			logger.info("event=map-proposed group={} version={} copies={} most-copies={} skew-before={} skew-after={}",
--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/PeerClient.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/PeerClient.java
@@ -41,8 +41,8 @@
 		this.address = address;
 	}
 
-	CompletionStage<Optional<RankReport>> report() {
-		return ask(new PeerCodec.AskReport(++this.lastId)).thenApply((answer) -> answer
+	CompletionStage<Optional<RankReport>> report(boolean counts) {
+		return ask(new PeerCodec.AskReport(++this.lastId, counts)).thenApply((answer) -> answer
 			.flatMap((message) -> (message instanceof PeerCodec.Report report) ? report.report() : Optional.empty()));
 	}
 
--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/PeerCodec.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/PeerCodec.java
@@ -41,8 +41,9 @@
 	 * Asks for a report.
 	 *
 	 * @param id the question's number
+	 * @param counts whether the report is to hold the counts
 	 */
-	record AskReport(long id) implements Message {
+	record AskReport(long id, boolean counts) implements Message {
 	}
 
 	/**
@@ -76,8 +77,8 @@
 
 	static byte[] encode(Message message) {
 		try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
-			if (message instanceof AskReport) {
-				packer.packByte((byte) 1).packLong(message.id());
+			if (message instanceof AskReport ask) {
+				packer.packByte((byte) 1).packLong(ask.id()).packBoolean(ask.counts());
 			}
 			else if (message instanceof GiveOrder give) {
 				packer.packByte((byte) 2).packLong(give.id()).packLong(give.epoch()).packLong(give.fence());
@@ -155,7 +156,7 @@
 			int type = unpacker.unpackByte();
 			long id = unpacker.unpackLong();
 			return switch (type) {
-				case 1 -> new AskReport(id);
+				case 1 -> new AskReport(id, unpacker.unpackBoolean());
 				case 2 -> new GiveOrder(id, unpacker.unpackLong(), unpacker.unpackLong(), order(unpacker));
 				case 3 -> new Report(id, unpacker.unpackBoolean() ? Optional.of(report(unpacker)) : Optional.empty());
 				case 4 -> new Ordered(id, OrderResult.values()[unpacker.unpackInt()]);
--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/RankReporter.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/RankReporter.java
@@ -12,6 +12,8 @@
  */
 final class RankReporter {
 
+	private static final long[] NO_COUNTS = {};
+
 	private final RankEngine engine;
 
 	private HeldExperts held;
@@ -22,9 +24,10 @@
 		this.engine = engine;
 	}
 
-	CompletionStage<Optional<RankReport>> report() {
-		return this.engine.counts()
-			.thenCompose((counts) -> this.engine.status().thenCompose((status) -> complete(status, counts)));
+	CompletionStage<Optional<RankReport>> report(boolean withCounts) {
+		CompletionStage<Optional<long[]>> asked = withCounts ? this.engine.counts()
+				: CompletableFuture.completedFuture(Optional.of(NO_COUNTS));
+		return asked.thenCompose((counts) -> this.engine.status().thenCompose((status) -> complete(status, counts)));
 	}
 
 	private CompletionStage<Optional<RankReport>> complete(Optional<RankStatus> status, Optional<long[]> counts) {
--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/RankSettings.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/RankSettings.java
@@ -33,7 +33,7 @@
 	public static RankSettings of(Settings settings) {
 		settings.requireKnown(KNOWN);
 		return new RankSettings(settings.text("instance", "name"), settings.text("instance", "address"),
-				settings.integer("peers", "port", 1, 65_535), settings.address("engine", "address"),
+				settings.integer("peers", "port", 0, 65_535), settings.address("engine", "address"),
 				settings.text("engine", "service"), settings.text("source", "kind"),
 				settings.address("source", "store"));
 	}
--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/RankSidecar.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/RankSidecar.java
@@ -59,7 +59,7 @@
 	private void answer(Channel channel, PeerCodec.Message message) {
 		if (message instanceof PeerCodec.AskReport ask) {
 			this.balancer.reporter()
-				.report()
+				.report(ask.counts())
 				.thenAccept((report) -> PeerChannels.send(channel, new PeerCodec.Report(ask.id(), report)));
 		}
 		else if (message instanceof PeerCodec.GiveOrder give) {
