Show the map switch safe under late orders, and fence off earlier holders

The successor now has rank 0 accept one of its own orders first, after which the engine refuses the predecessor's.

--- a/bulrushrouter-edge/src/main/java/io/bulrushrouter/edge/JsonLine.java
+++ b/bulrushrouter-edge/src/main/java/io/bulrushrouter/edge/JsonLine.java
@@ -50,9 +50,7 @@
 		}
 	}
 
-	/**
-	 * Finds the quote that ends a value: the next one that a blank or the end follows.
-	 */
+	// Finds the quote that ends a value: the next one that a blank or the end follows.
 	private static int closingQuote(String message, int from) {
 		int end = message.indexOf('"', from);
 		while (end >= 0 && end + 1 < message.length() && message.charAt(end + 1) != ' ') {
--- a/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/GroupSwitch.java
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/GroupSwitch.java
@@ -55,6 +55,12 @@
 	/** The last version that the group was let go to switch to. */
 	private long committed = -1;
 
+	/**
+	 * Whether rank 0 has accepted an order of this holder in the epoch, and so refuses
+	 * orders of earlier holders that are still on their way.
+	 */
+	private boolean fenced;
+
 	private int[][][] inUse;
 
 	private Intent intent;
@@ -131,14 +137,14 @@
 		return prepareThenHold(view);
 	}
 
-	/**
-	 * Forgets what was under way in another epoch. An earlier holder of this duty may
-	 * have used passes as far ahead as {@link #PASSES_AHEAD} of a pass that had begun.
-	 */
+	// Forgets what was under way in another epoch. An earlier holder of this duty may
+	// have
+	// used passes as far ahead as MOST_PASSES_AHEAD of a pass that had begun.
 	private void startEpoch(GroupView view) {
 		this.epoch = view.epoch();
 		this.intent = null;
 		this.committed = -1;
+		this.fenced = false;
 		this.highestHold = view.step() + MOST_PASSES_AHEAD;
 	}
 
@@ -178,6 +184,12 @@
 	}
 
 	private List<RankCommand> whileHeld(GroupView view, long held) {
+		if (this.guards.fenceFirst() && !this.fenced) {
+			// An earlier holder's order to go on may be on its way: it must be refused
+			// from
+			// now on, or have taken effect, before any rank is disarmed.
+			return List.of(new RankCommand(0, new RankOrder.Hold(held)));
+		}
 		boolean ours = this.intent != null && this.intent.holdSent && this.intent.step == held
 				&& !(this.guards.neverForwardAgain() && this.intent.givenUp);
 		Optional<RankStatus.Armed> all = view.armedByAll();
@@ -195,10 +207,8 @@
 		return undo(view, held);
 	}
 
-	/**
-	 * A switch is let go only if no order to give it up was ever sent, since that could
-	 * still reach one rank. An earlier holder of this duty may have sent such orders.
-	 */
+	// A switch is let go only if no order to give it up was ever sent, since that could
+	// still reach one rank. An earlier holder of this duty may have sent such orders.
 	private boolean mayCommit(RankStatus.Armed armed, boolean ours) {
 		return armed.version() == this.committed || (ours && armed.version() == this.intent.version);
 	}
@@ -225,10 +235,8 @@
 		return commands;
 	}
 
-	/**
-	 * Makes sure that no rank is armed nor can become so by an arm that is still on its
-	 * way, then lets the group go on.
-	 */
+	// Makes sure that no rank is armed nor can become so by an arm that is still on its
+	// way, then lets the group go on.
 	private List<RankCommand> undo(GroupView view, long held) {
 		List<RankCommand> commands = new ArrayList<>();
 		long current = (this.intent != null) ? this.intent.version : -1;
@@ -266,10 +274,8 @@
 		return version;
 	}
 
-	/**
-	 * Not held and armed: the group was let go after all were seen armed, and the pass
-	 * has not begun yet. If ranks differ all the same, the group is stopped.
-	 */
+	// Not held and armed: the group was let go after all were seen armed, and the pass
+	// has not begun yet. If ranks differ all the same, the group is stopped.
 	private List<RankCommand> whileArmed(GroupView view) {
 		if (view.armedByAll().isPresent()) {
 			return List.of();
@@ -284,6 +290,9 @@
 	 * @param result what came of it
 	 */
 	public void answered(RankCommand command, OrderResult result) {
+		if (command.rank() == 0 && result == OrderResult.ACCEPTED) {
+			this.fenced = true;
+		}
 		if (this.intent == null || !(command.order() instanceof RankOrder.Prepare prepare)
 				|| prepare.version() != this.intent.version) {
 			return;
@@ -308,10 +317,12 @@
 	 * @param replacePrepared whether the prepared map is replaced before a given-up
 	 * switch is let go
 	 * @param neverForwardAgain whether a switch that was given up is never let go
+	 * @param fenceFirst whether a hold that is found is taken over only once rank 0
+	 * refuses orders of earlier holders
 	 */
-	record Guards(boolean prepareAll, boolean replacePrepared, boolean neverForwardAgain) {
+	record Guards(boolean prepareAll, boolean replacePrepared, boolean neverForwardAgain, boolean fenceFirst) {
 
-		static final Guards ALL = new Guards(true, true, true);
+		static final Guards ALL = new Guards(true, true, true, true);
 
 	}
 
@@ -345,9 +356,7 @@
 			this.experts = experts;
 		}
 
-		/**
-		 * The hold came too late for its pass: the same map, held before a later pass.
-		 */
+		// The hold came too late for its pass: the same map, held before a later pass.
 		private Intent again() {
 			Intent again = new Intent(this.version, this.experts);
 			again.accepted.addAll(this.accepted);
--- /dev/null
+++ b/bulrushrouter-experts/src/test/java/io/bulrushrouter/experts/live/GroupSwitchTests.java
@@ -0,0 +1,178 @@
+package io.bulrushrouter.experts.live;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * No pass runs on two maps, whatever orders are late or lost and whoever restarts.
+ */
+class GroupSwitchTests {
+
+	private static final int ROUNDS = 14;
+
+	private static final int[][][] EXPERTS = { { { 0 }, { 1 } } };
+
+	/** Points of a run at which a deviation is tried. */
+	private static final int POINTS = 60;
+
+	@Test
+	void switchesWithoutDeviations() {
+		ModelGroup group = new ModelGroup(3, (options) -> 0, GroupSwitch.Guards.ALL);
+		assertThat(group.run(20)).isEqualTo(Optional.empty());
+		assertThat(group.switches()).isEqualTo(1);
+	}
+
+	@Test
+	void neverRunsAPassOnTwoMapsWithUpToThreeDeviations() {
+		Exploration exploration = new Exploration(2, GroupSwitch.Guards.ALL);
+		assertThat(exploration.explore(3)).isEqualTo(Optional.empty());
+		assertThat(exploration.runs).isGreaterThan(100_000L);
+	}
+
+	@Test
+	void neverRunsAPassOnTwoMapsInThreeRanksWithUpToTwoDeviations() {
+		assertThat(new Exploration(3, GroupSwitch.Guards.ALL).explore(2)).isEqualTo(Optional.empty());
+	}
+
+	@Test
+	void neverRunsAPassOnTwoMapsOnRandomPaths() {
+		assertThat(randomPaths(GroupSwitch.Guards.ALL, 60_000)).isEqualTo(Optional.empty());
+	}
+
+	@Test
+	void holdingBeforeAllAreReadyIsNotNeededForSafetyButForSpeed() {
+		assertThat(randomPaths(new GroupSwitch.Guards(false, true, true, true), 20_000)).isEqualTo(Optional.empty());
+	}
+
+	@Test
+	void lettingALateArmFindItsMapRunsTwoMaps() {
+		assertThat(randomPaths(new GroupSwitch.Guards(true, false, true, true), 60_000)).isNotEqualTo(Optional.empty());
+	}
+
+	@Test
+	void neverLetsGoASwitchThatItBeganToGiveUp() {
+		assertThat(ordersOnceAllAreArmedAfterGivingUp(GroupSwitch.Guards.ALL)).isFalse();
+	}
+
+	@Test
+	void lettingGoASwitchThatWasGivenUpLeavesItToALateDisarm() {
+		assertThat(ordersOnceAllAreArmedAfterGivingUp(new GroupSwitch.Guards(true, true, false, true))).isTrue();
+	}
+
+	/**
+	 * Gives a switch up since rank 1 is not armed, then shows rank 1 armed by a late
+	 * order.
+	 * @param guards the guards
+	 * @return whether the group is let go while disarms are on their way
+	 */
+	private static boolean ordersOnceAllAreArmedAfterGivingUp(GroupSwitch.Guards guards) {
+		GroupSwitch decisions = GroupSwitch.ofGuards(1000, guards);
+		decisions.next(view(OptionalLong.empty()), EXPERTS);
+		long version = decisions.propose(EXPERTS);
+		List<RankCommand> prepares = decisions.next(view(OptionalLong.empty()), EXPERTS);
+		prepares.forEach((command) -> decisions.answered(command, OrderResult.ACCEPTED));
+		List<RankCommand> hold = decisions.next(view(OptionalLong.of(version)), EXPERTS);
+		long step = ((RankOrder.Hold) hold.get(0).order()).step();
+		List<RankCommand> commands = List.of();
+		while (commands.stream().noneMatch((command) -> command.order() instanceof RankOrder.Disarm)) {
+			commands = decisions.next(held(version, step, false), EXPERTS);
+		}
+		return decisions.next(held(version, step, true), EXPERTS)
+			.stream()
+			.anyMatch((command) -> command.order() instanceof RankOrder.Go);
+	}
+
+	private static GroupView held(long version, long step, boolean secondArmed) {
+		Optional<RankStatus.Armed> armed = Optional.of(new RankStatus.Armed(version, step));
+		RankStatus first = new RankStatus("group", 1, 0, 2, true, 5, 0, OptionalLong.of(version), armed,
+				OptionalLong.of(step));
+		RankStatus second = new RankStatus("group", 1, 1, 2, true, 5, 0, OptionalLong.of(version),
+				secondArmed ? armed : Optional.empty(), OptionalLong.empty());
+		return GroupView.of(first, List.of(first, second)).orElseThrow();
+	}
+
+	private static GroupView view(OptionalLong prepared) {
+		List<RankStatus> statuses = new ArrayList<>();
+		for (int rank = 0; rank < 2; rank++) {
+			statuses
+				.add(new RankStatus("group", 1, rank, 2, true, 5, 0, prepared, Optional.empty(), OptionalLong.empty()));
+		}
+		return GroupView.of(statuses.get(0), statuses).orElseThrow();
+	}
+
+	@Test
+	void takingAHoldOverWithoutFencingRunsTwoMaps() {
+		assertThat(randomPaths(new GroupSwitch.Guards(true, true, true, false), 60_000)).isNotEqualTo(Optional.empty());
+	}
+
+	private static Optional<String> randomPaths(GroupSwitch.Guards guards, int paths) {
+		for (int seed = 0; seed < paths; seed++) {
+			RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
+			double deviation = 0.05 + 0.5 * random.nextDouble();
+			ModelGroup group = new ModelGroup(2 + seed % 3, Choices.ofRandom(random, deviation), guards);
+			Optional<String> violation = group.run(60);
+			if (violation.isPresent()) {
+				return Optional.of("seed " + seed + ": " + violation.get());
+			}
+		}
+		return Optional.empty();
+	}
+
+	/**
+	 * Tries every way in which a run deviates from the usual one at a few points.
+	 */
+	private static final class Exploration {
+
+		private final int ranks;
+
+		private final GroupSwitch.Guards guards;
+
+		private long runs;
+
+		private Exploration(int ranks, GroupSwitch.Guards guards) {
+			this.ranks = ranks;
+			this.guards = guards;
+		}
+
+		private Optional<String> explore(int deviations) {
+			return extend(new int[0], new int[0], deviations);
+		}
+
+		private Optional<String> extend(int[] points, int[] options, int left) {
+			Choices.Scripted script = new Choices.Scripted(points, options, POINTS);
+			Optional<String> violation = new ModelGroup(this.ranks, script, this.guards).run(ROUNDS);
+			this.runs++;
+			if (violation.isPresent() || left == 0) {
+				return violation;
+			}
+			int from = (points.length == 0) ? 0 : points[points.length - 1] + 1;
+			int[] most = script.seenOptions();
+			for (int point = from; point < POINTS; point++) {
+				for (int option = 1; option < most[point]; option++) {
+					violation = extend(append(points, point), append(options, option), left - 1);
+					if (violation.isPresent()) {
+						return violation;
+					}
+				}
+			}
+			return Optional.empty();
+		}
+
+		private static int[] append(int[] values, int value) {
+			int[] longer = Arrays.copyOf(values, values.length + 1);
+			longer[values.length] = value;
+			return longer;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-experts/src/test/java/io/bulrushrouter/experts/live/PlacementPlannerTests.java
@@ -0,0 +1,110 @@
+package io.bulrushrouter.experts.live;
+
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Plans for groups whose ranks share an expert's tokens evenly.
+ */
+class PlacementPlannerTests {
+
+	private static final double COPY_SECONDS = 0.4;
+
+	@Test
+	void spreadsAHotExpertOverRanks() {
+		double[][] demand = { evenDemand(96) };
+		demand[0][43] = 40;
+		PlacementPlan plan = new PlacementPlanner(new PlacementLimits(11, 4, 3)).plan(inTurn(1, 96, 12), demand);
+		assertThat(plan.skewBefore()).isGreaterThan(3.0);
+		assertThat(plan.skewAfter()).isLessThan(1.25);
+	}
+
+	@Test
+	void keepsEachExpertOnARankAndWithinTheLimits() {
+		RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom").create(7);
+		int[][][] map = inTurn(3, 96, 12);
+		for (int turn = 0; turn < 40; turn++) {
+			PlacementPlan plan = PlacementPlanner.cheapest(map, skewedDemand(3, 96, random),
+					new PlacementLimits(11, 4, 3), COPY_SECONDS);
+			checkWhole(plan.experts(), 96, 11);
+			checkCopies(map, plan.experts(), 4, 3);
+			assertThat(plan.skewAfter()).isAtMost(plan.skewBefore());
+			map = plan.experts();
+		}
+	}
+
+	@Test
+	void leavesABalancedGroupAlone() {
+		PlacementPlan plan = new PlacementPlanner(new PlacementLimits(11, 4, 3)).plan(inTurn(2, 96, 12),
+				new double[][] { evenDemand(96), evenDemand(96) });
+		assertThat(plan.copies()).isEqualTo(0);
+		assertThat(plan.pays(COPY_SECONDS)).isFalse();
+	}
+
+	@Test
+	void takesThePlanThatIsInUseSoonerWhenMoreCopiesGainLittle() {
+		double[][] demand = { evenDemand(96) };
+		demand[0][5] = 30;
+		PlacementPlan plan = PlacementPlanner.cheapest(inTurn(1, 96, 12), demand, new PlacementLimits(11, 4, 3),
+				COPY_SECONDS);
+		assertThat(plan.mostCopies()).isEqualTo(1);
+	}
+
+	private static double[] evenDemand(int experts) {
+		double[] demand = new double[experts];
+		Arrays.fill(demand, 1);
+		return demand;
+	}
+
+	private static double[][] skewedDemand(int sets, int experts, RandomGenerator random) {
+		double[][] demand = new double[sets][experts];
+		for (double[] set : demand) {
+			Arrays.setAll(set, (expert) -> Math.pow(1 - random.nextDouble(), -0.9));
+		}
+		return demand;
+	}
+
+	private static int[][][] inTurn(int sets, int experts, int ranks) {
+		int[][][] map = new int[sets][ranks][experts / ranks];
+		for (int set = 0; set < sets; set++) {
+			for (int expert = 0; expert < experts; expert++) {
+				map[set][expert % ranks][expert / ranks] = expert;
+			}
+		}
+		return map;
+	}
+
+	private static void checkWhole(int[][][] map, int experts, int places) {
+		for (int[][] set : map) {
+			Set<Integer> held = new HashSet<>();
+			for (int[] rank : set) {
+				assertThat(rank.length).isAtMost(places);
+				assertThat(Arrays.stream(rank).distinct().count()).isEqualTo(rank.length);
+				Arrays.stream(rank).forEach(held::add);
+			}
+			assertThat(held).hasSize(experts);
+		}
+	}
+
+	private static void checkCopies(int[][][] before, int[][][] after, int mostOfSet, int mostOfRank) {
+		for (int rank = 0; rank < before[0].length; rank++) {
+			int copies = 0;
+			for (int set = 0; set < before.length; set++) {
+				Set<Integer> held = new HashSet<>();
+				Arrays.stream(before[set][rank]).forEach(held::add);
+				int ofSet = (int) Arrays.stream(after[set][rank]).filter((expert) -> !held.contains(expert)).count();
+				assertThat(ofSet).isAtMost(mostOfSet);
+				copies += ofSet;
+			}
+			assertThat(copies).isAtMost(mostOfRank);
+		}
+	}
+
+}
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/AdmissionDesk.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/AdmissionDesk.java
@@ -79,10 +79,8 @@
 		return request.arrivedNanos() + TimeUnit.MILLISECONDS.toNanos(millis);
 	}
 
-	/**
-	 * Refuses a request that the configuration in force does not know. While a newer one
-	 * may be in force elsewhere, the caller is asked to come back instead.
-	 */
+	// Refuses a request that the configuration in force does not know. While a newer one
+	// may be in force elsewhere, the caller is asked to come back instead.
 	private Optional<Admitted> unknown(CallerRequest request, CallerLink caller, ErrorCode code, String detail) {
 		long age = this.context.freshness().ageMillis();
 		if (age > this.context.settings().configurationFreshness().toMillis()) {
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/AnswerRelay.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/AnswerRelay.java
@@ -207,10 +207,8 @@
 		return Optional.empty();
 	}
 
-	/**
-	 * Tells whether an event may come after the last one. Identifiers that are numbers
-	 * grow; others cannot be compared.
-	 */
+	// Tells whether an event may come after the last one. Identifiers that are numbers
+	// grow; others cannot be compared.
 	private boolean follows(Event event) {
 		if (event.id().isEmpty() || this.lastEventId.isEmpty()) {
 			return true;
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/CallerConnection.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/CallerConnection.java
@@ -217,9 +217,7 @@
 		});
 	}
 
-	/**
-	 * Refuses what cannot be read on, and closes the connection after the answer.
-	 */
+	// Refuses what cannot be read on, and closes the connection after the answer.
 	private void refuse(int status, ErrorCode code, String detail) {
 		logger.info("event=refused status={} verdict=not-run code={} detail=\"{}\"", status, code.text(), detail);
 		this.context.metrics().answered(status, code.text());
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamChoice.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamChoice.java
@@ -64,10 +64,8 @@
 		return (best != null) ? Optional.of(best) : soonestBack(candidates, tried, nowNanos);
 	}
 
-	/**
-	 * If all candidates are left alone for their failures, the one whose time is over
-	 * first gets the request: never are all ejected.
-	 */
+	// If all candidates are left alone for their failures, the one whose time is over
+	// first gets the request: never are all ejected.
 	private Optional<UpstreamRecord> soonestBack(List<UpstreamRecord> candidates, Set<String> tried, long nowNanos) {
 		boolean anyUsable = candidates.stream().anyMatch((candidate) -> of(candidate.id()).usable(nowNanos));
 		if (anyUsable) {
