--- /dev/null
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/upstream/UpstreamDirectoryTests.java
@@ -0,0 +1,90 @@
+package io.bulrushrouter.gateway.upstream;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Optional;
+
+import org.junit.jupiter.api.Test;
+
+import io.bulrushrouter.gateway.source.FeedAnswer.Item;
+import io.bulrushrouter.gateway.source.UpstreamRecord;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Which upstreams may get requests.
+ */
+class UpstreamDirectoryTests {
+
+	private static final long SECOND = 1_000_000_000L;
+
+	private final UpstreamDirectory directory = new UpstreamDirectory();
+
+	private static Item<UpstreamRecord> ready(String id) {
+		return new Item<>(id, Optional.of(record(id, false)));
+	}
+
+	private static Item<UpstreamRecord> leaving(String id) {
+		return new Item<>(id, Optional.of(record(id, true)));
+	}
+
+	private static Item<UpstreamRecord> gone(String id) {
+		return new Item<>(id, Optional.empty());
+	}
+
+	private static UpstreamRecord record(String id, boolean leaving) {
+		return new UpstreamRecord(id, "service", InetSocketAddress.createUnresolved("10.0.0.1", 80), "a", 8, leaving);
+	}
+
+	private List<String> usable() {
+		return this.directory.ready("service").stream().map(UpstreamRecord::id).toList();
+	}
+
+	@Test
+	void isUnknownBeforeTheFirstList() {
+		assertThat(this.directory.known()).isFalse();
+		this.directory.replace(List.of(), 0);
+		assertThat(this.directory.known()).isTrue();
+	}
+
+	@Test
+	void givesALeavingUpstreamNothingNewAtOnce() {
+		this.directory.replace(List.of(ready("a"), ready("b")), 0);
+		this.directory.change(List.of(leaving("a")), SECOND);
+		assertThat(usable()).containsExactly("b");
+		assertThat(this.directory.accepts("a")).isFalse();
+	}
+
+	@Test
+	void dropsARemovedUpstreamAtOnceWhileTheStoreAnswers() {
+		this.directory.replace(List.of(ready("a"), ready("b")), 0);
+		this.directory.change(List.of(gone("a")), SECOND);
+		assertThat(usable()).containsExactly("b");
+	}
+
+	@Test
+	void keepsAnUpstreamWhoseEntryLapsedWhileTheStoreWasAway() {
+		this.directory.replace(List.of(ready("a"), ready("b")), 0);
+		this.directory.storeLost();
+		this.directory.change(List.of(gone("a"), gone("b")), 10 * SECOND);
+		assertThat(usable()).containsExactly("a", "b");
+		this.directory.change(List.of(ready("a")), 11 * SECOND);
+		this.directory.expire(13 * SECOND);
+		assertThat(usable()).containsExactly("a");
+	}
+
+	@Test
+	void neverKeepsAnUpstreamThatWasLeavingWhenItsEntryWent() {
+		this.directory.replace(List.of(leaving("a"), ready("b")), 0);
+		this.directory.storeLost();
+		this.directory.replace(List.of(ready("b")), 10 * SECOND);
+		assertThat(usable()).containsExactly("b");
+	}
+
+	@Test
+	void takesAnEntryThatCannotBeReadForNoUpstream() {
+		this.directory.replace(List.of(ready("a"), gone("x")), 0);
+		assertThat(usable()).containsExactly("a");
+	}
+
+}
