--- a/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/GroupView.java
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/GroupView.java
@@ -51,6 +51,14 @@
 		return this.ranks[rank];
 	}
 
+	/**
+	 * Returns the requests that run on all ranks.
+	 * @return the number
+	 */
+	public int running() {
+		return Arrays.stream(this.ranks).mapToInt(RankStatus::running).sum();
+	}
+
 	/**
 	 * Returns the epoch.
 	 * @return the epoch
--- a/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/PlacementPlan.java
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/PlacementPlan.java
@@ -27,14 +27,18 @@
 	private static final double COMPARED_SECONDS = 2;
 
 	/** The gain of skew below which a switch is not worth its orders. */
-	private static final double LEAST_GAIN = 0.02;
+	private static final double LEAST_GAIN = 0.03;
 
 	/**
 	 * Tells whether the map pays for its copies.
 	 * @param secondsForCopy the time that a rank needs to copy one expert
+	 * @param leastGain the gain of skew that a copy must bring
 	 * @return whether the passes that become shorter save more than the copying costs
 	 */
-	public boolean pays(double secondsForCopy) {
+	public boolean pays(double secondsForCopy, double leastGain) {
+		if (this.skewBefore - this.skewAfter < leastGain * this.copies) {
+			return false;
+		}
 		double gain = (this.skewBefore - this.skewAfter) / this.skewBefore;
 		double cost = SLOWER_WHILE_COPYING * this.mostCopies * secondsForCopy;
 		return gain > LEAST_GAIN && gain * HORIZON_SECONDS > cost;
--- a/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/PlacementPlanner.java
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/PlacementPlanner.java
@@ -18,9 +18,6 @@
 	/** A set below this skew is left as it is. */
 	private static final double GOOD_SKEW = 1.03;
 
-	/** The least gain of skew that a copied expert must bring. */
-	private static final double LEAST_GAIN = 0.004;
-
 	/** Experts of the most loaded rank that are looked at, and ranks that take them. */
 	private static final int WIDTH = 6;
 
@@ -28,12 +25,16 @@
 
 	private final PlacementLimits limits;
 
+	private final double leastGain;
+
 	/**
 	 * Creates a planner.
 	 * @param limits what one plan may do
+	 * @param leastGain the gain of the skew's mean over sets that a copy must bring
 	 */
-	public PlacementPlanner(PlacementLimits limits) {
+	public PlacementPlanner(PlacementLimits limits, double leastGain) {
 		this.limits = limits;
+		this.leastGain = leastGain;
 	}
 
 	/**
@@ -41,15 +42,16 @@
 	 * @param inUse the map in use, by set and rank
 	 * @param demand the demand, by set and expert
 	 * @param limits what one plan may do at most
+	 * @param leastGain the gain of the skew's mean over sets that a copy must bring
 	 * @param secondsForCopy the time that a rank needs to copy one expert
 	 * @return the plan
 	 */
-	public static PlacementPlan cheapest(int[][][] inUse, double[][] demand, PlacementLimits limits,
+	public static PlacementPlan cheapest(int[][][] inUse, double[][] demand, PlacementLimits limits, double leastGain,
 			double secondsForCopy) {
 		PlacementPlan best = null;
 		for (int copies = 1; copies <= limits.newOfRank(); copies++) {
 			PlacementLimits fewer = new PlacementLimits(limits.places(), limits.newOfSet(), copies);
-			PlacementPlan plan = new PlacementPlanner(fewer).plan(inUse, demand);
+			PlacementPlan plan = new PlacementPlanner(fewer, leastGain).plan(inUse, demand);
 			if (best == null || plan.cost(secondsForCopy) < best.cost(secondsForCopy)) {
 				best = plan;
 			}
@@ -116,7 +118,7 @@
 		SetPlacement placement = sets[set];
 		double before = placement.roughness();
 		Change best = null;
-		double bestWorth = LEAST_GAIN;
+		double bestWorth = this.leastGain * sets.length;
 		for (Change change : changes(sets, set)) {
 			placement.apply(change);
 			double after = placement.roughness();
--- a/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/RankStatus.java
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/RankStatus.java
@@ -11,13 +11,14 @@
  * @param rank the rank's number, from 0
  * @param size the ranks of the group
  * @param open whether the group runs
+ * @param running the requests that run on this rank
  * @param step the last pass that was begun
  * @param map the version of the map in use
  * @param prepared the version whose weights are all there, if any
  * @param armed the version and pass of the next switch, if any
  * @param held the pass before which the group stops, if any
  */
-public record RankStatus(String group, long epoch, int rank, int size, boolean open, long step, long map,
+public record RankStatus(String group, long epoch, int rank, int size, boolean open, int running, long step, long map,
 		OptionalLong prepared, Optional<Armed> armed, OptionalLong held) {
 
 	/**
--- a/bulrushrouter-experts/src/test/java/io/bulrushrouter/experts/live/GroupSwitchTests.java
+++ b/bulrushrouter-experts/src/test/java/io/bulrushrouter/experts/live/GroupSwitchTests.java
@@ -93,9 +93,9 @@
 
 	private static GroupView held(long version, long step, boolean secondArmed) {
 		Optional<RankStatus.Armed> armed = Optional.of(new RankStatus.Armed(version, step));
-		RankStatus first = new RankStatus("group", 1, 0, 2, true, 5, 0, OptionalLong.of(version), armed,
+		RankStatus first = new RankStatus("group", 1, 0, 2, true, 0, 5, 0, OptionalLong.of(version), armed,
 				OptionalLong.of(step));
-		RankStatus second = new RankStatus("group", 1, 1, 2, true, 5, 0, OptionalLong.of(version),
+		RankStatus second = new RankStatus("group", 1, 1, 2, true, 0, 5, 0, OptionalLong.of(version),
 				secondArmed ? armed : Optional.empty(), OptionalLong.empty());
 		return GroupView.of(first, List.of(first, second)).orElseThrow();
 	}
@@ -103,8 +103,8 @@
 	private static GroupView view(OptionalLong prepared) {
 		List<RankStatus> statuses = new ArrayList<>();
 		for (int rank = 0; rank < 2; rank++) {
-			statuses
-				.add(new RankStatus("group", 1, rank, 2, true, 5, 0, prepared, Optional.empty(), OptionalLong.empty()));
+			statuses.add(new RankStatus("group", 1, rank, 2, true, 0, 5, 0, prepared, Optional.empty(),
+					OptionalLong.empty()));
 		}
 		return GroupView.of(statuses.get(0), statuses).orElseThrow();
 	}
--- a/bulrushrouter-experts/src/test/java/io/bulrushrouter/experts/live/ModelGroup.java
+++ b/bulrushrouter-experts/src/test/java/io/bulrushrouter/experts/live/ModelGroup.java
@@ -194,7 +194,7 @@
 		private RankStatus status(int rank, int size, long epoch, long step) {
 			Optional<RankStatus.Armed> armed = (this.armedVersion == NONE) ? Optional.empty()
 					: Optional.of(new RankStatus.Armed(this.armedVersion, this.armedStep));
-			return new RankStatus("group", epoch, rank, size, true, step, this.map, optional(this.prepared), armed,
+			return new RankStatus("group", epoch, rank, size, true, 0, step, this.map, optional(this.prepared), armed,
 					optional(this.held));
 		}
 
--- a/bulrushrouter-experts/src/test/java/io/bulrushrouter/experts/live/PlacementPlannerTests.java
+++ b/bulrushrouter-experts/src/test/java/io/bulrushrouter/experts/live/PlacementPlannerTests.java
@@ -21,7 +21,7 @@
 	void spreadsAHotExpertOverRanks() {
 		double[][] demand = { evenDemand(96) };
 		demand[0][43] = 40;
-		PlacementPlan plan = new PlacementPlanner(new PlacementLimits(11, 4, 3)).plan(inTurn(1, 96, 12), demand);
+		PlacementPlan plan = new PlacementPlanner(new PlacementLimits(11, 4, 3), 0.004).plan(inTurn(1, 96, 12), demand);
 		assertThat(plan.skewBefore()).isGreaterThan(3.0);
 		assertThat(plan.skewAfter()).isLessThan(1.25);
 	}
@@ -32,7 +32,7 @@
 		int[][][] map = inTurn(3, 96, 12);
 		for (int turn = 0; turn < 40; turn++) {
 			PlacementPlan plan = PlacementPlanner.cheapest(map, skewedDemand(3, 96, random),
-					new PlacementLimits(11, 4, 3), COPY_SECONDS);
+					new PlacementLimits(11, 4, 3), 0.002, COPY_SECONDS);
 			checkWhole(plan.experts(), 96, 11);
 			checkCopies(map, plan.experts(), 4, 3);
 			assertThat(plan.skewAfter()).isAtMost(plan.skewBefore());
@@ -42,17 +42,27 @@
 
 	@Test
 	void leavesABalancedGroupAlone() {
-		PlacementPlan plan = new PlacementPlanner(new PlacementLimits(11, 4, 3)).plan(inTurn(2, 96, 12),
+		PlacementPlan plan = new PlacementPlanner(new PlacementLimits(11, 4, 3), 0.004).plan(inTurn(2, 96, 12),
 				new double[][] { evenDemand(96), evenDemand(96) });
 		assertThat(plan.copies()).isEqualTo(0);
-		assertThat(plan.pays(COPY_SECONDS)).isFalse();
+		assertThat(plan.pays(COPY_SECONDS, 0.004)).isFalse();
+	}
+
+	@Test
+	void copiesLessForTheSameGainOnAGroupWithRoomToSpare() {
+		RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom").create(9);
+		double[][] demand = skewedDemand(3, 96, random);
+		PlacementLimits limits = new PlacementLimits(11, 4, 3);
+		int idle = new PlacementPlanner(limits, CopyWorth.leastGain(0.2)).plan(inTurn(3, 96, 12), demand).copies();
+		int full = new PlacementPlanner(limits, CopyWorth.leastGain(0.9)).plan(inTurn(3, 96, 12), demand).copies();
+		assertThat(idle).isLessThan(full);
 	}
 
 	@Test
 	void takesThePlanThatIsInUseSoonerWhenMoreCopiesGainLittle() {
 		double[][] demand = { evenDemand(96) };
 		demand[0][5] = 30;
-		PlacementPlan plan = PlacementPlanner.cheapest(inTurn(1, 96, 12), demand, new PlacementLimits(11, 4, 3),
+		PlacementPlan plan = PlacementPlanner.cheapest(inTurn(1, 96, 12), demand, new PlacementLimits(11, 4, 3), 0.002,
 				COPY_SECONDS);
 		assertThat(plan.mostCopies()).isEqualTo(1);
 	}
--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/Balancer.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/Balancer.java
@@ -13,6 +13,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import io.bulrushrouter.experts.live.CopyWorth;
 import io.bulrushrouter.experts.live.Demand;
 import io.bulrushrouter.experts.live.GroupSwitch;
 import io.bulrushrouter.experts.live.GroupView;
@@ -22,6 +23,7 @@
 import io.bulrushrouter.experts.live.PlacementPlanner;
 import io.bulrushrouter.experts.live.RankCommand;
 import io.bulrushrouter.experts.live.RankStatus;
+import io.bulrushrouter.gateway.config.EngineSpec;
 import io.bulrushrouter.gateway.config.ExpertSpec;
 import io.bulrushrouter.gateway.source.UpstreamRecord;
 import io.bulrushrouter.kernel.TimeSource;
@@ -51,6 +53,9 @@
 	 */
 	private static final double LONGEST_COPY_SECONDS = 1.3;
 
+	/** Versions that one holder of the duty may use; a day has some thousand at most. */
+	private static final long VERSIONS_OF_TOKEN = 100_000;
+
 	private final EventLoop loop;
 
 	private final TimeSource clock = TimeSource.ofSystem();
@@ -130,11 +135,8 @@
 		});
 	}
 
-	/** Versions that one holder of the duty may use; a day has some thousand at most. */
-	private static final long VERSIONS_OF_TOKEN = 100_000;
-
 	private void round(RankStatus status) {
-		Optional<ExpertSpec> spec = this.fleet.experts();
+		Optional<EngineSpec> spec = this.fleet.engine();
 		List<InetSocketAddress> others = others();
 		if (spec.isEmpty() || others.size() + 1 < status.size()) {
 			again(LOOK_MILLIS);
@@ -171,7 +173,8 @@
 		return this.peers.computeIfAbsent(address, (key) -> new PeerClient(this.loop, key));
 	}
 
-	private void decide(ExpertSpec spec, List<InetSocketAddress> others, List<Optional<RankReport>> reports) {
+	private void decide(EngineSpec engine, List<InetSocketAddress> others, List<Optional<RankReport>> reports) {
+		ExpertSpec spec = engine.experts().orElseThrow();
 		Optional<RankReport> first = reports.get(0);
 		if (first.isEmpty()) {
 			again(LOOK_MILLIS);
@@ -200,7 +203,8 @@
 		}
 		GroupSwitch decisions = this.duty.orElseThrow();
 		if (decisions.idle() && !ranks.armedByAny() && ranks.rank(0).held().isEmpty()) {
-			plan(spec, decisions, inUse.get());
+			double occupancy = ranks.running() / (double) (ranks.size() * engine.slots());
+			plan(spec, decisions, inUse.get(), CopyWorth.leastGain(occupancy));
 		}
 		send(ranks, decisions.next(ranks, inUse.get()), decisions);
 	}
@@ -237,18 +241,20 @@
 		}
 	}
 
-	private void plan(ExpertSpec spec, GroupSwitch decisions, int[][][] inUse) {
+	private void plan(ExpertSpec spec, GroupSwitch decisions, int[][][] inUse, double leastGain) {
 		if (this.demand.total() < LEAST_CHOICES) {
 			return;
 		}
 		int copies = Math.max(1, (int) (LONGEST_COPY_SECONDS / spec.copySeconds()));
 		PlacementPlan plan = PlacementPlanner.cheapest(inUse, this.demand.loads(),
-				new PlacementLimits(spec.places(), spec.spare(), copies), spec.copySeconds());
-		if (plan.pays(spec.copySeconds())) {
+				new PlacementLimits(spec.places(), spec.spare(), copies), leastGain, spec.copySeconds());
+		if (plan.pays(spec.copySeconds(), leastGain)) {
 			long version = decisions.propose(plan.experts());
-			logger.info("event=map-proposed group={} version={} copies={} most-copies={} skew-before={} skew-after={}",
+			logger.info(
+					"event=map-proposed group={} version={} copies={} most-copies={} skew-before={} skew-after={} "
+							+ "least-gain={}",
 					this.dutyGroup, version, plan.copies(), plan.mostCopies(), rounded(plan.skewBefore()),
-					rounded(plan.skewAfter()));
+					rounded(plan.skewAfter()), rounded(leastGain));
 		}
 	}
 
--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/FleetView.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/FleetView.java
@@ -10,7 +10,6 @@
 import io.netty.channel.EventLoop;
 
 import io.bulrushrouter.gateway.config.EngineSpec;
-import io.bulrushrouter.gateway.config.ExpertSpec;
 import io.bulrushrouter.gateway.config.GatewayConfiguration;
 import io.bulrushrouter.gateway.config.ServiceSpec;
 import io.bulrushrouter.gateway.source.FeedAnswer.Item;
@@ -39,7 +38,7 @@
 
 	private final Map<String, UpstreamRecord> upstreams = new HashMap<>();
 
-	private Optional<ExpertSpec> experts = Optional.empty();
+	private Optional<EngineSpec> engine = Optional.empty();
 
 	private boolean started;
 
@@ -70,8 +69,12 @@
 			.start();
 	}
 
-	Optional<ExpertSpec> experts() {
-		return this.experts;
+	/**
+	 * Returns the figures of the group's engines.
+	 * @return the figures, or empty if they are not known or name no experts
+	 */
+	Optional<EngineSpec> engine() {
+		return this.engine.filter((spec) -> spec.experts().isPresent());
 	}
 
 	String ownAddress() {
@@ -95,8 +98,7 @@
 				item.value()
 					.map((configuration) -> configuration.services().get(FleetView.this.service))
 					.flatMap(ServiceSpec::engine)
-					.flatMap(EngineSpec::experts)
-					.ifPresent((spec) -> FleetView.this.experts = Optional.of(spec));
+					.ifPresent((spec) -> FleetView.this.engine = Optional.of(spec));
 			}
 		}
 
--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/PeerChannels.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/PeerChannels.java
@@ -54,7 +54,7 @@
 			.handler(initializer(receiver));
 	}
 
-	static void send(Channel channel, PeerCodec.Message message) {
+	static void send(Channel channel, PeerMessage message) {
 		channel.writeAndFlush(Unpooled.wrappedBuffer(PeerCodec.encode(message)));
 	}
 
@@ -75,7 +75,7 @@
 	@FunctionalInterface
 	interface Receiver {
 
-		void receive(Channel channel, PeerCodec.Message message);
+		void receive(Channel channel, PeerMessage message);
 
 	}
 
--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/PeerClient.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/PeerClient.java
@@ -28,7 +28,7 @@
 
 	private final InetSocketAddress address;
 
-	private final Map<Long, CompletableFuture<Optional<PeerCodec.Message>>> open = new HashMap<>();
+	private final Map<Long, CompletableFuture<Optional<PeerMessage>>> open = new HashMap<>();
 
 	private Channel channel;
 
@@ -42,18 +42,18 @@
 	}
 
 	CompletionStage<Optional<RankReport>> report(boolean counts) {
-		return ask(new PeerCodec.AskReport(++this.lastId, counts)).thenApply((answer) -> answer
-			.flatMap((message) -> (message instanceof PeerCodec.Report report) ? report.report() : Optional.empty()));
+		return ask(new PeerMessage.AskReport(++this.lastId, counts)).thenApply((answer) -> answer
+			.flatMap((message) -> (message instanceof PeerMessage.Report report) ? report.report() : Optional.empty()));
 	}
 
 	CompletionStage<OrderResult> order(RankOrder order, long epoch, long fence) {
-		return ask(new PeerCodec.GiveOrder(++this.lastId, epoch, fence, order)).thenApply((answer) -> answer
-			.map((message) -> (message instanceof PeerCodec.Ordered ordered) ? ordered.result() : OrderResult.UNKNOWN)
+		return ask(new PeerMessage.GiveOrder(++this.lastId, epoch, fence, order)).thenApply((answer) -> answer
+			.map((message) -> (message instanceof PeerMessage.Ordered ordered) ? ordered.result() : OrderResult.UNKNOWN)
 			.orElse(OrderResult.UNKNOWN));
 	}
 
-	private CompletionStage<Optional<PeerCodec.Message>> ask(PeerCodec.Message question) {
-		CompletableFuture<Optional<PeerCodec.Message>> answer = new CompletableFuture<>();
+	private CompletionStage<Optional<PeerMessage>> ask(PeerMessage question) {
+		CompletableFuture<Optional<PeerMessage>> answer = new CompletableFuture<>();
 		this.open.put(question.id(), answer);
 		this.loop.schedule(() -> timeOut(question.id()), ANSWER_MILLIS, TimeUnit.MILLISECONDS);
 		if (this.channel != null && this.channel.isActive()) {
@@ -95,8 +95,8 @@
 		}
 	}
 
-	private void complete(long id, Optional<PeerCodec.Message> answer) {
-		CompletableFuture<Optional<PeerCodec.Message>> waiting = this.open.remove(id);
+	private void complete(long id, Optional<PeerMessage> answer) {
+		CompletableFuture<Optional<PeerMessage>> waiting = this.open.remove(id);
 		if (waiting != null) {
 			waiting.complete(answer);
 		}
--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/PeerCodec.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/PeerCodec.java
@@ -21,77 +21,44 @@
 
 	private static final int NONE = -1;
 
-	private PeerCodec() {
-	}
+	private static final byte ASK_REPORT = 1;
 
-	/**
-	 * A message.
-	 */
-	sealed interface Message {
+	private static final byte GIVE_ORDER = 2;
 
-		/**
-		 * Returns the number that ties an answer to its question.
-		 * @return the number
-		 */
-		long id();
+	private static final byte REPORT = 3;
 
-	}
+	private static final byte ORDERED = 4;
 
-	/**
-	 * Asks for a report.
-	 *
-	 * @param id the question's number
-	 * @param counts whether the report is to hold the counts
-	 */
-	record AskReport(long id, boolean counts) implements Message {
-	}
+	private static final byte PREPARE = 1;
 
-	/**
-	 * Gives an order.
-	 *
-	 * @param id the question's number
-	 * @param epoch the epoch that the order is for
-	 * @param fence the fencing token
-	 * @param order the order
-	 */
-	record GiveOrder(long id, long epoch, long fence, RankOrder order) implements Message {
-	}
+	private static final byte ARM = 2;
 
-	/**
-	 * Answers with a report.
-	 *
-	 * @param id the question's number
-	 * @param report the report, or empty if the engine did not answer
-	 */
-	record Report(long id, Optional<RankReport> report) implements Message {
-	}
+	private static final byte DISARM = 3;
+
+	private static final byte HOLD = 4;
 
-	/**
-	 * Answers an order.
-	 *
-	 * @param id the question's number
-	 * @param result what came of it
-	 */
-	record Ordered(long id, OrderResult result) implements Message {
+	private static final byte GO = 5;
+
+	private PeerCodec() {
 	}
 
-	static byte[] encode(Message message) {
+	static byte[] encode(PeerMessage message) {
 		try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
-			if (message instanceof AskReport ask) {
-				packer.packByte((byte) 1).packLong(ask.id()).packBoolean(ask.counts());
+			if (message instanceof PeerMessage.AskReport ask) {
+				packer.packByte(ASK_REPORT).packLong(ask.id()).packBoolean(ask.counts());
 			}
-			else if (message instanceof GiveOrder give) {
-				packer.packByte((byte) 2).packLong(give.id()).packLong(give.epoch()).packLong(give.fence());
+			else if (message instanceof PeerMessage.GiveOrder give) {
+				packer.packByte(GIVE_ORDER).packLong(give.id()).packLong(give.epoch()).packLong(give.fence());
 				pack(packer, give.order());
 			}
-			else if (message instanceof Report report) {
-				packer.packByte((byte) 3).packLong(report.id()).packBoolean(report.report().isPresent());
+			else if (message instanceof PeerMessage.Report report) {
+				packer.packByte(REPORT).packLong(report.id()).packBoolean(report.report().isPresent());
 				if (report.report().isPresent()) {
 					pack(packer, report.report().get());
 				}
 			}
-			else if (message instanceof Ordered ordered) {
-				packer.packByte((byte) 4).packLong(ordered.id()).packInt(ordered.result().ordinal());
+			else if (message instanceof PeerMessage.Ordered ordered) {
+				packer.packByte(ORDERED).packLong(ordered.id()).packInt(ordered.result().ordinal());
 			}
 			return packer.toByteArray();
 		}
@@ -102,22 +69,22 @@
 
 	private static void pack(MessagePacker packer, RankOrder order) throws IOException {
 		if (order instanceof RankOrder.Prepare prepare) {
-			packer.packByte((byte) 1).packLong(prepare.version()).packArrayHeader(prepare.experts().length);
+			packer.packByte(PREPARE).packLong(prepare.version()).packArrayHeader(prepare.experts().length);
 			for (int[][] set : prepare.experts()) {
 				pack(packer, set);
 			}
 		}
 		else if (order instanceof RankOrder.Arm arm) {
-			packer.packByte((byte) 2).packLong(arm.version()).packLong(arm.step());
+			packer.packByte(ARM).packLong(arm.version()).packLong(arm.step());
 		}
 		else if (order instanceof RankOrder.Disarm disarm) {
-			packer.packByte((byte) 3).packLong(disarm.version());
+			packer.packByte(DISARM).packLong(disarm.version());
 		}
 		else if (order instanceof RankOrder.Hold hold) {
-			packer.packByte((byte) 4).packLong(hold.step());
+			packer.packByte(HOLD).packLong(hold.step());
 		}
 		else if (order instanceof RankOrder.Go go) {
-			packer.packByte((byte) 5).packLong(go.step());
+			packer.packByte(GO).packLong(go.step());
 		}
 	}
 
@@ -138,6 +105,7 @@
 			.packInt(status.rank())
 			.packInt(status.size())
 			.packBoolean(status.open())
+			.packInt(status.running())
 			.packLong(status.step())
 			.packLong(status.map())
 			.packLong(status.prepared().orElse(NONE))
@@ -151,15 +119,17 @@
 		pack(packer, report.experts());
 	}
 
-	static Message decode(byte[] bytes) {
+	static PeerMessage decode(byte[] bytes) {
 		try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
 			int type = unpacker.unpackByte();
 			long id = unpacker.unpackLong();
 			return switch (type) {
-				case 1 -> new AskReport(id, unpacker.unpackBoolean());
-				case 2 -> new GiveOrder(id, unpacker.unpackLong(), unpacker.unpackLong(), order(unpacker));
-				case 3 -> new Report(id, unpacker.unpackBoolean() ? Optional.of(report(unpacker)) : Optional.empty());
-				case 4 -> new Ordered(id, OrderResult.values()[unpacker.unpackInt()]);
+				case ASK_REPORT -> new PeerMessage.AskReport(id, unpacker.unpackBoolean());
+				case GIVE_ORDER ->
+					new PeerMessage.GiveOrder(id, unpacker.unpackLong(), unpacker.unpackLong(), order(unpacker));
+				case REPORT -> new PeerMessage.Report(id,
+						unpacker.unpackBoolean() ? Optional.of(report(unpacker)) : Optional.empty());
+				case ORDERED -> new PeerMessage.Ordered(id, OrderResult.values()[unpacker.unpackInt()]);
 				default -> throw new IllegalArgumentException("a peer sent a message of type " + type);
 			};
 		}
@@ -172,11 +142,11 @@
 		int type = unpacker.unpackByte();
 		long first = unpacker.unpackLong();
 		return switch (type) {
-			case 1 -> new RankOrder.Prepare(first, sets(unpacker));
-			case 2 -> new RankOrder.Arm(first, unpacker.unpackLong());
-			case 3 -> new RankOrder.Disarm(first);
-			case 4 -> new RankOrder.Hold(first);
-			case 5 -> new RankOrder.Go(first);
+			case PREPARE -> new RankOrder.Prepare(first, sets(unpacker));
+			case ARM -> new RankOrder.Arm(first, unpacker.unpackLong());
+			case DISARM -> new RankOrder.Disarm(first);
+			case HOLD -> new RankOrder.Hold(first);
+			case GO -> new RankOrder.Go(first);
 			default -> throw new IllegalArgumentException("a peer sent an order of type " + type);
 		};
 	}
@@ -206,6 +176,7 @@
 		int rank = unpacker.unpackInt();
 		int size = unpacker.unpackInt();
 		boolean open = unpacker.unpackBoolean();
+		int running = unpacker.unpackInt();
 		long step = unpacker.unpackLong();
 		long map = unpacker.unpackLong();
 		OptionalLong prepared = optional(unpacker.unpackLong());
@@ -218,7 +189,7 @@
 		for (int index = 0; index < counts.length; index++) {
 			counts[index] = unpacker.unpackLong();
 		}
-		RankStatus status = new RankStatus(group, epoch, rank, size, open, step, map, prepared, armed, held);
+		RankStatus status = new RankStatus(group, epoch, rank, size, open, running, step, map, prepared, armed, held);
 		return new RankReport(status, counts, lists(unpacker));
 	}
 
--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/RankSidecar.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/RankSidecar.java
@@ -56,16 +56,16 @@
 		return sidecar;
 	}
 
-	private void answer(Channel channel, PeerCodec.Message message) {
-		if (message instanceof PeerCodec.AskReport ask) {
+	private void answer(Channel channel, PeerMessage message) {
+		if (message instanceof PeerMessage.AskReport ask) {
 			this.balancer.reporter()
 				.report(ask.counts())
-				.thenAccept((report) -> PeerChannels.send(channel, new PeerCodec.Report(ask.id(), report)));
+				.thenAccept((report) -> PeerChannels.send(channel, new PeerMessage.Report(ask.id(), report)));
 		}
-		else if (message instanceof PeerCodec.GiveOrder give) {
+		else if (message instanceof PeerMessage.GiveOrder give) {
 			this.source.engine()
 				.order(give.order(), give.epoch(), give.fence())
-				.thenAccept((result) -> PeerChannels.send(channel, new PeerCodec.Ordered(give.id(), result)));
+				.thenAccept((result) -> PeerChannels.send(channel, new PeerMessage.Ordered(give.id(), result)));
 		}
 	}
 
