Say may-have-run once any attempt may have run, answer folded headers

Cause: a test of refusals on used connections: after a first attempt that may have run, 'no upstream' was answered as not run.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/CallerConnection.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/CallerConnection.java
@@ -15,6 +15,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -346,6 +347,13 @@
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext handlerContext, Throwable cause) {
+		if (this.closing) {
+			return;
+		}
+		if (cause instanceof DecoderException && !this.answering) {
+			malformed((cause.getCause() != null) ? cause.getCause() : cause);
+			return;
+		}
 		if (!(cause instanceof IOException)) {
 			logger.warn("event=connection-failed detail=\"{}\"", cause.toString(), cause);
 		}
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
@@ -190,8 +190,7 @@
 			dispatch();
 		}
 		else {
-			giveUp(this.mayHaveRun ? Verdict.ofMayHaveRun(verdict.failure().orElse(ErrorCode.INTERNAL)) : verdict,
-					detail);
+			giveUp(verdict, detail);
 		}
 	}
 
@@ -221,7 +220,8 @@
 		return this.attempts == 0 || this.context.retryAllowance(this.service).tryRetry(this.context.nowNanos());
 	}
 
-	private void giveUp(Verdict verdict, String detail) {
+	private void giveUp(Verdict last, String detail) {
+		Verdict verdict = this.mayHaveRun ? Verdict.ofMayHaveRun(last.failure().orElse(ErrorCode.INTERNAL)) : last;
 		if (this.relay.started()) {
 			this.caller.breakOff();
 			end("broken-off", 0, verdict, detail);
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/stream/EventSplitter.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/stream/EventSplitter.java
@@ -34,7 +34,7 @@
 		List<Event> events = new ArrayList<>(2);
 		int end = endOfEvent(this.pending.readerIndex() + scanned);
 		while (end >= 0) {
-			ByteBuf event = this.pending.readBytes(end - this.pending.readerIndex());
+			ByteBuf event = take(end - this.pending.readerIndex());
 			events.add(new Event(event, identifier(event)));
 			end = endOfEvent(this.pending.readerIndex());
 		}
@@ -66,7 +66,13 @@
 	 * @return the bytes, none if the stream stands between two events
 	 */
 	public ByteBuf rest() {
-		return this.pending.readBytes(this.pending.readableBytes());
+		return take(this.pending.readableBytes());
+	}
+
+	private ByteBuf take(int length) {
+		byte[] bytes = new byte[length];
+		this.pending.readBytes(bytes);
+		return Unpooled.wrappedBuffer(bytes);
 	}
 
 	private static Optional<String> identifier(ByteBuf event) {
--- /dev/null
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/GatewayFixture.java
@@ -0,0 +1,193 @@
+package io.bulrushrouter.gateway.forward;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.netty.channel.nio.NioEventLoopGroup;
+
+import io.bulrushrouter.gateway.config.CallerLimits;
+import io.bulrushrouter.gateway.config.ConfigurationInForce;
+import io.bulrushrouter.gateway.config.GatewayConfiguration;
+import io.bulrushrouter.gateway.config.Organisation;
+import io.bulrushrouter.gateway.config.Route;
+import io.bulrushrouter.gateway.config.RouteKind;
+import io.bulrushrouter.gateway.config.WeightedService;
+import io.bulrushrouter.gateway.source.FeedAnswer.Item;
+import io.bulrushrouter.gateway.source.FreshnessProof;
+import io.bulrushrouter.gateway.source.HeaderNames;
+import io.bulrushrouter.gateway.source.UpstreamRecord;
+import io.bulrushrouter.gateway.upstream.UpstreamChoice;
+import io.bulrushrouter.gateway.upstream.UpstreamDirectory;
+import io.bulrushrouter.kernel.TimeSource;
+
+/**
+ * A gateway on loopback before scripted upstreams, with the routes {@code /read/},
+ * {@code /write/} and {@code /stream/} of the host {@code test}.
+ */
+final class GatewayFixture implements AutoCloseable {
+
+	static final HeaderNames HEADERS = new HeaderNames("X-Attempt", "X-Deadline", "X-Key", "X-Organisation",
+			"X-Expected", "X-Not-Run", "X-Stamp", "Last-Event-Id", "X-Priority", "X-Tokens", "X-Faulty");
+
+	static final String KEY = "secret";
+
+	private static final int READ_TIMEOUT_MILLIS = 20_000;
+
+	private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+
+	private final UpstreamDirectory directory = new UpstreamDirectory();
+
+	private final GatewayContext context;
+
+	private final CallerServer server;
+
+	private final InetSocketAddress address;
+
+	private long proofAgeMillis;
+
+	private final List<Item<UpstreamRecord>> upstreams = new ArrayList<>();
+
+	GatewayFixture(ScriptedUpstream... scripted) throws Exception {
+		this(Duration.ofSeconds(15), scripted);
+	}
+
+	GatewayFixture(Duration timeout, ScriptedUpstream... scripted) throws Exception {
+		FreshnessProof freshness = new FreshnessProof(() -> this.proofAgeMillis * 1_000_000, () -> this.proofAgeMillis);
+		freshness.prove(0);
+		ForwardSettings settings = new ForwardSettings(0.16, 4, Duration.ofSeconds(10), Duration.ofMillis(4_300),
+				Duration.ofMillis(3_500), 1 << 20);
+		this.context = new GatewayContext(this.group.next(), TimeSource.ofSystem(), new Random(1), HEADERS, settings,
+				this.directory, new UpstreamChoice("a", new Random(1)), freshness,
+				new ForwardMetrics(new SimpleMeterRegistry()));
+		char id = 'a';
+		for (ScriptedUpstream each : scripted) {
+			// The first is in the gateway's data centre, so that it is picked first.
+			String dataCentre = (id == 'a') ? "a" : "b";
+			this.upstreams.add(new Item<>("up-" + id,
+					Optional.of(new UpstreamRecord("up-" + id++, "service", each.address(), dataCentre, 8, false))));
+		}
+		this.server = new CallerServer(this.context, 100);
+		this.group.next().submit(() -> {
+			this.directory.replace(this.upstreams, 0);
+			this.context.configuration(ConfigurationInForce.of(configuration(timeout)));
+		}).get(10, TimeUnit.SECONDS);
+		this.address = this.server.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+	}
+
+	private static GatewayConfiguration configuration(Duration timeout) {
+		return new GatewayConfiguration(1, List.of(route("/read/", RouteKind.IDEMPOTENT, timeout),
+				route("/write/", RouteKind.NON_IDEMPOTENT, timeout), route("/stream/", RouteKind.STREAM, timeout)),
+				Map.of(), new CallerLimits(4_096, 10_000, Duration.ofSeconds(3), Duration.ofSeconds(15)),
+				List.of(new Organisation("bakers", List.of(KEY), OptionalInt.empty())));
+	}
+
+	private static Route route(String prefix, RouteKind kind, Duration timeout) {
+		return new Route(prefix, "test", prefix, kind, timeout, Duration.ofMillis(300), 1,
+				List.of(new WeightedService("service", 1)), 2, false, kind == RouteKind.STREAM);
+	}
+
+	/**
+	 * Lets the proof of the configuration grow old.
+	 * @param millis its age
+	 */
+	void proofAge(long millis) {
+		this.proofAgeMillis = millis;
+	}
+
+	Caller caller() throws IOException {
+		return new Caller();
+	}
+
+	@Override
+	public void close() {
+		this.server.close();
+		this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+	}
+
+	/**
+	 * A caller's connection.
+	 */
+	final class Caller implements AutoCloseable {
+
+		private final Socket socket;
+
+		private final InputStream in;
+
+		private Caller() throws IOException {
+			this.socket = new Socket(GatewayFixture.this.address.getAddress(), GatewayFixture.this.address.getPort());
+			this.socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+			this.in = this.socket.getInputStream();
+		}
+
+		Caller send(String text) throws IOException {
+			this.socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+			return this;
+		}
+
+		Caller get(String path, String... headers) throws IOException {
+			return send("GET " + path + " HTTP/1.1\r\nHost: test\r\nX-Key: " + KEY + "\r\nX-Attempt: id-1\r\n"
+					+ String.join("", headers) + "\r\n");
+		}
+
+		Caller post(String path, String body) throws IOException {
+			return send("POST " + path + " HTTP/1.1\r\nHost: test\r\nX-Key: " + KEY
+					+ "\r\nX-Attempt: id-1\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+		}
+
+		/**
+		 * Reads one answer with a length.
+		 * @return head and body
+		 * @throws IOException if the connection breaks
+		 */
+		String answer() throws IOException {
+			return ScriptedUpstream.Messages.readRequest(this.in);
+		}
+
+		/**
+		 * Reads until the connection ends.
+		 * @return all bytes
+		 * @throws IOException if the connection breaks
+		 */
+		String rest() throws IOException {
+			return new String(this.in.readAllBytes(), StandardCharsets.ISO_8859_1);
+		}
+
+		/**
+		 * Reads until a text has come.
+		 * @param text the text
+		 * @return all bytes up to and with the text
+		 * @throws IOException if the connection breaks
+		 */
+		String until(String text) throws IOException {
+			StringBuilder read = new StringBuilder();
+			while (read.indexOf(text) < 0) {
+				int next = this.in.read();
+				if (next < 0) {
+					throw new IOException("ended after: " + read);
+				}
+				read.append((char) next);
+			}
+			return read.toString();
+		}
+
+		@Override
+		public void close() throws IOException {
+			this.socket.close();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/ScriptedUpstream.java
@@ -0,0 +1,196 @@
+package io.bulrushrouter.gateway.forward;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+
+/**
+ * An upstream that does to each request what a test says, byte by byte.
+ */
+final class ScriptedUpstream implements AutoCloseable {
+
+	private final ServerSocket listening;
+
+	private final Script script;
+
+	private final ExecutorService threads = Executors.newCachedThreadPool((task) -> {
+		Thread thread = new Thread(task);
+		thread.setDaemon(true);
+		return thread;
+	});
+
+	private final List<String> requests = new CopyOnWriteArrayList<>();
+
+	private final List<Socket> connections = new CopyOnWriteArrayList<>();
+
+	private ScriptedUpstream(Script script) throws IOException {
+		this.script = script;
+		this.listening = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+	}
+
+	static ScriptedUpstream start(Script script) throws IOException {
+		ScriptedUpstream upstream = new ScriptedUpstream(script);
+		upstream.threads.execute(upstream::accept);
+		return upstream;
+	}
+
+	InetSocketAddress address() {
+		return (InetSocketAddress) this.listening.getLocalSocketAddress();
+	}
+
+	/**
+	 * Returns the requests that came, each with its head and body as text.
+	 * @return the requests
+	 */
+	List<String> requests() {
+		return this.requests;
+	}
+
+	int connections() {
+		return this.connections.size();
+	}
+
+	private void accept() {
+		try {
+			while (true) {
+				Socket connection = this.listening.accept();
+				this.connections.add(connection);
+				this.threads.execute(() -> serve(connection));
+			}
+		}
+		catch (IOException ex) {
+			// Closed at the end of the test.
+			this.threads.shutdown();
+		}
+	}
+
+	private void serve(Socket connection) {
+		try (connection) {
+			InputStream in = connection.getInputStream();
+			String request = Messages.readRequest(in);
+			while (!request.isEmpty()) {
+				this.requests.add(request);
+				this.script.answer(this.requests.size(), request, new Reply(connection));
+				request = Messages.readRequest(in);
+			}
+		}
+		catch (IOException ex) {
+			// The gateway gave the connection up; the test looks at what the caller got.
+			this.connections.contains(connection);
+		}
+	}
+
+	@Override
+	public void close() throws IOException {
+		this.listening.close();
+		for (Socket connection : this.connections) {
+			connection.close();
+		}
+		this.threads.shutdownNow();
+	}
+
+	/**
+	 * What is done to a request.
+	 */
+	@FunctionalInterface
+	interface Script {
+
+		/**
+		 * Answers a request.
+		 * @param number the number of the request at this upstream, from 1
+		 * @param request head and body
+		 * @param reply writes the answer
+		 * @throws IOException if the connection breaks
+		 */
+		void answer(int number, String request, Reply reply) throws IOException;
+
+	}
+
+	/**
+	 * Writes an answer.
+	 */
+	static final class Reply {
+
+		private final Socket connection;
+
+		private Reply(Socket connection) {
+			this.connection = connection;
+		}
+
+		Reply write(String text) throws IOException {
+			OutputStream out = this.connection.getOutputStream();
+			out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+			out.flush();
+			return this;
+		}
+
+		void end() throws IOException {
+			this.connection.close();
+		}
+
+		/**
+		 * Waits until the other side has closed the connection.
+		 * @throws IOException if it was reset instead
+		 */
+		void awaitClose() throws IOException {
+			while (this.connection.getInputStream().read() >= 0) {
+				Thread.onSpinWait();
+			}
+		}
+
+		void reset() throws IOException {
+			this.connection.setSoLinger(true, 0);
+			this.connection.close();
+		}
+
+	}
+
+	/**
+	 * Reads HTTP messages as text.
+	 */
+	static final class Messages {
+
+		private Messages() {
+		}
+
+		static String readRequest(InputStream in) throws IOException {
+			String head = readHead(in);
+			return head + new String(in.readNBytes(length(head)), StandardCharsets.ISO_8859_1);
+		}
+
+		static String readHead(InputStream in) throws IOException {
+			ByteArrayOutputStream head = new ByteArrayOutputStream();
+			int next = in.read();
+			while (next >= 0) {
+				head.write(next);
+				if (head.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n\r\n")) {
+					break;
+				}
+				next = in.read();
+			}
+			return head.toString(StandardCharsets.ISO_8859_1);
+		}
+
+		static int length(String head) {
+			for (String line : head.split("\r\n")) {
+				if (line.toLowerCase(Locale.ROOT).startsWith("content-length:")) {
+					return Integer.parseInt(line.substring(line.indexOf(':') + 1).strip());
+				}
+			}
+			return 0;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/StreamingTests.java
@@ -0,0 +1,123 @@
+package io.bulrushrouter.gateway.forward;
+
+import java.io.IOException;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Streams of events: passed on as they come, resumed inside one answer, never made to
+ * look whole.
+ */
+class StreamingTests {
+
+	private static final String HEAD = "HTTP/1.1 200 OK\r\nX-Attempt: id-1\r\nX-Stamp: s%d\r\n"
+			+ "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+	private static String event(int id) {
+		return "id: " + id + "\ndata: e" + id + "\n\n";
+	}
+
+	private static String chunk(String text) {
+		return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+	}
+
+	private static void whole(ScriptedUpstream.Reply reply, int stamp, int from, int to) throws IOException {
+		reply.write(HEAD.formatted(stamp));
+		for (int id = from; id <= to; id++) {
+			reply.write(chunk(event(id)));
+		}
+		reply.write("0\r\n\r\n");
+	}
+
+	private static String payload(String answer) {
+		return answer.substring(answer.indexOf("\r\n\r\n") + 4)
+			.replaceAll("(?m)^[0-9a-f]+\r\n", "")
+			.replace("\r\n", "");
+	}
+
+	@Test
+	void passesEventsOnAsTheyCome() throws Exception {
+		try (ScriptedUpstream upstream = ScriptedUpstream
+			.start((number, request, reply) -> reply.write(HEAD.formatted(1)).write(chunk(event(1))));
+				GatewayFixture gateway = new GatewayFixture(upstream);
+				GatewayFixture.Caller caller = gateway.caller()) {
+			caller.post("/stream/x", "b");
+			assertThat(caller.until("data: e1\n\n")).contains("X-Stamp: s1");
+		}
+	}
+
+	@Test
+	void resumesABrokenStreamInsideTheSameAnswer() throws Exception {
+		try (ScriptedUpstream broken = ScriptedUpstream.start((number, request, reply) -> reply
+			.write(HEAD.formatted(1) + chunk(event(1)) + chunk(event(2)) + chunk("id: 3\nda"))
+			.reset());
+				ScriptedUpstream free = ScriptedUpstream.start((number, request, reply) -> whole(reply, 2, 3, 4));
+				GatewayFixture gateway = new GatewayFixture(broken, free);
+				GatewayFixture.Caller caller = gateway.caller()) {
+			String answer = caller.post("/stream/x", "b").until("\r\n0\r\n\r\n");
+			assertThat(payload(answer)).startsWith(event(1) + event(2) + event(3) + event(4));
+			assertThat(answer).contains("X-Stamp: s1");
+			assertThat(answer).doesNotContain("X-Stamp: s2");
+			assertThat(free.requests().get(0)).contains("Last-Event-Id: 2\r\n");
+		}
+	}
+
+	@Test
+	void startsAgainWhereNoEventHadCome() throws Exception {
+		try (ScriptedUpstream broken = ScriptedUpstream
+			.start((number, request, reply) -> reply.write(HEAD.formatted(1)).reset());
+				ScriptedUpstream free = ScriptedUpstream.start((number, request, reply) -> whole(reply, 2, 1, 2));
+				GatewayFixture gateway = new GatewayFixture(broken, free);
+				GatewayFixture.Caller caller = gateway.caller()) {
+			String answer = caller.post("/stream/x", "b").until("\r\n0\r\n\r\n");
+			assertThat(payload(answer)).startsWith(event(1) + event(2));
+			assertThat(answer).contains("X-Stamp: s2");
+			assertThat(free.requests().get(0)).doesNotContain("Last-Event-Id");
+		}
+	}
+
+	@Test
+	void endsAStreamThatCannotGoOnWithoutItsEnd() throws Exception {
+		try (ScriptedUpstream broken = ScriptedUpstream
+			.start((number, request, reply) -> reply.write(HEAD.formatted(1) + chunk(event(1))).reset());
+				GatewayFixture gateway = new GatewayFixture(broken);
+				GatewayFixture.Caller caller = gateway.caller()) {
+			String answer = caller.post("/stream/x", "b").rest();
+			assertThat(answer).contains(event(1));
+			assertThat(answer).doesNotContain("\r\n0\r\n\r\n");
+		}
+	}
+
+	@Test
+	void passesNoEventOnTwice() throws Exception {
+		try (ScriptedUpstream broken = ScriptedUpstream.start(
+				(number, request, reply) -> reply.write(HEAD.formatted(1) + chunk(event(1)) + chunk(event(2))).reset());
+				ScriptedUpstream wrong = ScriptedUpstream.start((number, request, reply) -> whole(reply, 2, 2, 4));
+				GatewayFixture gateway = new GatewayFixture(broken, wrong);
+				GatewayFixture.Caller caller = gateway.caller()) {
+			String answer = caller.post("/stream/x", "b").rest();
+			assertThat(answer.split("data: e2", -1)).hasLength(2);
+			assertThat(answer).doesNotContain("\r\n0\r\n\r\n");
+		}
+	}
+
+	@Test
+	void cancelsTheUpstreamsWorkWhenTheCallerLeaves() throws Exception {
+		CountDownLatch cancelled = new CountDownLatch(1);
+		try (ScriptedUpstream upstream = ScriptedUpstream.start((number, request, reply) -> {
+			reply.write(HEAD.formatted(1) + chunk(event(1)));
+			reply.awaitClose();
+			cancelled.countDown();
+		}); GatewayFixture gateway = new GatewayFixture(upstream)) {
+			try (GatewayFixture.Caller caller = gateway.caller()) {
+				caller.post("/stream/x", "b").until("data: e1\n\n");
+			}
+			assertThat(cancelled.await(20, TimeUnit.SECONDS)).isTrue();
+		}
+	}
+
+}
