--- a/bulrushrouter-edge/src/main/java/io/bulrushrouter/edge/ClassLoadingRun.java
+++ b/bulrushrouter-launcher/src/main/java/io/bulrushrouter/launcher/ClassLoadingRun.java
@@ -1,4 +1,4 @@
-package io.bulrushrouter.edge;
+package io.bulrushrouter.launcher;
 
 import java.io.StringReader;
 import java.util.concurrent.locks.LockSupport;
--- a/bulrushrouter-edge/src/main/java/io/bulrushrouter/edge/JsonLine.java
+++ b/bulrushrouter-launcher/src/main/java/io/bulrushrouter/launcher/JsonLine.java
@@ -1,4 +1,4 @@
-package io.bulrushrouter.edge;
+package io.bulrushrouter.launcher;
 
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.classic.spi.IThrowableProxy;
--- a/bulrushrouter-edge/src/main/java/io/bulrushrouter/edge/LineAppender.java
+++ b/bulrushrouter-launcher/src/main/java/io/bulrushrouter/launcher/LineAppender.java
@@ -1,4 +1,4 @@
-package io.bulrushrouter.edge;
+package io.bulrushrouter.launcher;
 
 import java.io.IOException;
 import java.io.OutputStream;
--- a/bulrushrouter-edge/src/main/java/io/bulrushrouter/edge/LogSetup.java
+++ b/bulrushrouter-launcher/src/main/java/io/bulrushrouter/launcher/LogSetup.java
@@ -1,4 +1,4 @@
-package io.bulrushrouter.edge;
+package io.bulrushrouter.launcher;
 
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.Logger;
--- a/bulrushrouter-edge/src/main/java/io/bulrushrouter/edge/Main.java
+++ b/bulrushrouter-launcher/src/main/java/io/bulrushrouter/launcher/Main.java
@@ -1,4 +1,4 @@
-package io.bulrushrouter.edge;
+package io.bulrushrouter.launcher;
 
 import java.nio.file.Path;
 import java.util.Optional;
@@ -45,7 +45,7 @@
 	}
 
 	private static int run(String[] args) {
-		ArgumentParser parser = ArgumentParsers.newFor("bulrushrouter-edge")
+		ArgumentParser parser = ArgumentParsers.newFor("bulrushrouter-launcher")
 			.build()
 			.description("Runs a gateway entry, or the balancer beside a rank of a model group.");
 		parser.addArgument("role").choices(GATEWAY, RANK, LOAD_CLASSES).help("what to run");
--- a/bulrushrouter-edge/src/main/java/io/bulrushrouter/edge/Signals.java
+++ b/bulrushrouter-launcher/src/main/java/io/bulrushrouter/launcher/Signals.java
@@ -1,4 +1,4 @@
-package io.bulrushrouter.edge;
+package io.bulrushrouter.launcher;
 
 import sun.misc.Signal;
 
--- a/bulrushrouter-edge/src/main/java/io/bulrushrouter/edge/package-info.java
+++ b/bulrushrouter-launcher/src/main/java/io/bulrushrouter/launcher/package-info.java
@@ -1,4 +1,4 @@
 /**
  * The thin daemon of a gateway entry: command line, signals, log.
  */
-package io.bulrushrouter.edge;
+package io.bulrushrouter.launcher;
