Replace the older client of the store by the adapter's

Cause: two clients of the platform, two protocols. The product's object store is now implemented in platform/ over the one client; the stand-in speaks the published protocol (kinds, conditional replace, watch by revision) and stands beside it. Ruled out: removing leases, plans and claims, which the fleet with sidecars and the demo still use. The tests of the older client pass against the new one.

--- a/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/capacity/CountedSlopes.java
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/capacity/CountedSlopes.java
@@ -4,9 +4,9 @@
 import java.util.List;
 import java.util.stream.IntStream;
 
+import io.bulrushrouter.coordination.configuration.CompressedBody;
 import io.bulrushrouter.daemon.node.ControlMessages;
 import io.bulrushrouter.experts.PopularityReport;
-import io.bulrushrouter.coordination.configuration.CompressedBody;
 import io.bulrushrouter.routing.LoadReport;
 import io.bulrushrouter.routing.PrefixHint;
 
--- a/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/capacity/LeaseHolders.java
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/capacity/LeaseHolders.java
@@ -5,10 +5,10 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.IntStream;
 
-import io.bulrushrouter.kernel.store.ObjectKey;
 import io.bulrushrouter.coordination.lease.Lease;
 import io.bulrushrouter.coordination.lease.LeaseDriver;
 import io.bulrushrouter.coordination.lease.LeaseTerms;
+import io.bulrushrouter.kernel.store.ObjectKey;
 import io.bulrushrouter.standin.MemoryObjectStore;
 
 /**
--- a/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/capacity/SpreadFleet.java
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/capacity/SpreadFleet.java
@@ -12,13 +12,13 @@
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
 
-import io.bulrushrouter.kernel.InstanceId;
-import io.bulrushrouter.kernel.store.LiveInstance;
 import io.bulrushrouter.coordination.configuration.ConfigurationMessage;
 import io.bulrushrouter.coordination.configuration.ConfigurationNode;
 import io.bulrushrouter.coordination.configuration.Effects;
 import io.bulrushrouter.coordination.configuration.PeerView;
 import io.bulrushrouter.coordination.configuration.SpreadTerms;
+import io.bulrushrouter.kernel.InstanceId;
+import io.bulrushrouter.kernel.store.LiveInstance;
 
 /**
  * Configuration nodes whose messages arrive in order and without delay.
--- a/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/platform/BudgetFleet.java
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/platform/BudgetFleet.java
@@ -10,6 +10,8 @@
 import java.util.concurrent.CompletionStage;
 import java.util.stream.IntStream;
 
+import io.bulrushrouter.coordination.CallCounts;
+import io.bulrushrouter.coordination.configuration.RelayWatch;
 import io.bulrushrouter.kernel.DataCentreId;
 import io.bulrushrouter.kernel.InstanceId;
 import io.bulrushrouter.kernel.store.ListResult;
@@ -20,8 +22,6 @@
 import io.bulrushrouter.kernel.store.Write;
 import io.bulrushrouter.kernel.store.WriteResult;
 import io.bulrushrouter.kernel.store.WriterMark;
-import io.bulrushrouter.coordination.CallCounts;
-import io.bulrushrouter.coordination.configuration.RelayWatch;
 import io.bulrushrouter.standin.MemoryObjectStore;
 
 /**
--- a/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/platform/BudgetProcess.java
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/platform/BudgetProcess.java
@@ -9,13 +9,6 @@
 import java.util.Random;
 import java.util.Set;
 
-import io.bulrushrouter.kernel.TimeSource;
-import io.bulrushrouter.kernel.store.LiveInstance;
-import io.bulrushrouter.kernel.store.ObjectKey;
-import io.bulrushrouter.kernel.store.ObjectStore;
-import io.bulrushrouter.kernel.store.ReadResult;
-import io.bulrushrouter.kernel.store.Write;
-import io.bulrushrouter.kernel.store.WriterMark;
 import io.bulrushrouter.coordination.BudgetedStore;
 import io.bulrushrouter.coordination.CallBudget;
 import io.bulrushrouter.coordination.CallCounts;
@@ -27,6 +20,13 @@
 import io.bulrushrouter.coordination.lease.Lease;
 import io.bulrushrouter.coordination.lease.LeaseDriver;
 import io.bulrushrouter.coordination.lease.LeaseTerms;
+import io.bulrushrouter.kernel.TimeSource;
+import io.bulrushrouter.kernel.store.LiveInstance;
+import io.bulrushrouter.kernel.store.ObjectKey;
+import io.bulrushrouter.kernel.store.ObjectStore;
+import io.bulrushrouter.kernel.store.ReadResult;
+import io.bulrushrouter.kernel.store.Write;
+import io.bulrushrouter.kernel.store.WriterMark;
 
 /**
  * One process of the fleet, with what it calls the platform for.
--- a/bulrushrouter-coordination/src/main/java/io/bulrushrouter/coordination/PlatformLiveList.java
+++ b/bulrushrouter-coordination/src/main/java/io/bulrushrouter/coordination/PlatformLiveList.java
@@ -3,8 +3,6 @@
 import java.util.List;
 import java.util.concurrent.CompletionStage;
 
-import org.asynchttpclient.Response;
-
 import io.bulrushrouter.kernel.store.LiveInstance;
 import io.bulrushrouter.kernel.store.LiveList;
 
@@ -14,11 +12,11 @@
  */
 public final class PlatformLiveList implements LiveList {
 
-	private final HttpObjectStore platform;
+	private final PlatformClient platform;
 
-	private volatile Seen seen = new Seen(0, List.of());
+	private volatile List<LiveInstance> seen = List.of();
 
-	private PlatformLiveList(HttpObjectStore platform) {
+	private PlatformLiveList(PlatformClient platform) {
 		this.platform = platform;
 	}
 
@@ -27,39 +25,24 @@
 	 * @param platform the client
 	 * @return the list
 	 */
-	public static PlatformLiveList of(HttpObjectStore platform) {
+	public static PlatformLiveList of(PlatformClient platform) {
 		return new PlatformLiveList(platform);
 	}
 
 	/**
-	 * Asks the platform for the list, in one call that is cheap if nothing changed. The
-	 * stage never fails.
+	 * Asks the platform for the list. The stage never fails.
 	 * @return whether the platform answered
 	 */
 	public CompletionStage<Boolean> refresh() {
-		return this.platform.fetch("/v1/instances", this.seen.version())
-			.handle((response, failure) -> failure == null && take(response));
-	}
-
-	private synchronized boolean take(Response response) {
-		if (response.getStatusCode() == 304) {
-			return true;
-		}
-		long version = PlatformAnswers.versionOf(response).orElse(0L);
-		return PlatformAnswers.instances(response).map((instances) -> {
-			if (version >= this.seen.version()) {
-				this.seen = new Seen(version, instances);
-			}
-			return true;
-		}).orElse(false);
+		return this.platform.instances().thenApply((answer) -> {
+			answer.ifPresent((instances) -> this.seen = instances);
+			return answer.isPresent();
+		});
 	}
 
 	@Override
 	public List<LiveInstance> instances() {
-		return this.seen.instances();
-	}
-
-	private record Seen(long version, List<LiveInstance> instances) {
+		return this.seen;
 	}
 
 }
--- a/bulrushrouter-coordination/src/main/java/io/bulrushrouter/coordination/configuration/ConfigurationNode.java
+++ b/bulrushrouter-coordination/src/main/java/io/bulrushrouter/coordination/configuration/ConfigurationNode.java
@@ -9,13 +9,13 @@
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
 
-import io.bulrushrouter.kernel.InstanceId;
 import io.bulrushrouter.coordination.configuration.ConfigurationMessage.Digest;
 import io.bulrushrouter.coordination.configuration.ConfigurationMessage.Document;
 import io.bulrushrouter.coordination.configuration.ConfigurationMessage.Request;
 import io.bulrushrouter.coordination.configuration.ConfigurationMessage.Status;
 import io.bulrushrouter.coordination.configuration.ConfigurationMessage.StatusQuery;
 import io.bulrushrouter.coordination.configuration.ConfigurationMessage.StatusReport;
+import io.bulrushrouter.kernel.InstanceId;
 
 /**
  * Decides which configuration is in force at one node, and whom to tell. It does no I/O
--- a/bulrushrouter-coordination/src/main/java/io/bulrushrouter/coordination/configuration/PeerView.java
+++ b/bulrushrouter-coordination/src/main/java/io/bulrushrouter/coordination/configuration/PeerView.java
@@ -8,10 +8,10 @@
 import java.util.random.RandomGenerator;
 import java.util.stream.IntStream;
 
+import io.bulrushrouter.coordination.lease.DutyPlacement;
 import io.bulrushrouter.kernel.DataCentreId;
 import io.bulrushrouter.kernel.InstanceId;
 import io.bulrushrouter.kernel.store.LiveInstance;
-import io.bulrushrouter.coordination.lease.DutyPlacement;
 
 /**
  * One node's place among the others, computed from the lagging list of instances: the
--- a/bulrushrouter-coordination/src/main/java/io/bulrushrouter/coordination/configuration/RelayWatch.java
+++ b/bulrushrouter-coordination/src/main/java/io/bulrushrouter/coordination/configuration/RelayWatch.java
@@ -3,9 +3,9 @@
 import java.time.Duration;
 import java.util.Optional;
 
+import io.bulrushrouter.coordination.configuration.ConfigurationMessage.Document;
 import io.bulrushrouter.kernel.store.ObjectKey;
 import io.bulrushrouter.kernel.store.ReadResult;
-import io.bulrushrouter.coordination.configuration.ConfigurationMessage.Document;
 
 /**
  * Decides when a node asks the platform for one scope: once when it joins, and without
--- a/bulrushrouter-coordination/src/main/java/io/bulrushrouter/coordination/configuration/ScopeTrack.java
+++ b/bulrushrouter-coordination/src/main/java/io/bulrushrouter/coordination/configuration/ScopeTrack.java
@@ -3,8 +3,8 @@
 import java.time.Duration;
 import java.util.Optional;
 
-import io.bulrushrouter.kernel.InstanceId;
 import io.bulrushrouter.coordination.configuration.ConfigurationMessage.Document;
+import io.bulrushrouter.kernel.InstanceId;
 
 /**
  * One scope at one node: what is in force, what is known, and what was asked for.
--- a/bulrushrouter-coordination/src/main/java/io/bulrushrouter/coordination/order/EngineOrdersDriver.java
+++ b/bulrushrouter-coordination/src/main/java/io/bulrushrouter/coordination/order/EngineOrdersDriver.java
@@ -5,10 +5,10 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import io.bulrushrouter.coordination.lease.LeaseFence;
 import io.bulrushrouter.kernel.TimeSource;
 import io.bulrushrouter.kernel.store.ObjectKey;
 import io.bulrushrouter.kernel.store.ObjectStore;
-import io.bulrushrouter.coordination.lease.LeaseFence;
 
 /**
  * Carries out {@link EngineOrders} at an engine and the platform. All methods are called
--- a/bulrushrouter-coordination/src/main/java/io/bulrushrouter/coordination/order/OrderAction.java
+++ b/bulrushrouter-coordination/src/main/java/io/bulrushrouter/coordination/order/OrderAction.java
@@ -1,7 +1,7 @@
 package io.bulrushrouter.coordination.order;
 
-import io.bulrushrouter.kernel.ModelId;
 import io.bulrushrouter.coordination.lease.FencingNumber;
+import io.bulrushrouter.kernel.ModelId;
 
 /**
  * What the sidecar does next about its engine's orders.
--- a/bulrushrouter-coordination/src/test/java/io/bulrushrouter/coordination/lease/Contender.java
+++ b/bulrushrouter-coordination/src/test/java/io/bulrushrouter/coordination/lease/Contender.java
@@ -7,6 +7,10 @@
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 
+import io.bulrushrouter.coordination.BackOff;
+import io.bulrushrouter.coordination.FaultyStore;
+import io.bulrushrouter.coordination.ManualClock;
+import io.bulrushrouter.coordination.SettledWrites;
 import io.bulrushrouter.kernel.store.ObjectKey;
 import io.bulrushrouter.kernel.store.ObjectStore;
 import io.bulrushrouter.kernel.store.ReadResult;
@@ -14,10 +18,6 @@
 import io.bulrushrouter.kernel.store.Write;
 import io.bulrushrouter.kernel.store.WriteResult;
 import io.bulrushrouter.kernel.store.WriterMark;
-import io.bulrushrouter.coordination.BackOff;
-import io.bulrushrouter.coordination.FaultyStore;
-import io.bulrushrouter.coordination.ManualClock;
-import io.bulrushrouter.coordination.SettledWrites;
 
 /**
  * A process that contends for a lease. While it holds it, it appends acts to an object
--- a/bulrushrouter-coordination/src/test/java/io/bulrushrouter/coordination/lease/LeaseFaultTests.java
+++ b/bulrushrouter-coordination/src/test/java/io/bulrushrouter/coordination/lease/LeaseFaultTests.java
@@ -16,14 +16,14 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
+import io.bulrushrouter.coordination.Fault;
+import io.bulrushrouter.coordination.FaultyStore;
+import io.bulrushrouter.coordination.ManualClock;
 import io.bulrushrouter.kernel.store.ObjectKey;
 import io.bulrushrouter.kernel.store.ReadResult;
 import io.bulrushrouter.kernel.store.Write;
 import io.bulrushrouter.kernel.store.WriteResult;
 import io.bulrushrouter.kernel.store.WriterMark;
-import io.bulrushrouter.coordination.Fault;
-import io.bulrushrouter.coordination.FaultyStore;
-import io.bulrushrouter.coordination.ManualClock;
 import io.bulrushrouter.standin.MemoryObjectStore;
 
 import static com.google.common.truth.Truth.assertThat;
--- a/bulrushrouter-coordination/src/test/java/io/bulrushrouter/coordination/order/FakeEngine.java
+++ b/bulrushrouter-coordination/src/test/java/io/bulrushrouter/coordination/order/FakeEngine.java
@@ -7,9 +7,9 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 
-import io.bulrushrouter.kernel.ModelId;
 import io.bulrushrouter.coordination.Fault;
 import io.bulrushrouter.coordination.lease.FencingNumber;
+import io.bulrushrouter.kernel.ModelId;
 
 /**
  * An engine on whose way one call goes wrong.
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/cli/StandinCommands.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/cli/StandinCommands.java
@@ -15,8 +15,8 @@
 import io.bulrushrouter.daemon.spread.ConfigurationSpread;
 import io.bulrushrouter.kernel.store.Write;
 import io.bulrushrouter.kernel.store.WriterMark;
+import io.bulrushrouter.platform.standin.PlatformServer;
 import io.bulrushrouter.standin.EngineStandin;
-import io.bulrushrouter.standin.PlatformServer;
 import io.bulrushrouter.standin.ServiceStandin;
 
 /**
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/config/Configuration.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/config/Configuration.java
@@ -12,10 +12,10 @@
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 
+import io.bulrushrouter.coordination.configuration.CompressedBody;
 import io.bulrushrouter.kernel.BulrushException;
 import io.bulrushrouter.kernel.ErrorCode;
 import io.bulrushrouter.kernel.UpstreamId;
-import io.bulrushrouter.coordination.configuration.CompressedBody;
 
 /**
  * One accepted configuration, whole and checked.
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/demo/Fleet.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/demo/Fleet.java
@@ -30,8 +30,8 @@
 import io.bulrushrouter.kernel.store.LiveInstance;
 import io.bulrushrouter.kernel.store.Write;
 import io.bulrushrouter.kernel.store.WriterMark;
+import io.bulrushrouter.platform.standin.PlatformServer;
 import io.bulrushrouter.standin.EngineStandin;
-import io.bulrushrouter.standin.PlatformServer;
 import io.bulrushrouter.standin.ServiceStandin;
 
 /**
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/evacuation/EvacuationDuty.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/evacuation/EvacuationDuty.java
@@ -9,6 +9,11 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
 
+import io.bulrushrouter.coordination.lease.DutyPlacement;
+import io.bulrushrouter.coordination.lease.FencingNumber;
+import io.bulrushrouter.coordination.lease.Lease;
+import io.bulrushrouter.coordination.lease.LeaseDriver;
+import io.bulrushrouter.coordination.lease.LeaseTerms;
 import io.bulrushrouter.daemon.config.Configuration;
 import io.bulrushrouter.daemon.node.DecisionLog;
 import io.bulrushrouter.evacuation.EvacuationStore;
@@ -26,11 +31,6 @@
 import io.bulrushrouter.kernel.store.ObjectKey;
 import io.bulrushrouter.kernel.store.ObjectStore;
 import io.bulrushrouter.kernel.store.Versioned;
-import io.bulrushrouter.coordination.lease.DutyPlacement;
-import io.bulrushrouter.coordination.lease.FencingNumber;
-import io.bulrushrouter.coordination.lease.Lease;
-import io.bulrushrouter.coordination.lease.LeaseDriver;
-import io.bulrushrouter.coordination.lease.LeaseTerms;
 
 /**
  * The entry's part in carrying out evacuation plans: contends for the lease if the live
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/node/Bootstrap.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/node/Bootstrap.java
@@ -6,23 +6,27 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
 
-import io.bulrushrouter.http.HttpCaller;
-import io.bulrushrouter.kernel.store.ObjectStore;
 import io.bulrushrouter.coordination.BudgetedStore;
 import io.bulrushrouter.coordination.CallBudget;
-import io.bulrushrouter.coordination.HttpObjectStore;
+import io.bulrushrouter.coordination.PlatformClient;
 import io.bulrushrouter.coordination.PlatformLiveList;
+import io.bulrushrouter.http.HttpCaller;
+import io.bulrushrouter.kernel.plugin.PluginRegistry;
+import io.bulrushrouter.kernel.store.ObjectStore;
 
 /**
  * The threads and clients that a daemon owns, closed together.
  */
 public final class Bootstrap implements AutoCloseable {
 
+	/** The platform that there is a plug-in for. */
+	private static final String PLATFORM = "platform";
+
 	private final EventLoopGroup network;
 
 	private final HttpCaller caller;
 
-	private final HttpObjectStore store;
+	private final PlatformClient store;
 
 	private final PlatformLiveList liveList;
 
@@ -31,7 +35,9 @@
 	private Bootstrap(ProcessSettings settings, int threads) {
 		this.network = new NioEventLoopGroup(threads, new DefaultThreadFactory("network", true));
 		this.caller = HttpCaller.of(this.network);
-		this.store = HttpObjectStore.of(settings.platform(), settings.platformTimeout());
+		this.store = PluginRegistry.ofClassPath()
+			.require(PlatformClient.Factory.class, PLATFORM)
+			.connect(settings.platform(), settings.platformTimeout(), this.network);
 		this.liveList = PlatformLiveList.of(this.store);
 	}
 
@@ -65,7 +71,7 @@
 	 * Returns the platform's object API without a budget, for claims.
 	 * @return the client
 	 */
-	public HttpObjectStore store() {
+	public PlatformClient store() {
 		return this.store;
 	}
 
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/OrderDesk.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/OrderDesk.java
@@ -4,6 +4,9 @@
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 
+import io.bulrushrouter.coordination.lease.FenceGuard;
+import io.bulrushrouter.coordination.lease.FencingNumber;
+import io.bulrushrouter.coordination.lease.LeaseFence;
 import io.bulrushrouter.daemon.evacuation.EvacuationDuty;
 import io.bulrushrouter.daemon.node.ControlMessages.ObserveUpstream;
 import io.bulrushrouter.daemon.node.ControlMessages.OrderUpstream;
@@ -12,9 +15,6 @@
 import io.bulrushrouter.daemon.node.DecisionLog;
 import io.bulrushrouter.evacuation.reconcile.Phase;
 import io.bulrushrouter.kernel.store.ObjectStore;
-import io.bulrushrouter.coordination.lease.FenceGuard;
-import io.bulrushrouter.coordination.lease.FencingNumber;
-import io.bulrushrouter.coordination.lease.LeaseFence;
 
 /**
  * Takes the orders of evacuations. Before it obeys one it reads the highest fencing
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/SidecarNode.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/SidecarNode.java
@@ -12,6 +12,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import io.bulrushrouter.coordination.CallBudget;
 import io.bulrushrouter.daemon.config.Organisation;
 import io.bulrushrouter.daemon.node.Bootstrap;
 import io.bulrushrouter.daemon.node.OperatorsPort;
@@ -25,7 +26,6 @@
 import io.bulrushrouter.kernel.UpstreamId;
 import io.bulrushrouter.kernel.duty.Duty;
 import io.bulrushrouter.kernel.store.LiveInstance;
-import io.bulrushrouter.coordination.CallBudget;
 import io.bulrushrouter.request.ClaimMessage;
 import io.bulrushrouter.request.ClaimRouter;
 import io.bulrushrouter.request.Claims;
--- a/bulrushrouter-daemon/src/test/java/io/bulrushrouter/daemon/process/ProcessFleet.java
+++ b/bulrushrouter-daemon/src/test/java/io/bulrushrouter/daemon/process/ProcessFleet.java
@@ -14,15 +14,18 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
+import io.netty.channel.nio.NioEventLoopGroup;
+
+import io.bulrushrouter.coordination.PlatformClient;
 import io.bulrushrouter.daemon.config.Configuration;
 import io.bulrushrouter.daemon.config.Keys;
 import io.bulrushrouter.daemon.config.Organisation;
 import io.bulrushrouter.daemon.config.Upstream;
 import io.bulrushrouter.daemon.demo.Fleet;
 import io.bulrushrouter.daemon.spread.ConfigurationSpread;
+import io.bulrushrouter.kernel.plugin.PluginRegistry;
 import io.bulrushrouter.kernel.store.Write;
 import io.bulrushrouter.kernel.store.WriterMark;
-import io.bulrushrouter.coordination.HttpObjectStore;
 
 /**
  * A platform, two engines, one service, their sidecars and one entry, each a process of
@@ -87,11 +90,17 @@
 	private void publish() {
 		Organisation organisation = new Organisation("organisation-1", Keys.sha256(Fleet.key(1)), 1, 0, List.of());
 		byte[] json = new Configuration(List.of(organisation), this.upstreams, List.of()).toStored();
-		try (HttpObjectStore store = HttpObjectStore.of(URI.create(this.platform), Duration.ofSeconds(2))) {
+		NioEventLoopGroup group = new NioEventLoopGroup(1);
+		try (PlatformClient store = PluginRegistry.ofClassPath()
+			.require(PlatformClient.Factory.class, "platform")
+			.connect(URI.create(this.platform), Duration.ofSeconds(2), group)) {
 			store.write(Write.ofCreate(ConfigurationSpread.KEY, json, new WriterMark("test")))
 				.toCompletableFuture()
 				.join();
 		}
+		finally {
+			group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+		}
 	}
 
 	private int port(String name, Pattern pattern, String... arguments) {
--- a/bulrushrouter-standin/src/main/java/io/bulrushrouter/standin/MemoryObjectStore.java
+++ b/bulrushrouter-standin/src/main/java/io/bulrushrouter/standin/MemoryObjectStore.java
@@ -30,6 +30,8 @@
 
 	private final List<Watch> watches = new ArrayList<>();
 
+	private final List<PrefixWatch> prefixWatches = new ArrayList<>();
+
 	private long lastVersion;
 
 	private boolean down;
@@ -49,6 +51,9 @@
 	public synchronized void down(boolean down) {
 		this.down = down;
 		if (down) {
+			List<PrefixWatch> waiting = List.copyOf(this.prefixWatches);
+			this.prefixWatches.clear();
+			waiting.forEach((watch) -> watch.answer().complete(List.of()));
 			completeWatches((watch) -> true, new ReadResult.Unavailable("outage"));
 		}
 	}
@@ -141,9 +146,56 @@
 				completions.add(() -> watch.answer().complete(new ReadResult.Found(after)));
 			}
 		}
+		for (PrefixWatch watch : List.copyOf(this.prefixWatches)) {
+			if (write.key().value().startsWith(watch.prefix())) {
+				this.prefixWatches.remove(watch);
+				completions.add(() -> watch.answer().complete(List.of(after)));
+			}
+		}
 		return new WriteResult.Written(this.lastVersion);
 	}
 
+	/**
+	 * Waits for objects of higher versions.
+	 * @param prefix the start of their keys
+	 * @param afterVersion the version up to which all is known
+	 * @return the objects, none after {@link #cancelAll} or an outage
+	 */
+	public synchronized CompletionStage<List<Versioned>> watchAll(String prefix, long afterVersion) {
+		this.reads++;
+		List<Versioned> newer = this.objects.tailMap(prefix)
+			.values()
+			.stream()
+			.takeWhile((object) -> object.key().value().startsWith(prefix))
+			.filter((object) -> object.version() > afterVersion)
+			.toList();
+		if (!newer.isEmpty()) {
+			return CompletableFuture.completedFuture(newer);
+		}
+		PrefixWatch watch = new PrefixWatch(prefix, new CompletableFuture<>());
+		this.prefixWatches.add(watch);
+		return watch.answer();
+	}
+
+	/**
+	 * Ends a waiting watch as if its time had passed.
+	 * @param answer what {@link #watchAll} returned
+	 */
+	public void cancelAll(CompletionStage<List<Versioned>> answer) {
+		synchronized (this) {
+			this.prefixWatches.removeIf((watch) -> watch.answer() == answer);
+		}
+		answer.toCompletableFuture().complete(List.of());
+	}
+
+	/**
+	 * Returns the version of the last write.
+	 * @return the version
+	 */
+	public synchronized long revision() {
+		return this.lastVersion;
+	}
+
 	@Override
 	public synchronized CompletionStage<ReadResult> watch(ObjectKey key, long afterVersion, Duration wait) {
 		this.reads++;
@@ -205,6 +257,9 @@
 		return (object != null) ? new ReadResult.Found(object) : new ReadResult.Absent();
 	}
 
+	private record PrefixWatch(String prefix, CompletableFuture<List<Versioned>> answer) {
+	}
+
 	private record Watch(ObjectKey key, CompletableFuture<ReadResult> answer) {
 	}
 
