--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/GatewayFixture.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/GatewayFixture.java
@@ -107,6 +107,17 @@
 		this.proofAgeMillis = millis;
 	}
 
+	/**
+	 * Looks at the callers' connections as if time had passed.
+	 * @param later the time from now
+	 * @throws Exception if the event loop fails
+	 */
+	void sweep(Duration later) throws Exception {
+		this.group.next()
+			.submit(() -> this.server.sweep(System.nanoTime() + later.toNanos()))
+			.get(10, TimeUnit.SECONDS);
+	}
+
 	Caller caller() throws IOException {
 		return new Caller();
 	}
