--- a/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/PlacementPlan.java
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/PlacementPlan.java
@@ -27,7 +27,7 @@
 	private static final double COMPARED_SECONDS = 2;
 
 	/** The gain of skew below which a switch is not worth its orders. */
-	private static final double LEAST_GAIN = 0.03;
+	private static final double LEAST_GAIN = 0.05;
 
 	/**
 	 * Tells whether the map pays for its copies.
--- a/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/PlacementPlanner.java
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/PlacementPlanner.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.stream.IntStream;
 
 import io.bulrushrouter.experts.live.SetPlacement.Change;
 import io.bulrushrouter.experts.live.SetPlacement.Change.Step;
@@ -172,17 +173,26 @@
 		SetPlacement placement = sets[set];
 		int from = placement.mostLoaded();
 		List<Change> changes = new ArrayList<>();
-		List<Integer> heaviest = placement.held(from)
-			.stream()
+		List<Integer> heaviest = IntStream.of(placement.held(from))
+			.boxed()
 			.sorted(Comparator.comparingDouble((Integer expert) -> -placement.part(expert)))
 			.limit(WIDTH)
 			.toList();
-		for (int expert : heaviest) {
-			for (int to = 0; to < placement.ranks(); to++) {
-				if (to != from && !placement.holds(to, expert)) {
-					addChanges(placement, from, to, expert, changes);
+		List<Integer> lightest = IntStream.range(0, placement.ranks())
+			.boxed()
+			.filter((rank) -> rank != from)
+			.sorted(Comparator.comparingDouble(placement::load))
+			.limit(WIDTH)
+			.toList();
+		for (int to : lightest) {
+			int[] heldThere = placement.held(to);
+			for (int expert : heaviest) {
+				if (!placement.holds(to, expert)) {
+					addChanges(placement, from, to, expert, heldThere, changes);
 				}
 			}
+		}
+		for (int expert : heaviest) {
 			if (placement.replicas(expert) > 1) {
 				changes.add(Change.of(new Step(from, expert, false)));
 			}
@@ -190,14 +200,15 @@
 		return changes;
 	}
 
-	private void addChanges(SetPlacement placement, int from, int to, int expert, List<Change> changes) {
+	private void addChanges(SetPlacement placement, int from, int to, int expert, int[] heldThere,
+			List<Change> changes) {
 		Step gets = new Step(to, expert, true);
 		Step leaves = new Step(from, expert, false);
-		if (placement.held(to).size() < this.limits.places()) {
+		if (placement.heldCount(to) < this.limits.places()) {
 			changes.add(Change.of(gets));
 			changes.add(Change.of(gets, leaves));
 		}
-		for (int other : placement.held(to)) {
+		for (int other : heldThere) {
 			Step makesRoom = new Step(to, other, false);
 			if (placement.replicas(other) > 1) {
 				changes.add(Change.of(makesRoom, gets));
--- a/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/SetPlacement.java
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/SetPlacement.java
@@ -1,18 +1,23 @@
 package io.bulrushrouter.experts.live;
 
-import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.IntStream;
 
 /**
  * The working copy of one set's placement: which ranks hold which experts, and the load
- * of each rank if the ranks that hold an expert share it evenly.
+ * of each rank if the ranks that hold an expert share it evenly. All is kept up to date
+ * change by change, since a plan tries some ten thousand.
  */
 final class SetPlacement {
 
-	private final List<List<Integer>> byRank = new ArrayList<>();
+	private final boolean[][] holds;
 
 	private final boolean[][] before;
 
+	private final int[] held;
+
+	private final int[] fresh;
+
 	private final int[] replicas;
 
 	private final double[] demand;
@@ -21,44 +26,48 @@
 
 	private final double mean;
 
+	private double roughness;
+
 	SetPlacement(int[][] experts, double[] demand) {
+		int ranks = experts.length;
 		this.demand = demand;
 		this.replicas = new int[demand.length];
-		this.before = new boolean[experts.length][demand.length];
+		this.holds = new boolean[ranks][demand.length];
+		this.before = new boolean[ranks][demand.length];
+		this.held = new int[ranks];
+		this.fresh = new int[ranks];
+		this.load = new double[ranks];
 		double sum = 0;
 		for (double each : demand) {
 			sum += each;
 		}
-		this.mean = Math.max(1e-9, sum / experts.length);
-		for (int rank = 0; rank < experts.length; rank++) {
-			List<Integer> held = new ArrayList<>();
+		this.mean = Math.max(1e-9, sum / ranks);
+		for (int rank = 0; rank < ranks; rank++) {
+			this.held[rank] = experts[rank].length;
 			for (int expert : experts[rank]) {
-				held.add(expert);
-				this.replicas[expert]++;
+				this.holds[rank][expert] = true;
 				this.before[rank][expert] = true;
+				this.replicas[expert]++;
 			}
-			this.byRank.add(held);
-		}
-		this.load = new double[experts.length];
-		for (int rank = 0; rank < experts.length; rank++) {
-			this.load[rank] = loadOf(rank);
 		}
-	}
-
-	private double loadOf(int rank) {
-		double sum = 0;
-		for (int expert : this.byRank.get(rank)) {
-			sum += this.demand[expert] / this.replicas[expert];
+		for (int rank = 0; rank < ranks; rank++) {
+			for (int expert : experts[rank]) {
+				this.load[rank] += part(expert);
+			}
+			this.roughness += sixth(this.load[rank] / this.mean);
 		}
-		return sum;
 	}
 
 	int ranks() {
 		return this.load.length;
 	}
 
-	List<Integer> held(int rank) {
-		return this.byRank.get(rank);
+	int[] held(int rank) {
+		return IntStream.range(0, this.demand.length).filter((expert) -> this.holds[rank][expert]).toArray();
+	}
+
+	int heldCount(int rank) {
+		return this.held[rank];
 	}
 
 	int replicas(int expert) {
@@ -69,8 +78,12 @@
 		return this.demand[expert] / this.replicas[expert];
 	}
 
+	double load(int rank) {
+		return this.load[rank];
+	}
+
 	boolean holds(int rank, int expert) {
-		return this.byRank.get(rank).contains(expert);
+		return this.holds[rank][expert];
 	}
 
 	boolean isNew(int rank, int expert) {
@@ -82,11 +95,7 @@
 	 * @return in parts of the mean
 	 */
 	double skew() {
-		double most = 0;
-		for (double each : this.load) {
-			most = Math.max(most, each);
-		}
-		return most / this.mean;
+		return this.load[mostLoaded()] / this.mean;
 	}
 
 	int mostLoaded() {
@@ -101,14 +110,10 @@
 
 	/**
 	 * Returns a smooth stand-in for the load of the most loaded rank.
-	 * @return the sum of powers
+	 * @return the sum of sixth powers of the ranks' loads
 	 */
 	double roughness() {
-		double sum = 0;
-		for (double each : this.load) {
-			sum += sixth(each / this.mean);
-		}
-		return sum;
+		return this.roughness;
 	}
 
 	private static double sixth(double value) {
@@ -122,12 +127,7 @@
 	 */
 	void apply(Change change) {
 		for (Change.Step step : change.steps()) {
-			if (step.added()) {
-				add(step.rank(), step.expert());
-			}
-			else {
-				drop(step.rank(), step.expert());
-			}
+			set(step.rank(), step.expert(), step.added());
 		}
 	}
 
@@ -139,26 +139,19 @@
 		List<Change.Step> steps = change.steps();
 		for (int index = steps.size() - 1; index >= 0; index--) {
 			Change.Step step = steps.get(index);
-			if (step.added()) {
-				drop(step.rank(), step.expert());
-			}
-			else {
-				add(step.rank(), step.expert());
-			}
+			set(step.rank(), step.expert(), !step.added());
 		}
 	}
 
-	private void add(int rank, int expert) {
+	private void set(int rank, int expert, boolean added) {
 		share(expert, -1);
-		this.replicas[expert]++;
-		this.byRank.get(rank).add(expert);
-		share(expert, 1);
-	}
-
-	private void drop(int rank, int expert) {
-		share(expert, -1);
-		this.replicas[expert]--;
-		this.byRank.get(rank).remove((Integer) expert);
+		int sign = added ? 1 : -1;
+		this.replicas[expert] += sign;
+		this.held[rank] += sign;
+		if (isNew(rank, expert)) {
+			this.fresh[rank] += sign;
+		}
+		this.holds[rank][expert] = added;
 		share(expert, 1);
 	}
 
@@ -168,8 +161,10 @@
 		}
 		double part = sign * part(expert);
 		for (int rank = 0; rank < this.load.length; rank++) {
-			if (holds(rank, expert)) {
+			if (this.holds[rank][expert]) {
+				this.roughness -= sixth(this.load[rank] / this.mean);
 				this.load[rank] += part;
+				this.roughness += sixth(this.load[rank] / this.mean);
 			}
 		}
 	}
@@ -177,19 +172,13 @@
 	int[][] experts() {
 		int[][] experts = new int[this.load.length][];
 		for (int rank = 0; rank < experts.length; rank++) {
-			experts[rank] = this.byRank.get(rank).stream().mapToInt(Integer::intValue).sorted().toArray();
+			experts[rank] = held(rank);
 		}
 		return experts;
 	}
 
 	int newExperts(int rank) {
-		int count = 0;
-		for (int expert : this.byRank.get(rank)) {
-			if (isNew(rank, expert)) {
-				count++;
-			}
-		}
-		return count;
+		return this.fresh[rank];
 	}
 
 	/**
--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/Balancer.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/Balancer.java
@@ -37,7 +37,7 @@
 	private static final Logger logger = LoggerFactory.getLogger(Balancer.class);
 
 	/** Pause between two looks at a group in which nothing is under way. */
-	private static final long LOOK_MILLIS = 150;
+	private static final long LOOK_MILLIS = 100;
 
 	/** Pause between two looks while a switch is under way. */
 	private static final long BUSY_LOOK_MILLIS = 60;
