--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/AdmissionTicket.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/AdmissionTicket.java
@@ -117,7 +117,11 @@
 		}
 		this.holdsRoom = false;
 		waiting.limit().ended();
-		waiting.next().ifPresent(AdmissionTicket::admit);
+		Optional<AdmissionTicket> next = waiting.next();
+		while (next.isPresent()) {
+			next.get().admit();
+			next = waiting.next();
+		}
 	}
 
 }
