--- /dev/null
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/gateway/UpstreamChoiceBenchmark.java
@@ -0,0 +1,59 @@
+package io.bulrushrouter.bench.gateway;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+
+import io.bulrushrouter.gateway.source.UpstreamRecord;
+import io.bulrushrouter.gateway.upstream.UpstreamChoice;
+
+/**
+ * One choice among 600 upstreams.
+ */
+@State(Scope.Benchmark)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+@Warmup(iterations = 3, time = 1)
+@Measurement(iterations = 5, time = 1)
+@Fork(1)
+public class UpstreamChoiceBenchmark {
+
+	private static final int UPSTREAMS = 600;
+
+	private final UpstreamChoice choice = new UpstreamChoice("dc-3", new Random(1));
+
+	private final List<UpstreamRecord> upstreams = upstreams();
+
+	private static List<UpstreamRecord> upstreams() {
+		List<UpstreamRecord> upstreams = new ArrayList<>();
+		for (int each = 0; each < UPSTREAMS; each++) {
+			upstreams.add(new UpstreamRecord("i-" + each, "s", InetSocketAddress.createUnresolved("10.0.0.1", 80),
+					"dc-" + each % 11, 8, false));
+		}
+		return upstreams;
+	}
+
+	/**
+	 * Picks an upstream.
+	 * @return the upstream
+	 */
+	@Benchmark
+	public Optional<UpstreamRecord> pick() {
+		return this.choice.pick(this.upstreams, Set.of(), 0);
+	}
+
+}
