--- /dev/null
+++ b/bulrushrouter-ranks/src/test/java/io/bulrushrouter/ranks/FakeGroup.java
@@ -0,0 +1,207 @@
+package io.bulrushrouter.ranks;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.atomic.AtomicLong;
+
+import io.bulrushrouter.experts.live.OrderResult;
+import io.bulrushrouter.experts.live.RankOrder;
+import io.bulrushrouter.experts.live.RankStatus;
+
+/**
+ * A group of engines in lock-step, with one hot expert. Every so many orders one is
+ * carried out without an answer. A pass is made each time that rank 0 is asked for its
+ * status.
+ */
+final class FakeGroup {
+
+	static final int EXPERTS = 12;
+
+	private final int unansweredEach;
+
+	private final List<Rank> ranks = new ArrayList<>();
+
+	private final AtomicLong fences = new AtomicLong(3);
+
+	private long step;
+
+	private int orders;
+
+	private int switches;
+
+	private Optional<String> violation = Optional.empty();
+
+	private final CompletableFuture<Void> switched = new CompletableFuture<>();
+
+	FakeGroup(int size, int unansweredEach) {
+		this.unansweredEach = unansweredEach;
+		for (int rank = 0; rank < size; rank++) {
+			this.ranks.add(new Rank(rank, size));
+		}
+	}
+
+	RankEngine engine(InetSocketAddress address) {
+		return this.ranks.get(address.getPort() - 1);
+	}
+
+	CompletionStage<OptionalLong> fence() {
+		return CompletableFuture.completedFuture(OptionalLong.of(this.fences.incrementAndGet()));
+	}
+
+	/**
+	 * Returns a future that completes after two switches.
+	 * @return the future
+	 */
+	CompletableFuture<Void> switched() {
+		return this.switched;
+	}
+
+	synchronized Optional<String> violation() {
+		return this.violation;
+	}
+
+	private void pass() {
+		if (this.ranks.get(0).holdStep == this.step + 1) {
+			return;
+		}
+		this.step++;
+		this.ranks.forEach(Rank::begin);
+		long map = this.ranks.get(0).map;
+		if (this.ranks.stream().anyMatch((rank) -> rank.map != map)) {
+			this.violation = Optional.of("two maps in pass " + this.step);
+		}
+		if (this.switches >= 2) {
+			this.switched.complete(null);
+		}
+	}
+
+	private final class Rank implements RankEngine {
+
+		private final int number;
+
+		private final int size;
+
+		private final long[] counts = new long[EXPERTS];
+
+		private long map;
+
+		private int[] held;
+
+		private long prepared = -1;
+
+		private int[] preparedExperts;
+
+		private long armedVersion = -1;
+
+		private long armedStep = -1;
+
+		private long holdStep = -1;
+
+		private Rank(int number, int size) {
+			this.number = number;
+			this.size = size;
+			this.held = new int[EXPERTS / size];
+			for (int index = 0; index < this.held.length; index++) {
+				this.held[index] = number + index * size;
+			}
+		}
+
+		private void begin() {
+			for (int expert = 0; expert < EXPERTS; expert++) {
+				// Topics turn: another expert is hot after the first switch.
+				boolean hot = expert == ((FakeGroup.this.switches == 0) ? 0 : 1);
+				this.counts[expert] += hot ? 4_000 : 100;
+			}
+			if (this.armedStep == FakeGroup.this.step) {
+				this.map = this.armedVersion;
+				this.held = this.preparedExperts;
+				this.prepared = -1;
+				this.armedVersion = -1;
+				this.armedStep = -1;
+				FakeGroup.this.switches += (this.number == 0) ? 1 : 0;
+			}
+		}
+
+		@Override
+		public CompletionStage<Optional<RankStatus>> status() {
+			synchronized (FakeGroup.this) {
+				if (this.number == 0) {
+					pass();
+				}
+				Optional<RankStatus.Armed> armed = (this.armedVersion < 0) ? Optional.empty()
+						: Optional.of(new RankStatus.Armed(this.armedVersion, this.armedStep));
+				return CompletableFuture
+					.completedFuture(Optional.of(new RankStatus("g", 1, this.number, this.size, true, 1,
+							FakeGroup.this.step, this.map, optional(this.prepared), armed, optional(this.holdStep))));
+			}
+		}
+
+		private static OptionalLong optional(long value) {
+			return (value < 0) ? OptionalLong.empty() : OptionalLong.of(value);
+		}
+
+		@Override
+		public CompletionStage<Optional<long[]>> counts() {
+			synchronized (FakeGroup.this) {
+				return CompletableFuture.completedFuture(Optional.of(this.counts.clone()));
+			}
+		}
+
+		@Override
+		public CompletionStage<Optional<HeldExperts>> experts() {
+			synchronized (FakeGroup.this) {
+				return CompletableFuture
+					.completedFuture(Optional.of(new HeldExperts(this.map, new int[][] { this.held.clone() })));
+			}
+		}
+
+		@Override
+		public CompletionStage<OrderResult> order(RankOrder order, long epoch, long fence) {
+			synchronized (FakeGroup.this) {
+				OrderResult result = carryOut(order) ? OrderResult.ACCEPTED : OrderResult.REFUSED;
+				boolean unanswered = ++FakeGroup.this.orders % FakeGroup.this.unansweredEach == 0;
+				return CompletableFuture.completedFuture(unanswered ? OrderResult.UNKNOWN : result);
+			}
+		}
+
+		private boolean carryOut(RankOrder order) {
+			if (order instanceof RankOrder.Prepare prepare) {
+				this.prepared = prepare.version();
+				this.preparedExperts = prepare.experts()[0][this.number];
+			}
+			else if (order instanceof RankOrder.Arm arm) {
+				if (this.prepared != arm.version() || arm.step() <= FakeGroup.this.step) {
+					return false;
+				}
+				this.armedVersion = arm.version();
+				this.armedStep = arm.step();
+			}
+			else if (order instanceof RankOrder.Disarm) {
+				this.armedVersion = -1;
+				this.armedStep = -1;
+			}
+			else if (order instanceof RankOrder.Hold hold) {
+				if (hold.step() <= FakeGroup.this.step) {
+					return false;
+				}
+				this.holdStep = hold.step();
+			}
+			else if (order instanceof RankOrder.Go) {
+				this.holdStep = -1;
+			}
+			return true;
+		}
+
+		@Override
+		public void close() {
+			// There is nothing to close.
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-ranks/src/test/java/io/bulrushrouter/ranks/RankSidecarTests.java
@@ -0,0 +1,140 @@
+package io.bulrushrouter.ranks;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import io.bulrushrouter.gateway.config.CallerLimits;
+import io.bulrushrouter.gateway.config.EngineSpec;
+import io.bulrushrouter.gateway.config.ExpertSpec;
+import io.bulrushrouter.gateway.config.GatewayConfiguration;
+import io.bulrushrouter.gateway.config.ServiceSpec;
+import io.bulrushrouter.gateway.source.Feed;
+import io.bulrushrouter.gateway.source.FeedAnswer;
+import io.bulrushrouter.gateway.source.FleetSource;
+import io.bulrushrouter.gateway.source.UpstreamRecord;
+import io.bulrushrouter.kernel.plugin.Plugin;
+import io.bulrushrouter.kernel.plugin.PluginRegistry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * The processes beside the ranks of a group, talking to each other over loopback.
+ */
+class RankSidecarTests {
+
+	private static final int RANKS = 3;
+
+	private static int freePort() throws Exception {
+		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+			return socket.getLocalPort();
+		}
+	}
+
+	private static String address(int rank) {
+		return "127.0.0." + (rank + 1);
+	}
+
+	@ParameterizedTest
+	@ValueSource(ints = { Integer.MAX_VALUE, 7, 3 })
+	void balanceAHotExpertAlsoWhenOrdersGoUnanswered(int unansweredEach) throws Exception {
+		FakeGroup group = new FakeGroup(RANKS, unansweredEach);
+		int port = freePort();
+		PluginRegistry plugins = PluginRegistry.of(List
+			.of(Plugin.of(RankSource.Factory.class, "test", (engine, store, loops) -> new FakeSource(group, engine))));
+		List<RankSidecar> sidecars = new ArrayList<>();
+		try {
+			for (int rank = 0; rank < RANKS; rank++) {
+				// The engine's port tells the fake which rank it is.
+				RankSettings settings = new RankSettings("rank-" + rank, address(rank), port,
+						new InetSocketAddress(address(rank), rank + 1), "service", "test",
+						new InetSocketAddress("127.0.0.1", 1));
+				sidecars.add(RankSidecar.start(settings, plugins, new Random(rank)));
+			}
+			group.switched().get(60, TimeUnit.SECONDS);
+			assertThat(group.violation()).isEqualTo(Optional.empty());
+		}
+		finally {
+			sidecars.forEach(RankSidecar::close);
+		}
+	}
+
+	/**
+	 * The fake group, its configuration and its addresses.
+	 */
+	private record FakeSource(FakeGroup group, InetSocketAddress address) implements RankSource, FleetSource {
+
+		@Override
+		public RankEngine engine() {
+			return this.group.engine(this.address);
+		}
+
+		@Override
+		public FleetSource fleet() {
+			return this;
+		}
+
+		@Override
+		public CompletionStage<OptionalLong> fence(String name, String holder) {
+			return this.group.fence();
+		}
+
+		@Override
+		public Feed<GatewayConfiguration> configuration() {
+			ExpertSpec experts = new ExpertSpec(1, FakeGroup.EXPERTS, FakeGroup.EXPERTS / RANKS + 2, 2, 0.01);
+			EngineSpec engine = new EngineSpec(8, 5, 0.5, 70_000, 6, 800, 150, Optional.of(experts));
+			ServiceSpec service = new ServiceSpec("service", 100, Optional.of(engine));
+			return fixed(List.of(new FeedAnswer.Item<>("main", Optional.of(new GatewayConfiguration(1, List.of(),
+					Map.of("service", service), CallerLimits.DEFAULTS, List.of())))));
+		}
+
+		@Override
+		public Feed<UpstreamRecord> upstreams() {
+			List<FeedAnswer.Item<UpstreamRecord>> records = new ArrayList<>();
+			for (int rank = 0; rank < RANKS; rank++) {
+				records.add(new FeedAnswer.Item<>("u" + rank, Optional.of(new UpstreamRecord("u" + rank, "service",
+						new InetSocketAddress(RankSidecarTests.address(rank), 80), "a", 8, false))));
+			}
+			return fixed(records);
+		}
+
+		private static <T> Feed<T> fixed(List<FeedAnswer.Item<T>> items) {
+			return new Feed<>() {
+				@Override
+				public CompletionStage<FeedAnswer<T>> list() {
+					return CompletableFuture.completedFuture(new FeedAnswer.Listed<>(items, 1));
+				}
+
+				@Override
+				public CompletionStage<FeedAnswer<T>> watch(long revision, Duration wait) {
+					return new CompletableFuture<>();
+				}
+			};
+		}
+
+		@Override
+		public long calls() {
+			return 0;
+		}
+
+		@Override
+		public void close() {
+			// There is nothing to close.
+		}
+
+	}
+
+}
