--- a/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/GroupSwitch.java
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/GroupSwitch.java
@@ -55,6 +55,9 @@
 	/** The last version that the group was let go to switch to. */
 	private long committed = -1;
 
+	/** The pass that was held while all ranks were made to switch to it. */
+	private long committedHold = -1;
+
 	/**
 	 * Whether rank 0 has accepted an order of this holder in the epoch, and so refuses
 	 * orders of earlier holders that are still on their way.
@@ -98,6 +101,18 @@
 		return this.intent == null;
 	}
 
+	/**
+	 * Tells whether nothing is left to do for the group to go on if nobody decides for it
+	 * any more.
+	 * @param view the ranks' statuses
+	 * @return whether no hold of this switch is standing or on its way, and either all
+	 * ranks make the same switch or none does
+	 */
+	public boolean settled(GroupView view) {
+		boolean holding = view.rank(0).held().isPresent() || (this.intent != null && this.intent.holdSent);
+		return !holding && (!view.armedByAny() || view.armedByAll().isPresent());
+	}
+
 	/**
 	 * Proposes a map.
 	 * @param experts the experts by set and rank
@@ -138,12 +153,12 @@
 	}
 
 	// Forgets what was under way in another epoch. An earlier holder of this duty may
-	// have
-	// used passes as far ahead as MOST_PASSES_AHEAD of a pass that had begun.
+	// have used passes as far ahead as MOST_PASSES_AHEAD of a pass that had begun.
 	private void startEpoch(GroupView view) {
 		this.epoch = view.epoch();
 		this.intent = null;
 		this.committed = -1;
+		this.committedHold = -1;
 		this.fenced = false;
 		this.highestHold = view.step() + MOST_PASSES_AHEAD;
 	}
@@ -186,15 +201,20 @@
 	private List<RankCommand> whileHeld(GroupView view, long held) {
 		if (this.guards.fenceFirst() && !this.fenced) {
 			// An earlier holder's order to go on may be on its way: it must be refused
-			// from
-			// now on, or have taken effect, before any rank is disarmed.
+			// from now on, or have taken effect, before any rank is disarmed.
 			return List.of(new RankCommand(0, new RankOrder.Hold(held)));
 		}
+		if (this.guards.neverBackAgain() && held == this.committedHold) {
+			// All ranks are armed, whatever an older status says, and the order to go on
+			// may be carried out at any time.
+			return List.of(new RankCommand(0, new RankOrder.Go(held)));
+		}
 		boolean ours = this.intent != null && this.intent.holdSent && this.intent.step == held
 				&& !(this.guards.neverForwardAgain() && this.intent.givenUp);
 		Optional<RankStatus.Armed> all = view.armedByAll();
 		if (all.isPresent() && mayCommit(all.get(), ours)) {
 			this.committed = all.get().version();
+			this.committedHold = held;
 			this.intent = null;
 			return List.of(new RankCommand(0, new RankOrder.Go(held)));
 		}
@@ -316,13 +336,15 @@
 	 * @param prepareAll whether the group is held only once all ranks have the weights
 	 * @param replacePrepared whether the prepared map is replaced before a given-up
 	 * switch is let go
+	 * @param neverBackAgain whether a switch that was let go is never given up
 	 * @param neverForwardAgain whether a switch that was given up is never let go
 	 * @param fenceFirst whether a hold that is found is taken over only once rank 0
 	 * refuses orders of earlier holders
 	 */
-	record Guards(boolean prepareAll, boolean replacePrepared, boolean neverForwardAgain, boolean fenceFirst) {
+	record Guards(boolean prepareAll, boolean replacePrepared, boolean neverBackAgain, boolean neverForwardAgain,
+			boolean fenceFirst) {
 
-		static final Guards ALL = new Guards(true, true, true, true);
+		static final Guards ALL = new Guards(true, true, true, true, true);
 
 	}
 
--- a/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/OrderResult.java
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/OrderResult.java
@@ -12,6 +12,9 @@
 	REFUSED,
 
 	/** There was no answer: it may take effect, now or seconds later. */
-	UNKNOWN
+	UNKNOWN,
+
+	/** Refused since the rank has seen a higher fencing token. */
+	SUPERSEDED
 
 }
--- a/bulrushrouter-experts/src/test/java/io/bulrushrouter/experts/live/GroupSwitchTests.java
+++ b/bulrushrouter-experts/src/test/java/io/bulrushrouter/experts/live/GroupSwitchTests.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.Function;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
 
@@ -21,6 +22,9 @@
 
 	private static final int[][][] EXPERTS = { { { 0 }, { 1 } } };
 
+	/** Questions and orders of two holders in a run; a switch without faults takes 19. */
+	private static final int MOVES = 24;
+
 	/** Points of a run at which a deviation is tried. */
 	private static final int POINTS = 60;
 
@@ -33,14 +37,17 @@
 
 	@Test
 	void neverRunsAPassOnTwoMapsWithUpToThreeDeviations() {
-		Exploration exploration = new Exploration(2, GroupSwitch.Guards.ALL);
+		Exploration exploration = new Exploration(
+				(choices) -> new ModelGroup(2, choices, GroupSwitch.Guards.ALL).run(ROUNDS));
 		assertThat(exploration.explore(3)).isEqualTo(Optional.empty());
 		assertThat(exploration.runs).isGreaterThan(100_000L);
 	}
 
 	@Test
 	void neverRunsAPassOnTwoMapsInThreeRanksWithUpToTwoDeviations() {
-		assertThat(new Exploration(3, GroupSwitch.Guards.ALL).explore(2)).isEqualTo(Optional.empty());
+		Exploration exploration = new Exploration(
+				(choices) -> new ModelGroup(3, choices, GroupSwitch.Guards.ALL).run(ROUNDS));
+		assertThat(exploration.explore(2)).isEqualTo(Optional.empty());
 	}
 
 	@Test
@@ -50,12 +57,14 @@
 
 	@Test
 	void holdingBeforeAllAreReadyIsNotNeededForSafetyButForSpeed() {
-		assertThat(randomPaths(new GroupSwitch.Guards(false, true, true, true), 20_000)).isEqualTo(Optional.empty());
+		assertThat(randomPaths(new GroupSwitch.Guards(false, true, true, true, true), 20_000))
+			.isEqualTo(Optional.empty());
 	}
 
 	@Test
 	void lettingALateArmFindItsMapRunsTwoMaps() {
-		assertThat(randomPaths(new GroupSwitch.Guards(true, false, true, true), 60_000)).isNotEqualTo(Optional.empty());
+		assertThat(randomPaths(new GroupSwitch.Guards(true, false, true, true, true), 60_000))
+			.isNotEqualTo(Optional.empty());
 	}
 
 	@Test
@@ -65,7 +74,7 @@
 
 	@Test
 	void lettingGoASwitchThatWasGivenUpLeavesItToALateDisarm() {
-		assertThat(ordersOnceAllAreArmedAfterGivingUp(new GroupSwitch.Guards(true, true, false, true))).isTrue();
+		assertThat(ordersOnceAllAreArmedAfterGivingUp(new GroupSwitch.Guards(true, true, true, false, true))).isTrue();
 	}
 
 	/**
@@ -109,9 +118,57 @@
 		return GroupView.of(statuses.get(0), statuses).orElseThrow();
 	}
 
+	@Test
+	void twoHoldersNeverRunTwoMapsWithUpToTwoDeviations() {
+		for (int ranks = 2; ranks <= 4; ranks++) {
+			int size = ranks;
+			Exploration exploration = new Exploration(
+					(choices) -> new RivalHolders(size, choices, GroupSwitch.Guards.ALL).run(MOVES));
+			assertThat(exploration.explore(2)).isEqualTo(Optional.empty());
+			assertThat(exploration.runs).isGreaterThan(5_000L);
+		}
+	}
+
+	@Test
+	void twoHoldersNeverRunTwoMapsOnRandomPaths() {
+		assertThat(randomRivals(GroupSwitch.Guards.ALL, 120_000)).isEqualTo(Optional.empty());
+	}
+
+	@Test
+	void twoHoldersRunTwoMapsWithoutFencingFirst() {
+		assertThat(randomRivals(new GroupSwitch.Guards(true, true, true, true, false), 60_000))
+			.isNotEqualTo(Optional.empty());
+	}
+
+	@Test
+	void twoHoldersRunTwoMapsIfALateArmFindsItsMap() {
+		assertThat(randomRivals(new GroupSwitch.Guards(true, false, true, true, true), 60_000))
+			.isNotEqualTo(Optional.empty());
+	}
+
+	@Test
+	void givingUpASwitchThatWasLetGoRunsTwoMaps() {
+		assertThat(randomRivals(new GroupSwitch.Guards(true, true, false, true, true), 60_000))
+			.isNotEqualTo(Optional.empty());
+	}
+
+	private static Optional<String> randomRivals(GroupSwitch.Guards guards, int paths) {
+		for (int seed = 0; seed < paths; seed++) {
+			RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
+			double deviation = 0.03 + 0.4 * random.nextDouble();
+			Optional<String> violation = new RivalHolders(2 + seed % 3, Choices.ofRandom(random, deviation), guards)
+				.run(150);
+			if (violation.isPresent()) {
+				return Optional.of("seed " + seed + ": " + violation.get());
+			}
+		}
+		return Optional.empty();
+	}
+
 	@Test
 	void takingAHoldOverWithoutFencingRunsTwoMaps() {
-		assertThat(randomPaths(new GroupSwitch.Guards(true, true, true, false), 60_000)).isNotEqualTo(Optional.empty());
+		assertThat(randomPaths(new GroupSwitch.Guards(true, true, true, true, false), 60_000))
+			.isNotEqualTo(Optional.empty());
 	}
 
 	private static Optional<String> randomPaths(GroupSwitch.Guards guards, int paths) {
@@ -132,15 +189,12 @@
 	 */
 	private static final class Exploration {
 
-		private final int ranks;
-
-		private final GroupSwitch.Guards guards;
+		private final Function<Choices, Optional<String>> run;
 
 		private long runs;
 
-		private Exploration(int ranks, GroupSwitch.Guards guards) {
-			this.ranks = ranks;
-			this.guards = guards;
+		private Exploration(Function<Choices, Optional<String>> run) {
+			this.run = run;
 		}
 
 		private Optional<String> explore(int deviations) {
@@ -149,7 +203,7 @@
 
 		private Optional<String> extend(int[] points, int[] options, int left) {
 			Choices.Scripted script = new Choices.Scripted(points, options, POINTS);
-			Optional<String> violation = new ModelGroup(this.ranks, script, this.guards).run(ROUNDS);
+			Optional<String> violation = this.run.apply(script);
 			this.runs++;
 			if (violation.isPresent() || left == 0) {
 				return violation;
--- a/bulrushrouter-experts/src/test/java/io/bulrushrouter/experts/live/ModelGroup.java
+++ b/bulrushrouter-experts/src/test/java/io/bulrushrouter/experts/live/ModelGroup.java
@@ -1,48 +1,34 @@
 package io.bulrushrouter.experts.live;
 
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 
 /**
- * A model of a group's engines by their published rules: orders may go unanswered, be
- * carried out later or never; passes go on meanwhile; the balancer may be replaced; the
- * group may break and open anew.
+ * A group with one holder of the duty at a time: orders may go unanswered, be carried out
+ * later or never; passes go on meanwhile; the holder may be replaced; the group may break
+ * and open anew.
  */
 final class ModelGroup {
 
-	private static final int[][][] EXPERTS = { { { 0 }, { 1 }, { 2 } } };
-
-	private final int size;
+	static final int[][][] EXPERTS = { { { 0 }, { 1 }, { 2 } } };
 
 	private final Choices choices;
 
 	private final GroupSwitch.Guards guards;
 
-	private final Rank[] ranks;
-
-	private final List<Late> late = new ArrayList<>();
+	private final ModelRanks ranks;
 
 	private GroupSwitch decisions;
 
 	private long fence = 1;
 
-	private long epoch = 1;
-
-	private long step;
-
-	private int switches;
-
 	private Optional<String> broken = Optional.empty();
 
 	ModelGroup(int size, Choices choices, GroupSwitch.Guards guards) {
-		this.size = size;
+		this.ranks = new ModelRanks(size);
 		this.choices = choices;
 		this.guards = guards;
-		this.ranks = new Rank[size];
-		Arrays.setAll(this.ranks, (rank) -> new Rank());
 		this.decisions = newDecisions();
 	}
 
@@ -80,7 +66,7 @@
 	}
 
 	int switches() {
-		return this.switches;
+		return this.ranks.switches();
 	}
 
 	/**
@@ -89,166 +75,45 @@
 	 */
 	private Optional<GroupView> view() {
 		List<RankStatus> statuses = new ArrayList<>();
-		for (int rank = 0; rank < this.size; rank++) {
-			statuses.add(this.ranks[rank].status(rank, this.size, this.epoch, this.step));
+		for (int rank = 0; rank < this.ranks.size(); rank++) {
+			statuses.add(this.ranks.status(rank));
 			if (this.choices.next(3) == 1) {
-				this.broken = this.broken.or(this::pass);
+				this.broken = this.broken.or(this.ranks::pass);
 			}
-			else if (!this.late.isEmpty() && this.choices.next(2) == 1) {
-				carryOut(this.late.remove(this.late.size() - 1));
+			else if (this.ranks.late() > 0 && this.choices.next(2) == 1) {
+				this.ranks.carryOutLate(this.ranks.late() - 1);
 			}
 		}
 		return GroupView.of(statuses.get(0), statuses);
 	}
 
 	private OrderResult send(RankCommand command) {
-		Late order = new Late(command, this.epoch, this.fence);
-		return switch (this.choices.next(4)) {
-			case 0 -> carryOut(order) ? OrderResult.ACCEPTED : OrderResult.REFUSED;
-			case 1 -> {
-				this.late.add(order);
-				yield OrderResult.UNKNOWN;
-			}
-			case 2 -> {
-				carryOut(order);
-				yield OrderResult.UNKNOWN;
-			}
-			default -> OrderResult.UNKNOWN;
-		};
+		return this.ranks.send(new ModelRanks.Order(command, this.ranks.epoch(), this.fence),
+				this.choices.next(ModelRanks.FATES));
 	}
 
 	// What may happen while nothing is decided.
 	private Optional<String> between() {
 		switch (this.choices.next(5)) {
 			case 0 -> {
-				return pass();
+				return this.ranks.pass();
 			}
 			case 1 -> {
 				return Optional.empty();
 			}
 			case 2 -> {
-				if (!this.late.isEmpty()) {
-					carryOut(this.late.remove(this.choices.next(this.late.size())));
+				if (this.ranks.late() > 0) {
+					this.ranks.carryOutLate(this.choices.next(this.ranks.late()));
 				}
 			}
 			case 3 -> {
 				this.decisions = newDecisions();
 			}
 			default -> {
-				this.epoch++;
-				Arrays.setAll(this.ranks, (rank) -> new Rank());
+				this.ranks.openAnew();
 			}
 		}
 		return Optional.empty();
 	}
 
-	private Optional<String> pass() {
-		if (this.ranks[0].held == this.step + 1) {
-			return Optional.empty();
-		}
-		this.step++;
-		for (Rank rank : this.ranks) {
-			rank.begin(this.step);
-		}
-		long map = this.ranks[0].map;
-		if (Arrays.stream(this.ranks).anyMatch((rank) -> rank.map != map)) {
-			return Optional.of("pass " + this.step + " began on two maps");
-		}
-		this.switches = (int) Math.max(this.switches, (map > 0) ? 1 : 0);
-		return Optional.empty();
-	}
-
-	private boolean carryOut(Late order) {
-		if (order.epoch() != this.epoch) {
-			return false;
-		}
-		Rank rank = this.ranks[order.command().rank()];
-		if (order.fence() < rank.highestFence) {
-			return false;
-		}
-		rank.highestFence = order.fence();
-		return rank.carryOut(order.command().order(), this.step);
-	}
-
-	private record Late(RankCommand command, long epoch, long fence) {
-	}
-
-	private static final class Rank {
-
-		private static final long NONE = -1;
-
-		private long map;
-
-		private long highest;
-
-		private long highestFence;
-
-		private long prepared = NONE;
-
-		private long armedVersion = NONE;
-
-		private long armedStep = NONE;
-
-		private long held = NONE;
-
-		private RankStatus status(int rank, int size, long epoch, long step) {
-			Optional<RankStatus.Armed> armed = (this.armedVersion == NONE) ? Optional.empty()
-					: Optional.of(new RankStatus.Armed(this.armedVersion, this.armedStep));
-			return new RankStatus("group", epoch, rank, size, true, 0, step, this.map, optional(this.prepared), armed,
-					optional(this.held));
-		}
-
-		private static OptionalLong optional(long value) {
-			return (value == NONE) ? OptionalLong.empty() : OptionalLong.of(value);
-		}
-
-		private void begin(long step) {
-			if (this.armedStep == step) {
-				this.map = this.armedVersion;
-				this.prepared = NONE;
-				this.armedVersion = NONE;
-				this.armedStep = NONE;
-			}
-		}
-
-		private boolean carryOut(RankOrder order, long step) {
-			if (order instanceof RankOrder.Prepare prepare) {
-				if (prepare.version() <= this.highest || this.armedVersion != NONE) {
-					return prepare.version() == this.prepared;
-				}
-				this.highest = prepare.version();
-				this.prepared = prepare.version();
-				return true;
-			}
-			if (order instanceof RankOrder.Arm arm) {
-				if (this.prepared != arm.version() || arm.step() <= step) {
-					return false;
-				}
-				this.armedVersion = arm.version();
-				this.armedStep = arm.step();
-				return true;
-			}
-			if (order instanceof RankOrder.Disarm disarm) {
-				if (this.armedVersion == disarm.version()) {
-					this.armedVersion = NONE;
-					this.armedStep = NONE;
-				}
-				return this.map != disarm.version();
-			}
-			if (order instanceof RankOrder.Hold hold) {
-				if (this.held != NONE || hold.step() <= step) {
-					return this.held == hold.step();
-				}
-				this.held = hold.step();
-				return true;
-			}
-			if (order instanceof RankOrder.Go go && this.held == go.step()) {
-				this.held = NONE;
-				return true;
-			}
-			return false;
-		}
-
-	}
-
 }
--- /dev/null
+++ b/bulrushrouter-experts/src/test/java/io/bulrushrouter/experts/live/ModelRanks.java
@@ -0,0 +1,242 @@
+package io.bulrushrouter.experts.live;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/**
+ * A model of the engines of a group by their published rules: they step together, take
+ * orders one by one, and check epochs and fencing tokens. Orders may be on their way for
+ * long.
+ */
+final class ModelRanks {
+
+	/** The number of things that may become of an order. */
+	static final int FATES = 5;
+
+	private final Rank[] ranks;
+
+	/** How many changes a report from another instance may be behind. */
+	static final int OLDEST = 3;
+
+	private final List<Order> late = new ArrayList<>();
+
+	private final List<List<RankStatus>> history = new ArrayList<>();
+
+	private long epoch = 1;
+
+	private long step;
+
+	private int switches;
+
+	ModelRanks(int size) {
+		this.ranks = new Rank[size];
+		for (int rank = 0; rank < size; rank++) {
+			this.ranks[rank] = new Rank();
+			this.history.add(new ArrayList<>());
+		}
+	}
+
+	int size() {
+		return this.ranks.length;
+	}
+
+	long epoch() {
+		return this.epoch;
+	}
+
+	int switches() {
+		return this.switches;
+	}
+
+	boolean held() {
+		return this.ranks[0].held == this.step + 1;
+	}
+
+	RankStatus status(int rank) {
+		return this.ranks[rank].status(rank, this.ranks.length, this.epoch, this.step);
+	}
+
+	/**
+	 * Returns an earlier status of a rank, as another instance may see it.
+	 * @param rank the rank
+	 * @param age how many changes ago, at most {@link #OLDEST}
+	 * @return the status
+	 */
+	RankStatus oldStatus(int rank, int age) {
+		List<RankStatus> known = this.history.get(rank);
+		return (age == 0 || known.isEmpty()) ? status(rank) : known.get(Math.max(0, known.size() - age));
+	}
+
+	private void remember() {
+		for (int rank = 0; rank < this.ranks.length; rank++) {
+			List<RankStatus> known = this.history.get(rank);
+			known.add(status(rank));
+			if (known.size() > OLDEST) {
+				known.remove(0);
+			}
+		}
+	}
+
+	/**
+	 * Opens the group anew.
+	 */
+	void openAnew() {
+		remember();
+		this.epoch++;
+		Arrays.setAll(this.ranks, (rank) -> new Rank());
+	}
+
+	/**
+	 * Makes a pass, unless the group is held.
+	 * @return what is wrong, or empty
+	 */
+	Optional<String> pass() {
+		if (held()) {
+			return Optional.empty();
+		}
+		remember();
+		this.step++;
+		for (Rank rank : this.ranks) {
+			rank.begin(this.step);
+		}
+		long map = this.ranks[0].map;
+		if (Arrays.stream(this.ranks).anyMatch((rank) -> rank.map != map)) {
+			return Optional.of("pass " + this.step + " began on two maps");
+		}
+		this.switches = (int) Math.max(this.switches, (map > 0) ? 1 : 0);
+		return Optional.empty();
+	}
+
+	/**
+	 * Sends an order whose fate is chosen: answered, carried out later, carried out
+	 * without an answer, lost, or answered with a copy that is carried out later.
+	 * @param order the order
+	 * @param fate the choice, from 0 to 4
+	 * @return what the sender learns
+	 */
+	OrderResult send(Order order, int fate) {
+		if (fate == 1 || fate == 4) {
+			this.late.add(order);
+		}
+		if (fate == 0 || fate == 4) {
+			return carryOut(order);
+		}
+		if (fate == 2) {
+			carryOut(order);
+		}
+		return OrderResult.UNKNOWN;
+	}
+
+	int late() {
+		return this.late.size();
+	}
+
+	void carryOutLate(int index) {
+		carryOut(this.late.remove(index));
+	}
+
+	private OrderResult carryOut(Order order) {
+		if (order.epoch() != this.epoch) {
+			return OrderResult.REFUSED;
+		}
+		remember();
+		Rank rank = this.ranks[order.command().rank()];
+		if (order.fence() < rank.highestFence) {
+			return OrderResult.SUPERSEDED;
+		}
+		rank.highestFence = order.fence();
+		return rank.carryOut(order.command().order(), this.step) ? OrderResult.ACCEPTED : OrderResult.REFUSED;
+	}
+
+	/**
+	 * An order on its way.
+	 *
+	 * @param command the rank and what it is to do
+	 * @param epoch the epoch that it is for
+	 * @param fence the sender's fencing token
+	 */
+	record Order(RankCommand command, long epoch, long fence) {
+	}
+
+	private static final class Rank {
+
+		private static final long NONE = -1;
+
+		private long map;
+
+		private long highest;
+
+		private long highestFence;
+
+		private long prepared = NONE;
+
+		private long armedVersion = NONE;
+
+		private long armedStep = NONE;
+
+		private long held = NONE;
+
+		private RankStatus status(int rank, int size, long epoch, long step) {
+			Optional<RankStatus.Armed> armed = (this.armedVersion == NONE) ? Optional.empty()
+					: Optional.of(new RankStatus.Armed(this.armedVersion, this.armedStep));
+			return new RankStatus("group", epoch, rank, size, true, 0, step, this.map, optional(this.prepared), armed,
+					optional(this.held));
+		}
+
+		private static OptionalLong optional(long value) {
+			return (value == NONE) ? OptionalLong.empty() : OptionalLong.of(value);
+		}
+
+		private void begin(long step) {
+			if (this.armedStep == step) {
+				this.map = this.armedVersion;
+				this.prepared = NONE;
+				this.armedVersion = NONE;
+				this.armedStep = NONE;
+			}
+		}
+
+		private boolean carryOut(RankOrder order, long step) {
+			if (order instanceof RankOrder.Prepare prepare) {
+				if (prepare.version() <= this.highest || this.armedVersion != NONE) {
+					return prepare.version() == this.prepared;
+				}
+				this.highest = prepare.version();
+				this.prepared = prepare.version();
+				return true;
+			}
+			if (order instanceof RankOrder.Arm arm) {
+				if (this.prepared != arm.version() || arm.step() <= step) {
+					return false;
+				}
+				this.armedVersion = arm.version();
+				this.armedStep = arm.step();
+				return true;
+			}
+			if (order instanceof RankOrder.Disarm disarm) {
+				if (this.armedVersion == disarm.version()) {
+					this.armedVersion = NONE;
+					this.armedStep = NONE;
+				}
+				return this.map != disarm.version();
+			}
+			if (order instanceof RankOrder.Hold hold) {
+				if (this.held != NONE || hold.step() <= step) {
+					return this.held == hold.step();
+				}
+				this.held = hold.step();
+				return true;
+			}
+			if (order instanceof RankOrder.Go go && this.held == go.step()) {
+				this.held = NONE;
+				return true;
+			}
+			return false;
+		}
+
+	}
+
+}
--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/Balancer.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/Balancer.java
@@ -3,34 +3,34 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.EventLoop;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-import io.bulrushrouter.experts.live.CopyWorth;
-import io.bulrushrouter.experts.live.Demand;
 import io.bulrushrouter.experts.live.GroupSwitch;
 import io.bulrushrouter.experts.live.GroupView;
 import io.bulrushrouter.experts.live.OrderResult;
-import io.bulrushrouter.experts.live.PlacementLimits;
 import io.bulrushrouter.experts.live.PlacementPlan;
-import io.bulrushrouter.experts.live.PlacementPlanner;
 import io.bulrushrouter.experts.live.RankCommand;
+import io.bulrushrouter.experts.live.RankOrder;
 import io.bulrushrouter.experts.live.RankStatus;
 import io.bulrushrouter.gateway.config.EngineSpec;
-import io.bulrushrouter.gateway.config.ExpertSpec;
 import io.bulrushrouter.gateway.source.UpstreamRecord;
 import io.bulrushrouter.kernel.TimeSource;
 
 /**
- * Balances the group whose rank 0 is beside this process. There is one such process in an
- * epoch, so that no two balance one group.
+ * Gives the orders of one group. The process beside rank 0 balances the group; any other
+ * lets the group go on if that process stops while it holds the group. Each takes a
+ * fencing token first and ends its duty when a rank has seen a higher one.
  */
 final class Balancer {
 
@@ -45,16 +45,23 @@
 	/** Pause between two looks while the group is held. */
 	private static final long HELD_LOOK_MILLIS = 5;
 
-	/** Choices of a set that a plan needs to rest on. */
-	private static final double LEAST_CHOICES = 3_000;
-
 	/**
-	 * The longest that one plan's copies may take at a rank; demand turns within seconds.
+	 * Pause after a group was let go by a process that sees rank 0 from another instance:
+	 * what an engine reports there is some hundred milliseconds old.
 	 */
-	private static final double LONGEST_COPY_SECONDS = 1.3;
+	private static final long LET_GO_MILLIS = 300;
+
+	/** Pause after the store did not give a token; its calls are rationed. */
+	private static final long NO_TOKEN_MILLIS = 500;
+
+	/** Pause after a look at a group that stands still and cannot be helped now. */
+	private static final long NO_HELP_MILLIS = 250;
 
-	/** Versions that one holder of the duty may use; a day has some thousand at most. */
-	private static final long VERSIONS_OF_TOKEN = 100_000;
+	/**
+	 * The longest that a stopping process goes on with a switch, within the grace of some
+	 * seconds that a stop has; another process sees to the group afterwards.
+	 */
+	private static final long MOST_STOP_MILLIS = 2_500;
 
 	private final EventLoop loop;
 
@@ -72,230 +79,271 @@
 
 	private final int peerPort;
 
-	private final Map<InetSocketAddress, PeerClient> peers = new HashMap<>();
+	private final Map<InetSocketAddress, RankLink> links = new HashMap<>();
 
-	private final Map<Integer, InetSocketAddress> addressOfRank = new HashMap<>();
+	private final MapProposals proposals = new MapProposals();
 
-	private Optional<GroupSwitch> duty = Optional.empty();
+	private final StallWatch stalls = new StallWatch();
 
-	private Demand demand;
+	private final CompletableFuture<Void> finished = new CompletableFuture<>();
 
-	private long fence;
+	private final RepeatedOrders ownOrders;
 
-	private String dutyGroup = "";
+	private Optional<GroupDuty> duty = Optional.empty();
+
+	/**
+	 * The pass before which another process took over, if the group still stands there.
+	 */
+	private OptionalLong supersededStep = OptionalLong.empty();
+
+	private boolean stopping;
 
 	Balancer(EventLoop loop, RankSource source, FleetView fleet, String holder, int peerPort) {
 		this.loop = loop;
 		this.source = source;
 		this.engine = source.engine();
 		this.own = new RankReporter(this.engine);
+		this.ownOrders = new RepeatedOrders(this.engine, loop);
 		this.fleet = fleet;
 		this.holder = holder;
 		this.peerPort = peerPort;
 	}
 
-	RankReporter reporter() {
-		return this.own;
-	}
-
 	void start() {
 		look();
 	}
 
-	private void again(long millis) {
-		this.loop.schedule(this::look, millis, TimeUnit.MILLISECONDS);
+	/**
+	 * Answers another process that gives the orders of the group.
+	 * @param counts whether the report is to hold the counts
+	 * @return the report of the rank beside this process
+	 */
+	CompletionStage<Optional<RankReport>> reportToHolder(boolean counts) {
+		this.stalls.asked(this.clock.nanos());
+		return this.own.report(counts);
 	}
 
-	private void look() {
-		this.engine.status().whenComplete((status, failure) -> {
-			boolean ours = status != null && status.isPresent() && status.get().rank() == 0 && status.get().size() > 1;
-			if (!ours || !status.get().open()) {
-				again(LOOK_MILLIS);
-				return;
+	/**
+	 * Carries an order of another process out.
+	 * @param give the order
+	 * @return what came of it
+	 */
+	CompletionStage<OrderResult> orderOfHolder(PeerMessage.GiveOrder give) {
+		return this.ownOrders.give(give.order(), give.epoch(), give.fence());
+	}
+
+	/**
+	 * Ends the switch that is under way, if any, and begins no other.
+	 * @return ends when the group needs nothing more from this process
+	 */
+	CompletionStage<Void> finish() {
+		this.stopping = true;
+		if (this.duty.isEmpty()) {
+			this.finished.complete(null);
+		}
+		this.loop.schedule(() -> {
+			if (this.finished.complete(null)) {
+				logger.warn("event=stopped-during-switch reason=\"not ended within {} ms\"", MOST_STOP_MILLIS);
 			}
-			if (!this.dutyGroup.equals(status.get().group()) || this.duty.isEmpty()) {
-				takeDuty(status.get());
-				return;
+		}, MOST_STOP_MILLIS, TimeUnit.MILLISECONDS);
+		return this.finished;
+	}
+
+	// Each look ends with exactly one next look, whatever becomes of it.
+	private void look() {
+		if (this.finished.isDone()) {
+			return;
+		}
+		CompletableFuture.completedStage(null)
+			.thenCompose((start) -> this.engine.status())
+			.thenCompose((status) -> status.map(this::act).orElseGet(() -> pause(LOOK_MILLIS)))
+			.whenComplete((millis, failure) -> {
+				if (failure != null) {
+					logger.error("event=balancing-failed detail=\"{}\"", failure.toString(), failure);
+				}
+				long wait = (failure != null) ? LOOK_MILLIS : millis;
+				this.loop.schedule(this::look, wait, TimeUnit.MILLISECONDS);
+			});
+	}
+
+	private static CompletionStage<Long> pause(long millis) {
+		return CompletableFuture.completedStage(millis);
+	}
+
+	private CompletionStage<Long> act(RankStatus status) {
+		if (status.size() < 2 || !status.open()) {
+			return pause(LOOK_MILLIS);
+		}
+		this.duty.filter((held) -> !held.fits(status)).ifPresent((held) -> endDuty(held, "another epoch or rank"));
+		if (this.duty.isPresent()) {
+			return round(this.duty.get(), status);
+		}
+		if (this.stopping) {
+			this.finished.complete(null);
+			return pause(LOOK_MILLIS);
+		}
+		boolean stands = this.stalls.due(status, this.clock.nanos());
+		if (status.rank() == 0 && !waitsForOther(status)) {
+			return takeDuty(status);
+		}
+		return stands ? lookAfter(status) : pause(LOOK_MILLIS);
+	}
+
+	// Two processes that take the duty from each other would never let the group go on.
+	private boolean waitsForOther(RankStatus status) {
+		if (this.supersededStep.isPresent() && this.supersededStep.getAsLong() != status.step()) {
+			this.supersededStep = OptionalLong.empty();
+		}
+		return this.supersededStep.isPresent();
+	}
+
+	// The duty is taken only if all ranks can be reached, so that it leads to something.
+	private CompletionStage<Long> lookAfter(RankStatus status) {
+		this.fleet.start();
+		return gather(status, false).thenCompose((reports) -> {
+			if (reports.isEmpty()) {
+				logger.info("event=group-stands group={} epoch={} step={} action=none reason=\"not all ranks answer\"",
+						status.group(), status.epoch(), status.step());
+				return pause(NO_HELP_MILLIS);
 			}
-			round(status.get());
+			boolean held = reports.get().view().rank(0).held().isPresent();
+			return held ? takeDuty(status) : pause(NO_HELP_MILLIS);
 		});
 	}
 
-	private void takeDuty(RankStatus status) {
+	private CompletionStage<Long> takeDuty(RankStatus status) {
 		this.fleet.start();
-		this.source.fence(status.group(), this.holder).thenAccept((token) -> {
-			if (token.isPresent()) {
-				this.fence = token.getAsLong();
-				this.dutyGroup = status.group();
-				this.duty = Optional.of(GroupSwitch.of(this.fence * VERSIONS_OF_TOKEN));
-				logger.info("event=balancing-taken group={} epoch={} fence={}", status.group(), status.epoch(),
-						this.fence);
+		return this.source.fence(status.group(), this.holder).thenApply((token) -> {
+			if (token.isEmpty()) {
+				logger.warn("event=balancing-not-taken group={} reason=\"no token from the store\"", status.group());
+				return NO_TOKEN_MILLIS;
 			}
-			again(LOOK_MILLIS);
+			GroupDuty taken = GroupDuty.of(status, token.getAsLong());
+			this.duty = Optional.of(taken);
+			logger.info("event=balancing-taken group={} epoch={} rank={} step={} fence={} role={}", taken.group(),
+					taken.epoch(), status.rank(), status.step(), taken.fence(),
+					taken.balancing() ? "balance" : "let-go-on");
+			return HELD_LOOK_MILLIS;
 		});
 	}
 
-	private void round(RankStatus status) {
-		Optional<EngineSpec> spec = this.fleet.engine();
-		List<InetSocketAddress> others = others();
-		if (spec.isEmpty() || others.size() + 1 < status.size()) {
-			again(LOOK_MILLIS);
-			return;
-		}
-		List<CompletableFuture<Optional<RankReport>>> answers = new ArrayList<>();
+	private void endDuty(GroupDuty held, String reason) {
+		logger.info("event=balancing-ended group={} epoch={} fence={} reason=\"{}\"", held.group(), held.epoch(),
+				held.fence(), reason);
+		this.duty = Optional.empty();
+	}
+
+	private CompletionStage<Long> round(GroupDuty held, RankStatus status) {
 		// Counts cost the most; they are of no use while a switch is under way.
-		boolean counts = this.duty.orElseThrow().idle();
-		answers.add(this.own.report(counts).toCompletableFuture());
-		for (InetSocketAddress other : others) {
-			answers.add(peer(other).report(counts).toCompletableFuture());
-		}
-		CompletableFuture.allOf(answers.toArray(CompletableFuture[]::new))
-			.thenRun(() -> decide(spec.get(), others, answers.stream().map(CompletableFuture::join).toList()))
-			.exceptionally(this::failed);
+		boolean atRest = held.balancing() && held.decisions().idle() && status.held().isEmpty()
+				&& status.armed().isEmpty();
+		return gather(status, atRest)
+			.thenCompose((reports) -> reports.isPresent() ? decide(held, this.fleet.engine().get(), reports.get())
+					: pause(atRest ? LOOK_MILLIS : BUSY_LOOK_MILLIS));
 	}
 
-	private Void failed(Throwable failure) {
-		logger.error("event=balancing-failed detail=\"{}\"", failure.toString(), failure);
-		again(LOOK_MILLIS);
-		return null;
+	// Asks all ranks. A group at rest is left alone while a process beside a rank is
+	// away.
+	private CompletionStage<Optional<GroupReports>> gather(RankStatus status, boolean atRest) {
+		List<RankLink> others = others();
+		if (this.fleet.engine().isEmpty() || others.size() + 1 < status.size()) {
+			return CompletableFuture.completedStage(Optional.empty());
+		}
+		CompletableFuture<Optional<RankReport>> ownReport = this.own.report(status, atRest).toCompletableFuture();
+		Map<RankLink, CompletableFuture<Optional<RankReport>>> asked = new LinkedHashMap<>();
+		for (RankLink other : others) {
+			asked.put(other, (atRest ? other.reportWithCounts() : other.report()).toCompletableFuture());
+		}
+		return CompletableFuture.allOf(asked.values().toArray(CompletableFuture[]::new))
+			.thenCombine(ownReport, (all, report) -> {
+				Map<RankLink, RankReport> answers = new LinkedHashMap<>();
+				asked.forEach((link, answer) -> answer.join().ifPresent((known) -> answers.put(link, known)));
+				return report.flatMap((known) -> GroupReports.of(status, known, answers));
+			});
 	}
 
-	private List<InetSocketAddress> others() {
+	private List<RankLink> others() {
 		return this.fleet.groupUpstreams()
 			.stream()
 			.map(UpstreamRecord::address)
 			.filter((address) -> !address.getAddress().getHostAddress().equals(this.fleet.ownAddress()))
-			.map((address) -> new InetSocketAddress(address.getAddress(), this.peerPort))
+			.map((address) -> this.links.computeIfAbsent(address, this::link))
 			.toList();
 	}
 
-	private PeerClient peer(InetSocketAddress address) {
-		return this.peers.computeIfAbsent(address, (key) -> new PeerClient(this.loop, key));
+	private RankLink link(InetSocketAddress address) {
+		PeerClient peer = new PeerClient(this.loop, new InetSocketAddress(address.getAddress(), this.peerPort));
+		return new RankLink(address.toString(), peer, () -> this.source.engineAt(address), this.clock);
 	}
 
-	private void decide(EngineSpec engine, List<InetSocketAddress> others, List<Optional<RankReport>> reports) {
-		ExpertSpec spec = engine.experts().orElseThrow();
-		Optional<RankReport> first = reports.get(0);
-		if (first.isEmpty()) {
-			again(LOOK_MILLIS);
-			return;
-		}
-		List<RankReport> known = reports.stream().flatMap(Optional::stream).toList();
-		Optional<GroupView> view = GroupView.of(first.get().status(), known.stream().map(RankReport::status).toList());
-		if (view.isEmpty()) {
-			again(first.get().status().held().isPresent() ? BUSY_LOOK_MILLIS : LOOK_MILLIS);
-			return;
+	private CompletionStage<Long> decide(GroupDuty held, EngineSpec engine, GroupReports reports) {
+		GroupView ranks = reports.view();
+		if (held.balancing()) {
+			this.proposals.observe(engine.experts().orElseThrow(), ranks, reports.reports(),
+					TimeUnit.NANOSECONDS.toMillis(this.clock.nanos()));
 		}
-		for (int index = 1; index < reports.size(); index++) {
-			InetSocketAddress address = others.get(index - 1);
-			reports.get(index).ifPresent((report) -> {
-				if (report.status().group().equals(this.dutyGroup)) {
-					this.addressOfRank.put(report.status().rank(), address);
-				}
-			});
-		}
-		GroupView ranks = view.get();
-		Optional<int[][][]> inUse = inUse(ranks, known);
-		observe(spec, ranks, known);
+		Optional<int[][][]> inUse = reports.mapInUse();
 		if (inUse.isEmpty()) {
-			again(BUSY_LOOK_MILLIS);
-			return;
+			return pause(BUSY_LOOK_MILLIS);
 		}
-		GroupSwitch decisions = this.duty.orElseThrow();
-		if (decisions.idle() && !ranks.armedByAny() && ranks.rank(0).held().isEmpty()) {
-			double occupancy = ranks.running() / (double) (ranks.size() * engine.slots());
-			plan(spec, decisions, inUse.get(), CopyWorth.leastGain(occupancy));
+		GroupSwitch decisions = held.decisions();
+		boolean done = this.stopping || !held.balancing();
+		if (done && decisions.settled(ranks)) {
+			endDuty(held, "the group goes on");
+			return pause(LOOK_MILLIS);
 		}
-		send(ranks, decisions.next(ranks, inUse.get()), decisions);
-	}
-
-	private Optional<int[][][]> inUse(GroupView ranks, List<RankReport> reports) {
-		int sets = reports.get(0).experts().length;
-		int[][][] experts = new int[sets][ranks.size()][];
-		long version = ranks.rank(0).map();
-		for (RankReport report : reports) {
-			RankStatus status = report.status();
-			if (!status.group().equals(this.dutyGroup) || status.epoch() != ranks.epoch()) {
-				continue;
-			}
-			if (status.map() != version) {
-				// A switch happened while the ranks were asked one after the other.
-				return Optional.empty();
-			}
-			for (int set = 0; set < sets; set++) {
-				experts[set][status.rank()] = report.experts()[set];
-			}
+		if (!done && decisions.idle() && !ranks.armedByAny() && ranks.rank(0).held().isEmpty()) {
+			this.proposals.paying(engine, ranks, inUse.get()).ifPresent((plan) -> propose(held, plan));
 		}
-		return Optional.of(experts);
+		return send(held, reports, decisions.next(ranks, inUse.get()));
 	}
 
-	private void observe(ExpertSpec spec, GroupView ranks, List<RankReport> reports) {
-		if (this.demand == null) {
-			this.demand = new Demand(spec.sets(), spec.experts());
-		}
-		long nowMillis = TimeUnit.NANOSECONDS.toMillis(this.clock.nanos());
-		for (RankReport report : reports) {
-			if (report.status().group().equals(this.dutyGroup) && report.counts().length > 0) {
-				this.demand.observe(ranks.epoch(), report.status().rank(), report.counts(), nowMillis);
-			}
-		}
-	}
-
-	private void plan(ExpertSpec spec, GroupSwitch decisions, int[][][] inUse, double leastGain) {
-		if (this.demand.total() < LEAST_CHOICES) {
-			return;
-		}
-		int copies = Math.max(1, (int) (LONGEST_COPY_SECONDS / spec.copySeconds()));
-		PlacementPlan plan = PlacementPlanner.cheapest(inUse, this.demand.loads(),
-				new PlacementLimits(spec.places(), spec.spare(), copies), leastGain, spec.copySeconds());
-		if (plan.pays(spec.copySeconds(), leastGain)) {
-			long version = decisions.propose(plan.experts());
-			logger.info(
-					"event=map-proposed group={} version={} copies={} most-copies={} skew-before={} skew-after={} "
-							+ "least-gain={}",
-					this.dutyGroup, version, plan.copies(), plan.mostCopies(), rounded(plan.skewBefore()),
-					rounded(plan.skewAfter()), rounded(leastGain));
-		}
+	private static void propose(GroupDuty held, PlacementPlan plan) {
+		long version = held.decisions().propose(plan.experts());
+		logger.info("event=map-proposed group={} version={} copies={} most-copies={} skew-before={} skew-after={}",
+				held.group(), version, plan.copies(), plan.mostCopies(), rounded(plan.skewBefore()),
+				rounded(plan.skewAfter()));
 	}
 
 	private static double rounded(double value) {
 		return Math.round(value * 1000) / 1000.0;
 	}
 
-	private void send(GroupView ranks, List<RankCommand> commands, GroupSwitch decisions) {
+	private CompletionStage<Long> send(GroupDuty held, GroupReports reports, List<RankCommand> commands) {
 		if (commands.isEmpty()) {
-			again(decisions.idle() ? LOOK_MILLIS : BUSY_LOOK_MILLIS);
-			return;
+			return pause(held.decisions().idle() ? LOOK_MILLIS : BUSY_LOOK_MILLIS);
 		}
+		long epoch = reports.view().epoch();
 		List<CompletableFuture<OrderResult>> answers = new ArrayList<>();
 		for (RankCommand command : commands) {
-			answers.add(order(command, ranks.epoch()));
+			RankLink link = reports.links().get(command.rank());
+			CompletionStage<OrderResult> answer = (link != null) ? link.order(command.order(), epoch, held.fence())
+					: this.ownOrders.give(command.order(), epoch, held.fence());
+			answers.add(answer.toCompletableFuture());
 		}
-		CompletableFuture.allOf(answers.toArray(CompletableFuture[]::new)).thenRun(() -> {
+		return CompletableFuture.allOf(answers.toArray(CompletableFuture[]::new)).thenApply((all) -> {
+			List<OrderResult> results = answers.stream().map(CompletableFuture::join).toList();
 			for (int index = 0; index < commands.size(); index++) {
-				decisions.answered(commands.get(index), answers.get(index).join());
+				held.decisions().answered(commands.get(index), results.get(index));
+			}
+			log(held, reports.view(), commands, results);
+			if (results.contains(OrderResult.SUPERSEDED)) {
+				endDuty(held, "a rank has seen a higher fencing token");
+				this.supersededStep = OptionalLong.of(reports.view().step());
 			}
-			log(ranks, commands, answers.stream().map(CompletableFuture::join).toList());
-			again(HELD_LOOK_MILLIS);
-		}).exceptionally(this::failed);
+			boolean letGo = commands.get(0).order() instanceof RankOrder.Go;
+			return (letGo && !held.balancing()) ? LET_GO_MILLIS : HELD_LOOK_MILLIS;
+		});
 	}
 
-	private void log(GroupView ranks, List<RankCommand> commands, List<OrderResult> results) {
+	private static void log(GroupDuty held, GroupView ranks, List<RankCommand> commands, List<OrderResult> results) {
 		long accepted = results.stream().filter(OrderResult.ACCEPTED::equals).count();
-		long refused = results.stream().filter(OrderResult.REFUSED::equals).count();
-		RankCommand first = commands.get(0);
-		String kind = first.order().getClass().getSimpleName();
-		logger.info("event=orders group={} epoch={} step={} kind={} orders={} accepted={} refused={} unknown={}",
-				this.dutyGroup, ranks.epoch(), ranks.step(), kind, commands.size(), accepted, refused,
-				commands.size() - accepted - refused);
-	}
-
-	private CompletableFuture<OrderResult> order(RankCommand command, long epoch) {
-		if (command.rank() == 0) {
-			return this.engine.order(command.order(), epoch, this.fence).toCompletableFuture();
-		}
-		InetSocketAddress address = this.addressOfRank.get(command.rank());
-		return peer(address).order(command.order(), epoch, this.fence).toCompletableFuture();
+		long unknown = results.stream().filter(OrderResult.UNKNOWN::equals).count();
+		String kind = commands.get(0).order().getClass().getSimpleName();
+		logger.info(
+				"event=orders group={} epoch={} fence={} step={} kind={} orders={} accepted={} refused={} unknown={}",
+				held.group(), ranks.epoch(), held.fence(), ranks.step(), kind, commands.size(), accepted,
+				commands.size() - accepted - unknown, unknown);
 	}
 
 }
--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/PeerClient.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/PeerClient.java
@@ -60,12 +60,9 @@
 			PeerChannels.send(this.channel, question);
 			return answer;
 		}
-		if (this.connecting == null) {
-			connect();
-		}
-		this.connecting.addListener((done) -> {
-			if (done.isSuccess() && this.channel != null) {
-				PeerChannels.send(this.channel, question);
+		connection().addListener((ChannelFuture done) -> {
+			if (done.isSuccess()) {
+				PeerChannels.send(done.channel(), question);
 			}
 			else {
 				complete(question.id(), Optional.empty());
@@ -74,15 +71,19 @@
 		return answer;
 	}
 
-	private void connect() {
-		this.connecting = PeerChannels
+	private ChannelFuture connection() {
+		if (this.connecting != null) {
+			return this.connecting;
+		}
+		ChannelFuture started = PeerChannels
 			.client(this.loop, (from, message) -> complete(message.id(), Optional.of(message)))
 			.connect(this.address);
-		ChannelFuture started = this.connecting;
+		this.connecting = started;
 		started.addListener((done) -> {
 			this.channel = done.isSuccess() ? started.channel() : null;
 			this.connecting = null;
 		});
+		return started;
 	}
 
 	private void timeOut(long id) {
--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/RankEngine.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/RankEngine.java
@@ -8,8 +8,8 @@
 import io.bulrushrouter.experts.live.RankStatus;
 
 /**
- * The engine of one rank, beside this process. The stages never fail and end on the event
- * loop.
+ * The engine of one rank. The stages never fail and end on the event loop. Asking the
+ * engine of another instance costs more than asking the process beside it.
  */
 public interface RankEngine extends AutoCloseable {
 
--- /dev/null
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/RankLink.java
@@ -0,0 +1,110 @@
+package io.bulrushrouter.ranks;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import io.bulrushrouter.experts.live.OrderResult;
+import io.bulrushrouter.experts.live.RankOrder;
+import io.bulrushrouter.kernel.TimeSource;
+
+/**
+ * The way to another rank: through the process beside it, which is cheap, or straight to
+ * its engine while that process does not answer.
+ */
+final class RankLink implements AutoCloseable {
+
+	private static final Logger logger = LoggerFactory.getLogger(RankLink.class);
+
+	/** A process that restarts is back within about this time. */
+	private static final long STRAIGHT_MILLIS = 2_000;
+
+	private final String name;
+
+	private final PeerClient peer;
+
+	private final Supplier<RankEngine> connect;
+
+	private final TimeSource clock;
+
+	private RankEngine engine;
+
+	private RankReporter reporter;
+
+	private boolean straight;
+
+	private long straightSinceNanos;
+
+	RankLink(String name, PeerClient peer, Supplier<RankEngine> connect, TimeSource clock) {
+		this.name = name;
+		this.peer = peer;
+		this.connect = connect;
+		this.clock = clock;
+	}
+
+	/**
+	 * Asks for a report with counts, which only the process beside the rank is asked for.
+	 * @return the report, or empty if there was no answer
+	 */
+	CompletionStage<Optional<RankReport>> reportWithCounts() {
+		return this.peer.report(true);
+	}
+
+	/**
+	 * Asks for a report without counts.
+	 * @return the report, or empty if neither the process nor the engine answered
+	 */
+	CompletionStage<Optional<RankReport>> report() {
+		if (goesStraight()) {
+			return reporter().report(false);
+		}
+		return this.peer.report(false).thenCompose((report) -> {
+			if (report.isPresent()) {
+				return CompletableFuture.completedFuture(report);
+			}
+			logger.info("event=rank-process-silent peer={} action=\"asking its engine\"", this.name);
+			this.straight = true;
+			this.straightSinceNanos = this.clock.nanos();
+			return reporter().report(false);
+		});
+	}
+
+	/**
+	 * Gives an order, the way that the last report came.
+	 * @param order the order
+	 * @param epoch the epoch that it is for
+	 * @param fence the fencing token
+	 * @return what came of it
+	 */
+	CompletionStage<OrderResult> order(RankOrder order, long epoch, long fence) {
+		return goesStraight() ? this.engine.order(order, epoch, fence) : this.peer.order(order, epoch, fence);
+	}
+
+	private boolean goesStraight() {
+		long sinceNanos = this.clock.nanos() - this.straightSinceNanos;
+		this.straight = this.straight && sinceNanos < TimeUnit.MILLISECONDS.toNanos(STRAIGHT_MILLIS);
+		return this.straight;
+	}
+
+	private RankReporter reporter() {
+		if (this.engine == null) {
+			this.engine = this.connect.get();
+			this.reporter = new RankReporter(this.engine);
+		}
+		return this.reporter;
+	}
+
+	@Override
+	public void close() {
+		this.peer.close();
+		if (this.engine != null) {
+			this.engine.close();
+		}
+	}
+
+}
--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/RankReporter.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/RankReporter.java
@@ -24,10 +24,28 @@
 		this.engine = engine;
 	}
 
+	/**
+	 * Makes a report.
+	 * @param withCounts whether it is to hold the counts
+	 * @return the report, or empty if the engine did not answer
+	 */
 	CompletionStage<Optional<RankReport>> report(boolean withCounts) {
-		CompletionStage<Optional<long[]>> asked = withCounts ? this.engine.counts()
-				: CompletableFuture.completedFuture(Optional.of(NO_COUNTS));
-		return asked.thenCompose((counts) -> this.engine.status().thenCompose((status) -> complete(status, counts)));
+		return counts(withCounts)
+			.thenCompose((counts) -> this.engine.status().thenCompose((status) -> complete(status, counts)));
+	}
+
+	/**
+	 * Makes a report with a status that was just asked for.
+	 * @param status the status
+	 * @param withCounts whether it is to hold the counts
+	 * @return the report, or empty if the engine did not answer
+	 */
+	CompletionStage<Optional<RankReport>> report(RankStatus status, boolean withCounts) {
+		return counts(withCounts).thenCompose((counts) -> complete(Optional.of(status), counts));
+	}
+
+	private CompletionStage<Optional<long[]>> counts(boolean wanted) {
+		return wanted ? this.engine.counts() : CompletableFuture.completedFuture(Optional.of(NO_COUNTS));
 	}
 
 	private CompletionStage<Optional<RankReport>> complete(Optional<RankStatus> status, Optional<long[]> counts) {
--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/RankSidecar.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/RankSidecar.java
@@ -23,6 +23,8 @@
 
 	private final NioEventLoopGroup group = new NioEventLoopGroup(1, new DefaultThreadFactory("rank"));
 
+	private final EventLoop loop;
+
 	private final CompletableFuture<Void> stopped = new CompletableFuture<>();
 
 	private final RankSource source;
@@ -30,16 +32,16 @@
 	private final Balancer balancer;
 
 	private RankSidecar(RankSettings settings, PluginRegistry plugins, RandomGenerator random) {
-		EventLoop loop = this.group.next();
+		this.loop = this.group.next();
 		this.source = plugins.require(RankSource.Factory.class, settings.source())
 			.connect(settings.engine(), settings.store(), this.group);
-		FleetView fleet = new FleetView(loop, this.source.fleet(), settings.service(), settings.address(), random);
-		this.balancer = new Balancer(loop, this.source, fleet, settings.instance() + "/" + random.nextLong(),
+		FleetView fleet = new FleetView(this.loop, this.source.fleet(), settings.service(), settings.address(), random);
+		this.balancer = new Balancer(this.loop, this.source, fleet, settings.instance() + "/" + random.nextLong(),
 				settings.peerPort());
-		PeerChannels.server(loop, this::answer)
+		PeerChannels.server(this.loop, this::answer)
 			.bind(new InetSocketAddress(settings.address(), settings.peerPort()))
 			.syncUninterruptibly();
-		loop.execute(this.balancer::start);
+		this.loop.execute(this.balancer::start);
 	}
 
 	/**
@@ -58,23 +60,24 @@
 
 	private void answer(Channel channel, PeerMessage message) {
 		if (message instanceof PeerMessage.AskReport ask) {
-			this.balancer.reporter()
-				.report(ask.counts())
+			this.balancer.reportToHolder(ask.counts())
 				.thenAccept((report) -> PeerChannels.send(channel, new PeerMessage.Report(ask.id(), report)));
 		}
 		else if (message instanceof PeerMessage.GiveOrder give) {
-			this.source.engine()
-				.order(give.order(), give.epoch(), give.fence())
+			this.balancer.orderOfHolder(give)
 				.thenAccept((result) -> PeerChannels.send(channel, new PeerMessage.Ordered(give.id(), result)));
 		}
 	}
 
 	/**
-	 * Stops the process.
+	 * Stops the process, after the switch that it may be about.
 	 */
 	public void stop() {
-		logger.info("event=stopped");
-		this.stopped.complete(null);
+		logger.info("event=stopping");
+		this.loop.execute(() -> this.balancer.finish().thenRun(() -> {
+			logger.info("event=stopped");
+			this.stopped.complete(null);
+		}));
 	}
 
 	/**
--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/RankSource.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/RankSource.java
@@ -19,6 +19,13 @@
 	 */
 	RankEngine engine();
 
+	/**
+	 * Connects to the engine of another rank.
+	 * @param address where it listens
+	 * @return the engine, to be closed
+	 */
+	RankEngine engineAt(InetSocketAddress address);
+
 	/**
 	 * Returns the configuration and the upstreams.
 	 * @return the source
--- a/bulrushrouter-ranks/src/test/java/io/bulrushrouter/ranks/FakeGroup.java
+++ b/bulrushrouter-ranks/src/test/java/io/bulrushrouter/ranks/FakeGroup.java
@@ -1,12 +1,13 @@
 package io.bulrushrouter.ranks;
 
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicLong;
 
 import io.bulrushrouter.experts.live.OrderResult;
@@ -15,8 +16,8 @@
 
 /**
  * A group of engines in lock-step, with one hot expert. Every so many orders one is
- * carried out without an answer. A pass is made each time that rank 0 is asked for its
- * status.
+ * carried out without an answer. A pass is made each time that a rank is asked for its
+ * status, unless the group is held.
  */
 final class FakeGroup {
 
@@ -34,10 +35,24 @@
 
 	private int switches;
 
+	private int statusFailures;
+
+	private boolean heldOnce;
+
+	private int frozenAtHold = -1;
+
+	private final Queue<Runnable> frozenCalls = new ConcurrentLinkedQueue<>();
+
+	private int passesAfterHold;
+
 	private Optional<String> violation = Optional.empty();
 
 	private final CompletableFuture<Void> switched = new CompletableFuture<>();
 
+	private final CompletableFuture<Void> heldFirst = new CompletableFuture<>();
+
+	private final CompletableFuture<Void> wentOn = new CompletableFuture<>();
+
 	FakeGroup(int size, int unansweredEach) {
 		this.unansweredEach = unansweredEach;
 		for (int rank = 0; rank < size; rank++) {
@@ -45,8 +60,42 @@
 		}
 	}
 
-	RankEngine engine(InetSocketAddress address) {
-		return this.ranks.get(address.getPort() - 1);
+	/**
+	 * Returns a rank's engine as the process beside it reaches it.
+	 * @param rank the rank
+	 * @return the engine, which does not answer while that process is frozen
+	 */
+	RankEngine engineBeside(int rank) {
+		return new FreezableEngine(this.ranks.get(rank), () -> isFrozen(rank), this.frozenCalls);
+	}
+
+	/**
+	 * Returns a rank's engine as other instances reach it.
+	 * @param rank the rank
+	 * @return the engine
+	 */
+	RankEngine engineFromAfar(int rank) {
+		return this.ranks.get(rank);
+	}
+
+	/**
+	 * Lets the process beside a rank freeze as soon as the group is held.
+	 * @param rank the rank
+	 */
+	synchronized void freezeAtHold(int rank) {
+		this.frozenAtHold = rank;
+	}
+
+	/**
+	 * Ends the freeze; what was asked in it gets no answer.
+	 */
+	void thaw() {
+		freezeAtHold(-1);
+		this.frozenCalls.forEach(Runnable::run);
+	}
+
+	private synchronized boolean isFrozen(int rank) {
+		return this.heldOnce && this.frozenAtHold == rank;
 	}
 
 	CompletionStage<OptionalLong> fence() {
@@ -61,6 +110,35 @@
 		return this.switched;
 	}
 
+	/**
+	 * Returns a future that completes when the group is first held.
+	 * @return the future
+	 */
+	CompletableFuture<Void> heldFirst() {
+		return this.heldFirst;
+	}
+
+	synchronized boolean isHeld() {
+		return this.ranks.get(0).holdStep >= 0;
+	}
+
+	/**
+	 * Returns a future that completes when the group has made some passes after it was
+	 * first held.
+	 * @return the future
+	 */
+	CompletableFuture<Void> wentOn() {
+		return this.wentOn;
+	}
+
+	/**
+	 * Lets the next questions for a status fail.
+	 * @param questions how many
+	 */
+	synchronized void failStatus(int questions) {
+		this.statusFailures = questions;
+	}
+
 	synchronized Optional<String> violation() {
 		return this.violation;
 	}
@@ -78,6 +156,9 @@
 		if (this.switches >= 2) {
 			this.switched.complete(null);
 		}
+		if (this.heldOnce && ++this.passesAfterHold > 5) {
+			this.wentOn.complete(null);
+		}
 	}
 
 	private final class Rank implements RankEngine {
@@ -102,6 +183,8 @@
 
 		private long holdStep = -1;
 
+		private long highestFence;
+
 		private Rank(int number, int size) {
 			this.number = number;
 			this.size = size;
@@ -130,9 +213,11 @@
 		@Override
 		public CompletionStage<Optional<RankStatus>> status() {
 			synchronized (FakeGroup.this) {
-				if (this.number == 0) {
-					pass();
+				if (FakeGroup.this.statusFailures > 0) {
+					FakeGroup.this.statusFailures--;
+					throw new IllegalStateException("no status");
 				}
+				pass();
 				Optional<RankStatus.Armed> armed = (this.armedVersion < 0) ? Optional.empty()
 						: Optional.of(new RankStatus.Armed(this.armedVersion, this.armedStep));
 				return CompletableFuture
@@ -163,6 +248,10 @@
 		@Override
 		public CompletionStage<OrderResult> order(RankOrder order, long epoch, long fence) {
 			synchronized (FakeGroup.this) {
+				if (fence < this.highestFence) {
+					return CompletableFuture.completedFuture(OrderResult.SUPERSEDED);
+				}
+				this.highestFence = fence;
 				OrderResult result = carryOut(order) ? OrderResult.ACCEPTED : OrderResult.REFUSED;
 				boolean unanswered = ++FakeGroup.this.orders % FakeGroup.this.unansweredEach == 0;
 				return CompletableFuture.completedFuture(unanswered ? OrderResult.UNKNOWN : result);
@@ -190,6 +279,8 @@
 					return false;
 				}
 				this.holdStep = hold.step();
+				FakeGroup.this.heldOnce = true;
+				FakeGroup.this.heldFirst.complete(null);
 			}
 			else if (order instanceof RankOrder.Go) {
 				this.holdStep = -1;
--- /dev/null
+++ b/bulrushrouter-ranks/src/test/java/io/bulrushrouter/ranks/FreezableEngine.java
@@ -0,0 +1,63 @@
+package io.bulrushrouter.ranks;
+
+import java.util.Optional;
+import java.util.Queue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+
+import io.bulrushrouter.experts.live.OrderResult;
+import io.bulrushrouter.experts.live.RankOrder;
+import io.bulrushrouter.experts.live.RankStatus;
+
+/**
+ * An engine whose answers do not reach a process while that one is frozen. What it asks
+ * as the freeze begins is still done.
+ *
+ * @param engine the engine
+ * @param frozen whether the process is frozen
+ * @param unanswered what to run when the freeze ends
+ */
+record FreezableEngine(RankEngine engine, BooleanSupplier frozen, Queue<Runnable> unanswered) implements RankEngine {
+
+	private <T> CompletionStage<T> ask(Supplier<CompletionStage<T>> question, T noAnswer) {
+		if (this.frozen.getAsBoolean()) {
+			return never(noAnswer);
+		}
+		CompletionStage<T> answer = question.get();
+		return this.frozen.getAsBoolean() ? never(noAnswer) : answer;
+	}
+
+	private <T> CompletionStage<T> never(T noAnswer) {
+		CompletableFuture<T> answer = new CompletableFuture<>();
+		this.unanswered.add(() -> answer.complete(noAnswer));
+		return answer;
+	}
+
+	@Override
+	public CompletionStage<Optional<RankStatus>> status() {
+		return ask(this.engine::status, Optional.empty());
+	}
+
+	@Override
+	public CompletionStage<Optional<long[]>> counts() {
+		return ask(this.engine::counts, Optional.empty());
+	}
+
+	@Override
+	public CompletionStage<Optional<HeldExperts>> experts() {
+		return ask(this.engine::experts, Optional.empty());
+	}
+
+	@Override
+	public CompletionStage<OrderResult> order(RankOrder order, long epoch, long fence) {
+		return ask(() -> this.engine.order(order, epoch, fence), OrderResult.UNKNOWN);
+	}
+
+	@Override
+	public void close() {
+		this.engine.close();
+	}
+
+}
--- a/bulrushrouter-ranks/src/test/java/io/bulrushrouter/ranks/RankSidecarTests.java
+++ b/bulrushrouter-ranks/src/test/java/io/bulrushrouter/ranks/RankSidecarTests.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -52,34 +53,87 @@
 	@ValueSource(ints = { Integer.MAX_VALUE, 7, 3 })
 	void balanceAHotExpertAlsoWhenOrdersGoUnanswered(int unansweredEach) throws Exception {
 		FakeGroup group = new FakeGroup(RANKS, unansweredEach);
-		int port = freePort();
-		PluginRegistry plugins = PluginRegistry.of(List
-			.of(Plugin.of(RankSource.Factory.class, "test", (engine, store, loops) -> new FakeSource(group, engine))));
-		List<RankSidecar> sidecars = new ArrayList<>();
-		try {
+		try (Sidecars sidecars = new Sidecars(group)) {
+			group.switched().get(60, TimeUnit.SECONDS);
+			assertThat(group.violation()).isEqualTo(Optional.empty());
+		}
+	}
+
+	@Test
+	void goOnBalancingAfterAnErrorOfTheEngine() throws Exception {
+		FakeGroup group = new FakeGroup(RANKS, Integer.MAX_VALUE);
+		group.failStatus(20);
+		try (Sidecars sidecars = new Sidecars(group)) {
+			group.switched().get(60, TimeUnit.SECONDS);
+			assertThat(group.violation()).isEqualTo(Optional.empty());
+		}
+	}
+
+	@ParameterizedTest
+	@ValueSource(ints = { 0, 1, 2 })
+	void letAGroupGoOnThatIsHeldAsAProcessFreezes(int frozen) throws Exception {
+		FakeGroup group = new FakeGroup(RANKS, Integer.MAX_VALUE);
+		group.freezeAtHold(frozen);
+		try (Sidecars sidecars = new Sidecars(group)) {
+			group.wentOn().get(60, TimeUnit.SECONDS);
+			group.thaw();
+			group.switched().get(60, TimeUnit.SECONDS);
+			assertThat(group.violation()).isEqualTo(Optional.empty());
+		}
+	}
+
+	@Test
+	void endTheSwitchThatIsUnderWayBeforeTheyStop() throws Exception {
+		FakeGroup group = new FakeGroup(RANKS, 2);
+		try (Sidecars sidecars = new Sidecars(group)) {
+			group.heldFirst().get(60, TimeUnit.SECONDS);
+			sidecars.running.get(0).stop();
+			sidecars.running.get(0).awaitStopped();
+			assertThat(group.isHeld()).isFalse();
+			assertThat(group.violation()).isEqualTo(Optional.empty());
+		}
+	}
+
+	/**
+	 * The processes beside all ranks of a group.
+	 */
+	private static final class Sidecars implements AutoCloseable {
+
+		private final List<RankSidecar> running = new ArrayList<>();
+
+		private Sidecars(FakeGroup group) throws Exception {
+			int port = freePort();
+			PluginRegistry plugins = PluginRegistry.of(List.of(Plugin.of(RankSource.Factory.class, "test",
+					(engine, store, loops) -> new FakeSource(group, engine.getPort() - 1))));
 			for (int rank = 0; rank < RANKS; rank++) {
 				// The engine's port tells the fake which rank it is.
 				RankSettings settings = new RankSettings("rank-" + rank, address(rank), port,
 						new InetSocketAddress(address(rank), rank + 1), "service", "test",
 						new InetSocketAddress("127.0.0.1", 1));
-				sidecars.add(RankSidecar.start(settings, plugins, new Random(rank)));
+				this.running.add(RankSidecar.start(settings, plugins, new Random(rank)));
 			}
-			group.switched().get(60, TimeUnit.SECONDS);
-			assertThat(group.violation()).isEqualTo(Optional.empty());
 		}
-		finally {
-			sidecars.forEach(RankSidecar::close);
+
+		@Override
+		public void close() {
+			this.running.forEach(RankSidecar::close);
 		}
+
 	}
 
 	/**
 	 * The fake group, its configuration and its addresses.
 	 */
-	private record FakeSource(FakeGroup group, InetSocketAddress address) implements RankSource, FleetSource {
+	private record FakeSource(FakeGroup group, int rank) implements RankSource, FleetSource {
 
 		@Override
 		public RankEngine engine() {
-			return this.group.engine(this.address);
+			return this.group.engineBeside(this.rank);
+		}
+
+		@Override
+		public RankEngine engineAt(InetSocketAddress address) {
+			return this.group.engineFromAfar(address.getAddress().getAddress()[3] - 1);
 		}
 
 		@Override
