Take an entry out of rotation while it must refuse keys

Ruled out: a lower age for readiness than for refusal; a store that is down for all would take every entry out earlier, for nothing. Test: isReadyOnlyWhileKeysAreKnownToBeValid (fails with the proof left out). A line is logged at each change of readiness.

Also in this commit, and not separated from it: the worth of a copied expert now follows its size. Test: balancesManySetsOfSmallExperts (with the old bound the mean skew stays at 1.60, bound 1.4).

--- a/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/PlacementPlanner.java
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/PlacementPlanner.java
@@ -24,6 +24,9 @@
 
 	private static final int MOST_CHANGES = 400;
 
+	/** Plans of more copies that are tried after one that did not cost less. */
+	private static final int MOST_WORSE = 3;
+
 	private final PlacementLimits limits;
 
 	private final double leastGain;
@@ -50,13 +53,16 @@
 	public static PlacementPlan cheapest(int[][][] inUse, double[][] demand, PlacementLimits limits, double leastGain,
 			double secondsForCopy) {
 		PlacementPlan best = null;
+		int copiesOfBest = 0;
 		for (int copies = 1; copies <= limits.newOfRank(); copies++) {
 			PlacementLimits fewer = new PlacementLimits(limits.places(), limits.newOfSet(), copies);
 			PlacementPlan plan = new PlacementPlanner(fewer, leastGain).plan(inUse, demand);
 			if (best == null || plan.cost(secondsForCopy) < best.cost(secondsForCopy)) {
 				best = plan;
+				copiesOfBest = copies;
 			}
-			if (plan.mostCopies() < copies) {
+			boolean settled = plan.mostCopies() < copies || copies >= copiesOfBest + MOST_WORSE;
+			if (settled) {
 				break;
 			}
 		}
--- a/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/SetPlacement.java
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/SetPlacement.java
@@ -20,6 +20,9 @@
 
 	private final int[] replicas;
 
+	/** The ranks that hold an expert, in the first places of its row. */
+	private final int[][] holders;
+
 	private final double[] demand;
 
 	private final double[] load;
@@ -34,6 +37,7 @@
 		this.replicas = new int[demand.length];
 		this.holds = new boolean[ranks][demand.length];
 		this.before = new boolean[ranks][demand.length];
+		this.holders = new int[demand.length][ranks];
 		this.held = new int[ranks];
 		this.fresh = new int[ranks];
 		this.load = new double[ranks];
@@ -47,7 +51,7 @@
 			for (int expert : experts[rank]) {
 				this.holds[rank][expert] = true;
 				this.before[rank][expert] = true;
-				this.replicas[expert]++;
+				this.holders[expert][this.replicas[expert]++] = rank;
 			}
 		}
 		for (int rank = 0; rank < ranks; rank++) {
@@ -146,7 +150,12 @@
 	private void set(int rank, int expert, boolean added) {
 		share(expert, -1);
 		int sign = added ? 1 : -1;
-		this.replicas[expert] += sign;
+		if (added) {
+			this.holders[expert][this.replicas[expert]++] = rank;
+		}
+		else {
+			dropHolder(rank, expert);
+		}
 		this.held[rank] += sign;
 		if (isNew(rank, expert)) {
 			this.fresh[rank] += sign;
@@ -155,17 +164,25 @@
 		share(expert, 1);
 	}
 
+	private void dropHolder(int rank, int expert) {
+		int[] ranks = this.holders[expert];
+		int place = 0;
+		while (ranks[place] != rank) {
+			place++;
+		}
+		ranks[place] = ranks[--this.replicas[expert]];
+	}
+
 	private void share(int expert, int sign) {
 		if (this.replicas[expert] == 0) {
 			return;
 		}
 		double part = sign * part(expert);
-		for (int rank = 0; rank < this.load.length; rank++) {
-			if (this.holds[rank][expert]) {
-				this.roughness -= sixth(this.load[rank] / this.mean);
-				this.load[rank] += part;
-				this.roughness += sixth(this.load[rank] / this.mean);
-			}
+		for (int place = 0; place < this.replicas[expert]; place++) {
+			int rank = this.holders[expert][place];
+			this.roughness -= sixth(this.load[rank] / this.mean);
+			this.load[rank] += part;
+			this.roughness += sixth(this.load[rank] / this.mean);
 		}
 	}
 
--- a/bulrushrouter-experts/src/test/java/io/bulrushrouter/experts/live/PlacementPlannerTests.java
+++ b/bulrushrouter-experts/src/test/java/io/bulrushrouter/experts/live/PlacementPlannerTests.java
@@ -31,7 +31,7 @@
 		RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom").create(7);
 		int[][][] map = inTurn(3, 96, 12);
 		for (int turn = 0; turn < 40; turn++) {
-			PlacementPlan plan = PlacementPlanner.cheapest(map, skewedDemand(3, 96, random),
+			PlacementPlan plan = PlacementPlanner.cheapest(map, skewedDemand(3, 96, 0.9, random),
 					new PlacementLimits(11, 4, 3), 0.002, COPY_SECONDS);
 			checkWhole(plan.experts(), 96, 11);
 			checkCopies(map, plan.experts(), 4, 3);
@@ -51,10 +51,12 @@
 	@Test
 	void copiesLessForTheSameGainOnAGroupWithRoomToSpare() {
 		RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom").create(9);
-		double[][] demand = skewedDemand(3, 96, random);
+		double[][] demand = skewedDemand(3, 96, 0.9, random);
 		PlacementLimits limits = new PlacementLimits(11, 4, 3);
-		int idle = new PlacementPlanner(limits, CopyWorth.leastGain(0.2)).plan(inTurn(3, 96, 12), demand).copies();
-		int full = new PlacementPlanner(limits, CopyWorth.leastGain(0.9)).plan(inTurn(3, 96, 12), demand).copies();
+		int idle = new PlacementPlanner(limits, CopyWorth.leastGain(0.2, COPY_SECONDS)).plan(inTurn(3, 96, 12), demand)
+			.copies();
+		int full = new PlacementPlanner(limits, CopyWorth.leastGain(0.9, COPY_SECONDS)).plan(inTurn(3, 96, 12), demand)
+			.copies();
 		assertThat(idle).isLessThan(full);
 	}
 
@@ -67,16 +69,33 @@
 		assertThat(plan.mostCopies()).isEqualTo(1);
 	}
 
+	@Test
+	void balancesManySetsOfSmallExperts() {
+		RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom").create(3);
+		double secondsForCopy = 0.08;
+		double leastGain = CopyWorth.leastGain(0.3, secondsForCopy);
+		int[][][] map = inTurn(16, 96, 24);
+		double[][] demand = skewedDemand(16, 96, 0.3, random);
+		PlacementLimits limits = new PlacementLimits(5, 2, 17);
+		PlacementPlan first = PlacementPlanner.cheapest(map, demand, limits, leastGain, secondsForCopy);
+		assertThat(first.pays(secondsForCopy, leastGain)).isTrue();
+		for (int turn = 0; turn < 6; turn++) {
+			map = PlacementPlanner.cheapest(map, demand, limits, leastGain, secondsForCopy).experts();
+		}
+		double after = PlacementPlanner.cheapest(map, demand, limits, leastGain, secondsForCopy).skewBefore();
+		assertThat(after).isLessThan(1.4);
+	}
+
 	private static double[] evenDemand(int experts) {
 		double[] demand = new double[experts];
 		Arrays.fill(demand, 1);
 		return demand;
 	}
 
-	private static double[][] skewedDemand(int sets, int experts, RandomGenerator random) {
+	private static double[][] skewedDemand(int sets, int experts, double power, RandomGenerator random) {
 		double[][] demand = new double[sets][experts];
 		for (double[] set : demand) {
-			Arrays.setAll(set, (expert) -> Math.pow(1 - random.nextDouble(), -0.9));
+			Arrays.setAll(set, (expert) -> Math.pow(1 - random.nextDouble(), -power));
 		}
 		return demand;
 	}
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
@@ -133,8 +133,7 @@
 	}
 
 	private boolean keyStillValid() {
-		return this.organisation.isEmpty()
-				|| this.context.freshness().ageMillis() < this.context.settings().keyFreshness().toMillis();
+		return this.organisation.isEmpty() || this.context.keysProven();
 	}
 
 	private void connected(UpstreamConnection ready, int current) {
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/GatewayContext.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/GatewayContext.java
@@ -185,6 +185,23 @@
 		return this.configuration != null && this.directory.known();
 	}
 
+	/**
+	 * Tells whether callers are better off here than at another entry.
+	 * @return whether requests can be served, also those with a key: these are refused
+	 * once the proof that their keys are valid is too old
+	 */
+	public boolean ready() {
+		return serving() && (keysProven() || !this.configuration.requiresKeys());
+	}
+
+	/**
+	 * Tells whether the keys that the configuration holds are known to be still valid.
+	 * @return whether the proof is young enough
+	 */
+	boolean keysProven() {
+		return this.freshness.ageMillis() < this.settings.keyFreshness().toMillis();
+	}
+
 	/**
 	 * Closes upstream connections that are of no more use.
 	 */
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/Gateway.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/Gateway.java
@@ -80,6 +80,8 @@
 
 	private long version = -1;
 
+	private boolean wasReady;
+
 	private Gateway(GatewaySettings settings, PluginRegistry plugins, RandomGenerator random) {
 		this.settings = settings;
 		this.group = new NioEventLoopGroup(1, new DefaultThreadFactory("gateway"));
@@ -132,7 +134,12 @@
 	}
 
 	private StatusServer.Page readinessPage(String path) {
-		boolean ready = this.context.serving() && !this.stop.asked();
+		boolean ready = this.context.ready() && !this.stop.asked();
+		if (ready != this.wasReady) {
+			this.wasReady = ready;
+			logger.info("event=readiness ready={} stopping={} serving={} proof-age-ms={}", ready, this.stop.asked(),
+					this.context.serving(), this.freshness.ageMillis());
+		}
 		return new StatusServer.Page(ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
 	}
 
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/ForwardingTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/ForwardingTests.java
@@ -182,6 +182,19 @@
 		}
 	}
 
+	@Test
+	void isReadyOnlyWhileKeysAreKnownToBeValid() throws Exception {
+		try (GatewayFixture gateway = new GatewayFixture()) {
+			assertThat(gateway.ready()).isTrue();
+			gateway.proofAge(4_200);
+			assertThat(gateway.ready()).isTrue();
+			gateway.proofAge(4_300);
+			assertThat(gateway.ready()).isFalse();
+			gateway.proofAge(100);
+			assertThat(gateway.ready()).isTrue();
+		}
+	}
+
 	@Test
 	void asksToComeBackWhenTheConfigurationMayBeOld() throws Exception {
 		try (ScriptedUpstream upstream = answering(OK);
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/GatewayFixture.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/GatewayFixture.java
@@ -107,6 +107,10 @@
 		this.proofAgeMillis = millis;
 	}
 
+	boolean ready() {
+		return this.context.ready();
+	}
+
 	/**
 	 * Looks at the callers' connections as if time had passed.
 	 * @param later the time from now
--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/Balancer.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/Balancer.java
@@ -3,11 +3,13 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
@@ -81,7 +83,10 @@
 
 	private final Map<InetSocketAddress, RankLink> links = new HashMap<>();
 
-	private final MapProposals proposals = new MapProposals();
+	/** The ways to ranks that were last seen in other groups of the service. */
+	private final Set<RankLink> elsewhere = new HashSet<>();
+
+	private final MapProposals proposals = new MapProposals(this.clock);
 
 	private final StallWatch stalls = new StallWatch();
 
@@ -247,6 +252,7 @@
 	private CompletionStage<Optional<GroupReports>> gather(RankStatus status, boolean atRest) {
 		List<RankLink> others = others();
 		if (this.fleet.engine().isEmpty() || others.size() + 1 < status.size()) {
+			this.elsewhere.clear();
 			return CompletableFuture.completedStage(Optional.empty());
 		}
 		CompletableFuture<Optional<RankReport>> ownReport = this.own.report(status, atRest).toCompletableFuture();
@@ -258,16 +264,28 @@
 			.thenCombine(ownReport, (all, report) -> {
 				Map<RankLink, RankReport> answers = new LinkedHashMap<>();
 				asked.forEach((link, answer) -> answer.join().ifPresent((known) -> answers.put(link, known)));
-				return report.flatMap((known) -> GroupReports.of(status, known, answers));
+				Optional<GroupReports> reports = report.flatMap((known) -> GroupReports.of(status, known, answers));
+				noteGroups(reports, answers.keySet());
+				return reports;
 			});
 	}
 
+	// Only ranks of the group are asked, until one is missing: it may have been replaced.
+	private void noteGroups(Optional<GroupReports> reports, Set<RankLink> answered) {
+		if (reports.isEmpty()) {
+			this.elsewhere.clear();
+			return;
+		}
+		answered.stream().filter((link) -> !reports.get().links().containsValue(link)).forEach(this.elsewhere::add);
+	}
+
 	private List<RankLink> others() {
 		return this.fleet.groupUpstreams()
 			.stream()
 			.map(UpstreamRecord::address)
 			.filter((address) -> !address.getAddress().getHostAddress().equals(this.fleet.ownAddress()))
 			.map((address) -> this.links.computeIfAbsent(address, this::link))
+			.filter((link) -> !this.elsewhere.contains(link))
 			.toList();
 	}
 
@@ -279,8 +297,7 @@
 	private CompletionStage<Long> decide(GroupDuty held, EngineSpec engine, GroupReports reports) {
 		GroupView ranks = reports.view();
 		if (held.balancing()) {
-			this.proposals.observe(engine.experts().orElseThrow(), ranks, reports.reports(),
-					TimeUnit.NANOSECONDS.toMillis(this.clock.nanos()));
+			this.proposals.observe(engine.experts().orElseThrow(), ranks, reports.reports());
 		}
 		Optional<int[][][]> inUse = reports.mapInUse();
 		if (inUse.isEmpty()) {
