Compare rules for maps in a model of a group

The experiment group-maps plays map 0 for ever, replanning at once, the product's policy and a rule that knows each turn of demand, in groups whose demand turns each 4 s.

--- /dev/null
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/groupmaps/MapRule.java
@@ -0,0 +1,134 @@
+package io.bulrushrouter.bench.groupmaps;
+
+import java.util.Optional;
+
+import io.bulrushrouter.experts.live.Demand;
+import io.bulrushrouter.experts.live.MapPolicy;
+import io.bulrushrouter.experts.live.PlacementLimits;
+import io.bulrushrouter.experts.live.PlacementPlan;
+import io.bulrushrouter.experts.live.PlacementPlanner;
+
+/**
+ * A rule for when a group gets which map.
+ */
+interface MapRule {
+
+	/** How full the group is taken to be: between nearly idle and nearly full. */
+	double OCCUPANCY = 0.6;
+
+	/** A gain that is next to nothing but keeps plans from exchanging equals. */
+	double ANY_GAIN = 1e-4;
+
+	/**
+	 * Takes running counts.
+	 * @param counts the counts by set and expert, flat
+	 * @param nowMillis the time
+	 */
+	default void observe(long[] counts, long nowMillis) {
+	}
+
+	/**
+	 * Plans from what was seen, while no switch is under way.
+	 * @param inUse the map in use
+	 * @return the plan to switch to, if any
+	 */
+	default Optional<PlacementPlan> plan(int[][][] inUse) {
+		return Optional.empty();
+	}
+
+	/**
+	 * Plans for the demand that begins now, of which the weights were copied before.
+	 * @param inUse the map in use
+	 * @param shares the demand until the next turn
+	 * @return the plan that is in use from now on, if any
+	 */
+	default Optional<PlacementPlan> foresee(int[][][] inUse, double[][] shares) {
+		return Optional.empty();
+	}
+
+	/**
+	 * The map of the start for ever.
+	 * @return the rule
+	 */
+	static MapRule ofFirstMap() {
+		return new MapRule() {
+		};
+	}
+
+	/**
+	 * The product's policy.
+	 * @param figures the group
+	 * @return the rule
+	 */
+	static MapRule ofPolicy(GroupFigures figures) {
+		MapPolicy policy = new MapPolicy(figures.sets(), figures.experts(), figures.places(), figures.spare(),
+				figures.secondsForCopy());
+		return new MapRule() {
+			@Override
+			public void observe(long[] counts, long nowMillis) {
+				policy.observe(1, 0, counts, nowMillis);
+			}
+
+			@Override
+			public Optional<PlacementPlan> plan(int[][][] inUse) {
+				return policy.paying(inUse, OCCUPANCY);
+			}
+		};
+	}
+
+	/**
+	 * Whenever a map is better by the newest counts, it is switched to.
+	 * @param figures the group
+	 * @return the rule
+	 */
+	static MapRule ofReplanning(GroupFigures figures) {
+		Demand demand = new Demand(figures.sets(), figures.experts());
+		PlacementLimits limits = new PlacementLimits(figures.places(), figures.spare(),
+				figures.spare() * figures.sets());
+		return new MapRule() {
+			@Override
+			public void observe(long[] counts, long nowMillis) {
+				demand.observe(1, 0, counts, nowMillis);
+			}
+
+			@Override
+			public Optional<PlacementPlan> plan(int[][][] inUse) {
+				PlacementPlan plan = new PlacementPlanner(limits, ANY_GAIN).plan(inUse, demand.loads());
+				return Optional.of(plan).filter((made) -> made.copies() > 0 && made.skewAfter() < made.skewBefore());
+			}
+		};
+	}
+
+	/**
+	 * Knows each turn and copies before it.
+	 * @param figures the group
+	 * @param secondsOfTurn the time between turns
+	 * @return the rule
+	 */
+	static MapRule ofFuture(GroupFigures figures, double secondsOfTurn) {
+		int most = Math.max(1, (int) (secondsOfTurn / figures.secondsForCopy()));
+		return new MapRule() {
+			@Override
+			public Optional<PlacementPlan> foresee(int[][][] inUse, double[][] shares) {
+				PlacementPlan best = null;
+				for (int copies = 1; copies <= most; copies *= 2) {
+					PlacementLimits limits = new PlacementLimits(figures.places(), figures.places(), copies);
+					PlacementPlan plan = new PlacementPlanner(limits, ANY_GAIN).plan(inUse, shares);
+					if (best == null || seconds(plan) < seconds(best)) {
+						best = plan;
+					}
+				}
+				return Optional.ofNullable(best).filter((made) -> made.copies() > 0);
+			}
+
+			// What the passes of a turn take, with the slower ones while weights are
+			// copied.
+			private double seconds(PlacementPlan plan) {
+				double copying = Math.min(1, plan.mostCopies() * figures.secondsForCopy() / secondsOfTurn);
+				return copying * figures.passSeconds(plan.skewAfter(), true)
+						+ (1 - copying) * figures.passSeconds(plan.skewAfter(), false);
+			}
+		};
+	}
+
+}
