Do not let ranks of other groups delay a round

Cause: a round waited for every listed upstream, also of other groups. Once one was forgotten to be elsewhere, a dead one of another group cost each round the 400 ms of a silent process and 150 ms of its engine, with the group held; a process whose engine is in no group (empty upstreams that join) was taken for silent and its engine was asked, which is priced. Now a round ends as soon as all ranks of the group have answered (Gathering), and an answer without a report is an answer.

--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/Balancer.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/Balancer.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -255,28 +254,11 @@
 			this.elsewhere.clear();
 			return CompletableFuture.completedStage(Optional.empty());
 		}
-		CompletableFuture<Optional<RankReport>> ownReport = this.own.report(status, atRest).toCompletableFuture();
-		Map<RankLink, CompletableFuture<Optional<RankReport>>> asked = new LinkedHashMap<>();
+		Gathering gathering = new Gathering(status, this.elsewhere);
 		for (RankLink other : others) {
-			asked.put(other, (atRest ? other.reportWithCounts() : other.report()).toCompletableFuture());
+			gathering.await(other, atRest ? other.reportWithCounts() : other.report());
 		}
-		return CompletableFuture.allOf(asked.values().toArray(CompletableFuture[]::new))
-			.thenCombine(ownReport, (all, report) -> {
-				Map<RankLink, RankReport> answers = new LinkedHashMap<>();
-				asked.forEach((link, answer) -> answer.join().ifPresent((known) -> answers.put(link, known)));
-				Optional<GroupReports> reports = report.flatMap((known) -> GroupReports.of(status, known, answers));
-				noteGroups(reports, answers.keySet());
-				return reports;
-			});
-	}
-
-	// Only ranks of the group are asked, until one is missing: it may have been replaced.
-	private void noteGroups(Optional<GroupReports> reports, Set<RankLink> answered) {
-		if (reports.isEmpty()) {
-			this.elsewhere.clear();
-			return;
-		}
-		answered.stream().filter((link) -> !reports.get().links().containsValue(link)).forEach(this.elsewhere::add);
+		return gathering.awaitOwn(this.own.report(status, atRest));
 	}
 
 	private List<RankLink> others() {
--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/PeerClient.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/PeerClient.java
@@ -41,9 +41,15 @@
 		this.address = address;
 	}
 
-	CompletionStage<Optional<RankReport>> report(boolean counts) {
-		return ask(new PeerMessage.AskReport(++this.lastId, counts)).thenApply((answer) -> answer
-			.flatMap((message) -> (message instanceof PeerMessage.Report report) ? report.report() : Optional.empty()));
+	/**
+	 * Asks for a report.
+	 * @param counts whether it is to hold the counts
+	 * @return the answer, which holds no report if the engine is in no group, or empty if
+	 * the process did not answer
+	 */
+	CompletionStage<Optional<PeerMessage.Report>> report(boolean counts) {
+		return ask(new PeerMessage.AskReport(++this.lastId, counts)).thenApply(
+				(answer) -> answer.filter(PeerMessage.Report.class::isInstance).map(PeerMessage.Report.class::cast));
 	}
 
 	CompletionStage<OrderResult> order(RankOrder order, long epoch, long fence) {
--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/RankLink.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/RankLink.java
@@ -52,20 +52,20 @@
 	 * @return the report, or empty if there was no answer
 	 */
 	CompletionStage<Optional<RankReport>> reportWithCounts() {
-		return this.peer.report(true);
+		return this.peer.report(true).thenApply((answer) -> answer.flatMap(PeerMessage.Report::report));
 	}
 
 	/**
 	 * Asks for a report without counts.
-	 * @return the report, or empty if neither the process nor the engine answered
+	 * @return the report, or empty if neither the process nor the engine has one
 	 */
 	CompletionStage<Optional<RankReport>> report() {
 		if (goesStraight()) {
 			return reporter().report(false);
 		}
-		return this.peer.report(false).thenCompose((report) -> {
-			if (report.isPresent()) {
-				return CompletableFuture.completedFuture(report);
+		return this.peer.report(false).thenCompose((answer) -> {
+			if (answer.isPresent()) {
+				return CompletableFuture.completedFuture(answer.get().report());
 			}
 			logger.info("event=rank-process-silent peer={} action=\"asking its engine\"", this.name);
 			this.straight = true;
