Take out what the change wrote twice or keeps for nothing

- The end of an answer was given as a reason that is always empty; it now returns nothing.
- Listeners of a feed that forget nothing need not say that a list is a change: the interface does (twice the same method before).
- A way to a rank remembers since when its process is silent, not that and a flag that says the same.
- The model of a group asked the planner for a whole plan to learn a skew; the planner gives it now.
Tokens follow from the passes made, and copying is begun in one place.

--- a/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/groupmaps/GroupMapsExperiment.java
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/groupmaps/GroupMapsExperiment.java
@@ -21,7 +21,7 @@
 	private static final int SEEDS = 3;
 
 	/** Groups as deployed, in between, and at the size aimed at. */
-	static final List<GroupFigures> GROUPS = List.of(
+	private static final List<GroupFigures> GROUPS = List.of(
 			new GroupFigures("12 ranks, 3 sets", 12, 3, 96, 11, 4, 0.4, 1.3, 60),
 			new GroupFigures("12 ranks, 16 sets", 12, 16, 96, 11, 4, 0.076, 0.94, 60),
 			new GroupFigures("24 ranks, 3 sets", 24, 3, 96, 5, 2, 0.4, 1.3, 60),
--- a/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/groupmaps/GroupPlay.java
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/groupmaps/GroupPlay.java
@@ -6,7 +6,6 @@
 import java.util.Optional;
 import java.util.function.Supplier;
 
-import io.bulrushrouter.experts.live.PlacementLimits;
 import io.bulrushrouter.experts.live.PlacementPlan;
 import io.bulrushrouter.experts.live.PlacementPlanner;
 
@@ -46,8 +45,6 @@
 
 	private double skew;
 
-	private long tokens;
-
 	private long copies;
 
 	GroupPlay(GroupFigures figures, MapRule rule, long seed) {
@@ -80,7 +77,8 @@
 			}
 			pass();
 		}
-		return new Result(mean(), ninetyNinth(), this.tokens / this.now, this.copies);
+		long tokens = (long) this.skews.size() * this.figures.tokensOfPass();
+		return new Result(mean(), ninetyNinth(), tokens / this.now, this.copies);
 	}
 
 	private void look() {
@@ -93,8 +91,7 @@
 		if (this.pending.isEmpty()) {
 			this.rule.plan(this.map).ifPresent((plan) -> {
 				this.pending = Optional.of(plan);
-				this.copies += plan.copies();
-				this.copiedAt = this.now + plan.mostCopies() * this.figures.secondsForCopy();
+				copy(plan);
 				this.switchAt = this.copiedAt + SECONDS_OF_SWITCH;
 			});
 		}
@@ -103,6 +100,10 @@
 	// The time of copying is charged now, which is as much as before.
 	private void copiedBefore(PlacementPlan plan) {
 		this.map = plan.experts();
+		copy(plan);
+	}
+
+	private void copy(PlacementPlan plan) {
 		this.copies += plan.copies();
 		this.copiedAt = this.now + plan.mostCopies() * this.figures.secondsForCopy();
 	}
@@ -110,13 +111,11 @@
 	private void pass() {
 		this.demand.choose(this.counts, this.figures.choicesOfPass());
 		this.skews.add(this.skew);
-		this.tokens += this.figures.tokensOfPass();
 		this.now += this.figures.passSeconds(this.skew, this.now < this.copiedAt);
 	}
 
 	private void measure() {
-		this.skew = new PlacementPlanner(new PlacementLimits(0, 0, 0), 1).plan(this.map, this.demand.shares())
-			.skewBefore();
+		this.skew = PlacementPlanner.skew(this.map, this.demand.shares());
 	}
 
 	private double mean() {
--- a/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/PlacementPlanner.java
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/PlacementPlanner.java
@@ -76,10 +76,7 @@
 	 * @return the plan
 	 */
 	public PlacementPlan plan(int[][][] inUse, double[][] demand) {
-		SetPlacement[] sets = new SetPlacement[inUse.length];
-		for (int set = 0; set < sets.length; set++) {
-			sets[set] = new SetPlacement(inUse[set], demand[set]);
-		}
+		SetPlacement[] sets = placements(inUse, demand);
 		double before = meanSkew(sets);
 		boolean[] done = new boolean[sets.length];
 		for (int change = 0; change < MOST_CHANGES; change++) {
@@ -103,6 +100,24 @@
 		return new PlacementPlan(experts, copies, mostCopies, before, meanSkew(sets));
 	}
 
+	/**
+	 * Returns the load of the most loaded rank on a map.
+	 * @param map the map, by set and rank
+	 * @param demand the demand, by set and expert
+	 * @return in parts of the mean, as a mean over sets
+	 */
+	public static double skew(int[][][] map, double[][] demand) {
+		return meanSkew(placements(map, demand));
+	}
+
+	private static SetPlacement[] placements(int[][][] map, double[][] demand) {
+		SetPlacement[] sets = new SetPlacement[map.length];
+		for (int set = 0; set < sets.length; set++) {
+			sets[set] = new SetPlacement(map[set], demand[set]);
+		}
+		return sets;
+	}
+
 	private static double meanSkew(SetPlacement[] sets) {
 		double sum = 0;
 		for (SetPlacement set : sets) {
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/AnswerRelay.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/AnswerRelay.java
@@ -267,9 +267,8 @@
 
 	/**
 	 * Takes the end of the answer.
-	 * @return why the answer is of no use, or empty
 	 */
-	Optional<Rejected> end() {
+	void end() {
 		if (this.splitter != null) {
 			ByteBuf rest = this.splitter.rest();
 			startIfNeeded();
@@ -289,7 +288,6 @@
 		this.context.metrics()
 			.whole()
 			.record(this.context.nowNanos() - this.request.arrivedNanos(), TimeUnit.NANOSECONDS);
-		return Optional.empty();
 	}
 
 	/**
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
@@ -351,7 +351,8 @@
 			if (stale()) {
 				return;
 			}
-			react(Exchange.this.relay.end());
+			Exchange.this.relay.end();
+			// Writing the end may show that the caller has left.
 			if (!stale()) {
 				succeeded();
 			}
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/GatewayContext.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/GatewayContext.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 
 import io.netty.channel.EventLoop;
@@ -207,8 +208,9 @@
 	 */
 	public void sweep() {
 		this.directory.expire(nowNanos());
-		this.pool.sweep(this.directory.identifiers());
-		this.choice.retain(this.directory.identifiers());
+		Set<String> listed = this.directory.identifiers();
+		this.pool.sweep(listed);
+		this.choice.retain(listed);
 	}
 
 	boolean reserve(long bytes) {
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamPool.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamPool.java
@@ -47,8 +47,6 @@
 
 	private final Map<String, Deque<UpstreamConnection>> idle = new HashMap<>();
 
-	private int open;
-
 	UpstreamPool(EventLoop loop, TimeSource clock, Counter connects) {
 		this.clock = clock;
 		this.connects = connects;
@@ -105,7 +103,6 @@
 				failed.accept(String.valueOf(done.cause()));
 				return;
 			}
-			this.open++;
 			Channel channel = connecting.channel();
 			UpstreamConnection connection = new UpstreamConnection(channel, (freed) -> keep(upstream.id(), freed),
 					(gone) -> forget(upstream.id(), gone));
@@ -121,7 +118,6 @@
 	}
 
 	private void forget(String id, UpstreamConnection connection) {
-		this.open--;
 		Deque<UpstreamConnection> connections = this.idle.get(id);
 		if (connections != null) {
 			connections.remove(connection);
@@ -145,8 +141,4 @@
 		this.idle.values().removeIf(Deque::isEmpty);
 	}
 
-	int open() {
-		return this.open;
-	}
-
 }
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/Gateway.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/Gateway.java
@@ -198,11 +198,6 @@
 	 */
 	private final class Configurations implements FeedFollower.Listener<GatewayConfiguration> {
 
-		@Override
-		public void listed(List<Item<GatewayConfiguration>> items, long askedNanos) {
-			changed(items, askedNanos);
-		}
-
 		@Override
 		public void changed(List<Item<GatewayConfiguration>> changes, long askedNanos) {
 			for (Item<GatewayConfiguration> item : changes) {
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/FeedFollower.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/FeedFollower.java
@@ -136,11 +136,14 @@
 	public interface Listener<T> {
 
 		/**
-		 * All objects, in place of what was known.
+		 * All objects, in place of what was known. To a listener that forgets nothing it
+		 * is the same as a change.
 		 * @param items the objects
 		 * @param askedNanos when the store was asked
 		 */
-		void listed(List<FeedAnswer.Item<T>> items, long askedNanos);
+		default void listed(List<FeedAnswer.Item<T>> items, long askedNanos) {
+			changed(items, askedNanos);
+		}
 
 		/**
 		 * What changed.
--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/FleetView.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/FleetView.java
@@ -87,11 +87,6 @@
 
 	private final class Configurations implements FeedFollower.Listener<GatewayConfiguration> {
 
-		@Override
-		public void listed(List<Item<GatewayConfiguration>> items, long askedNanos) {
-			changed(items, askedNanos);
-		}
-
 		@Override
 		public void changed(List<Item<GatewayConfiguration>> changes, long askedNanos) {
 			for (Item<GatewayConfiguration> item : changes) {
--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/RankLink.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/RankLink.java
@@ -1,6 +1,7 @@
 package io.bulrushrouter.ranks;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
@@ -36,9 +37,7 @@
 
 	private RankReporter reporter;
 
-	private boolean straight;
-
-	private long straightSinceNanos;
+	private OptionalLong silentSinceNanos = OptionalLong.empty();
 
 	RankLink(String name, PeerClient peer, Supplier<RankEngine> connect, TimeSource clock) {
 		this.name = name;
@@ -68,8 +67,7 @@
 				return CompletableFuture.completedFuture(answer.get().report());
 			}
 			logger.info("event=rank-process-silent peer={} action=\"asking its engine\"", this.name);
-			this.straight = true;
-			this.straightSinceNanos = this.clock.nanos();
+			this.silentSinceNanos = OptionalLong.of(this.clock.nanos());
 			return reporter().report(false);
 		});
 	}
@@ -86,9 +84,8 @@
 	}
 
 	private boolean goesStraight() {
-		long sinceNanos = this.clock.nanos() - this.straightSinceNanos;
-		this.straight = this.straight && sinceNanos < TimeUnit.MILLISECONDS.toNanos(STRAIGHT_MILLIS);
-		return this.straight;
+		return this.silentSinceNanos.isPresent() && this.clock.nanos()
+				- this.silentSinceNanos.getAsLong() < TimeUnit.MILLISECONDS.toNanos(STRAIGHT_MILLIS);
 	}
 
 	private RankReporter reporter() {
