--- a/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/groupmaps/MapRule.java
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/groupmaps/MapRule.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 
+import io.bulrushrouter.experts.live.ChoiceCounter;
 import io.bulrushrouter.experts.live.DemandTracker;
 import io.bulrushrouter.experts.live.MapPolicy;
 import io.bulrushrouter.experts.live.PlacementLimits;
@@ -63,10 +64,11 @@
 	static MapRule ofPolicy(GroupParameters parameters) {
 		MapPolicy policy = new MapPolicy(parameters.layerSets(), parameters.experts(), parameters.slots(),
 				parameters.maxCopies(), parameters.copySeconds());
+		ChoiceCounter counter = new ChoiceCounter();
 		return new MapRule() {
 			@Override
 			public void observe(long[] counts, long nowMillis) {
-				policy.observe(1, 0, counts, nowMillis);
+				counter.read(1, counts, nowMillis).ifPresent((sample) -> policy.observe(sample, nowMillis));
 			}
 
 			@Override
@@ -85,10 +87,11 @@
 		DemandTracker demand = new DemandTracker(parameters.layerSets(), parameters.experts());
 		PlacementLimits limits = new PlacementLimits(parameters.slots(), parameters.maxCopies(),
 				parameters.maxCopies() * parameters.layerSets());
+		ChoiceCounter counter = new ChoiceCounter();
 		return new MapRule() {
 			@Override
 			public void observe(long[] counts, long nowMillis) {
-				demand.observe(1, 0, counts, nowMillis);
+				counter.read(1, counts, nowMillis).ifPresent((sample) -> demand.observe(sample, nowMillis));
 			}
 
 			@Override
--- a/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/DemandTracker.java
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/DemandTracker.java
@@ -1,11 +1,8 @@
 package io.bulrushrouter.experts.live;
 
-import java.util.HashMap;
-import java.util.Map;
-
 /**
- * Tracks the current demand for each expert from the cumulative counts of all ranks.
- * Demand decays exponentially with age. Not thread-safe.
+ * Tracks the current demand for each expert from samples of choices. Demand decays
+ * exponentially with age. Not thread-safe.
  */
 public final class DemandTracker {
 
@@ -18,10 +15,6 @@
 
 	private final double[][] loads;
 
-	private final Map<Integer, long[]> lastCounts = new HashMap<>();
-
-	private long epoch = -1;
-
 	private long decayedToMillis;
 
 	/**
@@ -36,31 +29,31 @@
 	}
 
 	/**
-	 * Records the cumulative counts of one rank. Counts of the wrong length are ignored.
-	 * @param epoch the group's epoch
-	 * @param rank the index of the rank
-	 * @param counts the number of times each expert was chosen since the rank started, by
-	 * set and expert
+	 * Records the choices of some ranks. Samples with another number of experts are
+	 * ignored.
+	 * @param sample the choices
 	 * @param nowMillis the current time, in milliseconds
 	 */
-	public void observe(long epoch, int rank, long[] counts, long nowMillis) {
-		if (counts.length != this.sets * this.experts) {
+	public void observe(ChoiceSample sample, long nowMillis) {
+		double[] choices = sample.choices();
+		if (choices.length != this.sets * this.experts) {
 			return;
 		}
-		if (epoch != this.epoch) {
-			this.epoch = epoch;
-			this.lastCounts.clear();
-		}
 		decay(nowMillis);
-		long[] previous = this.lastCounts.put(rank, counts);
-		if (previous == null) {
-			return;
+		double weight = meanWeight(sample.spanMillis());
+		for (int index = 0; index < choices.length; index++) {
+			this.loads[index / this.experts][index % this.experts] += weight * choices[index];
 		}
-		for (int index = 0; index < counts.length; index++) {
-			// A restarted rank counts from zero.
-			long chosen = (counts[index] >= previous[index]) ? counts[index] - previous[index] : counts[index];
-			this.loads[index / this.experts][index % this.experts] += chosen;
+	}
+
+	// The mean weight by age of choices that were made at an even rate in a span of time
+	// that ends now.
+	private static double meanWeight(long spanMillis) {
+		if (spanMillis <= 0) {
+			return 1;
 		}
+		double halfLives = spanMillis / HALF_LIFE_MILLIS;
+		return (1 - Math.pow(0.5, halfLives)) / (halfLives * Math.log(2));
 	}
 
 	private void decay(long nowMillis) {
--- a/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/MapPolicy.java
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/MapPolicy.java
@@ -42,15 +42,12 @@
 	}
 
 	/**
-	 * Records the cumulative counts of one rank.
-	 * @param epoch the group's epoch
-	 * @param rank the index of the rank
-	 * @param counts the number of times each expert was chosen since the rank started, by
-	 * set and expert
+	 * Records the choices of some ranks.
+	 * @param sample the choices
 	 * @param nowMillis the current time, in milliseconds
 	 */
-	public void observe(long epoch, int rank, long[] counts, long nowMillis) {
-		this.demand.observe(epoch, rank, counts, nowMillis);
+	public void observe(ChoiceSample sample, long nowMillis) {
+		this.demand.observe(sample, nowMillis);
 	}
 
 	/**
--- a/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/PlacementPlan.java
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/PlacementPlan.java
@@ -56,9 +56,20 @@
 	 * @return the integral of the skew over time, in seconds
 	 */
 	public double cost(double secondsPerCopy) {
-		double copying = this.maxCopiesPerRank * secondsPerCopy;
-		double delay = Math.min(COMPARISON_SECONDS, SWITCH_SECONDS + copying);
-		return this.skewBefore * (delay + COPY_SLOWDOWN * copying) + this.skewAfter * (COMPARISON_SECONDS - delay);
+		return cost(this.skewBefore, this.skewAfter, this.maxCopiesPerRank * secondsPerCopy);
+	}
+
+	/**
+	 * Returns the cost of a plan over the next seconds, as {@link #cost(double)}.
+	 * @param skewBefore the skew on the map in use
+	 * @param skewAfter the skew on the new map
+	 * @param copySeconds the time that the rank with the most copies needs for them, in
+	 * seconds
+	 * @return the integral of the skew over time, in seconds
+	 */
+	static double cost(double skewBefore, double skewAfter, double copySeconds) {
+		double delay = Math.min(COMPARISON_SECONDS, SWITCH_SECONDS + copySeconds);
+		return skewBefore * (delay + COPY_SLOWDOWN * copySeconds) + skewAfter * (COMPARISON_SECONDS - delay);
 	}
 
 }
--- a/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/PlacementPlanner.java
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/PlacementPlanner.java
@@ -1,12 +1,7 @@
 package io.bulrushrouter.experts.live;
 
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.List;
-import java.util.stream.IntStream;
-
-import io.bulrushrouter.experts.live.SetPlacement.Change;
-import io.bulrushrouter.experts.live.SetPlacement.Change.Step;
+import java.util.Arrays;
+import java.util.function.IntToDoubleFunction;
 
 /**
  * Plans the next expert map of a group in which the replicas of an expert share its
@@ -25,12 +20,14 @@
 	 */
 	private static final int MAX_CANDIDATES = 6;
 
-	private static final int MAX_CHANGES = 400;
+	/** The maximum number of changes for each rank and set. */
+	private static final int MAX_CHANGES_PER_RANK = 2;
 
 	/**
-	 * The number of plans with more copies to try without finding one that costs less.
+	 * The number of copies a rank by which a plan is extended without finding one that
+	 * costs less.
 	 */
-	private static final int MAX_UNIMPROVED_PLANS = 3;
+	private static final int MAX_UNIMPROVED_EXTENSIONS = 3;
 
 	private final PlacementLimits limits;
 
@@ -48,8 +45,8 @@
 	}
 
 	/**
-	 * Creates plans with an increasing limit of copies per rank and returns the plan of
-	 * lowest cost.
+	 * Creates a plan with one copy per rank, extends it by one more copy per rank at a
+	 * time and returns the plan of lowest cost.
 	 * @param inUse the experts of the map in use, by set and rank
 	 * @param demand the demand, by set and expert
 	 * @param limits the limits of each plan
@@ -60,16 +57,16 @@
 	 */
 	public static PlacementPlan cheapest(int[][][] inUse, double[][] demand, PlacementLimits limits,
 			double minGainPerCopy, double secondsPerCopy) {
+		Draft draft = new PlacementPlanner(limits, minGainPerCopy).new Draft(inUse, demand);
 		PlacementPlan best = null;
 		int copiesOfBest = 0;
 		for (int copies = 1; copies <= limits.maxCopiesPerRank(); copies++) {
-			PlacementLimits reduced = new PlacementLimits(limits.slotsPerSet(), limits.maxCopiesPerSet(), copies);
-			PlacementPlan plan = new PlacementPlanner(reduced, minGainPerCopy).plan(inUse, demand);
-			if (best == null || plan.cost(secondsPerCopy) < best.cost(secondsPerCopy)) {
-				best = plan;
+			draft.extend(copies);
+			if (best == null || draft.cost(secondsPerCopy) < best.cost(secondsPerCopy)) {
+				best = draft.plan();
 				copiesOfBest = copies;
 			}
-			boolean finished = plan.maxCopiesPerRank() < copies || copies >= copiesOfBest + MAX_UNIMPROVED_PLANS;
+			boolean finished = draft.maxCopies() < copies || copies >= copiesOfBest + MAX_UNIMPROVED_EXTENSIONS;
 			if (finished) {
 				break;
 			}
@@ -84,28 +81,9 @@
 	 * @return the plan
 	 */
 	public PlacementPlan plan(int[][][] inUse, double[][] demand) {
-		SetPlacement[] sets = placements(inUse, demand);
-		double before = meanSkew(sets);
-		boolean[] exhausted = new boolean[sets.length];
-		for (int change = 0; change < MAX_CHANGES; change++) {
-			int worst = mostSkewedSet(sets, exhausted);
-			if (worst < 0) {
-				break;
-			}
-			exhausted[worst] = !applyBestChange(sets, worst);
-		}
-		int[][][] experts = new int[sets.length][][];
-		int copies = 0;
-		int maxCopies = 0;
-		for (int set = 0; set < sets.length; set++) {
-			experts[set] = sets[set].experts();
-		}
-		for (int rank = 0; rank < sets[0].ranks(); rank++) {
-			int rankCopies = copiesOfRank(sets, rank);
-			copies += rankCopies;
-			maxCopies = Math.max(maxCopies, rankCopies);
-		}
-		return new PlacementPlan(experts, copies, maxCopies, before, meanSkew(sets));
+		Draft draft = new Draft(inUse, demand);
+		draft.extend(this.limits.maxCopiesPerRank());
+		return draft.plan();
 	}
 
 	/**
@@ -134,121 +112,193 @@
 		return sum / sets.length;
 	}
 
-	private static int mostSkewedSet(SetPlacement[] sets, boolean[] exhausted) {
-		int worst = -1;
-		for (int set = 0; set < sets.length; set++) {
-			if (!exhausted[set] && sets[set].skew() > BALANCED_SKEW
-					&& (worst < 0 || sets[set].skew() > sets[worst].skew())) {
-				worst = set;
+	private static double sixthRoot(double imbalance) {
+		return Math.pow(imbalance, 1.0 / 6);
+	}
+
+	/**
+	 * A plan that is extended step by step.
+	 */
+	private final class Draft {
+
+		private final SetPlacement[] sets;
+
+		private final double skewBefore;
+
+		private final int[] copiesOfRank;
+
+		private int maxCopiesPerRank;
+
+		private int changesLeft;
+
+		private ReplicaChange best;
+
+		private double bestGainPerCopy;
+
+		private double rootBefore;
+
+		private Draft(int[][][] inUse, double[][] demand) {
+			this.sets = placements(inUse, demand);
+			this.skewBefore = meanSkew(this.sets);
+			this.copiesOfRank = new int[this.sets[0].ranks()];
+			this.changesLeft = MAX_CHANGES_PER_RANK * this.sets.length * this.sets[0].ranks();
+		}
+
+		/**
+		 * Applies further changes as long as they gain enough.
+		 * @param copiesPerRank the maximum number of copies of a rank from now on
+		 */
+		private void extend(int copiesPerRank) {
+			this.maxCopiesPerRank = copiesPerRank;
+			boolean[] exhausted = new boolean[this.sets.length];
+			int worst = mostSkewedSet(exhausted);
+			while (worst >= 0 && this.changesLeft > 0) {
+				this.changesLeft--;
+				exhausted[worst] = !applyBestChange(this.sets[worst]);
+				worst = mostSkewedSet(exhausted);
 			}
 		}
-		return worst;
-	}
 
-	private boolean applyBestChange(SetPlacement[] sets, int set) {
-		SetPlacement placement = sets[set];
-		double before = placement.imbalance();
-		Change best = null;
-		double bestGainPerCopy = this.minGainPerCopy * sets.length;
-		for (Change change : candidateChanges(sets, set)) {
-			placement.apply(change);
-			double after = placement.imbalance();
-			boolean allowed = withinLimits(sets, set, change);
-			placement.revert(change);
-			double gainPerCopy = (sixthRoot(before) - sixthRoot(after)) / Math.max(0.5, countCopies(placement, change));
-			if (allowed && gainPerCopy > bestGainPerCopy) {
-				best = change;
-				bestGainPerCopy = gainPerCopy;
-			}
-		}
-		if (best != null) {
-			placement.apply(best);
-		}
-		return best != null;
-	}
+		private PlacementPlan plan() {
+			int[][][] experts = new int[this.sets.length][][];
+			for (int set = 0; set < experts.length; set++) {
+				experts[set] = this.sets[set].experts();
+			}
+			return new PlacementPlan(experts, Arrays.stream(this.copiesOfRank).sum(), maxCopies(), this.skewBefore,
+					meanSkew(this.sets));
+		}
 
-	private static double sixthRoot(double imbalance) {
-		return Math.pow(imbalance, 1.0 / 6);
-	}
+		private int maxCopies() {
+			return Arrays.stream(this.copiesOfRank).max().orElse(0);
+		}
+
+		private double cost(double secondsPerCopy) {
+			return PlacementPlan.cost(this.skewBefore, meanSkew(this.sets), maxCopies() * secondsPerCopy);
+		}
 
-	private static int countCopies(SetPlacement placement, Change change) {
-		int copies = 0;
-		for (Step step : change.steps()) {
-			if (step.added() && placement.isNew(step.rank(), step.expert())) {
-				copies++;
+		private int mostSkewedSet(boolean[] exhausted) {
+			int worst = -1;
+			for (int set = 0; set < this.sets.length; set++) {
+				if (!exhausted[set] && this.sets[set].skew() > BALANCED_SKEW
+						&& (worst < 0 || this.sets[set].skew() > this.sets[worst].skew())) {
+					worst = set;
+				}
 			}
+			return worst;
 		}
-		return copies;
-	}
 
-	private boolean withinLimits(SetPlacement[] sets, int set, Change change) {
-		for (Step step : change.steps()) {
-			if (step.added() && (sets[set].newExpertCount(step.rank()) > this.limits.maxCopiesPerSet()
-					|| copiesOfRank(sets, step.rank()) > this.limits.maxCopiesPerRank())) {
+		private boolean applyBestChange(SetPlacement placement) {
+			this.best = null;
+			this.bestGainPerCopy = PlacementPlanner.this.minGainPerCopy * this.sets.length;
+			this.rootBefore = sixthRoot(placement.imbalance());
+			evaluateChanges(placement);
+			if (this.best == null) {
 				return false;
 			}
+			countCopies(placement, this.best.addedTo());
+			countCopies(placement, this.best.removedFrom());
+			placement.apply(this.best);
+			return true;
 		}
-		return true;
-	}
 
-	private static int copiesOfRank(SetPlacement[] sets, int rank) {
-		int copies = 0;
-		for (SetPlacement set : sets) {
-			copies += set.newExpertCount(rank);
+		// Both ranks of a change may gain and lose new experts.
+		private void countCopies(SetPlacement placement, int rank) {
+			if (rank >= 0) {
+				this.copiesOfRank[rank] += placement.newExpertDelta(this.best, rank);
+			}
 		}
-		return copies;
-	}
 
-	private List<Change> candidateChanges(SetPlacement[] sets, int set) {
-		SetPlacement placement = sets[set];
-		int from = placement.mostLoadedRank();
-		List<Change> changes = new ArrayList<>();
-		List<Integer> heaviest = IntStream.of(placement.expertsOf(from))
-			.boxed()
-			.sorted(Comparator.comparingDouble((Integer expert) -> -placement.loadPerReplica(expert)))
-			.limit(MAX_CANDIDATES)
-			.toList();
-		List<Integer> lightest = IntStream.range(0, placement.ranks())
-			.boxed()
-			.filter((rank) -> rank != from)
-			.sorted(Comparator.comparingDouble(placement::load))
-			.limit(MAX_CANDIDATES)
-			.toList();
-		for (int to : lightest) {
-			int[] targetExperts = placement.expertsOf(to);
+		private void evaluateChanges(SetPlacement placement) {
+			int from = placement.mostLoadedRank();
+			int[] heaviest = heaviestExperts(placement, from);
+			for (int to : lightestRanks(placement, from)) {
+				int[] targetExperts = placement.expertsOf(to);
+				for (int expert : heaviest) {
+					if (!placement.holds(to, expert)) {
+						evaluateChanges(placement, from, to, expert, targetExperts);
+					}
+				}
+			}
 			for (int expert : heaviest) {
-				if (!placement.holds(to, expert)) {
-					addChanges(placement, from, to, expert, targetExperts, changes);
+				if (placement.replicas(expert) > 1) {
+					evaluate(placement, ReplicaChange.ofRemoval(expert, from));
 				}
 			}
 		}
-		for (int expert : heaviest) {
-			if (placement.replicas(expert) > 1) {
-				changes.add(Change.of(new Step(from, expert, false)));
+
+		private void evaluateChanges(SetPlacement placement, int from, int to, int expert, int[] targetExperts) {
+			if (placement.heldCount(to) < PlacementPlanner.this.limits.slotsPerSet()) {
+				evaluate(placement, ReplicaChange.ofAddition(expert, to));
+				evaluate(placement, ReplicaChange.ofMove(expert, to, from));
+			}
+			for (int other : targetExperts) {
+				if (placement.replicas(other) > 1) {
+					evaluate(placement, ReplicaChange.ofEviction(expert, to, ReplicaChange.NONE, other));
+					evaluate(placement, ReplicaChange.ofEviction(expert, to, from, other));
+				}
+				else if (placement.loadPerReplica(other) < placement.loadPerReplica(expert)
+						&& !placement.holds(from, other)) {
+					evaluate(placement, ReplicaChange.ofExchange(expert, to, from, other));
+				}
+			}
+		}
+
+		private void evaluate(SetPlacement placement, ReplicaChange change) {
+			double after = placement.imbalanceAfter(change);
+			if (after >= placement.imbalance()) {
+				return;
+			}
+			double gainPerCopy = (this.rootBefore - sixthRoot(after)) / Math.max(0.5, placement.copies(change));
+			if (gainPerCopy > this.bestGainPerCopy && withinLimits(placement, change)) {
+				this.best = change;
+				this.bestGainPerCopy = gainPerCopy;
 			}
 		}
-		return changes;
-	}
 
-	private void addChanges(SetPlacement placement, int from, int to, int expert, int[] targetExperts,
-			List<Change> changes) {
-		Step addition = new Step(to, expert, true);
-		Step removal = new Step(from, expert, false);
-		if (placement.heldCount(to) < this.limits.slotsPerSet()) {
-			changes.add(Change.of(addition));
-			changes.add(Change.of(addition, removal));
+		private boolean withinLimits(SetPlacement placement, ReplicaChange change) {
+			return withinLimits(placement, change, change.addedTo())
+					&& withinLimits(placement, change, change.otherAddedTo());
 		}
-		for (int other : targetExperts) {
-			Step eviction = new Step(to, other, false);
-			if (placement.replicas(other) > 1) {
-				changes.add(Change.of(eviction, addition));
-				changes.add(Change.of(eviction, addition, removal));
+
+		private boolean withinLimits(SetPlacement placement, ReplicaChange change, int rank) {
+			if (rank < 0) {
+				return true;
 			}
-			else if (placement.loadPerReplica(other) < placement.loadPerReplica(expert)
-					&& !placement.holds(from, other)) {
-				changes.add(Change.of(removal, eviction, addition, new Step(from, other, true)));
+			int delta = placement.newExpertDelta(change, rank);
+			return placement.newExpertCount(rank) + delta <= PlacementPlanner.this.limits.maxCopiesPerSet()
+					&& this.copiesOfRank[rank] + delta <= this.maxCopiesPerRank;
+		}
+
+		private int[] heaviestExperts(SetPlacement placement, int rank) {
+			int[] experts = placement.expertsOf(rank);
+			return first(experts, (expert) -> -placement.loadPerReplica(expert));
+		}
+
+		private int[] lightestRanks(SetPlacement placement, int excluded) {
+			int[] ranks = new int[placement.ranks() - 1];
+			for (int index = 0; index < ranks.length; index++) {
+				ranks[index] = (index < excluded) ? index : index + 1;
 			}
+			return first(ranks, placement::load);
 		}
+
+		// Returns the candidates with the lowest keys, in ascending order.
+		private static int[] first(int[] values, IntToDoubleFunction key) {
+			int count = Math.min(MAX_CANDIDATES, values.length);
+			for (int position = 0; position < count; position++) {
+				int lowest = position;
+				for (int index = position + 1; index < values.length; index++) {
+					if (key.applyAsDouble(values[index]) < key.applyAsDouble(values[lowest])) {
+						lowest = index;
+					}
+				}
+				int value = values[lowest];
+				values[lowest] = values[position];
+				values[position] = value;
+			}
+			return Arrays.copyOf(values, count);
+		}
+
 	}
 
 }
--- a/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/SetPlacement.java
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/SetPlacement.java
@@ -1,12 +1,10 @@
 package io.bulrushrouter.experts.live;
 
-import java.util.List;
-import java.util.stream.IntStream;
-
 /**
  * A mutable placement of the experts of one set: which ranks hold which experts, and the
- * load of each rank if the replicas of an expert share its tokens evenly. All values are
- * updated incrementally, since a plan tries about ten thousand changes.
+ * load of each rank, relative to the mean load, if the replicas of an expert share its
+ * tokens evenly. A change is evaluated without being applied, since a plan evaluates
+ * about a hundred thousand changes.
  */
 final class SetPlacement {
 
@@ -25,17 +23,25 @@
 	 */
 	private final int[][] holders;
 
+	/** The demand for each expert, relative to the mean load of a rank. */
 	private final double[] demand;
 
 	private final double[] load;
 
-	private final double meanLoad;
-
 	private double imbalance;
 
+	/** The change of load by the change that is evaluated, for the touched ranks. */
+	private final double[] loadDelta;
+
+	private final boolean[] touched;
+
+	private final int[] touchedRanks;
+
+	private int touchedCount;
+
 	SetPlacement(int[][] experts, double[] demand) {
 		int ranks = experts.length;
-		this.demand = demand;
+		this.demand = relativeToMeanLoad(demand, ranks);
 		this.replicas = new int[demand.length];
 		this.holds = new boolean[ranks][demand.length];
 		this.initial = new boolean[ranks][demand.length];
@@ -43,11 +49,9 @@
 		this.heldCounts = new int[ranks];
 		this.newCounts = new int[ranks];
 		this.load = new double[ranks];
-		double sum = 0;
-		for (double each : demand) {
-			sum += each;
-		}
-		this.meanLoad = Math.max(1e-9, sum / ranks);
+		this.loadDelta = new double[ranks];
+		this.touched = new boolean[ranks];
+		this.touchedRanks = new int[ranks];
 		for (int rank = 0; rank < ranks; rank++) {
 			this.heldCounts[rank] = experts[rank].length;
 			for (int expert : experts[rank]) {
@@ -60,16 +64,36 @@
 			for (int expert : experts[rank]) {
 				this.load[rank] += loadPerReplica(expert);
 			}
-			this.imbalance += sixthPower(this.load[rank] / this.meanLoad);
+			this.imbalance += sixthPower(this.load[rank]);
 		}
 	}
 
+	private static double[] relativeToMeanLoad(double[] demand, int ranks) {
+		double sum = 0;
+		for (double each : demand) {
+			sum += each;
+		}
+		double meanLoad = Math.max(1e-9, sum / ranks);
+		double[] relative = new double[demand.length];
+		for (int expert = 0; expert < relative.length; expert++) {
+			relative[expert] = demand[expert] / meanLoad;
+		}
+		return relative;
+	}
+
 	int ranks() {
 		return this.load.length;
 	}
 
 	int[] expertsOf(int rank) {
-		return IntStream.range(0, this.demand.length).filter((expert) -> this.holds[rank][expert]).toArray();
+		int[] experts = new int[this.heldCounts[rank]];
+		int count = 0;
+		for (int expert = 0; count < experts.length; expert++) {
+			if (this.holds[rank][expert]) {
+				experts[count++] = expert;
+			}
+		}
+		return experts;
 	}
 
 	int heldCount(int rank) {
@@ -92,7 +116,7 @@
 		return this.holds[rank][expert];
 	}
 
-	boolean isNew(int rank, int expert) {
+	private boolean isNew(int rank, int expert) {
 		return !this.initial[rank][expert];
 	}
 
@@ -101,7 +125,7 @@
 	 * @return the load of the most loaded rank over the mean load
 	 */
 	double skew() {
-		return this.load[mostLoadedRank()] / this.meanLoad;
+		return this.load[mostLoadedRank()];
 	}
 
 	int mostLoadedRank() {
@@ -128,24 +152,67 @@
 	}
 
 	/**
-	 * Applies a change to the placement.
+	 * Returns the imbalance that a change would lead to.
 	 * @param change the change
+	 * @return the imbalance after the change
 	 */
-	void apply(Change change) {
-		for (Change.Step step : change.steps()) {
-			update(step.rank(), step.expert(), step.added());
+	double imbalanceAfter(ReplicaChange change) {
+		addLoadDeltas(change.expert(), change.addedTo(), change.removedFrom());
+		if (change.other() != ReplicaChange.NONE) {
+			addLoadDeltas(change.other(), change.otherAddedTo(), change.otherRemovedFrom());
+		}
+		double after = this.imbalance;
+		for (int index = 0; index < this.touchedCount; index++) {
+			int rank = this.touchedRanks[index];
+			after += sixthPower(this.load[rank] + this.loadDelta[rank]) - sixthPower(this.load[rank]);
+			this.touched[rank] = false;
 		}
+		this.touchedCount = 0;
+		return after;
+	}
+
+	private void addLoadDeltas(int expert, int addedTo, int removedFrom) {
+		int before = this.replicas[expert];
+		int after = before + ((addedTo >= 0) ? 1 : 0) - ((removedFrom >= 0) ? 1 : 0);
+		double loadBefore = this.demand[expert] / before;
+		double loadAfter = this.demand[expert] / after;
+		int[] ranks = this.holders[expert];
+		for (int index = 0; index < before; index++) {
+			int rank = ranks[index];
+			addLoadDelta(rank, ((rank == removedFrom) ? 0 : loadAfter) - loadBefore);
+		}
+		if (addedTo >= 0) {
+			addLoadDelta(addedTo, loadAfter);
+		}
+	}
+
+	private void addLoadDelta(int rank, double delta) {
+		if (!this.touched[rank]) {
+			this.touched[rank] = true;
+			this.touchedRanks[this.touchedCount++] = rank;
+			this.loadDelta[rank] = 0;
+		}
+		this.loadDelta[rank] += delta;
 	}
 
 	/**
-	 * Reverts a change.
-	 * @param change the change, which must be the last one applied
+	 * Applies a change.
+	 * @param change the change
 	 */
-	void revert(Change change) {
-		List<Change.Step> steps = change.steps();
-		for (int index = steps.size() - 1; index >= 0; index--) {
-			Change.Step step = steps.get(index);
-			update(step.rank(), step.expert(), !step.added());
+	void apply(ReplicaChange change) {
+		if (change.other() != ReplicaChange.NONE) {
+			apply(change.other(), change.otherAddedTo(), change.otherRemovedFrom());
+		}
+		apply(change.expert(), change.addedTo(), change.removedFrom());
+	}
+
+	// Adds before it removes: the last replica of an expert must not be removed.
+	private void apply(int expert, int addedTo, int removedFrom) {
+		if (addedTo >= 0) {
+			update(addedTo, expert, true);
+		}
+		if (removedFrom >= 0) {
+			update(removedFrom, expert, false);
 		}
 	}
 
@@ -176,15 +243,12 @@
 	}
 
 	private void addLoad(int expert, int sign) {
-		if (this.replicas[expert] == 0) {
-			return;
-		}
 		double delta = sign * loadPerReplica(expert);
 		for (int index = 0; index < this.replicas[expert]; index++) {
 			int rank = this.holders[expert][index];
-			this.imbalance -= sixthPower(this.load[rank] / this.meanLoad);
+			this.imbalance -= sixthPower(this.load[rank]);
 			this.load[rank] += delta;
-			this.imbalance += sixthPower(this.load[rank] / this.meanLoad);
+			this.imbalance += sixthPower(this.load[rank]);
 		}
 	}
 
@@ -201,26 +265,31 @@
 	}
 
 	/**
-	 * A change that consists of several steps.
-	 *
-	 * @param steps the steps, in the order in which they are applied
+	 * Returns the number of experts that ranks would copy for a change.
+	 * @param change the change
+	 * @return the number of replicas that were not there initially
 	 */
-	record Change(List<Step> steps) {
+	int copies(ReplicaChange change) {
+		int copies = (change.addedTo() >= 0 && isNew(change.addedTo(), change.expert())) ? 1 : 0;
+		return copies + ((change.otherAddedTo() >= 0 && isNew(change.otherAddedTo(), change.other())) ? 1 : 0);
+	}
 
-		static Change of(Step... steps) {
-			return new Change(List.of(steps));
+	/**
+	 * Returns the change of the number of new experts of a rank that receives a replica.
+	 * @param change the change
+	 * @param rank the rank
+	 * @return the change of {@link #newExpertCount}
+	 */
+	int newExpertDelta(ReplicaChange change, int rank) {
+		int delta = 0;
+		if (rank == change.addedTo() || rank == change.removedFrom()) {
+			delta += isNew(rank, change.expert()) ? ((rank == change.addedTo()) ? 1 : -1) : 0;
 		}
-
-		/**
-		 * The addition or removal of one replica.
-		 *
-		 * @param rank the rank
-		 * @param expert the expert
-		 * @param added whether the replica is added; otherwise it is removed
-		 */
-		record Step(int rank, int expert, boolean added) {
+		if (change.other() != ReplicaChange.NONE
+				&& (rank == change.otherAddedTo() || rank == change.otherRemovedFrom())) {
+			delta += isNew(rank, change.other()) ? ((rank == change.otherAddedTo()) ? 1 : -1) : 0;
 		}
-
+		return delta;
 	}
 
 }
--- a/bulrushrouter-experts/src/test/java/io/bulrushrouter/experts/live/DemandTrackerTests.java
+++ b/bulrushrouter-experts/src/test/java/io/bulrushrouter/experts/live/DemandTrackerTests.java
@@ -5,43 +5,47 @@
 import static com.google.common.truth.Truth.assertThat;
 
 /**
- * Tests demand tracking from cumulative counts.
+ * Tests demand tracking from samples of choices.
  */
 class DemandTrackerTests {
 
+	private final DemandTracker demand = new DemandTracker(1, 2);
+
+	private static ChoiceSample sample(long spanMillis, double... choices) {
+		return new ChoiceSample(1, 1, spanMillis, choices);
+	}
+
 	@Test
-	void countsChoicesSinceThePreviousReport() {
-		DemandTracker demand = new DemandTracker(1, 2);
-		demand.observe(1, 0, new long[] { 100, 5 }, 1_000);
-		assertThat(demand.totalChoices()).isEqualTo(0.0);
-		demand.observe(1, 0, new long[] { 110, 25 }, 1_000);
-		assertThat(demand.loads()[0]).usingTolerance(1e-9).containsExactly(10, 20).inOrder();
+	void addsUpTheChoicesOfSamples() {
+		this.demand.observe(sample(0, 10, 20), 1_000);
+		this.demand.observe(sample(0, 1, 2), 1_000);
+		assertThat(this.demand.loads()[0]).usingTolerance(1e-9).containsExactly(11, 22).inOrder();
+		assertThat(this.demand.totalChoices()).isWithin(1e-9).of(33.0);
 	}
 
 	@Test
 	void decaysOlderDemand() {
-		DemandTracker demand = new DemandTracker(1, 2);
-		demand.observe(1, 0, new long[] { 0, 0 }, 1_000);
-		demand.observe(1, 0, new long[] { 100, 0 }, 1_000);
-		demand.observe(1, 0, new long[] { 100, 100 }, 3_000);
-		assertThat(demand.loads()[0][0]).isLessThan(5.0);
-		assertThat(demand.loads()[0][1]).isEqualTo(100.0);
+		this.demand.observe(sample(0, 100, 0), 1_000);
+		this.demand.observe(sample(0, 0, 100), 3_000);
+		assertThat(this.demand.loads()[0][0]).isLessThan(5.0);
+		assertThat(this.demand.loads()[0][1]).isEqualTo(100.0);
 	}
 
 	@Test
-	void acceptsCountsOfARestartedRank() {
-		DemandTracker demand = new DemandTracker(1, 2);
-		demand.observe(1, 0, new long[] { 100, 100 }, 1_000);
-		demand.observe(1, 0, new long[] { 3, 4 }, 1_000);
-		assertThat(demand.loads()[0]).usingTolerance(1e-9).containsExactly(3, 4).inOrder();
+	void weighsChoicesOfALongSpanLikeThoseOfManyShortOnes() {
+		DemandTracker often = new DemandTracker(1, 2);
+		for (int millis = 10; millis <= 1_000; millis += 10) {
+			often.observe(sample(10, 1, 2), millis);
+		}
+		this.demand.observe(sample(1_000, 100, 200), 1_000);
+		assertThat(this.demand.loads()[0][0]).isWithin(0.5).of(often.loads()[0][0]);
+		assertThat(this.demand.loads()[0][1]).isWithin(1.0).of(often.loads()[0][1]);
 	}
 
 	@Test
-	void discardsCountsOfAnEarlierEpoch() {
-		DemandTracker demand = new DemandTracker(1, 2);
-		demand.observe(1, 0, new long[] { 0, 0 }, 1_000);
-		demand.observe(2, 0, new long[] { 50, 60 }, 1_000);
-		assertThat(demand.totalChoices()).isEqualTo(0.0);
+	void ignoresSamplesWithAnotherNumberOfExperts() {
+		this.demand.observe(sample(0, 1, 2, 3), 1_000);
+		assertThat(this.demand.totalChoices()).isEqualTo(0.0);
 	}
 
 }
--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/Balancer.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/Balancer.java
@@ -1,7 +1,6 @@
 package io.bulrushrouter.ranks;
 
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -11,12 +10,15 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
 
 import io.netty.channel.EventLoop;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import io.bulrushrouter.experts.live.ChoiceSample;
 import io.bulrushrouter.experts.live.GroupSwitch;
 import io.bulrushrouter.experts.live.GroupView;
 import io.bulrushrouter.experts.live.OrderResult;
@@ -41,6 +43,13 @@
 	/** Poll interval while no switch is in progress. */
 	private static final long POLL_INTERVAL_MILLIS = 100;
 
+	/**
+	 * Longest poll interval of a leader while no switch is in progress. It also polls
+	 * after each collection of choices, which is more often. The other sidecars take over
+	 * a group whose leader is silent for a second.
+	 */
+	private static final long LEADER_POLL_INTERVAL_MILLIS = 500;
+
 	/** Poll interval while a switch is in progress. */
 	private static final long SWITCH_POLL_INTERVAL_MILLIS = 60;
 
@@ -59,6 +68,11 @@
 	/** Delay before the next attempt to recover a stalled group. */
 	private static final long RECOVERY_RETRY_DELAY_MILLIS = 250;
 
+	/** The minimum time between two log lines about rounds without a result. */
+	private static final long FAILURE_LOG_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+	private static final int MAX_MISSING_LOGGED = 5;
+
 	/**
 	 * Time that a stopping sidecar has to finish a switch. It is shorter than the grace
 	 * period of a stop, which is a few seconds; afterwards another sidecar recovers the
@@ -72,6 +86,8 @@
 
 	private final RankReporter ownReporter;
 
+	private final PeerRelay relay;
+
 	private final RankEngine engine;
 
 	private final RankSource source;
@@ -80,7 +96,9 @@
 
 	private final FleetView fleet;
 
-	private final int peerPort;
+	private final PeerClients peers;
+
+	private final DemandCollector demandCollector;
 
 	private final Map<InetSocketAddress, RankConnection> connections = new HashMap<>();
 
@@ -104,15 +122,23 @@
 
 	private boolean stopping;
 
-	Balancer(EventLoop loop, RankSource source, FleetView fleet, String holder, int peerPort) {
+	private Optional<Future<?>> nextPoll = Optional.empty();
+
+	private long nextFailureLogNanos = this.clock.nanos();
+
+	Balancer(EventLoop loop, RankSource source, FleetView fleet, RankSettings settings, RandomGenerator random) {
 		this.loop = loop;
 		this.source = source;
 		this.engine = source.engine();
-		this.ownReporter = new RankReporter(this.engine);
+		this.ownReporter = new RankReporter(this.engine, this.clock);
 		this.ownOrderSender = new RetryingOrderSender(this.engine, loop);
 		this.fleet = fleet;
-		this.holder = holder;
-		this.peerPort = peerPort;
+		this.holder = settings.instance() + "/" + random.nextLong();
+		this.peers = new PeerClients(loop, settings.peerPort());
+		this.relay = new PeerRelay(this.peers, this.ownReporter,
+				(request) -> this.ownOrderSender.send(request.order(), request.epoch(), request.fence()), random);
+		this.demandCollector = new DemandCollector(loop, this.clock, this.ownReporter, settings.linkBytesPerSecond(),
+				this::observeChoices, this::pollSoon);
 	}
 
 	void start() {
@@ -120,22 +146,38 @@
 	}
 
 	/**
-	 * Returns the report of this sidecar's rank to the leader of the group.
-	 * @param withCounts whether the report includes the expert counts
-	 * @return the report, or empty if the engine did not answer
+	 * Returns the status of this sidecar's rank to the leader of the group.
+	 * @param request the request of the leader
+	 * @return the response
+	 */
+	CompletionStage<PeerMessage.StatusResponse> status(PeerMessage.StatusRequest request) {
+		this.stallDetector.recordRequest(this.clock.nanos());
+		return this.ownReporter.report()
+			.thenApply((report) -> new PeerMessage.StatusResponse(request.id(), report.map(RankReport::status),
+					report.filter((known) -> !isKnown(request, known.status())).map(RankReport::experts)));
+	}
+
+	private static boolean isKnown(PeerMessage.StatusRequest request, RankStatus status) {
+		return request.knownEpoch() == status.epoch() && request.knownMap() == status.map();
+	}
+
+	/**
+	 * Returns recent choices to the leader of the group.
+	 * @param request the request of the leader
+	 * @return the response
 	 */
-	CompletionStage<Optional<RankReport>> reportToLeader(boolean withCounts) {
+	CompletionStage<PeerMessage.ChoicesResponse> choices(PeerMessage.ChoicesRequest request) {
 		this.stallDetector.recordRequest(this.clock.nanos());
-		return this.ownReporter.report(withCounts);
+		return this.relay.choices(request).thenApply((sample) -> new PeerMessage.ChoicesResponse(request.id(), sample));
 	}
 
 	/**
-	 * Executes an order of the group's leader on this sidecar's rank.
+	 * Executes an order of the group's leader.
 	 * @param request the order
-	 * @return the result
+	 * @return the response
 	 */
-	CompletionStage<OrderResult> executeOrder(PeerMessage.OrderRequest request) {
-		return this.ownOrderSender.send(request.order(), request.epoch(), request.fence());
+	CompletionStage<PeerMessage.OrderResponse> executeOrder(PeerMessage.OrderRequest request) {
+		return this.relay.order(request).thenApply((results) -> new PeerMessage.OrderResponse(request.id(), results));
 	}
 
 	/**
@@ -159,6 +201,7 @@
 
 	// Each poll schedules exactly one next poll, also after a failure.
 	private void poll() {
+		this.nextPoll = Optional.empty();
 		if (this.stopped.isDone()) {
 			return;
 		}
@@ -170,10 +213,18 @@
 					logger.error("event=balancing-failed detail=\"{}\"", failure.toString(), failure);
 				}
 				long delayMillis = (failure != null) ? POLL_INTERVAL_MILLIS : millis;
-				this.loop.schedule(this::poll, delayMillis, TimeUnit.MILLISECONDS);
+				this.nextPoll = Optional.of(this.loop.schedule(this::poll, delayMillis, TimeUnit.MILLISECONDS));
 			});
 	}
 
+	// New choices may justify a new map, which is decided in a poll.
+	private void pollSoon() {
+		boolean idle = this.currentTerm.filter((term) -> term.groupSwitch().idle()).isPresent();
+		if (idle && this.nextPoll.filter((scheduled) -> scheduled.cancel(false)).isPresent()) {
+			poll();
+		}
+	}
+
 	private static CompletionStage<Long> pollAfter(long millis) {
 		return CompletableFuture.completedStage(millis);
 	}
@@ -213,7 +264,7 @@
 	// reports of all ranks.
 	private CompletionStage<Long> recover(RankStatus status) {
 		this.fleet.start();
-		return collectReports(status, false).thenCompose((reports) -> {
+		return collectReports(status).thenCompose((reports) -> {
 			if (reports.isEmpty()) {
 				logger.info(
 						"event=group-stalled group={} epoch={} step={} action=none reason=\"not all ranks answered\"",
@@ -245,22 +296,26 @@
 		logger.info("event=leadership-ended group={} epoch={} fence={} reason=\"{}\"", term.group(), term.epoch(),
 				term.fence(), reason);
 		this.currentTerm = Optional.empty();
+		this.demandCollector.stop();
+	}
+
+	private void observeChoices(ChoiceSample sample) {
+		this.fleet.engineSpec()
+			.flatMap(EngineSpec::experts)
+			.ifPresent((experts) -> this.mapProposer.observe(experts, sample));
 	}
 
 	private CompletionStage<Long> runRound(LeadershipTerm term, RankStatus status) {
-		// Counts are the most expensive part of a report and are not used during a
-		// switch.
-		boolean idle = term.balancing() && term.groupSwitch().idle() && status.held().isEmpty()
-				&& status.armed().isEmpty();
-		return collectReports(status, idle)
-			.thenCompose((reports) -> reports.isPresent() ? decide(term, this.fleet.engineSpec().get(), reports.get())
-					: pollAfter(idle ? POLL_INTERVAL_MILLIS : SWITCH_POLL_INTERVAL_MILLIS));
+		return collectReports(status).thenCompose((reports) -> {
+			if (reports.isPresent()) {
+				return decide(term, this.fleet.engineSpec().get(), reports.get());
+			}
+			return pollAfter(term.groupSwitch().idle() ? LEADER_POLL_INTERVAL_MILLIS : SWITCH_POLL_INTERVAL_MILLIS);
+		});
 	}
 
-	// Requests reports from all ranks. Counts are available from sidecars only, so an
-	// idle
-	// group is not balanced while the sidecar of a rank is down.
-	private CompletionStage<Optional<GroupReports>> collectReports(RankStatus status, boolean withCounts) {
+	// Requests reports from all ranks.
+	private CompletionStage<Optional<GroupReports>> collectReports(RankStatus status) {
 		List<RankConnection> others = connectionsToOtherRanks();
 		if (this.fleet.engineSpec().isEmpty() || others.size() + 1 < status.size()) {
 			this.otherGroupConnections.clear();
@@ -268,30 +323,42 @@
 		}
 		ReportCollector collector = new ReportCollector(status, this.otherGroupConnections);
 		for (RankConnection other : others) {
-			collector.collect(other, withCounts ? other.reportWithCounts() : other.report());
+			collector.collect(other, other.report());
+		}
+		return collector.collectOwn(this.ownReporter.report(status)).whenComplete((reports, failure) -> {
+			if (failure == null && reports.isEmpty()) {
+				logFailedRound(status, others.size(), collector);
+			}
+		});
+	}
+
+	private void logFailedRound(RankStatus status, int requested, ReportCollector collector) {
+		if (this.clock.nanos() - this.nextFailureLogNanos >= 0) {
+			this.nextFailureLogNanos = this.clock.nanos() + FAILURE_LOG_INTERVAL_NANOS;
+			logger.info("event=round-failed group={} epoch={} size={} requested={} answered={} missing=\"{}\"",
+					status.group(), status.epoch(), status.size(), requested, collector.answered(),
+					collector.missing(MAX_MISSING_LOGGED));
 		}
-		return collector.collectOwn(this.ownReporter.report(status, withCounts));
 	}
 
 	private List<RankConnection> connectionsToOtherRanks() {
 		return this.fleet.serviceUpstreams()
 			.stream()
-			.map(UpstreamRecord::address)
-			.filter((address) -> !address.getAddress().getHostAddress().equals(this.fleet.ownAddress()))
-			.map((address) -> this.connections.computeIfAbsent(address, this::newConnection))
+			.filter((upstream) -> !upstream.address().getAddress().getHostAddress().equals(this.fleet.ownAddress()))
+			.map((upstream) -> this.connections.computeIfAbsent(upstream.address(), (key) -> newConnection(upstream)))
 			.filter((connection) -> !this.otherGroupConnections.contains(connection))
 			.toList();
 	}
 
-	private RankConnection newConnection(InetSocketAddress address) {
-		PeerClient peer = new PeerClient(this.loop, new InetSocketAddress(address.getAddress(), this.peerPort));
-		return new RankConnection(address.toString(), peer, () -> this.source.engineAt(address), this.clock);
+	private RankConnection newConnection(UpstreamRecord upstream) {
+		return new RankConnection(upstream, this.peers.at(upstream.address().getAddress()),
+				() -> this.source.engineAt(upstream.address()), this.clock);
 	}
 
 	private CompletionStage<Long> decide(LeadershipTerm term, EngineSpec engineSpec, GroupReports reports) {
 		GroupView ranks = reports.view();
-		if (term.balancing()) {
-			this.mapProposer.observe(engineSpec.experts().orElseThrow(), ranks, reports.reports());
+		if (term.balancing() && !this.stopping) {
+			this.demandCollector.collectFrom(reports.connections().values());
 		}
 		Optional<int[][][]> mapInUse = reports.mapInUse();
 		if (mapInUse.isEmpty()) {
@@ -323,17 +390,9 @@
 
 	private CompletionStage<Long> sendOrders(LeadershipTerm term, GroupReports reports, List<RankCommand> commands) {
 		if (commands.isEmpty()) {
-			return pollAfter(term.groupSwitch().idle() ? POLL_INTERVAL_MILLIS : SWITCH_POLL_INTERVAL_MILLIS);
-		}
-		long epoch = reports.view().epoch();
-		List<CompletableFuture<OrderResult>> pendingResults = new ArrayList<>();
-		for (RankCommand command : commands) {
-			RankConnection connection = reports.connections().get(command.rank());
-			CompletionStage<OrderResult> result = (connection != null)
-					? connection.order(command.order(), epoch, term.fence())
-					: this.ownOrderSender.send(command.order(), epoch, term.fence());
-			pendingResults.add(result.toCompletableFuture());
+			return pollAfter(term.groupSwitch().idle() ? LEADER_POLL_INTERVAL_MILLIS : SWITCH_POLL_INTERVAL_MILLIS);
 		}
+		List<CompletableFuture<OrderResult>> pendingResults = sendOrders(reports, commands, term.fence());
 		return CompletableFuture.allOf(pendingResults.toArray(CompletableFuture[]::new)).thenApply((all) -> {
 			List<OrderResult> results = pendingResults.stream().map(CompletableFuture::join).toList();
 			for (int index = 0; index < commands.size(); index++) {
@@ -349,6 +408,47 @@
 		});
 	}
 
+	// A new map goes to all ranks and is much larger than other orders, so relays pass it
+	// on. A repeated order goes to each rank directly, as a relay may have failed.
+	private List<CompletableFuture<OrderResult>> sendOrders(GroupReports reports, List<RankCommand> commands,
+			long fence) {
+		RankOrder first = commands.get(0).order();
+		boolean forAllRanks = commands.size() == reports.view().size();
+		if (forAllRanks && first instanceof RankOrder.Prepare) {
+			return relayOrder(reports, commands, fence);
+		}
+		long epoch = reports.view().epoch();
+		return commands.stream().map((command) -> {
+			RankConnection connection = reports.connections().get(command.rank());
+			CompletionStage<OrderResult> result = (connection != null)
+					? connection.order(command.order(), epoch, fence, commands.size())
+					: this.ownOrderSender.send(command.order(), epoch, fence);
+			return result.toCompletableFuture();
+		}).toList();
+	}
+
+	private List<CompletableFuture<OrderResult>> relayOrder(GroupReports reports, List<RankCommand> commands,
+			long fence) {
+		RankOrder order = commands.get(0).order();
+		long epoch = reports.view().epoch();
+		Map<RankConnection, CompletableFuture<OrderResult>> results = new HashMap<>();
+		List<List<RankConnection>> parts = RelayPlan.parts(reports.connections().values(), 0);
+		for (List<RankConnection> part : parts) {
+			CompletionStage<List<OrderResult>> answer = part.get(0)
+				.relayOrder(order, epoch, fence, part.subList(1, part.size()), parts.size());
+			for (int index = 0; index < part.size(); index++) {
+				int position = index;
+				results.put(part.get(index),
+						answer.thenApply((answers) -> answers.get(position)).toCompletableFuture());
+			}
+		}
+		return commands.stream().map((command) -> {
+			RankConnection connection = reports.connections().get(command.rank());
+			return (connection != null) ? results.get(connection)
+					: this.ownOrderSender.send(order, epoch, fence).toCompletableFuture();
+		}).toList();
+	}
+
 	private static void logOrders(LeadershipTerm term, GroupView ranks, List<RankCommand> commands,
 			List<OrderResult> results) {
 		long accepted = results.stream().filter(OrderResult.ACCEPTED::equals).count();
--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/MapProposer.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/MapProposer.java
@@ -1,9 +1,9 @@
 package io.bulrushrouter.ranks;
 
-import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
+import io.bulrushrouter.experts.live.ChoiceSample;
 import io.bulrushrouter.experts.live.GroupView;
 import io.bulrushrouter.experts.live.MapPolicy;
 import io.bulrushrouter.experts.live.PlacementPlan;
@@ -12,7 +12,7 @@
 import io.bulrushrouter.kernel.TimeSource;
 
 /**
- * Proposes expert maps from the counts that the ranks report and the parameters of the
+ * Proposes expert maps from the choices that the ranks report and the parameters of the
  * engines.
  */
 final class MapProposer {
@@ -35,22 +35,16 @@
 	}
 
 	/**
-	 * Records the expert counts of the ranks. Reports without counts are ignored.
+	 * Records choices of some ranks.
 	 * @param experts the expert parameters of the engines
-	 * @param view the statuses of the ranks
-	 * @param reports the reports of the view's epoch
+	 * @param sample the choices
 	 */
-	void observe(ExpertSpec experts, GroupView view, List<RankReport> reports) {
-		long nowMillis = TimeUnit.NANOSECONDS.toMillis(this.clock.nanos());
+	void observe(ExpertSpec experts, ChoiceSample sample) {
 		if (this.policy == null) {
 			this.policy = new MapPolicy(experts.layerSets(), experts.experts(), experts.expertSlots(),
 					experts.spareSlots(), experts.copySeconds());
 		}
-		for (RankReport report : reports) {
-			if (report.counts().length > 0) {
-				this.policy.observe(view.epoch(), report.status().rank(), report.counts(), nowMillis);
-			}
-		}
+		this.policy.observe(sample, TimeUnit.NANOSECONDS.toMillis(this.clock.nanos()));
 	}
 
 	/**
--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/PeerChannels.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/PeerChannels.java
@@ -55,7 +55,11 @@
 	}
 
 	static void send(Channel channel, PeerMessage message) {
-		channel.writeAndFlush(Unpooled.wrappedBuffer(PeerCodec.encode(message)));
+		send(channel, PeerCodec.encode(message));
+	}
+
+	static void send(Channel channel, byte[] encoded) {
+		channel.writeAndFlush(Unpooled.wrappedBuffer(encoded));
 	}
 
 	private static ChannelInitializer<Channel> initializer(Receiver receiver) {
--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/PeerCodec.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/PeerCodec.java
@@ -2,6 +2,10 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -22,13 +26,22 @@
 
 	private static final int NONE = -1;
 
-	private static final byte REPORT_REQUEST = 1;
+	private static final int MAX_ONE_BYTE = 255;
 
-	private static final byte ORDER_REQUEST = 2;
+	// Types 1 to 4 are those of an earlier format, whose sidecars lead and follow only
+	// each
+	// other.
+	private static final byte STATUS_REQUEST = 5;
 
-	private static final byte REPORT_RESPONSE = 3;
+	private static final byte CHOICES_REQUEST = 6;
 
-	private static final byte ORDER_RESPONSE = 4;
+	private static final byte ORDER_REQUEST = 7;
+
+	private static final byte STATUS_RESPONSE = 8;
+
+	private static final byte CHOICES_RESPONSE = 9;
+
+	private static final byte ORDER_RESPONSE = 10;
 
 	private static final byte PREPARE = 1;
 
@@ -45,8 +58,15 @@
 
 	static byte[] encode(PeerMessage message) {
 		try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
-			if (message instanceof PeerMessage.ReportRequest request) {
-				packer.packByte(REPORT_REQUEST).packLong(request.id()).packBoolean(request.withCounts());
+			if (message instanceof PeerMessage.StatusRequest request) {
+				packer.packByte(STATUS_REQUEST)
+					.packLong(request.id())
+					.packLong(request.knownEpoch())
+					.packLong(request.knownMap());
+			}
+			else if (message instanceof PeerMessage.ChoicesRequest request) {
+				packer.packByte(CHOICES_REQUEST).packLong(request.id());
+				packAddresses(packer, request.members());
 			}
 			else if (message instanceof PeerMessage.OrderRequest request) {
 				packer.packByte(ORDER_REQUEST)
@@ -54,15 +74,19 @@
 					.packLong(request.epoch())
 					.packLong(request.fence());
 				pack(packer, request.order());
+				packAddresses(packer, request.members());
 			}
-			else if (message instanceof PeerMessage.ReportResponse response) {
-				packer.packByte(REPORT_RESPONSE).packLong(response.id()).packBoolean(response.report().isPresent());
-				if (response.report().isPresent()) {
-					pack(packer, response.report().get());
-				}
+			else if (message instanceof PeerMessage.StatusResponse response) {
+				pack(packer, response);
+			}
+			else if (message instanceof PeerMessage.ChoicesResponse response) {
+				pack(packer, response);
 			}
 			else if (message instanceof PeerMessage.OrderResponse response) {
-				packer.packByte(ORDER_RESPONSE).packLong(response.id()).packInt(response.result().ordinal());
+				packer.packByte(ORDER_RESPONSE).packLong(response.id()).packArrayHeader(response.results().size());
+				for (OrderResult result : response.results()) {
+					packer.packInt(result.ordinal());
+				}
 			}
 			return packer.toByteArray();
 		}
@@ -75,7 +99,8 @@
 		if (order instanceof RankOrder.Prepare prepare) {
 			packer.packByte(PREPARE).packLong(prepare.version()).packArrayHeader(prepare.experts().length);
 			for (int[][] set : prepare.experts()) {
-				pack(packer, set);
+				byte[] bytes = encode(set);
+				packer.packArrayHeader(set.length).packBinaryHeader(bytes.length).writePayload(bytes);
 			}
 		}
 		else if (order instanceof RankOrder.Arm arm) {
@@ -92,6 +117,45 @@
 		}
 	}
 
+	// A map is the largest message and goes to all ranks: each list is its length and its
+	// elements, of one byte each unless one of them needs more.
+	private static byte[] encode(int[][] lists) {
+		int width = 1;
+		int elements = 0;
+		for (int[] list : lists) {
+			elements += list.length;
+			for (int element : list) {
+				width = (element > MAX_ONE_BYTE) ? Integer.BYTES : width;
+			}
+		}
+		ByteBuffer buffer = ByteBuffer.allocate(1 + lists.length * Short.BYTES + elements * width);
+		buffer.put((byte) width);
+		for (int[] list : lists) {
+			buffer.putShort((short) list.length);
+			for (int element : list) {
+				if (width == 1) {
+					buffer.put((byte) element);
+				}
+				else {
+					buffer.putInt(element);
+				}
+			}
+		}
+		return buffer.array();
+	}
+
+	private static int[][] decodeLists(int count, ByteBuffer buffer) {
+		int width = buffer.get();
+		int[][] lists = new int[count][];
+		for (int list = 0; list < count; list++) {
+			lists[list] = new int[Short.toUnsignedInt(buffer.getShort())];
+			for (int index = 0; index < lists[list].length; index++) {
+				lists[list][index] = (width == 1) ? Byte.toUnsignedInt(buffer.get()) : buffer.getInt();
+			}
+		}
+		return lists;
+	}
+
 	private static void pack(MessagePacker packer, int[][] lists) throws IOException {
 		packer.packArrayHeader(lists.length);
 		for (int[] list : lists) {
@@ -102,8 +166,20 @@
 		}
 	}
 
-	private static void pack(MessagePacker packer, RankReport report) throws IOException {
-		RankStatus status = report.status();
+	private static void packAddresses(MessagePacker packer, List<InetAddress> addresses) throws IOException {
+		packer.packArrayHeader(addresses.size());
+		for (InetAddress address : addresses) {
+			byte[] bytes = address.getAddress();
+			packer.packBinaryHeader(bytes.length).writePayload(bytes);
+		}
+	}
+
+	private static void pack(MessagePacker packer, PeerMessage.StatusResponse response) throws IOException {
+		packer.packByte(STATUS_RESPONSE).packLong(response.id()).packBoolean(response.status().isPresent());
+		if (response.status().isEmpty()) {
+			return;
+		}
+		RankStatus status = response.status().get();
 		packer.packString(status.group())
 			.packLong(status.epoch())
 			.packInt(status.rank())
@@ -116,11 +192,20 @@
 			.packLong(status.armed().map(RankStatus.Armed::version).orElse((long) NONE))
 			.packLong(status.armed().map(RankStatus.Armed::step).orElse((long) NONE))
 			.packLong(status.held().orElse(NONE));
-		packer.packArrayHeader(report.counts().length);
-		for (long count : report.counts()) {
-			packer.packLong(count);
+		packer.packBoolean(response.experts().isPresent());
+		if (response.experts().isPresent()) {
+			pack(packer, response.experts().get());
+		}
+	}
+
+	private static void pack(MessagePacker packer, PeerMessage.ChoicesResponse response) throws IOException {
+		packer.packByte(CHOICES_RESPONSE).packLong(response.id()).packBoolean(response.sample().isPresent());
+		if (response.sample().isEmpty()) {
+			return;
 		}
-		pack(packer, report.experts());
+		EncodedSample sample = response.sample().get();
+		packer.packLong(sample.epoch()).packInt(sample.ranks()).packLong(sample.spanMillis());
+		packer.packBinaryHeader(sample.choices().length).writePayload(sample.choices());
 	}
 
 	static PeerMessage decode(byte[] bytes) {
@@ -128,12 +213,14 @@
 			int type = unpacker.unpackByte();
 			long id = unpacker.unpackLong();
 			return switch (type) {
-				case REPORT_REQUEST -> new PeerMessage.ReportRequest(id, unpacker.unpackBoolean());
+				case STATUS_REQUEST -> new PeerMessage.StatusRequest(id, unpacker.unpackLong(), unpacker.unpackLong());
+				case CHOICES_REQUEST -> new PeerMessage.ChoicesRequest(id, unpackAddresses(unpacker));
 				case ORDER_REQUEST -> new PeerMessage.OrderRequest(id, unpacker.unpackLong(), unpacker.unpackLong(),
-						unpackOrder(unpacker));
-				case REPORT_RESPONSE -> new PeerMessage.ReportResponse(id,
-						unpacker.unpackBoolean() ? Optional.of(unpackReport(unpacker)) : Optional.empty());
-				case ORDER_RESPONSE -> new PeerMessage.OrderResponse(id, OrderResult.values()[unpacker.unpackInt()]);
+						unpackOrder(unpacker), unpackAddresses(unpacker));
+				case STATUS_RESPONSE -> unpackStatus(id, unpacker);
+				case CHOICES_RESPONSE -> new PeerMessage.ChoicesResponse(id,
+						unpacker.unpackBoolean() ? Optional.of(unpackSample(unpacker)) : Optional.empty());
+				case ORDER_RESPONSE -> new PeerMessage.OrderResponse(id, unpackResults(unpacker));
 				default -> throw new IllegalArgumentException("unknown peer message type: " + type);
 			};
 		}
@@ -158,7 +245,8 @@
 	private static int[][][] unpackSets(MessageUnpacker unpacker) throws IOException {
 		int[][][] sets = new int[unpacker.unpackArrayHeader()][][];
 		for (int set = 0; set < sets.length; set++) {
-			sets[set] = unpackLists(unpacker);
+			int lists = unpacker.unpackArrayHeader();
+			sets[set] = decodeLists(lists, ByteBuffer.wrap(unpacker.readPayload(unpacker.unpackBinaryHeader())));
 		}
 		return sets;
 	}
@@ -174,7 +262,31 @@
 		return lists;
 	}
 
-	private static RankReport unpackReport(MessageUnpacker unpacker) throws IOException {
+	private static List<InetAddress> unpackAddresses(MessageUnpacker unpacker) throws IOException {
+		List<InetAddress> addresses = new ArrayList<>();
+		for (int left = unpacker.unpackArrayHeader(); left > 0; left--) {
+			addresses.add(InetAddress.getByAddress(unpacker.readPayload(unpacker.unpackBinaryHeader())));
+		}
+		return addresses;
+	}
+
+	private static List<OrderResult> unpackResults(MessageUnpacker unpacker) throws IOException {
+		List<OrderResult> results = new ArrayList<>();
+		for (int left = unpacker.unpackArrayHeader(); left > 0; left--) {
+			results.add(OrderResult.values()[unpacker.unpackInt()]);
+		}
+		return results;
+	}
+
+	private static EncodedSample unpackSample(MessageUnpacker unpacker) throws IOException {
+		return new EncodedSample(unpacker.unpackLong(), unpacker.unpackInt(), unpacker.unpackLong(),
+				unpacker.readPayload(unpacker.unpackBinaryHeader()));
+	}
+
+	private static PeerMessage.StatusResponse unpackStatus(long id, MessageUnpacker unpacker) throws IOException {
+		if (!unpacker.unpackBoolean()) {
+			return new PeerMessage.StatusResponse(id, Optional.empty(), Optional.empty());
+		}
 		String group = unpacker.unpackString();
 		long epoch = unpacker.unpackLong();
 		int rank = unpacker.unpackInt();
@@ -189,12 +301,9 @@
 		OptionalLong held = toOptional(unpacker.unpackLong());
 		Optional<RankStatus.Armed> armed = (armedVersion == NONE) ? Optional.empty()
 				: Optional.of(new RankStatus.Armed(armedVersion, armedStep));
-		long[] counts = new long[unpacker.unpackArrayHeader()];
-		for (int index = 0; index < counts.length; index++) {
-			counts[index] = unpacker.unpackLong();
-		}
 		RankStatus status = new RankStatus(group, epoch, rank, size, open, running, step, map, prepared, armed, held);
-		return new RankReport(status, counts, unpackLists(unpacker));
+		Optional<int[][]> experts = unpacker.unpackBoolean() ? Optional.of(unpackLists(unpacker)) : Optional.empty();
+		return new PeerMessage.StatusResponse(id, Optional.of(status), experts);
 	}
 
 	private static OptionalLong toOptional(long value) {
--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/RankReport.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/RankReport.java
@@ -6,9 +6,7 @@
  * The report of a rank to the leader of its group.
  *
  * @param status the rank's status
- * @param counts how often each expert was chosen, by set and expert; empty if not
- * requested
  * @param experts the experts that the map in use places on the rank, by set
  */
-record RankReport(RankStatus status, long[] counts, int[][] experts) {
+record RankReport(RankStatus status, int[][] experts) {
 }
--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/RankSettings.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/RankSettings.java
@@ -16,12 +16,18 @@
  * @param service the service that the engine belongs to
  * @param source the name of the plug-in that provides the {@link RankSource}
  * @param store the store's address
+ * @param linkBytesPerSecond the bandwidth of the instance's link, in bytes per second
  */
 public record RankSettings(String instance, String address, int peerPort, InetSocketAddress engine, String service,
-		String source, InetSocketAddress store) {
+		String source, InetSocketAddress store, long linkBytesPerSecond) {
 
-	private static final Map<String, Set<String>> KNOWN = Map.of("instance", Set.of("name", "address"), "peers",
-			Set.of("port"), "engine", Set.of("address", "service"), "source", Set.of("kind", "store"));
+	/** The bandwidth if the settings do not state it, in megabits per second. */
+	private static final double DEFAULT_LINK_MEGABITS = 4;
+
+	private static final double BYTES_PER_MEGABIT = 125_000;
+
+	private static final Map<String, Set<String>> KNOWN = Map.of("instance", Set.of("name", "address", "bandwidth"),
+			"peers", Set.of("port"), "engine", Set.of("address", "service"), "source", Set.of("kind", "store"));
 
 	/**
 	 * Creates the settings from an INI file.
@@ -36,7 +42,16 @@
 		return new RankSettings(settings.text("instance", "name"), settings.text("instance", "address"),
 				settings.integer("peers", "port", 0, 65_535), settings.address("engine", "address"),
 				settings.text("engine", "service"), settings.text("source", "kind"),
-				settings.address("source", "store"));
+				settings.address("source", "store"), (long) (BYTES_PER_MEGABIT
+						* settings.value("instance", "bandwidth", DEFAULT_LINK_MEGABITS, RankSettings::megabits)));
+	}
+
+	private static double megabits(String text) {
+		double megabits = Double.parseDouble(text);
+		if (!(megabits > 0)) {
+			throw new IllegalArgumentException("must be a positive number of megabits per second");
+		}
+		return megabits;
 	}
 
 }
--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/RankSidecar.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/RankSidecar.java
@@ -36,8 +36,7 @@
 		this.source = plugins.require(RankSource.Factory.class, settings.source())
 			.connect(settings.engine(), settings.store(), this.eventLoops);
 		FleetView fleet = new FleetView(this.loop, this.source.fleet(), settings.service(), settings.address(), random);
-		this.balancer = new Balancer(this.loop, this.source, fleet, settings.instance() + "/" + random.nextLong(),
-				settings.peerPort());
+		this.balancer = new Balancer(this.loop, this.source, fleet, settings, random);
 		PeerChannels.server(this.loop, this::handle)
 			.bind(new InetSocketAddress(settings.address(), settings.peerPort()))
 			.syncUninterruptibly();
@@ -59,15 +58,14 @@
 	}
 
 	private void handle(Channel channel, PeerMessage message) {
-		if (message instanceof PeerMessage.ReportRequest request) {
-			this.balancer.reportToLeader(request.withCounts())
-				.thenAccept(
-						(report) -> PeerChannels.send(channel, new PeerMessage.ReportResponse(request.id(), report)));
+		if (message instanceof PeerMessage.StatusRequest request) {
+			this.balancer.status(request).thenAccept((response) -> PeerChannels.send(channel, response));
+		}
+		else if (message instanceof PeerMessage.ChoicesRequest request) {
+			this.balancer.choices(request).thenAccept((response) -> PeerChannels.send(channel, response));
 		}
 		else if (message instanceof PeerMessage.OrderRequest request) {
-			this.balancer.executeOrder(request)
-				.thenAccept(
-						(result) -> PeerChannels.send(channel, new PeerMessage.OrderResponse(request.id(), result)));
+			this.balancer.executeOrder(request).thenAccept((response) -> PeerChannels.send(channel, response));
 		}
 	}
 
--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/ReportCollector.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/ReportCollector.java
@@ -1,11 +1,14 @@
 package io.bulrushrouter.ranks;
 
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.stream.Collectors;
 
 import io.bulrushrouter.experts.live.RankStatus;
 
@@ -27,6 +30,8 @@
 
 	private int pendingReports = 1;
 
+	private final List<RankConnection> unanswered = new ArrayList<>();
+
 	/**
 	 * Creates a collector.
 	 * @param ownStatus the status of this sidecar's rank
@@ -46,12 +51,16 @@
 	 */
 	void collect(RankConnection connection, CompletionStage<Optional<RankReport>> report) {
 		this.pendingReports++;
+		this.unanswered.add(connection);
 		report.whenComplete((answer, failure) -> {
 			if (failure != null) {
 				this.result.completeExceptionally(failure);
 				return;
 			}
 			answer.ifPresent((received) -> recordReport(connection, received));
+			if (answer.isPresent()) {
+				this.unanswered.remove(connection);
+			}
 			completeIfReady();
 		});
 	}
@@ -83,6 +92,26 @@
 		return this.result;
 	}
 
+	/**
+	 * Returns the number of other ranks of the group that have answered.
+	 * @return the number
+	 */
+	int answered() {
+		return this.reports.size();
+	}
+
+	/**
+	 * Returns the instances that have not answered, for the log.
+	 * @param max the maximum number of instances
+	 * @return the addresses, separated by commas
+	 */
+	String missing(int max) {
+		return this.unanswered.stream()
+			.limit(max)
+			.map((connection) -> connection.instance().getHostAddress())
+			.collect(Collectors.joining(","));
+	}
+
 	private void completeIfReady() {
 		this.pendingReports--;
 		if (this.result.isDone() || (this.pendingReports > 0 && this.reports.size() < this.ownStatus.size() - 1)) {
--- a/bulrushrouter-ranks/src/test/java/io/bulrushrouter/ranks/FakeGroup.java
+++ b/bulrushrouter-ranks/src/test/java/io/bulrushrouter/ranks/FakeGroup.java
@@ -21,7 +21,9 @@
  */
 final class FakeGroup {
 
-	static final int EXPERTS = 12;
+	private static final int MIN_EXPERTS = 12;
+
+	private final int experts;
 
 	private final int unansweredInterval;
 
@@ -55,11 +57,21 @@
 
 	FakeGroup(int size, int unansweredInterval) {
 		this.unansweredInterval = unansweredInterval;
+		this.experts = experts(size);
 		for (int rank = 0; rank < size; rank++) {
 			this.ranks.add(new Rank(rank, size));
 		}
 	}
 
+	/**
+	 * Returns the number of experts of a group, of which each rank holds as many.
+	 * @param size the number of ranks
+	 * @return the number of experts
+	 */
+	static int experts(int size) {
+		return Math.max(MIN_EXPERTS, 2 * size);
+	}
+
 	/**
 	 * Returns the engine of a rank as its own sidecar accesses it.
 	 * @param rank the rank
@@ -167,7 +179,7 @@
 
 		private final int size;
 
-		private final long[] counts = new long[EXPERTS];
+		private final long[] counts = new long[FakeGroup.this.experts];
 
 		private long map;
 
@@ -188,14 +200,14 @@
 		private Rank(int number, int size) {
 			this.number = number;
 			this.size = size;
-			this.experts = new int[EXPERTS / size];
+			this.experts = new int[FakeGroup.this.experts / size];
 			for (int index = 0; index < this.experts.length; index++) {
 				this.experts[index] = number + index * size;
 			}
 		}
 
 		private void beginPass() {
-			for (int expert = 0; expert < EXPERTS; expert++) {
+			for (int expert = 0; expert < FakeGroup.this.experts; expert++) {
 				// The load changes: another expert is hot after the first switch.
 				boolean hot = expert == ((FakeGroup.this.switches == 0) ? 0 : 1);
 				this.counts[expert] += hot ? 4_000 : 100;
--- a/bulrushrouter-ranks/src/test/java/io/bulrushrouter/ranks/PeerCodecTests.java
+++ b/bulrushrouter-ranks/src/test/java/io/bulrushrouter/ranks/PeerCodecTests.java
@@ -1,11 +1,16 @@
 package io.bulrushrouter.ranks;
 
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.SplittableRandom;
 
 import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.api.Test;
 
+import io.bulrushrouter.experts.live.ChoiceSample;
 import io.bulrushrouter.experts.live.OrderResult;
 import io.bulrushrouter.experts.live.RankOrder;
 import io.bulrushrouter.experts.live.RankStatus;
@@ -17,13 +22,18 @@
  */
 class PeerCodecTests {
 
+	private static final List<InetAddress> MEMBERS = List.of(new InetSocketAddress("10.1.0.7", 1).getAddress(),
+			new InetSocketAddress("10.2.0.8", 1).getAddress());
+
 	private static PeerMessage roundTrip(PeerMessage message) {
 		return PeerCodec.decode(PeerCodec.encode(message));
 	}
 
 	private static void assertOrderRoundTrips(RankOrder order) {
-		PeerMessage.OrderRequest request = new PeerMessage.OrderRequest(7, 3, 1L << 40, order);
-		assertThat(roundTrip(request)).isEqualTo(request);
+		for (List<InetAddress> members : List.of(List.<InetAddress>of(), MEMBERS)) {
+			PeerMessage.OrderRequest request = new PeerMessage.OrderRequest(7, 3, 1L << 40, order, members);
+			assertThat(roundTrip(request)).isEqualTo(request);
+		}
 	}
 
 	@Test
@@ -37,25 +47,50 @@
 
 	@Test
 	void encodesAndDecodesRequestsAndResults() {
-		assertThat(roundTrip(new PeerMessage.ReportRequest(9, true))).isEqualTo(new PeerMessage.ReportRequest(9, true));
-		for (OrderResult result : OrderResult.values()) {
-			assertThat(roundTrip(new PeerMessage.OrderResponse(9, result)))
-				.isEqualTo(new PeerMessage.OrderResponse(9, result));
-		}
-		assertThat(roundTrip(new PeerMessage.ReportResponse(9, Optional.empty())))
-			.isEqualTo(new PeerMessage.ReportResponse(9, Optional.empty()));
+		assertThat(roundTrip(new PeerMessage.StatusRequest(9, 2, 7))).isEqualTo(new PeerMessage.StatusRequest(9, 2, 7));
+		assertThat(roundTrip(new PeerMessage.ChoicesRequest(9, MEMBERS)))
+			.isEqualTo(new PeerMessage.ChoicesRequest(9, MEMBERS));
+		PeerMessage.OrderResponse results = new PeerMessage.OrderResponse(9, List.of(OrderResult.values()));
+		assertThat(roundTrip(results)).isEqualTo(results);
+		PeerMessage.StatusResponse noStatus = new PeerMessage.StatusResponse(9, Optional.empty(), Optional.empty());
+		assertThat(roundTrip(noStatus)).isEqualTo(noStatus);
+		PeerMessage.ChoicesResponse noChoices = new PeerMessage.ChoicesResponse(9, Optional.empty());
+		assertThat(roundTrip(noChoices)).isEqualTo(noChoices);
 	}
 
 	@Test
-	void encodesAndDecodesReports() {
+	void encodesAndDecodesStatuses() {
 		RankStatus status = new RankStatus("g", 2, 1, 12, true, 7, 812, 4, OptionalLong.of(5),
 				Optional.of(new RankStatus.Armed(5, 820)), OptionalLong.empty());
-		RankReport report = new RankReport(status, new long[] { 0, 5120, 1L << 35 }, new int[][] { { 3, 1 }, {} });
-		PeerMessage.ReportResponse decoded = (PeerMessage.ReportResponse) roundTrip(
-				new PeerMessage.ReportResponse(9, Optional.of(report)));
-		assertThat(decoded.report().orElseThrow().status()).isEqualTo(status);
-		assertThat(decoded.report().orElseThrow().counts()).isEqualTo(report.counts());
-		assertThat(decoded.report().orElseThrow().experts()).isEqualTo(report.experts());
+		int[][] experts = { { 3, 1 }, {} };
+		PeerMessage.StatusResponse decoded = (PeerMessage.StatusResponse) roundTrip(
+				new PeerMessage.StatusResponse(9, Optional.of(status), Optional.of(experts)));
+		assertThat(decoded.status()).isEqualTo(Optional.of(status));
+		assertThat(decoded.experts().orElseThrow()).isEqualTo(experts);
+		PeerMessage.StatusResponse known = new PeerMessage.StatusResponse(9, Optional.of(status), Optional.empty());
+		assertThat(roundTrip(known)).isEqualTo(known);
+	}
+
+	@Test
+	void encodesAndDecodesChoices() {
+		ChoiceSample sample = new ChoiceSample(2, 8, 350, new double[] { 0, 5_120, 1L << 35, 7, 0, 9 });
+		EncodedSample encoded = EncodedSample.of(sample, 2, new SplittableRandom(1));
+		PeerMessage.ChoicesResponse response = new PeerMessage.ChoicesResponse(9, Optional.of(encoded));
+		assertThat(roundTrip(response)).isEqualTo(response);
+		ChoiceSample decoded = encoded.decode();
+		assertThat(decoded.epoch()).isEqualTo(sample.epoch());
+		assertThat(decoded.ranks()).isEqualTo(sample.ranks());
+		assertThat(decoded.spanMillis()).isEqualTo(sample.spanMillis());
+		assertThat(decoded.choices()[2]).isEqualTo((double) (1L << 35));
+	}
+
+	@Test
+	void describesAStatusInAFewDozenBytes() {
+		RankStatus status = new RankStatus("group-12", 2, 200, 256, true, 7, 81_200, 4_000_000, OptionalLong.empty(),
+				Optional.empty(), OptionalLong.empty());
+		PeerMessage.StatusResponse response = new PeerMessage.StatusResponse(1L << 20, Optional.of(status),
+				Optional.empty());
+		assertThat(PeerCodec.encode(response).length).isAtMost(48);
 	}
 
 	@Test
--- a/bulrushrouter-ranks/src/test/java/io/bulrushrouter/ranks/RankSidecarTests.java
+++ b/bulrushrouter-ranks/src/test/java/io/bulrushrouter/ranks/RankSidecarTests.java
@@ -39,6 +39,9 @@
 
 	private static final int RANKS = 3;
 
+	/** So many that the leader reaches most of them through relays. */
+	private static final int MANY_RANKS = 20;
+
 	private static int freePort() throws Exception {
 		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
 			return socket.getLocalPort();
@@ -59,6 +62,29 @@
 		}
 	}
 
+	@ParameterizedTest
+	@ValueSource(ints = { Integer.MAX_VALUE, 7 })
+	void balanceALargeGroupThroughRelays(int unansweredInterval) throws Exception {
+		FakeGroup group = new FakeGroup(MANY_RANKS, unansweredInterval);
+		try (Sidecars sidecars = new Sidecars(group, MANY_RANKS)) {
+			group.switchedTwice().get(60, TimeUnit.SECONDS);
+			assertThat(group.violation()).isEqualTo(Optional.empty());
+		}
+	}
+
+	@ParameterizedTest
+	@ValueSource(ints = { 1, 7 })
+	void releaseALargeGroupThatIsHeldWhenASidecarFreezes(int frozen) throws Exception {
+		FakeGroup group = new FakeGroup(MANY_RANKS, Integer.MAX_VALUE);
+		group.freezeAtHold(frozen);
+		try (Sidecars sidecars = new Sidecars(group, MANY_RANKS)) {
+			group.resumed().get(60, TimeUnit.SECONDS);
+			group.thaw();
+			group.switchedTwice().get(60, TimeUnit.SECONDS);
+			assertThat(group.violation()).isEqualTo(Optional.empty());
+		}
+	}
+
 	@Test
 	void continueBalancingAfterAnEngineError() throws Exception {
 		FakeGroup group = new FakeGroup(RANKS, Integer.MAX_VALUE);
@@ -102,14 +128,18 @@
 		private final List<RankSidecar> running = new ArrayList<>();
 
 		private Sidecars(FakeGroup group) throws Exception {
+			this(group, RANKS);
+		}
+
+		private Sidecars(FakeGroup group, int ranks) throws Exception {
 			int port = freePort();
 			PluginRegistry plugins = PluginRegistry.of(List.of(Plugin.of(RankSource.Factory.class, "test",
-					(engine, store, loops) -> new FakeSource(group, engine.getPort() - 1))));
-			for (int rank = 0; rank < RANKS; rank++) {
+					(engine, store, loops) -> new FakeSource(group, ranks, engine.getPort() - 1))));
+			for (int rank = 0; rank < ranks; rank++) {
 				// The engine's port identifies the rank to the fake source.
 				RankSettings settings = new RankSettings("rank-" + rank, address(rank), port,
 						new InetSocketAddress(address(rank), rank + 1), "service", "test",
-						new InetSocketAddress("127.0.0.1", 1));
+						new InetSocketAddress("127.0.0.1", 1), 500_000);
 				this.running.add(RankSidecar.start(settings, plugins, new Random(rank)));
 			}
 		}
@@ -124,7 +154,7 @@
 	/**
 	 * Provides the fake group, its configuration and its addresses.
 	 */
-	private record FakeSource(FakeGroup group, int rank) implements RankSource, FleetSource {
+	private record FakeSource(FakeGroup group, int ranks, int rank) implements RankSource, FleetSource {
 
 		@Override
 		public RankEngine engine() {
@@ -148,7 +178,8 @@
 
 		@Override
 		public Feed<GatewayConfiguration> configuration() {
-			ExpertSpec experts = new ExpertSpec(1, FakeGroup.EXPERTS, FakeGroup.EXPERTS / RANKS + 2, 2, 0.01);
+			int count = FakeGroup.experts(this.ranks);
+			ExpertSpec experts = new ExpertSpec(1, count, count / this.ranks + 2, 2, 0.01);
 			EngineSpec engine = new EngineSpec(8, 5, 0.5, 70_000, 6, 800, 150, Optional.of(experts));
 			ServiceSpec service = new ServiceSpec("service", 100, Optional.of(engine));
 			return fixed(List.of(new FeedResult.Item<>("main", Optional.of(new GatewayConfiguration(1, List.of(),
@@ -158,7 +189,7 @@
 		@Override
 		public Feed<UpstreamRecord> upstreams() {
 			List<FeedResult.Item<UpstreamRecord>> records = new ArrayList<>();
-			for (int rank = 0; rank < RANKS; rank++) {
+			for (int rank = 0; rank < this.ranks; rank++) {
 				records.add(new FeedResult.Item<>("u" + rank, Optional.of(new UpstreamRecord("u" + rank, "service",
 						new InetSocketAddress(RankSidecarTests.address(rank), 80), "a", 8, false))));
 			}
--- a/bulrushrouter-ranks/src/test/java/io/bulrushrouter/ranks/ReportCollectorTests.java
+++ b/bulrushrouter-ranks/src/test/java/io/bulrushrouter/ranks/ReportCollectorTests.java
@@ -1,5 +1,6 @@
 package io.bulrushrouter.ranks;
 
+import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -9,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 
 import io.bulrushrouter.experts.live.RankStatus;
+import io.bulrushrouter.gateway.source.UpstreamRecord;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -31,7 +33,9 @@
 
 	private CompletableFuture<Optional<RankReport>> collect() {
 		CompletableFuture<Optional<RankReport>> answer = new CompletableFuture<>();
-		this.collector.collect(new RankConnection("connection", null, null, null), answer);
+		UpstreamRecord upstream = new UpstreamRecord("u", "service", new InetSocketAddress("10.0.0.9", 80), "a", 8,
+				false);
+		this.collector.collect(new RankConnection(upstream, null, null, null), answer);
 		return answer;
 	}
 
@@ -43,7 +47,7 @@
 	private static RankReport report(String group, int rank) {
 		RankStatus status = new RankStatus(group, 1, rank, RANKS, true, 0, 5, 0, OptionalLong.empty(), Optional.empty(),
 				OptionalLong.empty());
-		return new RankReport(status, new long[0], new int[][] { { rank } });
+		return new RankReport(status, new int[][] { { rank } });
 	}
 
 	@Test
@@ -72,6 +76,8 @@
 		assertThat(reports.isDone()).isFalse();
 		this.third.complete(Optional.empty());
 		assertThat(reports.join()).isEqualTo(Optional.empty());
+		assertThat(this.collector.answered()).isEqualTo(1);
+		assertThat(this.collector.missing(5)).isEqualTo("10.0.0.9");
 		assertThat(this.otherGroupConnections).isEmpty();
 	}
 
