--- a/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/groupmaps/GroupMapsExperiment.java
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/groupmaps/GroupMapsExperiment.java
@@ -20,15 +20,16 @@
 
 	private static final int SEEDS = 3;
 
-	/** Groups of the deployed size and of sizes between it and {@code TARGET}. */
+	/** Groups of the deployed sizes. */
 	private static final List<GroupParameters> GROUPS = List.of(
-			new GroupParameters("12 ranks, 3 sets", 12, 3, 96, 11, 4, 0.4, 1.3, 60),
-			new GroupParameters("12 ranks, 16 sets", 12, 16, 96, 11, 4, 0.076, 0.94, 60),
-			new GroupParameters("24 ranks, 3 sets", 24, 3, 96, 5, 2, 0.4, 1.3, 60),
-			new GroupParameters("24 ranks, 16 sets", 24, 16, 96, 5, 2, 0.076, 0.94, 60));
+			new GroupParameters("12 ranks, 3 sets", 12, 3, 96, 11, 4, 0.4, 1.3, 2, 0.1, 60),
+			new GroupParameters("12 ranks, 16 sets", 12, 16, 96, 11, 4, 0.076, 0.94, 2, 0.1, 60),
+			new GroupParameters("24 ranks, 16 sets", 24, 16, 96, 5, 2, 0.076, 0.94, 4, 0.1, 60),
+			new GroupParameters("33 ranks, 16 sets", 33, 16, 96, 5, 2, 0.076, 0.94, 6, 0.15, 60),
+			new GroupParameters("64 ranks, 256 experts, 12 sets", 64, 12, 256, 5, 2, 0.038, 0.64, 8, 0.33, 60));
 
 	private static final GroupParameters TARGET = new GroupParameters("256 ranks, 256 experts, 16 sets", 256, 16, 256,
-			2, 1, 0.076, 0.94, 12);
+			2, 1, 0.076, 0.94, 30, 0.83, 12);
 
 	@Override
 	public boolean run(PrintStream out) {
--- a/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/groupmaps/GroupParameters.java
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/groupmaps/GroupParameters.java
@@ -1,5 +1,8 @@
 package io.bulrushrouter.bench.groupmaps;
 
+import java.util.Arrays;
+import java.util.stream.IntStream;
+
 /**
  * Parameters of a simulated rank group and its demand.
  *
@@ -12,10 +15,12 @@
  * one map
  * @param copySeconds the time that a rank takes to copy one expert, in seconds
  * @param skewExponent the exponent of the Zipf distribution of demand
+ * @param promptsPerPass the mean number of prompts that are read in a pass
+ * @param pollSeconds the time between two collections of the expert counts, in seconds
  * @param durationSeconds the simulated duration in seconds
  */
 record GroupParameters(String name, int ranks, int layerSets, int experts, int slots, int maxCopies, double copySeconds,
-		double skewExponent, int durationSeconds) {
+		double skewExponent, double promptsPerPass, double pollSeconds, int durationSeconds) {
 
 	/** The share of a forward pass spent in experts, as published for the engines. */
 	private static final double EXPERT_SHARE = 0.85;
@@ -26,8 +31,8 @@
 	/** The duration of a pass without skew in a group at two thirds occupancy. */
 	private static final double PASS_SECONDS = 0.045;
 
-	/** Tokens that the whole group generates and routes to experts in a pass. */
-	private static final int TOKENS_PER_PASS = 600;
+	/** Tokens that a rank reads or generates and routes to experts in a pass. */
+	private static final int TOKENS_PER_RANK = 50;
 
 	/** Experts of a layer set that each token is routed to. */
 	private static final int EXPERTS_PER_TOKEN = 8;
@@ -45,11 +50,11 @@
 	}
 
 	int tokensPerPass() {
-		return TOKENS_PER_PASS;
+		return TOKENS_PER_RANK * this.ranks;
 	}
 
 	int expertChoicesPerPass() {
-		return TOKENS_PER_PASS * EXPERTS_PER_TOKEN;
+		return tokensPerPass() * EXPERTS_PER_TOKEN;
 	}
 
 	/**
@@ -57,11 +62,12 @@
 	 * @return the experts by layer set and rank
 	 */
 	int[][][] initialMap() {
-		int[][][] map = new int[this.layerSets][this.ranks][this.experts / this.ranks];
+		int[][][] map = new int[this.layerSets][this.ranks][];
 		for (int[][] set : map) {
-			for (int expert = 0; expert < this.experts; expert++) {
-				set[expert % this.ranks][expert / this.ranks] = expert;
-			}
+			Arrays.setAll(set,
+					(rank) -> IntStream.range(0, this.experts)
+						.filter((expert) -> expert % this.ranks == rank)
+						.toArray());
 		}
 		return map;
 	}
--- a/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/groupmaps/GroupSimulation.java
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/groupmaps/GroupSimulation.java
@@ -17,8 +17,8 @@
 	/** Time between shifts of demand. */
 	static final double SHIFT_INTERVAL_SECONDS = 4;
 
-	/** Time between two polls of the expert counts. */
-	private static final double POLL_INTERVAL_SECONDS = 0.1;
+	/** The parts in which the counts of the ranks are collected. */
+	private static final int PARTS = 4;
 
 	/** Time that a map switch takes after the copying. */
 	private static final double SWITCH_SECONDS = 0.3;
@@ -29,7 +29,8 @@
 
 	private final ShiftingDemand demand;
 
-	private final long[] counts;
+	/** The cumulative counts of each part. */
+	private final long[][] counts;
 
 	private final List<Double> skews = new ArrayList<>();
 
@@ -43,15 +44,13 @@
 
 	private double now;
 
-	private double skew;
-
 	private long copies;
 
 	GroupSimulation(GroupParameters parameters, MapRule rule, long seed) {
 		this.parameters = parameters;
 		this.rule = rule;
 		this.demand = new ShiftingDemand(parameters, seed);
-		this.counts = new long[parameters.layerSets() * parameters.experts()];
+		this.counts = new long[PARTS][parameters.layerSets() * parameters.experts()];
 		this.map = parameters.initialMap();
 	}
 
@@ -69,10 +68,9 @@
 				}
 				nextShift += SHIFT_INTERVAL_SECONDS;
 				this.rule.planAhead(this.map, this.demand.shares()).ifPresent(this::useCopiedMap);
-				updateSkew();
 			}
 			if (this.now >= nextPoll) {
-				nextPoll = this.now + POLL_INTERVAL_SECONDS;
+				nextPoll = this.now + this.parameters.pollSeconds();
 				poll();
 			}
 			pass();
@@ -82,11 +80,10 @@
 	}
 
 	private void poll() {
-		this.rule.observe(this.counts.clone(), (long) (this.now * 1000));
+		this.rule.observe(Arrays.stream(this.counts).map(long[]::clone).toList(), (long) (this.now * 1000));
 		if (this.pending.isPresent() && this.now >= this.switchTime) {
 			this.map = this.pending.get().experts();
 			this.pending = Optional.empty();
-			updateSkew();
 		}
 		if (this.pending.isEmpty()) {
 			this.rule.plan(this.map).ifPresent((plan) -> {
@@ -109,14 +106,26 @@
 		this.copyEnd = this.now + plan.maxCopiesPerRank() * this.parameters.copySeconds();
 	}
 
+	// The prompts of a pass are read by different ranks, so that each part counts other
+	// topics.
 	private void pass() {
-		this.demand.choose(this.counts, this.parameters.expertChoicesPerPass());
-		this.skews.add(this.skew);
-		this.now += this.parameters.passSeconds(this.skew, this.now < this.copyEnd);
+		double[][] ofPass = new double[this.parameters.layerSets()][this.parameters.experts()];
+		for (long[] part : this.counts) {
+			double[][] shares = this.demand.sharesOfPass(this.parameters.promptsPerPass() / PARTS);
+			this.demand.choose(part, shares, this.parameters.expertChoicesPerPass() / PARTS);
+			add(ofPass, shares);
+		}
+		double skew = PlacementPlanner.skew(this.map, ofPass);
+		this.skews.add(skew);
+		this.now += this.parameters.passSeconds(skew, this.now < this.copyEnd);
 	}
 
-	private void updateSkew() {
-		this.skew = PlacementPlanner.skew(this.map, this.demand.shares());
+	private static void add(double[][] sum, double[][] shares) {
+		for (int set = 0; set < sum.length; set++) {
+			for (int expert = 0; expert < sum[set].length; expert++) {
+				sum[set][expert] += shares[set][expert];
+			}
+		}
 	}
 
 	private double meanSkew() {
--- a/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/groupmaps/MapRule.java
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/groupmaps/MapRule.java
@@ -1,8 +1,11 @@
 package io.bulrushrouter.bench.groupmaps;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 
 import io.bulrushrouter.experts.live.ChoiceCounter;
+import io.bulrushrouter.experts.live.ChoiceSample;
 import io.bulrushrouter.experts.live.DemandTracker;
 import io.bulrushrouter.experts.live.MapPolicy;
 import io.bulrushrouter.experts.live.PlacementLimits;
@@ -22,10 +25,11 @@
 
 	/**
 	 * Records cumulative counts.
-	 * @param counts the counts by layer set and expert, flattened
+	 * @param counts the counts of each part of the ranks, by layer set and expert,
+	 * flattened
 	 * @param nowMillis the current time in milliseconds
 	 */
-	default void observe(long[] counts, long nowMillis) {
+	default void observe(List<long[]> counts, long nowMillis) {
 	}
 
 	/**
@@ -64,11 +68,11 @@
 	static MapRule ofPolicy(GroupParameters parameters) {
 		MapPolicy policy = new MapPolicy(parameters.layerSets(), parameters.experts(), parameters.slots(),
 				parameters.maxCopies(), parameters.copySeconds());
-		ChoiceCounter counter = new ChoiceCounter();
+		ChoiceCounters counters = new ChoiceCounters();
 		return new MapRule() {
 			@Override
-			public void observe(long[] counts, long nowMillis) {
-				counter.read(1, counts, nowMillis).ifPresent((sample) -> policy.observe(sample, nowMillis));
+			public void observe(List<long[]> counts, long nowMillis) {
+				policy.observe(counters.read(counts, nowMillis), nowMillis);
 			}
 
 			@Override
@@ -87,11 +91,11 @@
 		DemandTracker demand = new DemandTracker(parameters.layerSets(), parameters.experts());
 		PlacementLimits limits = new PlacementLimits(parameters.slots(), parameters.maxCopies(),
 				parameters.maxCopies() * parameters.layerSets());
-		ChoiceCounter counter = new ChoiceCounter();
+		ChoiceCounters counters = new ChoiceCounters();
 		return new MapRule() {
 			@Override
-			public void observe(long[] counts, long nowMillis) {
-				counter.read(1, counts, nowMillis).ifPresent((sample) -> demand.observe(sample, nowMillis));
+			public void observe(List<long[]> counts, long nowMillis) {
+				demand.observe(counters.read(counts, nowMillis), nowMillis);
 			}
 
 			@Override
@@ -134,4 +138,26 @@
 		};
 	}
 
+	/**
+	 * Reads the choices of several parts from their cumulative counts.
+	 */
+	final class ChoiceCounters {
+
+		private static final long EPOCH = 1;
+
+		private final List<ChoiceCounter> counters = new ArrayList<>();
+
+		private List<ChoiceSample> read(List<long[]> counts, long nowMillis) {
+			List<ChoiceSample> samples = new ArrayList<>();
+			for (int part = 0; part < counts.size(); part++) {
+				if (part == this.counters.size()) {
+					this.counters.add(new ChoiceCounter());
+				}
+				this.counters.get(part).read(EPOCH, counts.get(part), nowMillis).ifPresent(samples::add);
+			}
+			return samples;
+		}
+
+	}
+
 }
--- a/bulrushrouter-bench/src/test/java/io/bulrushrouter/bench/groupmaps/GroupMapsTests.java
+++ b/bulrushrouter-bench/src/test/java/io/bulrushrouter/bench/groupmaps/GroupMapsTests.java
@@ -11,7 +11,7 @@
  */
 class GroupMapsTests {
 
-	private static final GroupParameters GROUP = new GroupParameters("small", 12, 3, 96, 11, 4, 0.4, 1.3, 30);
+	private static final GroupParameters GROUP = new GroupParameters("small", 12, 3, 96, 11, 4, 0.4, 1.3, 2, 0.1, 30);
 
 	private static Result simulate(MapRule rule) {
 		return new GroupSimulation(GROUP, rule, 1).run();
--- a/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/MapPolicy.java
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/MapPolicy.java
@@ -1,5 +1,6 @@
 package io.bulrushrouter.experts.live;
 
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -42,12 +43,12 @@
 	}
 
 	/**
-	 * Records the choices of some ranks.
-	 * @param sample the choices
+	 * Records one collection of choices.
+	 * @param parts the samples of the collection, each of other ranks
 	 * @param nowMillis the current time, in milliseconds
 	 */
-	public void observe(ChoiceSample sample, long nowMillis) {
-		this.demand.observe(sample, nowMillis);
+	public void observe(List<ChoiceSample> parts, long nowMillis) {
+		this.demand.observe(parts, nowMillis);
 	}
 
 	/**
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/Gateway.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/Gateway.java
@@ -46,6 +46,12 @@
 	 */
 	private static final Duration WATCH_TIMEOUT = Duration.ofMillis(1_500);
 
+	/**
+	 * Minimum time from one watch to the next. It is short beside the time in which a
+	 * change must take effect, which is some seconds.
+	 */
+	private static final Duration MIN_WATCH_INTERVAL = Duration.ofMillis(300);
+
 	private final GatewaySettings settings;
 
 	private final NioEventLoopGroup group;
@@ -97,11 +103,13 @@
 		this.configurations = FeedFollower
 			.builder("configuration", this.source.configuration(), new ConfigurationListener())
 			.watchTimeout(WATCH_TIMEOUT)
+			.minWatchInterval(MIN_WATCH_INTERVAL)
 			.loop(this.loop)
 			.random(random)
 			.build();
 		this.upstreams = FeedFollower.builder("upstreams", this.source.upstreams(), new UpstreamListener())
 			.watchTimeout(WATCH_TIMEOUT)
+			.minWatchInterval(MIN_WATCH_INTERVAL)
 			.loop(this.loop)
 			.random(random)
 			.build();
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/FeedFollower.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/FeedFollower.java
@@ -35,6 +35,8 @@
 
 	private final Duration watchTimeout;
 
+	private final Duration minWatchInterval;
+
 	private final Listener<T> listener;
 
 	private final ScheduledExecutorService loop;
@@ -53,6 +55,7 @@
 		this.name = builder.name;
 		this.feed = builder.feed;
 		this.watchTimeout = builder.watchTimeout;
+		this.minWatchInterval = builder.minWatchInterval;
 		this.listener = builder.listener;
 		this.loop = builder.loop;
 		this.clock = builder.clock;
@@ -112,10 +115,24 @@
 		else if (result instanceof FeedResult.Changed<T> changed) {
 			this.revision = Math.max(this.revision, changed.revision());
 			this.listener.changed(changed.changes(), requestedNanos);
+			requestAfterInterval(requestedNanos);
+			return;
 		}
 		requestNext();
 	}
 
+	// When the whole fleet starts, each object changes by itself: the next call then
+	// returns many changes at once.
+	private void requestAfterInterval(long requestedNanos) {
+		long delayNanos = this.minWatchInterval.toNanos() - (this.clock.nanos() - requestedNanos);
+		if (delayNanos <= 0) {
+			requestNext();
+		}
+		else {
+			this.loop.schedule(this::requestNext, delayNanos, TimeUnit.NANOSECONDS);
+		}
+	}
+
 	private void failed(String reason) {
 		if (this.failures++ == 0) {
 			logger.warn("event=store-lost feed={} reason=\"{}\"", this.name, reason);
@@ -179,6 +196,8 @@
 
 		private Duration watchTimeout = Duration.ofMillis(1_500);
 
+		private Duration minWatchInterval = Duration.ZERO;
+
 		private ScheduledExecutorService loop;
 
 		private TimeSource clock = TimeSource.ofSystem();
@@ -201,6 +220,17 @@
 			return this;
 		}
 
+		/**
+		 * Sets the minimum time from one watch to the next. A change that occurs alone is
+		 * received at once; one that follows it is received up to this time later.
+		 * @param minWatchInterval the interval
+		 * @return this builder
+		 */
+		public Builder<T> minWatchInterval(Duration minWatchInterval) {
+			this.minWatchInterval = minWatchInterval;
+			return this;
+		}
+
 		/**
 		 * Sets the single-threaded executor that runs the follower and its timers.
 		 * @param loop the executor
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/source/FeedFollowerTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/source/FeedFollowerTests.java
@@ -39,6 +39,8 @@
 		.random(new Random(1))
 		.build();
 
+	private long elapsedNanos;
+
 	private void complete(FeedResult<String> answer) {
 		this.pending.poll().complete(answer);
 	}
@@ -80,6 +82,57 @@
 		assertThat(this.calls).containsExactly("list", "watch 40", "watch 40").inOrder();
 	}
 
+	@Test
+	void receivesManyChangesWithFewCalls() {
+		this.channel.freezeTime();
+		FeedFollower.builder("test", new RecordingFeed(), new RecordingListener())
+			.minWatchInterval(Duration.ofMillis(300))
+			.loop(this.channel.eventLoop())
+			.clock(() -> this.elapsedNanos)
+			.random(new Random(1))
+			.build()
+			.start();
+		complete(new FeedResult.Listed<>(List.of(), 0));
+		// A fleet of 100 registers within a second: a change each 10 ms.
+		int received = 0;
+		for (int change = 1; change <= 100; change++) {
+			advance(10);
+			if (!this.pending.isEmpty()) {
+				List<Item<String>> changes = new ArrayList<>();
+				for (int each = received; each < change; each++) {
+					changes.add(new Item<>("u" + each, Optional.of("1")));
+				}
+				received = change;
+				complete(new FeedResult.Changed<>(changes, change));
+			}
+		}
+		assertThat(this.calls.size()).isAtMost(6);
+		assertThat(received).isAtLeast(70);
+	}
+
+	@Test
+	void receivesASingleChangeAtOnce() {
+		this.channel.freezeTime();
+		FeedFollower.builder("test", new RecordingFeed(), new RecordingListener())
+			.minWatchInterval(Duration.ofMillis(300))
+			.loop(this.channel.eventLoop())
+			.clock(() -> this.elapsedNanos)
+			.random(new Random(1))
+			.build()
+			.start();
+		complete(new FeedResult.Listed<>(List.of(), 40));
+		advance(300);
+		complete(new FeedResult.Changed<>(List.of(new Item<>("a", Optional.of("1"))), 44));
+		assertThat(this.notifications).containsExactly("listed []", "changed [a]").inOrder();
+		assertThat(this.calls).containsExactly("list", "watch 40", "watch 44").inOrder();
+	}
+
+	private void advance(long millis) {
+		this.elapsedNanos += TimeUnit.MILLISECONDS.toNanos(millis);
+		this.channel.advanceTimeBy(millis, TimeUnit.MILLISECONDS);
+		this.channel.runScheduledPendingTasks();
+	}
+
 	private final class RecordingFeed implements Feed<String> {
 
 		@Override
--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/Balancer.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/Balancer.java
@@ -138,7 +138,7 @@
 		this.relay = new PeerRelay(this.peers, this.ownReporter,
 				(request) -> this.ownOrderSender.send(request.order(), request.epoch(), request.fence()), random);
 		this.demandCollector = new DemandCollector(loop, this.clock, this.ownReporter, settings.linkBytesPerSecond(),
-				this::observeChoices, this::pollSoon);
+				this::observeChoices);
 	}
 
 	void start() {
@@ -217,7 +217,6 @@
 			});
 	}
 
-	// New choices may justify a new map, which is decided in a poll.
 	private void pollSoon() {
 		boolean idle = this.currentTerm.filter((term) -> term.groupSwitch().idle()).isPresent();
 		if (idle && this.nextPoll.filter((scheduled) -> scheduled.cancel(false)).isPresent()) {
@@ -299,10 +298,12 @@
 		this.demandCollector.stop();
 	}
 
-	private void observeChoices(ChoiceSample sample) {
+	// New choices may justify a new map, which is decided in a poll.
+	private void observeChoices(List<ChoiceSample> parts) {
 		this.fleet.engineSpec()
 			.flatMap(EngineSpec::experts)
-			.ifPresent((experts) -> this.mapProposer.observe(experts, sample));
+			.ifPresent((experts) -> this.mapProposer.observe(experts, parts));
+		pollSoon();
 	}
 
 	private CompletionStage<Long> runRound(LeadershipTerm term, RankStatus status) {
--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/DemandCollector.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/DemandCollector.java
@@ -49,9 +49,7 @@
 
 	private final long linkBytesPerSecond;
 
-	private final Consumer<ChoiceSample> receiver;
-
-	private final Runnable onCollected;
+	private final Consumer<List<ChoiceSample>> receiver;
 
 	private List<RankConnection> ranks = List.of();
 
@@ -64,13 +62,12 @@
 	private long nextLogNanos;
 
 	DemandCollector(EventLoop loop, TimeSource clock, RankReporter ownReporter, long linkBytesPerSecond,
-			Consumer<ChoiceSample> receiver, Runnable onCollected) {
+			Consumer<List<ChoiceSample>> receiver) {
 		this.loop = loop;
 		this.clock = clock;
 		this.ownReporter = ownReporter;
 		this.linkBytesPerSecond = linkBytesPerSecond;
 		this.receiver = receiver;
-		this.onCollected = onCollected;
 		this.nextLogNanos = clock.nanos();
 	}
 
@@ -100,8 +97,8 @@
 		}
 		long startNanos = this.clock.nanos();
 		this.bytesReceived = 0;
-		List<CompletableFuture<Boolean>> answers = new ArrayList<>();
-		answers.add(this.ownReporter.choices().thenApply((sample) -> receive(sample, 0)).toCompletableFuture());
+		List<CompletableFuture<Optional<ChoiceSample>>> answers = new ArrayList<>();
+		answers.add(this.ownReporter.choices().toCompletableFuture());
 		for (List<RankConnection> part : RelayPlan.parts(this.ranks, this.rotation)) {
 			answers.add(request(part).toCompletableFuture());
 		}
@@ -110,8 +107,9 @@
 				logger.error("event=demand-collection-failed detail=\"{}\"", failure.toString(), failure);
 			}
 			else {
-				logMissing(answers);
-				this.onCollected.run();
+				List<ChoiceSample> parts = answers.stream().flatMap((answer) -> answer.join().stream()).toList();
+				logMissing(answers.size() - parts.size(), answers.size());
+				this.receiver.accept(parts);
 			}
 			long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(this.clock.nanos() - startNanos);
 			long delayMillis = intervalMillis(this.bytesReceived, this.ranks.size(), this.linkBytesPerSecond)
@@ -132,21 +130,14 @@
 		return Math.max(MIN_INTERVAL_MILLIS, 1_000 * LINK_DIVISOR * bytes / linkBytesPerSecond);
 	}
 
-	private CompletionStage<Boolean> request(List<RankConnection> part) {
+	private CompletionStage<Optional<ChoiceSample>> request(List<RankConnection> part) {
 		return part.get(0).choices(part.subList(1, part.size())).thenApply((answer) -> {
-			Optional<ChoiceSample> sample = answer.map(EncodedSample::decode);
-			return receive(sample, answer.map((encoded) -> CHOICES_HEADER_BYTES + encoded.choices().length).orElse(0));
+			this.bytesReceived += answer.map((encoded) -> CHOICES_HEADER_BYTES + encoded.choices().length).orElse(0);
+			return answer.map(EncodedSample::decode);
 		});
 	}
 
-	private boolean receive(Optional<ChoiceSample> sample, int bytes) {
-		this.bytesReceived += bytes;
-		sample.ifPresent(this.receiver);
-		return sample.isPresent();
-	}
-
-	private void logMissing(List<CompletableFuture<Boolean>> answers) {
-		long missing = answers.stream().filter((answer) -> !answer.join()).count();
+	private void logMissing(int missing, int requested) {
 		if (missing == 0) {
 			return;
 		}
@@ -154,7 +145,7 @@
 		this.rotation++;
 		if (this.clock.nanos() - this.nextLogNanos >= 0) {
 			this.nextLogNanos = this.clock.nanos() + LOG_INTERVAL_NANOS;
-			logger.info("event=choices-missing relays={} unanswered={} bytes={}", answers.size(), missing,
+			logger.info("event=choices-missing requested={} unanswered={} bytes={}", requested, missing,
 					this.bytesReceived);
 		}
 	}
--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/FleetView.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/FleetView.java
@@ -27,6 +27,8 @@
 	/** Updates are not urgent, and a long timeout saves calls to the store. */
 	private static final Duration WATCH_TIMEOUT = Duration.ofSeconds(20);
 
+	private static final Duration MIN_WATCH_INTERVAL = Duration.ofMillis(500);
+
 	private final EventLoop loop;
 
 	private final FleetSource source;
@@ -58,12 +60,14 @@
 		this.started = true;
 		FeedFollower.builder("configuration", this.source.configuration(), new ConfigurationListener())
 			.watchTimeout(WATCH_TIMEOUT)
+			.minWatchInterval(MIN_WATCH_INTERVAL)
 			.loop(this.loop)
 			.random(this.random)
 			.build()
 			.start();
 		FeedFollower.builder("upstreams", this.source.upstreams(), new UpstreamListener())
 			.watchTimeout(WATCH_TIMEOUT)
+			.minWatchInterval(MIN_WATCH_INTERVAL)
 			.loop(this.loop)
 			.random(this.random)
 			.build()
--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/MapProposer.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/MapProposer.java
@@ -1,5 +1,6 @@
 package io.bulrushrouter.ranks;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
@@ -35,16 +36,16 @@
 	}
 
 	/**
-	 * Records choices of some ranks.
+	 * Records one collection of choices.
 	 * @param experts the expert parameters of the engines
-	 * @param sample the choices
+	 * @param parts the samples of the collection, each of other ranks
 	 */
-	void observe(ExpertSpec experts, ChoiceSample sample) {
+	void observe(ExpertSpec experts, List<ChoiceSample> parts) {
 		if (this.policy == null) {
 			this.policy = new MapPolicy(experts.layerSets(), experts.experts(), experts.expertSlots(),
 					experts.spareSlots(), experts.copySeconds());
 		}
-		this.policy.observe(sample, TimeUnit.NANOSECONDS.toMillis(this.clock.nanos()));
+		this.policy.observe(parts, TimeUnit.NANOSECONDS.toMillis(this.clock.nanos()));
 	}
 
 	/**
