--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/source/FeedFollowerTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/source/FeedFollowerTests.java
@@ -84,14 +84,7 @@
 
 	@Test
 	void receivesManyChangesWithFewCalls() {
-		this.channel.freezeTime();
-		FeedFollower.builder("test", new RecordingFeed(), new RecordingListener())
-			.minWatchInterval(Duration.ofMillis(300))
-			.loop(this.channel.eventLoop())
-			.clock(() -> this.elapsedNanos)
-			.random(new Random(1))
-			.build()
-			.start();
+		startWithMinWatchInterval();
 		complete(new FeedResult.Listed<>(List.of(), 0));
 		// A fleet of 100 registers within a second: a change each 10 ms.
 		int received = 0;
@@ -112,6 +105,15 @@
 
 	@Test
 	void receivesASingleChangeAtOnce() {
+		startWithMinWatchInterval();
+		complete(new FeedResult.Listed<>(List.of(), 40));
+		advance(300);
+		complete(new FeedResult.Changed<>(List.of(new Item<>("a", Optional.of("1"))), 44));
+		assertThat(this.notifications).containsExactly("listed []", "changed [a]").inOrder();
+		assertThat(this.calls).containsExactly("list", "watch 40", "watch 44").inOrder();
+	}
+
+	private void startWithMinWatchInterval() {
 		this.channel.freezeTime();
 		FeedFollower.builder("test", new RecordingFeed(), new RecordingListener())
 			.minWatchInterval(Duration.ofMillis(300))
@@ -120,11 +122,6 @@
 			.random(new Random(1))
 			.build()
 			.start();
-		complete(new FeedResult.Listed<>(List.of(), 40));
-		advance(300);
-		complete(new FeedResult.Changed<>(List.of(new Item<>("a", Optional.of("1"))), 44));
-		assertThat(this.notifications).containsExactly("listed []", "changed [a]").inOrder();
-		assertThat(this.calls).containsExactly("list", "watch 40", "watch 44").inOrder();
 	}
 
 	private void advance(long millis) {
