Play the group of 24 ranks and 3 sets in group-maps again

It stands again, with the same bounds, the new model's prompts and interval as the other group of 24.

--- a/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/groupmaps/GroupMapsExperiment.java
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/groupmaps/GroupMapsExperiment.java
@@ -20,10 +20,11 @@
 
 	private static final int SEEDS = 3;
 
-	/** Groups of the deployed sizes. */
+	/** Groups of the deployed sizes and of sizes between them. */
 	private static final List<GroupParameters> GROUPS = List.of(
 			new GroupParameters("12 ranks, 3 sets", 12, 3, 96, 11, 4, 0.4, 1.3, 2, 0.1, 60),
 			new GroupParameters("12 ranks, 16 sets", 12, 16, 96, 11, 4, 0.076, 0.94, 2, 0.1, 60),
+			new GroupParameters("24 ranks, 3 sets", 24, 3, 96, 5, 2, 0.4, 1.3, 4, 0.1, 60),
 			new GroupParameters("24 ranks, 16 sets", 24, 16, 96, 5, 2, 0.076, 0.94, 4, 0.1, 60),
 			new GroupParameters("33 ranks, 16 sets", 33, 16, 96, 5, 2, 0.076, 0.94, 6, 0.15, 60),
 			new GroupParameters("64 ranks, 256 experts, 12 sets", 64, 12, 256, 5, 2, 0.038, 0.64, 8, 0.33, 60));
