Send a leader's orders from a class of their own, derive shares once

DemandTracker weighed the shares of two halves by their sums to get those of the whole, computing the sums again for each set; it takes the shares of the whole. ReportCollector searched a list for each answer; it is a set. Behaviour is the same; no test changes.

--- a/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/DemandTracker.java
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/DemandTracker.java
@@ -1,5 +1,6 @@
 package io.bulrushrouter.experts.live;
 
+import java.util.Arrays;
 import java.util.List;
 
 /**
@@ -66,11 +67,13 @@
 				add(part, halves[used++ % 2]);
 			}
 		}
-		if (changed(halves)) {
+		double[] all = new double[this.sets * this.experts];
+		Arrays.setAll(all, (index) -> halves[0][index] + halves[1][index]);
+		if (changed(halves, all)) {
 			multiply(KEPT_AFTER_CHANGE);
 		}
-		for (int index = 0; index < halves[0].length; index++) {
-			this.loads[index / this.experts][index % this.experts] += halves[0][index] + halves[1][index];
+		for (int index = 0; index < all.length; index++) {
+			this.loads[index / this.experts][index % this.experts] += all[index];
 		}
 	}
 
@@ -81,7 +84,7 @@
 		}
 	}
 
-	private boolean changed(double[][] halves) {
+	private boolean changed(double[][] halves, double[] all) {
 		double noise = 0;
 		double difference = 0;
 		for (int set = 0; set < this.sets; set++) {
@@ -91,10 +94,10 @@
 			if (one.length == 0 || other.length == 0 || before.length == 0) {
 				return false;
 			}
-			double weight = sum(halves[0], set) / (sum(halves[0], set) + sum(halves[1], set));
+			double[] now = shares(all, set);
 			for (int expert = 0; expert < this.experts; expert++) {
 				noise += Math.abs(one[expert] - other[expert]);
-				difference += Math.abs(weight * one[expert] + (1 - weight) * other[expert] - before[expert]);
+				difference += Math.abs(now[expert] - before[expert]);
 			}
 		}
 		// The halves of a sample of few prompts may agree by chance.
@@ -105,25 +108,17 @@
 
 	// Returns the shares of the experts of a set, or an empty array if none was chosen.
 	private double[] shares(double[] choices, int set) {
-		double sum = sum(choices, set);
+		double[] shares = Arrays.copyOfRange(choices, set * this.experts, (set + 1) * this.experts);
+		double sum = Arrays.stream(shares).sum();
 		if (sum <= 0) {
 			return new double[0];
 		}
-		double[] shares = new double[this.experts];
-		for (int expert = 0; expert < this.experts; expert++) {
-			shares[expert] = choices[set * this.experts + expert] / sum;
+		for (int expert = 0; expert < shares.length; expert++) {
+			shares[expert] /= sum;
 		}
 		return shares;
 	}
 
-	private double sum(double[] choices, int set) {
-		double sum = 0;
-		for (int index = set * this.experts; index < (set + 1) * this.experts; index++) {
-			sum += choices[index];
-		}
-		return sum;
-	}
-
 	// The mean weight by age of choices that were made at an even rate in a span of time
 	// that ends now.
 	private static double meanWeight(long spanMillis) {
--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/Balancer.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/Balancer.java
@@ -113,6 +113,8 @@
 
 	private final RetryingOrderSender ownOrderSender;
 
+	private final OrderDispatcher orderDispatcher;
+
 	private Optional<LeadershipTerm> currentTerm = Optional.empty();
 
 	/**
@@ -132,6 +134,7 @@
 		this.engine = source.engine();
 		this.ownReporter = new RankReporter(this.engine, this.clock);
 		this.ownOrderSender = new RetryingOrderSender(this.engine, loop);
+		this.orderDispatcher = new OrderDispatcher(this.ownOrderSender);
 		this.fleet = fleet;
 		this.holder = settings.instance() + "/" + random.nextLong();
 		this.peers = new PeerClients(loop, settings.peerPort());
@@ -394,7 +397,8 @@
 		if (commands.isEmpty()) {
 			return pollAfter(term.groupSwitch().idle() ? LEADER_POLL_INTERVAL_MILLIS : SWITCH_POLL_INTERVAL_MILLIS);
 		}
-		List<CompletableFuture<OrderResult>> pendingResults = sendOrders(reports, commands, term.fence());
+		List<CompletableFuture<OrderResult>> pendingResults = this.orderDispatcher.send(reports, commands,
+				term.fence());
 		return CompletableFuture.allOf(pendingResults.toArray(CompletableFuture[]::new)).thenApply((all) -> {
 			List<OrderResult> results = pendingResults.stream().map(CompletableFuture::join).toList();
 			for (int index = 0; index < commands.size(); index++) {
@@ -410,51 +414,6 @@
 		});
 	}
 
-	// A new map goes to all ranks and is much larger than other orders, so relays pass it
-	// on. A repeated order goes to each rank directly, as a relay may have failed.
-	private List<CompletableFuture<OrderResult>> sendOrders(GroupReports reports, List<RankCommand> commands,
-			long fence) {
-		RankOrder first = commands.get(0).order();
-		boolean forAllRanks = commands.size() == reports.view().size();
-		if (forAllRanks && first instanceof RankOrder.Prepare) {
-			return relayOrder(reports, commands, fence);
-		}
-		long epoch = reports.view().epoch();
-		return commands.stream().map((command) -> {
-			RankConnection connection = reports.connections().get(command.rank());
-			CompletionStage<OrderResult> result = (connection != null)
-					? connection.order(command.order(), epoch, fence, commands.size())
-					: this.ownOrderSender.send(command.order(), epoch, fence);
-			return result.toCompletableFuture();
-		}).toList();
-	}
-
-	private List<CompletableFuture<OrderResult>> relayOrder(GroupReports reports, List<RankCommand> commands,
-			long fence) {
-		RankOrder order = commands.get(0).order();
-		long epoch = reports.view().epoch();
-		EncodedOrder encoded = EncodedOrder.of(order);
-		Map<RankConnection, CompletableFuture<OrderResult>> results = new HashMap<>();
-		List<List<RankConnection>> parts = RelayPlan.parts(reports.connections().values(), 0);
-		for (List<RankConnection> part : parts) {
-			CompletionStage<List<OrderResult>> answer = part.get(0)
-				.relayOrder(encoded, epoch, fence, part.subList(1, part.size()), parts.size());
-			for (int index = 0; index < part.size(); index++) {
-				int position = index;
-				results.put(part.get(index),
-						answer.thenApply((answers) -> answers.get(position)).toCompletableFuture());
-			}
-		}
-		return commands.stream().map((command) -> {
-			RankConnection connection = reports.connections().get(command.rank());
-			if (connection == null) {
-				return this.ownOrderSender.send(order, epoch, fence).toCompletableFuture();
-			}
-			return results.containsKey(connection) ? results.get(connection)
-					: connection.order(order, epoch, fence, 1).toCompletableFuture();
-		}).toList();
-	}
-
 	private static void logOrders(LeadershipTerm term, GroupView ranks, List<RankCommand> commands,
 			List<OrderResult> results) {
 		long accepted = results.stream().filter(OrderResult.ACCEPTED::equals).count();
--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/ReportCollector.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/ReportCollector.java
@@ -1,8 +1,7 @@
 package io.bulrushrouter.ranks;
 
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
-import java.util.List;
+import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -30,7 +29,7 @@
 
 	private int pendingReports = 1;
 
-	private final List<RankConnection> unanswered = new ArrayList<>();
+	private final Set<RankConnection> unanswered = new LinkedHashSet<>();
 
 	/**
 	 * Creates a collector.
