Log when the last attempt was sent and last heard of

The lines of a request that ends said neither when its last attempt went out, nor how long the upstream had been silent, nor whether the connection was new.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
@@ -72,6 +72,10 @@
 
 	private long sentNanos;
 
+	private long heardNanos;
+
+	private boolean connectionReused;
+
 	private int attempts;
 
 	private int connects;
@@ -158,7 +162,9 @@
 		this.attempts++;
 		this.triedUpstreams.add(this.upstream.id());
 		this.sentNanos = this.context.nowNanos();
+		this.heardNanos = this.sentNanos;
 		this.relay.startAttempt(ready);
+		this.connectionReused = ready.used();
 		ready.send(upstreamRequest(), new AttemptResponseHandler(current));
 	}
 
@@ -308,14 +314,27 @@
 		String code = verdict.failure().map(ErrorCode::text).orElse("none");
 		this.context.metrics().countResponse(status, code);
 		logger.info("event={} request={} route={} organisation={} service={} upstream={} attempts={} connects={} "
-				+ "status={} verdict={} code={} millis={} events={} configuration={} proof-age-ms={} detail=\"{}\"",
-				event, attemptId(), this.route.name(), this.organisation.map(Organisation::name).orElse("-"),
-				this.service, (this.upstream != null) ? this.upstream.id() : "-", this.attempts, this.connects, status,
-				verdict.text(), code, millis, this.relay.eventsSent(), this.configurationVersion,
+				+ "status={} verdict={} code={} millis={} attempt-millis={} silent-millis={} connection={} events={} "
+				+ "configuration={} proof-age-ms={} detail=\"{}\"", event, attemptId(), this.route.name(),
+				this.organisation.map(Organisation::name).orElse("-"), this.service,
+				(this.upstream != null) ? this.upstream.id() : "-", this.attempts, this.connects, status,
+				verdict.text(), code, millis, millisSince(this.sentNanos), millisSince(this.heardNanos),
+				connectionKind(), this.relay.eventsSent(), this.configurationVersion,
 				this.context.freshness().ageMillis(), detail);
 		this.onComplete.run();
 	}
 
+	private long millisSince(long nanos) {
+		return (this.attempts > 0) ? TimeUnit.NANOSECONDS.toMillis(this.context.nowNanos() - nanos) : 0;
+	}
+
+	private String connectionKind() {
+		if (this.attempts == 0) {
+			return "none";
+		}
+		return this.connectionReused ? "reused" : "new";
+	}
+
 	private String attemptId() {
 		String id = this.request.header(this.context.headers().attemptId());
 		return (id != null) ? id : "-";
@@ -340,14 +359,16 @@
 		@Override
 		public void onHead(HttpResponse head) {
 			if (!stale()) {
+				heard();
 				boolean retryPossible = attemptsLeft() && Exchange.this.route.repeatable();
-				failIfRejected(Exchange.this.relay.relayHead(head, Exchange.this.connection.reused(), retryPossible));
+				failIfRejected(Exchange.this.relay.relayHead(head, Exchange.this.connectionReused, retryPossible));
 			}
 		}
 
 		@Override
 		public void onContent(ByteBuf part) {
 			if (!stale()) {
+				heard();
 				failIfRejected(Exchange.this.relay.relayContent(part));
 			}
 		}
@@ -371,6 +392,10 @@
 			}
 		}
 
+		private void heard() {
+			Exchange.this.heardNanos = Exchange.this.context.nowNanos();
+		}
+
 		private void failIfRejected(Optional<ResponseRelay.Rejection> rejected) {
 			rejected.ifPresent((reason) -> {
 				Exchange.this.connection.abandon();
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamConnection.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamConnection.java
@@ -101,8 +101,12 @@
 		return this.channel.isActive();
 	}
 
-	boolean reused() {
-		return this.requests > 1;
+	/**
+	 * Returns whether the connection has carried a request.
+	 * @return whether a request was sent on it
+	 */
+	boolean used() {
+		return this.requests > 0;
 	}
 
 	void idleSince(long nanos) {
