--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/GatewayFixture.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/GatewayFixture.java
@@ -148,6 +148,17 @@
 			this.in = this.socket.getInputStream();
 		}
 
+		/**
+		 * Sets how long a read waits for the next byte.
+		 * @param millis the time in milliseconds
+		 * @return this caller
+		 * @throws IOException if the connection is closed
+		 */
+		Caller patience(int millis) throws IOException {
+			this.socket.setSoTimeout(millis);
+			return this;
+		}
+
 		Caller send(String text) throws IOException {
 			this.socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
 			return this;
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/ScriptedUpstream.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/ScriptedUpstream.java
@@ -45,6 +45,24 @@
 		return upstream;
 	}
 
+	/**
+	 * Starts an upstream whose instance is suspended: its kernel accepts connections and
+	 * receives requests, which are read after {@link #resume()}.
+	 * @param script the script
+	 * @return the upstream
+	 * @throws IOException if no port is free
+	 */
+	static ScriptedUpstream startSuspended(Script script) throws IOException {
+		return new ScriptedUpstream(script);
+	}
+
+	/**
+	 * Resumes a suspended upstream.
+	 */
+	void resume() {
+		this.threads.execute(this::accept);
+	}
+
 	InetSocketAddress address() {
 		return (InetSocketAddress) this.serverSocket.getLocalSocketAddress();
 	}
