--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
@@ -385,6 +386,9 @@
 		public void onHead(HttpResponse head) {
 			if (!stale()) {
 				heard();
+				if (head.status().code() != ResponseRelay.MISDIRECTED_REQUEST) {
+					Exchange.this.context.upstreamLimits().named(Exchange.this.upstream.id(), namedLimit(head));
+				}
 				boolean retryPossible = attemptsLeft() && Exchange.this.route.repeatable();
 				failIfRejected(Exchange.this.relay.relayHead(head, Exchange.this.connectionReused, retryPossible));
 			}
@@ -417,6 +421,21 @@
 			}
 		}
 
+		private OptionalDouble namedLimit(HttpResponse head) {
+			String text = head.headers().get(Exchange.this.context.headers().limit());
+			if (text == null) {
+				return OptionalDouble.empty();
+			}
+			try {
+				return OptionalDouble.of(Math.max(0, Double.parseDouble(text.strip())));
+			}
+			catch (NumberFormatException ex) {
+				logger.warn("event=limit-ignored upstream={} value=\"{}\" reason=\"not a number\"",
+						Exchange.this.upstream.id(), text);
+				return OptionalDouble.empty();
+			}
+		}
+
 		private void heard() {
 			Exchange.this.heardNanos = Exchange.this.context.nowNanos();
 			Exchange.this.context.monitor().heard(Exchange.this.upstream.id());
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/GatewayContext.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/GatewayContext.java
@@ -20,6 +20,7 @@
 import io.bulrushrouter.gateway.source.HeaderNames;
 import io.bulrushrouter.gateway.source.UpstreamRecord;
 import io.bulrushrouter.gateway.upstream.UpstreamDirectory;
+import io.bulrushrouter.gateway.upstream.UpstreamLimits;
 import io.bulrushrouter.gateway.upstream.UpstreamSelector;
 import io.bulrushrouter.kernel.TimeSource;
 
@@ -48,6 +49,8 @@
 
 	private final UpstreamMonitor monitor;
 
+	private final UpstreamLimits limits = new UpstreamLimits();
+
 	private final ForwardMetrics metrics;
 
 	private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
@@ -133,6 +136,10 @@
 		return this.monitor;
 	}
 
+	UpstreamLimits upstreamLimits() {
+		return this.limits;
+	}
+
 	ForwardMetrics metrics() {
 		return this.metrics;
 	}
@@ -223,6 +230,7 @@
 		this.pool.sweep(listed);
 		this.monitor.retain(listed);
 		this.upstreamSelector.retain(listed);
+		this.limits.retain(listed);
 	}
 
 	boolean reserve(long bytes) {
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ResponseRelay.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ResponseRelay.java
@@ -31,7 +31,8 @@
 	/** Plain responses up to this size are buffered until they are complete. */
 	private static final int MAX_BUFFERED_RESPONSE_BYTES = 64 * 1024;
 
-	private static final int MISDIRECTED_REQUEST = 421;
+	/** Status of an upstream other than the one that the request expects. */
+	static final int MISDIRECTED_REQUEST = 421;
 
 	private final GatewayContext context;
 
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/HeaderNames.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/HeaderNames.java
@@ -18,8 +18,10 @@
  * @param tokenCounts the header with the number of prompt tokens and the maximum number
  * of tokens to generate
  * @param faultyUpstream the header with the upstream that caused a refusal
+ * @param limit the header in which an upstream names the requests per second that it
+ * takes from all entries together
  */
 public record HeaderNames(String attemptId, String deadlineMillis, String key, String organisation,
 		String expectedUpstream, String notRun, String stamp, String lastEventId, String priority, String tokenCounts,
-		String faultyUpstream) {
+		String faultyUpstream, String limit) {
 }
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/GatewayFixture.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/GatewayFixture.java
@@ -40,7 +40,7 @@
 final class GatewayFixture implements AutoCloseable {
 
 	static final HeaderNames HEADERS = new HeaderNames("X-Attempt", "X-Deadline", "X-Key", "X-Organisation",
-			"X-Expected", "X-Not-Run", "X-Stamp", "Last-Event-Id", "X-Priority", "X-Tokens", "X-Faulty");
+			"X-Expected", "X-Not-Run", "X-Stamp", "Last-Event-Id", "X-Priority", "X-Tokens", "X-Faulty", "X-Limit");
 
 	static final String KEY = "secret";
 
