--- a/bulrushrouter-ranks/src/test/java/io/bulrushrouter/ranks/RankSidecarTests.java
+++ b/bulrushrouter-ranks/src/test/java/io/bulrushrouter/ranks/RankSidecarTests.java
@@ -23,6 +23,7 @@
 import io.bulrushrouter.gateway.config.ExpertSpec;
 import io.bulrushrouter.gateway.config.GatewayConfiguration;
 import io.bulrushrouter.gateway.config.ServiceSpec;
+import io.bulrushrouter.gateway.source.EntryRegistry;
 import io.bulrushrouter.gateway.source.Feed;
 import io.bulrushrouter.gateway.source.FeedResult;
 import io.bulrushrouter.gateway.source.FleetSource;
@@ -199,6 +200,11 @@
 					Map.of("service", service), CallerLimits.DEFAULTS, List.of())))));
 		}
 
+		@Override
+		public EntryRegistry entries() {
+			throw new UnsupportedOperationException("a sidecar is not an entry");
+		}
+
 		@Override
 		public Feed<UpstreamRecord> upstreams() {
 			List<FeedResult.Item<UpstreamRecord>> records = new ArrayList<>();
