Send nothing new to an upstream that says in a response that it leaves

Nothing read the header; only the list counted.

What an upstream says about itself becomes one type, UpstreamNotice, decoded from the head of any response (streams, errors, refusals, probes, but not a response of another upstream at a reused address), and one place, UpstreamNotices, which takes in the limits too. Each choice of an upstream asks it, and again when the connection stands. A departure holds by identifier and lifetime (the entry's start time, now decoded), also when the list says ready again.

--- a/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/gateway/UpstreamChoiceBenchmark.java
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/gateway/UpstreamChoiceBenchmark.java
@@ -42,7 +42,7 @@
 		List<UpstreamRecord> upstreams = new ArrayList<>();
 		for (int index = 0; index < UPSTREAMS; index++) {
 			upstreams.add(new UpstreamRecord("i-" + index, "s", InetSocketAddress.createUnresolved("10.0.0.1", 80),
-					"dc-" + index % 11, 8, false));
+					"dc-" + index % 11, 8, false, 0));
 		}
 		return upstreams;
 	}
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
@@ -2,7 +2,6 @@
 
 import java.util.HashSet;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
@@ -133,7 +132,7 @@
 		this.connects++;
 		int current = ++this.generation;
 		this.context.upstreamSelector().started(this.upstream.id());
-		this.context.upstreamLimits().sent(this.upstream.id(), this.context.nowNanos());
+		this.context.notices().sent(this.upstream.id(), this.context.nowNanos());
 		boolean fresh = !this.route.repeatable();
 		this.context.pool().acquire(this.upstream, fresh, (ready) -> connected(ready, current), (cause) -> {
 			if (current == this.generation && !this.ended) {
@@ -151,7 +150,7 @@
 			ready.abandon();
 			return;
 		}
-		if (!this.context.directory().accepts(this.upstream.id())) {
+		if (!this.context.directory().accepts(this.upstream.id()) || !this.context.notices().accepts(this.upstream)) {
 			ready.abandon();
 			attemptFailed(Verdict.ofNotRun(ErrorCode.DRAINING), "the upstream started to drain");
 			return;
@@ -384,10 +383,7 @@
 		public void onHead(HttpResponse head) {
 			if (!stale()) {
 				heard();
-				if (head.status().code() != ResponseRelay.MISDIRECTED_REQUEST) {
-					Exchange.this.context.upstreamLimits()
-						.named(Exchange.this.upstream.id(), namedLimit(head), Exchange.this.heardNanos);
-				}
+				Exchange.this.context.recordNotice(Exchange.this.upstream, head);
 				boolean retryPossible = attemptsLeft() && Exchange.this.route.repeatable();
 				failIfRejected(Exchange.this.relay.relayHead(head, Exchange.this.connectionReused, retryPossible));
 			}
@@ -420,21 +416,6 @@
 			}
 		}
 
-		private OptionalDouble namedLimit(HttpResponse head) {
-			String text = head.headers().get(Exchange.this.context.headers().limit());
-			if (text == null) {
-				return OptionalDouble.empty();
-			}
-			try {
-				return OptionalDouble.of(Math.max(0, Double.parseDouble(text.strip())));
-			}
-			catch (NumberFormatException ex) {
-				logger.warn("event=limit-ignored upstream={} value=\"{}\" reason=\"not a number\"",
-						Exchange.this.upstream.id(), text);
-				return OptionalDouble.empty();
-			}
-		}
-
 		private void heard() {
 			Exchange.this.heardNanos = Exchange.this.context.nowNanos();
 			Exchange.this.context.monitor().heard(Exchange.this.upstream.id());
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/GatewayContext.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/GatewayContext.java
@@ -8,6 +8,7 @@
 import java.util.random.RandomGenerator;
 
 import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpResponse;
 
 import io.bulrushrouter.gateway.admission.AdmissionQueue;
 import io.bulrushrouter.gateway.admission.ConcurrencyLimit;
@@ -22,7 +23,7 @@
 import io.bulrushrouter.gateway.source.HeaderNames;
 import io.bulrushrouter.gateway.source.UpstreamRecord;
 import io.bulrushrouter.gateway.upstream.UpstreamDirectory;
-import io.bulrushrouter.gateway.upstream.UpstreamLimits;
+import io.bulrushrouter.gateway.upstream.UpstreamNotices;
 import io.bulrushrouter.gateway.upstream.UpstreamSelector;
 import io.bulrushrouter.kernel.TimeSource;
 
@@ -53,7 +54,9 @@
 
 	private final EntryMembership membership;
 
-	private final UpstreamLimits limits;
+	private final UpstreamNotices notices;
+
+	private final UpstreamNoticeDecoder noticeDecoder;
 
 	private final ForwardMetrics metrics;
 
@@ -98,9 +101,10 @@
 		this.freshness = freshness;
 		this.metrics = metrics;
 		this.membership = membership;
-		this.limits = new UpstreamLimits(membership);
+		this.notices = new UpstreamNotices(membership);
+		this.noticeDecoder = new UpstreamNoticeDecoder(headers);
 		this.pool = new UpstreamConnectionPool(loop, clock, metrics.upstreamConnects());
-		this.monitor = new UpstreamMonitor(loop, clock, this.pool, upstreamSelector, probePath);
+		this.monitor = new UpstreamMonitor(loop, clock, this.pool, upstreamSelector, probePath, this::recordNotice);
 	}
 
 	EventLoop loop() {
@@ -143,8 +147,20 @@
 		return this.monitor;
 	}
 
-	UpstreamLimits upstreamLimits() {
-		return this.limits;
+	UpstreamNotices notices() {
+		return this.notices;
+	}
+
+	/**
+	 * Records what an upstream says about itself in a response.
+	 * @param upstream the upstream to which the request was sent
+	 * @param head the head of the response
+	 */
+	void recordNotice(UpstreamRecord upstream, HttpResponse head) {
+		// A misdirected request was answered by another upstream.
+		if (head.status().code() != ResponseRelay.MISDIRECTED_REQUEST) {
+			this.notices.received(upstream, this.noticeDecoder.decode(head), nowNanos());
+		}
 	}
 
 	/**
@@ -154,7 +170,7 @@
 	 * @return the upstream, or empty if the request may be sent to none
 	 */
 	Optional<UpstreamRecord> selectUpstream(String service, Set<String> tried) {
-		List<UpstreamRecord> allowed = this.limits.allowed(this.directory.ready(service), nowNanos());
+		List<UpstreamRecord> allowed = this.notices.allowed(this.directory.ready(service), nowNanos());
 		return this.upstreamSelector.pick(allowed, tried, nowNanos());
 	}
 
@@ -248,7 +264,7 @@
 		this.pool.sweep(listed);
 		this.monitor.retain(listed);
 		this.upstreamSelector.retain(listed);
-		this.limits.retain(listed);
+		this.notices.retain(listed, nowNanos());
 	}
 
 	boolean reserve(long bytes) {
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamMonitor.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamMonitor.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
@@ -51,6 +52,8 @@
 
 	private final String probePath;
 
+	private final BiConsumer<UpstreamRecord, HttpResponse> onProbeResponse;
+
 	private final Map<String, Watched> watched = new HashMap<>();
 
 	private boolean ticking;
@@ -58,12 +61,13 @@
 	private long lastTickNanos;
 
 	UpstreamMonitor(EventLoop loop, TimeSource clock, UpstreamConnectionPool pool, UpstreamSelector selector,
-			String probePath) {
+			String probePath, BiConsumer<UpstreamRecord, HttpResponse> onProbeResponse) {
 		this.loop = loop;
 		this.clock = clock;
 		this.pool = pool;
 		this.selector = selector;
 		this.probePath = probePath;
+		this.onProbeResponse = onProbeResponse;
 	}
 
 	/**
@@ -197,7 +201,7 @@
 					return;
 				}
 				this.probe = connection;
-				connection.send(probeRequest(), new ProbeResponseHandler(this));
+				connection.send(probeRequest(), new ProbeResponseHandler(this, UpstreamMonitor.this.onProbeResponse));
 			}, (reason) -> logger.info("event=probe-failed upstream={} reason=\"{}\"", this.upstream.id(), reason));
 		}
 
@@ -223,12 +227,15 @@
 	 * Takes any response to a probe as a sign of life.
 	 *
 	 * @param target the probed upstream
+	 * @param onResponse receives the head of the response
 	 */
-	private record ProbeResponseHandler(Watched target) implements ResponseHandler {
+	private record ProbeResponseHandler(Watched target,
+			BiConsumer<UpstreamRecord, HttpResponse> onResponse) implements ResponseHandler {
 
 		@Override
 		public void onHead(HttpResponse head) {
 			this.target.heard();
+			this.onResponse.accept(this.target.upstream, head);
 			this.target.closeProbe();
 		}
 
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/HeaderNames.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/HeaderNames.java
@@ -20,8 +20,9 @@
  * @param faultyUpstream the header with the upstream that caused a refusal
  * @param limit the header in which an upstream names the requests per second that it
  * takes from all entries together
+ * @param leaving the header in which an upstream says that it is about to stop
  */
 public record HeaderNames(String attemptId, String deadlineMillis, String key, String organisation,
 		String expectedUpstream, String notRun, String stamp, String lastEventId, String priority, String tokenCounts,
-		String faultyUpstream, String limit) {
+		String faultyUpstream, String limit, String leaving) {
 }
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/UpstreamRecord.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/UpstreamRecord.java
@@ -11,7 +11,9 @@
  * @param dataCentre the data centre in which it runs
  * @param slots the number of requests that it runs concurrently
  * @param leaving whether it is draining and must get no new requests
+ * @param born the start of its lifetime as it states it, which tells it from an earlier
+ * one under the same identifier; 0 if it states none
  */
 public record UpstreamRecord(String id, String service, InetSocketAddress address, String dataCentre, int slots,
-		boolean leaving) {
+		boolean leaving, long born) {
 }
--- /dev/null
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamNotice.java
@@ -0,0 +1,13 @@
+package io.bulrushrouter.gateway.upstream;
+
+import java.util.OptionalDouble;
+
+/**
+ * What an upstream says about itself in a response, beside the response proper.
+ *
+ * @param leaving whether it is about to stop and wants no new requests
+ * @param requestsPerSecond the requests per second that it takes from all entries
+ * together, or empty if it names no limit
+ */
+public record UpstreamNotice(boolean leaving, OptionalDouble requestsPerSecond) {
+}
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/GatewayFixture.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/GatewayFixture.java
@@ -41,7 +41,8 @@
 final class GatewayFixture implements AutoCloseable {
 
 	static final HeaderNames HEADERS = new HeaderNames("X-Attempt", "X-Deadline", "X-Key", "X-Organisation",
-			"X-Expected", "X-Not-Run", "X-Stamp", "Last-Event-Id", "X-Priority", "X-Tokens", "X-Faulty", "X-Limit");
+			"X-Expected", "X-Not-Run", "X-Stamp", "Last-Event-Id", "X-Priority", "X-Tokens", "X-Faulty", "X-Limit",
+			"X-Leaving");
 
 	static final String KEY = "secret";
 
@@ -79,7 +80,7 @@
 			// first.
 			String dataCentre = (id == 'a') ? "a" : "b";
 			this.upstreams.add(new Item<>("up-" + id,
-					Optional.of(new UpstreamRecord("up-" + id++, "service", each.address(), dataCentre, 8, false))));
+					Optional.of(new UpstreamRecord("up-" + id++, "service", each.address(), dataCentre, 8, false, 0))));
 		}
 		this.server = new CallerServer(this.context, 100);
 		this.group.next().submit(() -> {
@@ -101,6 +102,20 @@
 				List.of(new WeightedService("service", 1)), 2, false, kind == RouteKind.STREAM);
 	}
 
+	/**
+	 * Lists all upstreams again, as ready and with a lifetime.
+	 * @param born the start of the lifetime
+	 * @throws Exception if the event loop fails
+	 */
+	void relist(long born) throws Exception {
+		List<Item<UpstreamRecord>> items = this.upstreams.stream().map((item) -> {
+			UpstreamRecord known = item.value().orElseThrow();
+			return new Item<>(item.name(), Optional.of(new UpstreamRecord(known.id(), known.service(), known.address(),
+					known.dataCentre(), known.slots(), false, born)));
+		}).toList();
+		this.group.next().submit(() -> this.directory.replace(items, 0)).get(10, TimeUnit.SECONDS);
+	}
+
 	/**
 	 * Sets the age of the freshness proof of the configuration.
 	 * @param millis the age in milliseconds
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/node/GatewayStopTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/node/GatewayStopTests.java
@@ -44,7 +44,8 @@
 class GatewayStopTests {
 
 	private static final HeaderNames HEADERS = new HeaderNames("X-Attempt", "X-Deadline", "X-Key", "X-Organisation",
-			"X-Expected", "X-Not-Run", "X-Stamp", "Last-Event-Id", "X-Priority", "X-Tokens", "X-Faulty", "X-Limit");
+			"X-Expected", "X-Not-Run", "X-Stamp", "Last-Event-Id", "X-Priority", "X-Tokens", "X-Faulty", "X-Limit",
+			"X-Leaving");
 
 	private static int freePort() throws IOException {
 		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
@@ -195,7 +196,7 @@
 		@Override
 		public Feed<UpstreamRecord> upstreams() {
 			InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), this.port);
-			return fixed("u", new UpstreamRecord("u", "s", address, "a", 8, false));
+			return fixed("u", new UpstreamRecord("u", "s", address, "a", 8, false, 0));
 		}
 
 		private static <T> Feed<T> fixed(String name, T value) {
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/upstream/UpstreamDirectoryTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/upstream/UpstreamDirectoryTests.java
@@ -33,7 +33,8 @@
 	}
 
 	private static UpstreamRecord record(String id, boolean leaving) {
-		return new UpstreamRecord(id, "service", InetSocketAddress.createUnresolved("10.0.0.1", 80), "a", 8, leaving);
+		return new UpstreamRecord(id, "service", InetSocketAddress.createUnresolved("10.0.0.1", 80), "a", 8, leaving,
+				0);
 	}
 
 	private List<String> usable() {
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/upstream/UpstreamLimitsTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/upstream/UpstreamLimitsTests.java
@@ -32,7 +32,7 @@
 	private static final long WINDOW_MILLIS = 4_000;
 
 	private static final UpstreamRecord UPSTREAM = new UpstreamRecord("up", "s",
-			InetSocketAddress.createUnresolved("up", 1), "a", 8, false);
+			InetSocketAddress.createUnresolved("up", 1), "a", 8, false, 0);
 
 	private static List<UpstreamLimits> entries(int count) {
 		List<EntryHeartbeat> heartbeats = IntStream.range(0, count)
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/upstream/UpstreamSelectorTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/upstream/UpstreamSelectorTests.java
@@ -26,7 +26,7 @@
 
 	private static UpstreamRecord record(String id, String dataCentre) {
 		return new UpstreamRecord(id, "service", InetSocketAddress.createUnresolved("10.0.0.1", 80), dataCentre, 2,
-				false);
+				false, 0);
 	}
 
 	private Optional<String> pick(long nowNanos, String... tried) {
--- a/bulrushrouter-ranks/src/test/java/io/bulrushrouter/ranks/RankSidecarTests.java
+++ b/bulrushrouter-ranks/src/test/java/io/bulrushrouter/ranks/RankSidecarTests.java
@@ -210,7 +210,7 @@
 			List<FeedResult.Item<UpstreamRecord>> records = new ArrayList<>();
 			for (int rank = 0; rank < this.ranks; rank++) {
 				records.add(new FeedResult.Item<>("u" + rank, Optional.of(new UpstreamRecord("u" + rank, "service",
-						new InetSocketAddress(RankSidecarTests.address(rank), 80), "a", 8, false))));
+						new InetSocketAddress(RankSidecarTests.address(rank), 80), "a", 8, false, 0))));
 			}
 			return fixed(records);
 		}
--- a/bulrushrouter-ranks/src/test/java/io/bulrushrouter/ranks/RelayPlanTests.java
+++ b/bulrushrouter-ranks/src/test/java/io/bulrushrouter/ranks/RelayPlanTests.java
@@ -25,7 +25,7 @@
 		for (int rank = 0; rank < count; rank++) {
 			UpstreamRecord upstream = new UpstreamRecord("u" + rank, "service",
 					new InetSocketAddress("10.0." + rank / 200 + "." + rank % 200, 80), "dc" + rank % DATA_CENTRES, 8,
-					false);
+					false, 0);
 			ranks.add(new RankConnection(upstream, null, null, TimeSource.ofSystem()));
 		}
 		return ranks;
--- a/bulrushrouter-ranks/src/test/java/io/bulrushrouter/ranks/ReportCollectorTests.java
+++ b/bulrushrouter-ranks/src/test/java/io/bulrushrouter/ranks/ReportCollectorTests.java
@@ -34,7 +34,7 @@
 	private CompletableFuture<Optional<RankReport>> collect() {
 		CompletableFuture<Optional<RankReport>> answer = new CompletableFuture<>();
 		UpstreamRecord upstream = new UpstreamRecord("u", "service", new InetSocketAddress("10.0.0.9", 80), "a", 8,
-				false);
+				false, 0);
 		this.collector.collect(new RankConnection(upstream, null, null, null), answer);
 		return answer;
 	}
