Leave an upstream alone for as long as it says when it refuses a request

The header was not read: the next request went there again as soon as least load said so, and without the mark that the request did not run the refusal counted as a failure of the upstream.

UpstreamNotice gains the time, decoded from 503 alone, bounded to 600 s and logged if absurd; the longest of several applies; returns are spread over a tenth of it, half a second at most. A paused upstream is not chosen and not sent to once a connection stands; its refusals are neutral for its health. A caller that is refused because all upstreams are paused is told when the first of them returns.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
@@ -150,9 +150,10 @@
 			ready.abandon();
 			return;
 		}
-		if (!this.context.directory().accepts(this.upstream.id()) || !this.context.notices().accepts(this.upstream)) {
+		if (!this.context.directory().accepts(this.upstream.id())
+				|| !this.context.notices().accepts(this.upstream, this.context.nowNanos())) {
 			ready.abandon();
-			attemptFailed(Verdict.ofNotRun(ErrorCode.DRAINING), "the upstream started to drain");
+			attemptFailed(Verdict.ofNotRun(ErrorCode.DRAINING), "the upstream started to drain or pushed back");
 			return;
 		}
 		if (!keyStillValid()) {
@@ -239,7 +240,11 @@
 		}
 	}
 
-	private static Outcome outcomeOf(Verdict verdict) {
+	// An upstream that refuses requests for a time is overloaded, not ill.
+	private Outcome outcomeOf(Verdict verdict) {
+		if (this.context.notices().paused(this.upstream.id(), this.context.nowNanos())) {
+			return Outcome.NEUTRAL;
+		}
 		ErrorCode code = verdict.failure().orElse(ErrorCode.INTERNAL);
 		return switch (code) {
 			case OVERLOADED, DRAINING, STORE_UNAVAILABLE -> Outcome.NEUTRAL;
@@ -275,7 +280,8 @@
 			return;
 		}
 		int status = verdict.mayHaveRun() ? statusForUnknownOutcome(verdict) : 503;
-		long retryAfter = verdict.mayHaveRun() ? 0 : RetryAfter.millis(this.context.random());
+		long retryAfter = verdict.mayHaveRun() ? 0
+				: this.context.pausedMillis(this.service) + RetryAfter.millis(this.context.random());
 		ErrorResponse.send(this.responseWriter, status, verdict, retryAfter);
 		end("refused", status, verdict, detail);
 	}
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/GatewayContext.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/GatewayContext.java
@@ -101,7 +101,7 @@
 		this.freshness = freshness;
 		this.metrics = metrics;
 		this.membership = membership;
-		this.notices = new UpstreamNotices(membership);
+		this.notices = new UpstreamNotices(membership, random);
 		this.noticeDecoder = new UpstreamNoticeDecoder(headers);
 		this.pool = new UpstreamConnectionPool(loop, clock, metrics.upstreamConnects());
 		this.monitor = new UpstreamMonitor(loop, clock, this.pool, upstreamSelector, probePath, this::recordNotice);
@@ -151,6 +151,15 @@
 		return this.notices;
 	}
 
+	/**
+	 * Returns how long all upstreams of a service want no requests from this entry.
+	 * @param service the service
+	 * @return the time in milliseconds, 0 if one of them takes requests
+	 */
+	long pausedMillis(String service) {
+		return this.notices.pausedMillis(this.directory.ready(service), nowNanos());
+	}
+
 	/**
 	 * Records what an upstream says about itself in a response.
 	 * @param upstream the upstream to which the request was sent
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamNoticeDecoder.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamNoticeDecoder.java
@@ -1,8 +1,13 @@
 package io.bulrushrouter.gateway.forward;
 
+import java.time.Duration;
+import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.concurrent.TimeUnit;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -18,6 +23,9 @@
 
 	private static final String LEAVING = "1";
 
+	/** A longer time is taken for an error of the upstream. */
+	private static final double MAX_RETRY_AFTER_SECONDS = 600;
+
 	private final HeaderNames names;
 
 	UpstreamNoticeDecoder(HeaderNames names) {
@@ -26,7 +34,23 @@
 
 	UpstreamNotice decode(HttpResponse head) {
 		return new UpstreamNotice(LEAVING.equals(head.headers().get(this.names.leaving())),
-				number(head, this.names.limit()));
+				number(head, this.names.limit()), retryAfter(head));
+	}
+
+	private static Optional<Duration> retryAfter(HttpResponse head) {
+		if (head.status().code() != HttpResponseStatus.SERVICE_UNAVAILABLE.code()) {
+			return Optional.empty();
+		}
+		OptionalDouble seconds = number(head, HttpHeaderNames.RETRY_AFTER.toString());
+		if (seconds.isEmpty()) {
+			return Optional.empty();
+		}
+		if (seconds.getAsDouble() > MAX_RETRY_AFTER_SECONDS) {
+			logger.warn("event=header-bounded header=retry-after seconds={} bound={}", seconds.getAsDouble(),
+					MAX_RETRY_AFTER_SECONDS);
+		}
+		double bounded = Math.min(seconds.getAsDouble(), MAX_RETRY_AFTER_SECONDS);
+		return Optional.of(Duration.ofNanos((long) (bounded * TimeUnit.SECONDS.toNanos(1))));
 	}
 
 	private static OptionalDouble number(HttpResponse head, String header) {
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamNotice.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamNotice.java
@@ -1,5 +1,7 @@
 package io.bulrushrouter.gateway.upstream;
 
+import java.time.Duration;
+import java.util.Optional;
 import java.util.OptionalDouble;
 
 /**
@@ -8,6 +10,8 @@
  * @param leaving whether it is about to stop and wants no new requests
  * @param requestsPerSecond the requests per second that it takes from all entries
  * together, or empty if it names no limit
+ * @param retryAfter how long it wants no requests from this entry, or empty if it did not
+ * refuse the request for a time
  */
-public record UpstreamNotice(boolean leaving, OptionalDouble requestsPerSecond) {
+public record UpstreamNotice(boolean leaving, OptionalDouble requestsPerSecond, Optional<Duration> retryAfter) {
 }
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamNotices.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamNotices.java
@@ -1,10 +1,12 @@
 package io.bulrushrouter.gateway.upstream;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -25,16 +27,31 @@
 	 */
 	private static final long DEPARTURE_RETENTION_NANOS = TimeUnit.MINUTES.toNanos(10);
 
+	/**
+	 * Share of the time for which an upstream wants no requests by which entries return
+	 * later, each by another part of it, so that they do not return together.
+	 */
+	private static final double RETURN_SPREAD_RATIO = 0.1;
+
+	/** Upper bound of that spread. */
+	private static final long MAX_RETURN_SPREAD_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
 	private final UpstreamLimits limits;
 
+	private final RandomGenerator random;
+
+	private final Map<String, Long> returnNanos = new HashMap<>();
+
 	private final Map<String, Departure> departures = new HashMap<>();
 
 	/**
 	 * Creates an instance without notices.
 	 * @param share divides a limit among the entries
+	 * @param random spreads the return to upstreams that refused requests for a time
 	 */
-	public UpstreamNotices(LimitShare share) {
+	public UpstreamNotices(LimitShare share, RandomGenerator random) {
 		this.limits = new UpstreamLimits(share);
+		this.random = random;
 	}
 
 	/**
@@ -49,6 +66,47 @@
 			logger.info("event=upstream-leaving upstream={} source=response", upstream.id());
 			this.departures.put(upstream.id(), new Departure(upstream.born(), nowNanos));
 		}
+		notice.retryAfter().ifPresent((pause) -> pause(upstream.id(), pause, nowNanos));
+	}
+
+	// The longest of several pauses applies.
+	private void pause(String id, Duration pause, long nowNanos) {
+		long spreadNanos = Math.min(MAX_RETURN_SPREAD_NANOS, (long) (RETURN_SPREAD_RATIO * pause.toNanos()));
+		long returns = nowNanos + pause.toNanos() + (long) (spreadNanos * this.random.nextDouble());
+		if (pausedNanos(id, nowNanos) < returns - nowNanos) {
+			logger.info("event=upstream-paused upstream={} millis={}", id, pause.toMillis());
+			this.returnNanos.put(id, returns);
+		}
+	}
+
+	private long pausedNanos(String id, long nowNanos) {
+		Long returns = this.returnNanos.get(id);
+		return (returns != null) ? Math.max(0, returns - nowNanos) : 0;
+	}
+
+	/**
+	 * Returns whether an upstream wants no requests from this entry for a time.
+	 * @param id the upstream's identifier
+	 * @param nowNanos the current monotonic time, in nanoseconds
+	 * @return whether it has refused a request for a time that is not over
+	 */
+	public boolean paused(String id, long nowNanos) {
+		return pausedNanos(id, nowNanos) > 0;
+	}
+
+	/**
+	 * Returns how long all of several upstreams want no requests.
+	 * @param candidates the upstreams
+	 * @param nowNanos the current monotonic time, in nanoseconds
+	 * @return the time until the first of them returns, in milliseconds; 0 if one of them
+	 * takes requests, or if there are none
+	 */
+	public long pausedMillis(List<UpstreamRecord> candidates, long nowNanos) {
+		long nanos = candidates.stream()
+			.mapToLong((candidate) -> pausedNanos(candidate.id(), nowNanos))
+			.min()
+			.orElse(0);
+		return TimeUnit.NANOSECONDS.toMillis(nanos);
 	}
 
 	private boolean leaving(UpstreamRecord upstream) {
@@ -63,18 +121,21 @@
 	 * @return those whose notices permit it
 	 */
 	public List<UpstreamRecord> allowed(List<UpstreamRecord> candidates, long nowNanos) {
-		List<UpstreamRecord> accepting = this.departures.isEmpty() ? candidates
-				: candidates.stream().filter(this::accepts).toList();
+		boolean noNotices = this.departures.isEmpty() && this.returnNanos.isEmpty();
+		List<UpstreamRecord> accepting = noNotices ? candidates
+				: candidates.stream().filter((candidate) -> accepts(candidate, nowNanos)).toList();
 		return this.limits.allowed(accepting, nowNanos);
 	}
 
 	/**
 	 * Returns whether an upstream that was chosen for a request still accepts it.
 	 * @param upstream the upstream
-	 * @return whether it has not announced to leave in its present lifetime
+	 * @param nowNanos the current monotonic time, in nanoseconds
+	 * @return whether it has neither announced to leave in its present lifetime nor
+	 * refused requests for a time that is not over
 	 */
-	public boolean accepts(UpstreamRecord upstream) {
-		return !leaving(upstream);
+	public boolean accepts(UpstreamRecord upstream, long nowNanos) {
+		return !leaving(upstream) && !paused(upstream.id(), nowNanos);
 	}
 
 	/**
@@ -93,6 +154,7 @@
 	 */
 	public void retain(Set<String> listed, long nowNanos) {
 		this.limits.retain(listed);
+		this.returnNanos.values().removeIf((returns) -> nowNanos - returns >= 0);
 		this.departures.replaceAll((id, departure) -> listed.contains(id) ? departure.seen(nowNanos) : departure);
 		this.departures.values()
 			.removeIf((departure) -> nowNanos - departure.lastListedNanos() > DEPARTURE_RETENTION_NANOS);
