Follow a store that comes back from an older copy

Nothing read the era. A follower whose watched revision the restored store had passed again got no 410 and missed what differed; a copy that called a leaving upstream ready brought it back; an upstream that the copy lacked was gone at once.

Feeds carry the era of each answer. UpstreamDirectory keeps what the copy lacks for the 2.2 s in which it may register again, keeps departures by lifetime, and sends nothing to an upstream that had been removed until its entry changes or has outlived three heartbeats. Configurations only rise by version as before; the proof for keys is not renewed for 2.2 s after a restore, since the newest revocation may be missing. Answers that state no era are accepted.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/Gateway.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/Gateway.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
+import io.micrometer.core.instrument.Counter;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.netty.channel.EventLoop;
@@ -85,12 +86,16 @@
 
 	private final MembershipDuty membershipDuty;
 
+	private final Counter restorations;
+
 	private final CompletableFuture<Void> stopped = new CompletableFuture<>();
 
 	private final GracefulShutdown shutdown;
 
 	private long configurationVersion = -1;
 
+	private long proofsFromNanos = Long.MIN_VALUE;
+
 	private boolean wasReady;
 
 	private Gateway(GatewaySettings settings, PluginRegistry plugins, RandomGenerator random) {
@@ -122,6 +127,7 @@
 		this.membershipDuty = new MembershipDuty(this.loop, settings.instance(), this.source.entries(), this.membership,
 				random);
 		this.shutdown = new GracefulShutdown(this.loop, this.context, this.callers, settings.grace(), this.stopped);
+		this.restorations = this.registry.counter("bulrush.gateway.store.restorations");
 		this.registry.gauge("bulrush.gateway.open", this.context, GatewayContext::inFlight);
 		this.registry.gauge("bulrush.gateway.store.calls", this.source, FleetSource::calls);
 		this.registry.gauge("bulrush.gateway.configuration", this, (gateway) -> gateway.configurationVersion);
@@ -223,7 +229,17 @@
 			for (Item<GatewayConfiguration> item : changes) {
 				item.value().ifPresent(this::adopt);
 			}
-			Gateway.this.freshness.prove(requestedNanos);
+			if (requestedNanos >= Gateway.this.proofsFromNanos) {
+				Gateway.this.freshness.prove(requestedNanos);
+			}
+		}
+
+		// The newest configuration may be missing in the copy until the operator has
+		// written it again, and with it the revocation of a key.
+		@Override
+		public void restored() {
+			Gateway.this.proofsFromNanos = Gateway.this.clock.nanos()
+					+ UpstreamDirectory.REREGISTRATION_WINDOW.toNanos();
 		}
 
 		private void adopt(GatewayConfiguration configuration) {
@@ -268,6 +284,12 @@
 					item.value().map((record) -> record.address().toString()).orElse("-")));
 		}
 
+		@Override
+		public void restored() {
+			Gateway.this.directory.storeRestored();
+			Gateway.this.restorations.increment();
+		}
+
 		@Override
 		public void unavailable() {
 			Gateway.this.directory.storeLost();
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/Feed.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/Feed.java
@@ -11,6 +11,9 @@
  */
 public interface Feed<T> {
 
+	/** The era of an answer that does not state one. */
+	long ERA_NOT_STATED = 0;
+
 	/**
 	 * Reads all objects. The result reflects every write that the store has acknowledged.
 	 * @return the objects, or the reason why they could not be read
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/FeedFollower.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/FeedFollower.java
@@ -13,9 +13,9 @@
 
 /**
  * Keeps a listener up to date with a {@link Feed}: lists it once, then watches it, and
- * lists it again when the store no longer has the history. Failed calls are retried with
- * exponential backoff and jitter. Runs on a single thread, on which the stages of the
- * feed must complete too.
+ * lists it again when the store no longer has the history or was restored from a copy.
+ * Failed calls are retried with exponential backoff and jitter. Runs on a single thread,
+ * on which the stages of the feed must complete too.
  *
  * @param <T> the type that objects are decoded into
  */
@@ -29,6 +29,8 @@
 	/** Maximum backoff, short so that a recovered store is noticed soon. */
 	private static final long MAX_BACKOFF_MILLIS = 500;
 
+	private static final long UNKNOWN_ERA = -1;
+
 	private final String name;
 
 	private final Feed<T> feed;
@@ -47,6 +49,8 @@
 
 	private long revision = -1;
 
+	private long era = UNKNOWN_ERA;
+
 	private int failures;
 
 	private boolean closed;
@@ -109,10 +113,24 @@
 			this.failures = 0;
 		}
 		if (result instanceof FeedResult.Listed<T> listed) {
+			if (fromOlderEra(listed.era())) {
+				return;
+			}
+			enter(listed.era(), listed.revision());
 			this.revision = listed.revision();
 			this.listener.listed(listed.items(), requestedNanos);
 		}
 		else if (result instanceof FeedResult.Changed<T> changed) {
+			if (fromOlderEra(changed.era())) {
+				return;
+			}
+			if (enter(changed.era(), changed.revision())) {
+				// Revisions were given out again, so the changes do not follow what is
+				// known.
+				this.revision = -1;
+				requestNext();
+				return;
+			}
 			this.revision = Math.max(this.revision, changed.revision());
 			this.listener.changed(changed.changes(), requestedNanos);
 			requestAfterInterval(requestedNanos);
@@ -121,6 +139,28 @@
 		requestNext();
 	}
 
+	// An answer that was sent before the store was restored describes objects that may no
+	// longer exist.
+	private boolean fromOlderEra(long answerEra) {
+		if (answerEra == Feed.ERA_NOT_STATED || answerEra >= this.era) {
+			return false;
+		}
+		failed("an answer of era " + answerEra + " arrived in era " + this.era);
+		return true;
+	}
+
+	// Returns whether the store was restored from a copy since the last answer.
+	private boolean enter(long answerEra, long answerRevision) {
+		boolean restored = this.era != UNKNOWN_ERA && answerEra > this.era;
+		if (restored) {
+			logger.warn("event=store-restored feed={} era={} previous-era={} revision={} previous-revision={}",
+					this.name, answerEra, this.era, answerRevision, this.revision);
+			this.listener.restored();
+		}
+		this.era = Math.max(this.era, answerEra);
+		return restored;
+	}
+
 	// When the whole fleet starts, each object changes by itself: the next call then
 	// returns many changes at once.
 	private void requestAfterInterval(long requestedNanos) {
@@ -174,6 +214,14 @@
 		 */
 		void changed(List<FeedResult.Item<T>> changes, long requestedNanos);
 
+		/**
+		 * Called when the store was restored from a copy, before the objects are listed
+		 * anew. What was written last may be missing in the copy until it is written
+		 * again.
+		 */
+		default void restored() {
+		}
+
 		/**
 		 * Called after each failed call to the store.
 		 */
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/FeedResult.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/FeedResult.java
@@ -14,10 +14,12 @@
 	 * A snapshot of all objects.
 	 *
 	 * @param items the objects; one that cannot be decoded has no value
-	 * @param revision the store's revision of the snapshot
+	 * @param revision the store's revision of the snapshot, which compares with others of
+	 * the same era only
+	 * @param era the number of times that the store was restored from a copy
 	 * @param <T> the type that objects are decoded into
 	 */
-	record Listed<T>(List<Item<T>> items, long revision) implements FeedResult<T> {
+	record Listed<T>(List<Item<T>> items, long revision, long era) implements FeedResult<T> {
 	}
 
 	/**
@@ -25,9 +27,10 @@
 	 *
 	 * @param changes the changes, in order
 	 * @param revision the store's revision to watch from next
+	 * @param era the number of times that the store was restored from a copy
 	 * @param <T> the type that objects are decoded into
 	 */
-	record Changed<T>(List<Item<T>> changes, long revision) implements FeedResult<T> {
+	record Changed<T>(List<Item<T>> changes, long revision, long era) implements FeedResult<T> {
 	}
 
 	/**
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/UpstreamRecord.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/UpstreamRecord.java
@@ -16,4 +16,13 @@
  */
 public record UpstreamRecord(String id, String service, InetSocketAddress address, String dataCentre, int slots,
 		boolean leaving, long born) {
+
+	/**
+	 * Returns this upstream as one that is leaving.
+	 * @return the same upstream, leaving
+	 */
+	public UpstreamRecord asLeaving() {
+		return new UpstreamRecord(this.id, this.service, this.address, this.dataCentre, this.slots, true, this.born);
+	}
+
 }
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamDirectory.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamDirectory.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
 import io.bulrushrouter.gateway.source.FeedResult.Item;
@@ -16,9 +17,10 @@
 
 /**
  * Directory of the upstreams that may take requests. An upstream that is listed as
- * leaving or is removed from the list gets no new requests from then on. The exception is
- * a store that recovers from an outage: entries of live upstreams may have lapsed
- * meanwhile, so a removed upstream is kept for as long as it may take to register again.
+ * leaving or is removed from the list gets no new requests from then on, also when a
+ * store that was restored from a copy lists it as it was before. The exception is a store
+ * that recovers from an outage or is restored: entries of live upstreams may be missing,
+ * so a removed upstream is kept for as long as it may take to register again.
  */
 public final class UpstreamDirectory {
 
@@ -28,12 +30,28 @@
 	 */
 	public static final Duration REREGISTRATION_WINDOW = Duration.ofMillis(2_200);
 
+	/**
+	 * Time after which an upstream that had been removed, and is in the copy from which
+	 * the store was restored, is taken for alive: by then the store has dropped the
+	 * entries without a heartbeat.
+	 */
+	private static final long COPY_CONFIRMATION_NANOS = TimeUnit.SECONDS.toNanos(5);
+
+	/** How long the departure or removal of an upstream is remembered. */
+	private static final long DEPARTURE_RETENTION_NANOS = TimeUnit.MINUTES.toNanos(10);
+
 	private final Map<String, UpstreamRecord> listed = new HashMap<>();
 
 	private final Map<String, UpstreamRecord> lapsed = new HashMap<>();
 
 	private final Map<String, List<UpstreamRecord>> readyByService = new HashMap<>();
 
+	private final Map<String, Departure> departures = new HashMap<>();
+
+	private final Map<String, Long> unconfirmedUntilNanos = new HashMap<>();
+
+	private boolean restored;
+
 	private boolean known;
 
 	private boolean storeLost;
@@ -61,6 +79,7 @@
 			put(item, nowNanos);
 		});
 		removed.forEach((id) -> remove(id, nowNanos));
+		this.restored = false;
 		this.known = true;
 		this.readyByService.clear();
 	}
@@ -72,7 +91,10 @@
 	 */
 	public void change(Collection<Item<UpstreamRecord>> items, long nowNanos) {
 		storeAnswered(nowNanos);
-		items.forEach((item) -> put(item, nowNanos));
+		items.forEach((item) -> {
+			this.unconfirmedUntilNanos.remove(item.name());
+			put(item, nowNanos);
+		});
 		if (!items.isEmpty()) {
 			this.readyByService.clear();
 		}
@@ -85,6 +107,15 @@
 		this.storeLost = true;
 	}
 
+	/**
+	 * Records that the store was restored from a copy, which may lack entries that live
+	 * upstreams write again, and may hold entries as they were before a departure.
+	 */
+	public void storeRestored() {
+		this.storeLost = true;
+		this.restored = true;
+	}
+
 	private void storeAnswered(long nowNanos) {
 		if (this.storeLost) {
 			this.storeLost = false;
@@ -99,12 +130,39 @@
 			return;
 		}
 		this.lapsed.remove(item.name());
-		this.listed.put(item.name(), value.get());
+		UpstreamRecord upstream = value.get();
+		Departure departure = this.departures.get(item.name());
+		if (departure != null && departure.born() == upstream.born()) {
+			upstream = afterDeparture(upstream, departure, nowNanos);
+		}
+		if (upstream.leaving()) {
+			this.departures.put(item.name(), new Departure(upstream.born(), false, nowNanos));
+		}
+		this.listed.put(item.name(), upstream);
+	}
+
+	private UpstreamRecord afterDeparture(UpstreamRecord upstream, Departure departure, long nowNanos) {
+		if (!departure.removed()) {
+			return upstream.asLeaving();
+		}
+		if (this.restored) {
+			this.unconfirmedUntilNanos.put(upstream.id(), nowNanos + COPY_CONFIRMATION_NANOS);
+		}
+		else {
+			this.departures.remove(upstream.id());
+		}
+		return upstream;
 	}
 
 	private void remove(String id, long nowNanos) {
 		UpstreamRecord previous = this.listed.remove(id);
-		if (previous != null && !previous.leaving() && nowNanos < this.reregistrationEndNanos) {
+		if (previous == null) {
+			return;
+		}
+		if (!previous.leaving()) {
+			this.departures.put(id, new Departure(previous.born(), true, nowNanos));
+		}
+		if (!previous.leaving() && nowNanos < this.reregistrationEndNanos) {
 			this.lapsed.put(id, previous);
 		}
 	}
@@ -118,6 +176,12 @@
 			this.lapsed.clear();
 			this.readyByService.clear();
 		}
+		if (this.unconfirmedUntilNanos.values().removeIf((until) -> nowNanos - until >= 0)) {
+			this.readyByService.clear();
+		}
+		this.departures.entrySet()
+			.removeIf((entry) -> !this.listed.containsKey(entry.getKey())
+					&& nowNanos - entry.getValue().seenNanos() > DEPARTURE_RETENTION_NANOS);
 	}
 
 	/**
@@ -131,7 +195,7 @@
 
 	private List<UpstreamRecord> collect(String service) {
 		return Stream.concat(this.listed.values().stream(), this.lapsed.values().stream())
-			.filter((upstream) -> !upstream.leaving() && upstream.service().equals(service))
+			.filter((upstream) -> usable(upstream) && upstream.service().equals(service))
 			.sorted(Comparator.comparing(UpstreamRecord::id))
 			.toList();
 	}
@@ -143,7 +207,11 @@
 	 */
 	public boolean accepts(String id) {
 		UpstreamRecord found = this.listed.getOrDefault(id, this.lapsed.get(id));
-		return found != null && !found.leaving();
+		return found != null && usable(found);
+	}
+
+	private boolean usable(UpstreamRecord upstream) {
+		return !upstream.leaving() && !this.unconfirmedUntilNanos.containsKey(upstream.id());
 	}
 
 	/**
@@ -156,4 +224,15 @@
 		return all;
 	}
 
+	/**
+	 * The end of an upstream's lifetime as this entry learned of it.
+	 *
+	 * @param born the start of the lifetime
+	 * @param removed whether the upstream was removed from the list without having been
+	 * listed as leaving
+	 * @param seenNanos when this entry learned of it
+	 */
+	private record Departure(long born, boolean removed, long seenNanos) {
+	}
+
 }
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/node/GatewayStopTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/node/GatewayStopTests.java
@@ -204,7 +204,7 @@
 				@Override
 				public CompletionStage<FeedResult<T>> list() {
 					return CompletableFuture.completedFuture(
-							new FeedResult.Listed<>(List.of(new FeedResult.Item<>(name, Optional.of(value))), 1));
+							new FeedResult.Listed<>(List.of(new FeedResult.Item<>(name, Optional.of(value))), 1, 0));
 				}
 
 				@Override
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/source/FeedFollowerTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/source/FeedFollowerTests.java
@@ -48,8 +48,8 @@
 	@Test
 	void listsThenWatchesFromTheRevisionOfTheList() {
 		this.follower.start();
-		complete(new FeedResult.Listed<>(List.of(new Item<>("a", Optional.of("1"))), 40));
-		complete(new FeedResult.Changed<>(List.of(new Item<>("a", Optional.empty())), 44));
+		complete(new FeedResult.Listed<>(List.of(new Item<>("a", Optional.of("1"))), 40, 0));
+		complete(new FeedResult.Changed<>(List.of(new Item<>("a", Optional.empty())), 44, 0));
 		assertThat(this.calls).containsExactly("list", "watch 40", "watch 44").inOrder();
 		assertThat(this.notifications).containsExactly("listed [a]", "changed [a]").inOrder();
 	}
@@ -57,7 +57,7 @@
 	@Test
 	void listsAgainWhenTheHistoryIsLost() {
 		this.follower.start();
-		complete(new FeedResult.Listed<>(List.of(), 40));
+		complete(new FeedResult.Listed<>(List.of(), 40, 0));
 		complete(new FeedResult.HistoryLost<>());
 		assertThat(this.calls).containsExactly("list", "watch 40", "list").inOrder();
 	}
@@ -65,7 +65,7 @@
 	@Test
 	void resumesWatchingFromTheSameRevisionAfterAFailure() {
 		this.follower.start();
-		complete(new FeedResult.Listed<>(List.of(), 40));
+		complete(new FeedResult.Listed<>(List.of(), 40, 0));
 		complete(new FeedResult.Unavailable<>("reset"));
 		assertThat(this.calls).hasSize(2);
 		this.channel.advanceTimeBy(2, TimeUnit.SECONDS);
@@ -77,15 +77,15 @@
 	@Test
 	void neverGoesBackToAnOlderRevision() {
 		this.follower.start();
-		complete(new FeedResult.Listed<>(List.of(), 40));
-		complete(new FeedResult.Changed<>(List.of(), 12));
+		complete(new FeedResult.Listed<>(List.of(), 40, 0));
+		complete(new FeedResult.Changed<>(List.of(), 12, 0));
 		assertThat(this.calls).containsExactly("list", "watch 40", "watch 40").inOrder();
 	}
 
 	@Test
 	void receivesManyChangesWithFewCalls() {
 		startWithMinWatchInterval();
-		complete(new FeedResult.Listed<>(List.of(), 0));
+		complete(new FeedResult.Listed<>(List.of(), 0, 0));
 		// A fleet of 100 registers within a second: a change each 10 ms.
 		int received = 0;
 		for (int change = 1; change <= 100; change++) {
@@ -96,7 +96,7 @@
 					changes.add(new Item<>("u" + each, Optional.of("1")));
 				}
 				received = change;
-				complete(new FeedResult.Changed<>(changes, change));
+				complete(new FeedResult.Changed<>(changes, change, 0));
 			}
 		}
 		assertThat(this.calls.size()).isAtMost(6);
@@ -106,13 +106,52 @@
 	@Test
 	void receivesASingleChangeAtOnce() {
 		startWithMinWatchInterval();
-		complete(new FeedResult.Listed<>(List.of(), 40));
+		complete(new FeedResult.Listed<>(List.of(), 40, 0));
 		advance(300);
-		complete(new FeedResult.Changed<>(List.of(new Item<>("a", Optional.of("1"))), 44));
+		complete(new FeedResult.Changed<>(List.of(new Item<>("a", Optional.of("1"))), 44, 0));
 		assertThat(this.notifications).containsExactly("listed []", "changed [a]").inOrder();
 		assertThat(this.calls).containsExactly("list", "watch 40", "watch 44").inOrder();
 	}
 
+	@Test
+	void listsAnewWhenAWatchAnswersFromARestoredStore() {
+		this.follower.start();
+		complete(new FeedResult.Listed<>(List.of(new Item<>("a", Optional.of("1"))), 40, 1));
+		complete(new FeedResult.Changed<>(List.of(new Item<>("b", Optional.of("1"))), 44, 2));
+		complete(new FeedResult.Listed<>(List.of(new Item<>("c", Optional.of("1"))), 41, 2));
+		assertThat(this.calls).containsExactly("list", "watch 40", "list", "watch 41").inOrder();
+		assertThat(this.notifications).containsExactly("listed [a]", "restored", "listed [c]").inOrder();
+	}
+
+	@Test
+	void announcesARestoredStoreAlsoWhenItsHistoryIsLost() {
+		this.follower.start();
+		complete(new FeedResult.Listed<>(List.of(), 40, 1));
+		complete(new FeedResult.HistoryLost<>());
+		complete(new FeedResult.Listed<>(List.of(), 30, 2));
+		assertThat(this.calls).containsExactly("list", "watch 40", "list", "watch 30").inOrder();
+		assertThat(this.notifications).containsExactly("listed []", "restored", "listed []").inOrder();
+	}
+
+	@Test
+	void dropsALateAnswerOfAnEarlierEra() {
+		this.follower.start();
+		complete(new FeedResult.Listed<>(List.of(), 40, 2));
+		complete(new FeedResult.Changed<>(List.of(new Item<>("a", Optional.of("1"))), 900, 1));
+		assertThat(this.notifications).containsExactly("listed []", "unavailable").inOrder();
+		this.channel.advanceTimeBy(2, TimeUnit.SECONDS);
+		this.channel.runScheduledPendingTasks();
+		assertThat(this.calls).containsExactly("list", "watch 40", "watch 40").inOrder();
+	}
+
+	@Test
+	void acceptsAnswersThatStateNoEra() {
+		this.follower.start();
+		complete(new FeedResult.Listed<>(List.of(), 40, 2));
+		complete(new FeedResult.Changed<>(List.of(new Item<>("a", Optional.of("1"))), 41, Feed.ERA_NOT_STATED));
+		assertThat(this.notifications).containsExactly("listed []", "changed [a]").inOrder();
+	}
+
 	private void startWithMinWatchInterval() {
 		this.channel.freezeTime();
 		FeedFollower.builder("test", new RecordingFeed(), new RecordingListener())
@@ -163,6 +202,11 @@
 			FeedFollowerTests.this.notifications.add("changed " + changes.stream().map(Item::name).toList());
 		}
 
+		@Override
+		public void restored() {
+			FeedFollowerTests.this.notifications.add("restored");
+		}
+
 		@Override
 		public void unavailable() {
 			FeedFollowerTests.this.notifications.add("unavailable");
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/upstream/UpstreamDirectoryTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/upstream/UpstreamDirectoryTests.java
@@ -82,6 +82,55 @@
 		assertThat(usable()).containsExactly("b");
 	}
 
+	@Test
+	void keepsUpstreamsThatTheCopyOfARestoredStoreLacksUntilTheyRegisterAgain() {
+		this.directory.replace(List.of(ready("a"), ready("b")), 0);
+		this.directory.storeRestored();
+		this.directory.replace(List.of(ready("b")), 10 * SECOND);
+		assertThat(usable()).containsExactly("a", "b");
+		this.directory.expire(13 * SECOND);
+		assertThat(usable()).containsExactly("b");
+	}
+
+	@Test
+	void neverSendsToALeavingUpstreamThatTheCopyOfARestoredStoreCallsReady() {
+		this.directory.replace(List.of(ready("a"), ready("b")), 0);
+		this.directory.change(List.of(leaving("a")), SECOND);
+		this.directory.storeRestored();
+		this.directory.replace(List.of(ready("a"), ready("b")), 2 * SECOND);
+		assertThat(usable()).containsExactly("b");
+		assertThat(this.directory.accepts("a")).isFalse();
+		this.directory.change(List.of(removed("a")), 3 * SECOND);
+		this.directory.storeRestored();
+		this.directory.replace(List.of(ready("a"), ready("b")), 4 * SECOND);
+		assertThat(usable()).containsExactly("b");
+	}
+
+	@Test
+	void sendsToARemovedUpstreamInTheCopyOnlyOnceItHasShownToBeAlive() {
+		this.directory.replace(List.of(ready("a"), ready("b"), ready("c")), 0);
+		this.directory.change(List.of(removed("a"), removed("b")), SECOND);
+		this.directory.storeRestored();
+		this.directory.replace(List.of(ready("a"), ready("b"), ready("c")), 2 * SECOND);
+		assertThat(usable()).containsExactly("c");
+		this.directory.change(List.of(ready("b")), 3 * SECOND);
+		assertThat(usable()).containsExactly("b", "c");
+		this.directory.expire(6 * SECOND);
+		assertThat(usable()).containsExactly("b", "c");
+		this.directory.expire(7 * SECOND);
+		assertThat(usable()).containsExactly("a", "b", "c");
+	}
+
+	@Test
+	void sendsToAnUpstreamThatReturnedAfterItsEntryHadLapsed() {
+		this.directory.replace(List.of(ready("a"), ready("b")), 0);
+		this.directory.change(List.of(removed("a")), SECOND);
+		this.directory.change(List.of(ready("a")), 2 * SECOND);
+		this.directory.storeRestored();
+		this.directory.replace(List.of(ready("a"), ready("b")), 3 * SECOND);
+		assertThat(usable()).containsExactly("a", "b");
+	}
+
 	@Test
 	void ignoresAnEntryThatCannotBeDecoded() {
 		this.directory.replace(List.of(ready("a"), removed("x")), 0);
--- a/bulrushrouter-ranks/src/test/java/io/bulrushrouter/ranks/RankSidecarTests.java
+++ b/bulrushrouter-ranks/src/test/java/io/bulrushrouter/ranks/RankSidecarTests.java
@@ -219,7 +219,7 @@
 			return new Feed<>() {
 				@Override
 				public CompletionStage<FeedResult<T>> list() {
-					return CompletableFuture.completedFuture(new FeedResult.Listed<>(items, 1));
+					return CompletableFuture.completedFuture(new FeedResult.Listed<>(items, 1, 0));
 				}
 
 				@Override
