Poll an engine that makes passes 2.5 times a second, not ten

It now waits 400 ms while the group makes passes or has no requests, and 100 ms while it makes none. The leader's requests are answered from a status read for each, as before.

A take-over comes at most one interval later: 1.4 s after the last pass in place of 1.0 s (StallDetectorTests). A pause of this process itself is told by a poll that is 400 ms late.

--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/Balancer.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/Balancer.java
@@ -249,7 +249,7 @@
 		if (status.rank() == 0 && !defersToNewLeader(status)) {
 			return acquireLeadership(status);
 		}
-		return stalled ? recover(status) : pollAfter(POLL_INTERVAL_MILLIS);
+		return stalled ? recover(status) : pollAfter(this.stallDetector.pollIntervalMillis());
 	}
 
 	// Two sidecars that kept taking the leadership from each other would never release
--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/StallDetector.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/StallDetector.java
@@ -25,8 +25,21 @@
 	/** Additional wait per rank, in which the sidecar of the rank below can take over. */
 	static final long RANK_STAGGER_MILLIS = 300;
 
-	/** A longer gap between two polls means that this sidecar itself was paused. */
-	static final long MAX_POLL_GAP_MILLIS = 500;
+	/**
+	 * Poll interval while the group makes passes or has no requests. Most sidecars lead
+	 * nothing, so it is long; a stall is noticed within it, which is short beside the
+	 * time after which a leader counts as silent.
+	 */
+	static final long PROGRESS_POLL_INTERVAL_MILLIS = 400;
+
+	/** Poll interval while the group makes no passes. */
+	static final long STALL_POLL_INTERVAL_MILLIS = 100;
+
+	/**
+	 * A poll that is later than its interval by more than this means that this sidecar
+	 * itself was paused.
+	 */
+	static final long MAX_POLL_DELAY_MILLIS = 400;
 
 	private long lastRequestNanos;
 
@@ -36,6 +49,8 @@
 
 	private long lastPollNanos;
 
+	private long pollIntervalMillis = STALL_POLL_INTERVAL_MILLIS;
+
 	private long epoch = -1;
 
 	private long step = -1;
@@ -58,13 +73,15 @@
 	 * @return whether this sidecar takes over
 	 */
 	boolean shouldTakeOver(RankStatus status, long nowNanos) {
-		boolean selfPaused = nowNanos - this.lastPollNanos > TimeUnit.MILLISECONDS.toNanos(MAX_POLL_GAP_MILLIS);
+		boolean selfPaused = nowNanos - this.lastPollNanos > TimeUnit.MILLISECONDS
+			.toNanos(this.pollIntervalMillis + MAX_POLL_DELAY_MILLIS);
 		this.lastPollNanos = nowNanos;
 		if (selfPaused) {
 			this.lastRequestNanos = nowNanos;
 			this.requestsSinceNanos = nowNanos;
 		}
 		boolean progressingOrIdle = status.step() != this.step || status.epoch() != this.epoch || status.running() == 0;
+		this.pollIntervalMillis = progressingOrIdle ? PROGRESS_POLL_INTERVAL_MILLIS : STALL_POLL_INTERVAL_MILLIS;
 		if (selfPaused || progressingOrIdle) {
 			this.step = status.step();
 			this.epoch = status.epoch();
@@ -78,6 +95,14 @@
 				|| unresolvedMillis >= PROGRESS_TIMEOUT_MILLIS + staggerMillis;
 	}
 
+	/**
+	 * Returns when the status is to be evaluated again.
+	 * @return the interval until the next evaluation, in milliseconds
+	 */
+	long pollIntervalMillis() {
+		return this.pollIntervalMillis;
+	}
+
 	private static long millisSince(long startNanos, long nowNanos) {
 		return TimeUnit.NANOSECONDS.toMillis(nowNanos - startNanos);
 	}
--- a/bulrushrouter-ranks/src/test/java/io/bulrushrouter/ranks/StallDetectorTests.java
+++ b/bulrushrouter-ranks/src/test/java/io/bulrushrouter/ranks/StallDetectorTests.java
@@ -86,6 +86,28 @@
 		assertThat(millisUntilTakeover(status(1, 7, 0), 60_000, false)).isEqualTo(-1);
 	}
 
+	@Test
+	void pollsOftenOnlyWhileAGroupWithRequestsMakesNoPasses() {
+		this.detector.shouldTakeOver(status(1, 7, 3), TimeUnit.MILLISECONDS.toNanos(50_000));
+		assertThat(this.detector.pollIntervalMillis()).isEqualTo(StallDetector.PROGRESS_POLL_INTERVAL_MILLIS);
+		this.detector.shouldTakeOver(status(1, 7, 3), TimeUnit.MILLISECONDS.toNanos(50_400));
+		assertThat(this.detector.pollIntervalMillis()).isEqualTo(StallDetector.STALL_POLL_INTERVAL_MILLIS);
+		this.detector.shouldTakeOver(status(1, 8, 3), TimeUnit.MILLISECONDS.toNanos(50_500));
+		assertThat(this.detector.pollIntervalMillis()).isEqualTo(StallDetector.PROGRESS_POLL_INTERVAL_MILLIS);
+	}
+
+	@Test
+	void takesOverWithinItsTimeoutAndOneIntervalWhenItPollsAtItsOwnPace() {
+		this.detector.shouldTakeOver(status(1, 7, 3), TimeUnit.MILLISECONDS.toNanos(this.nowMillis));
+		long start = this.nowMillis;
+		do {
+			this.nowMillis += this.detector.pollIntervalMillis();
+		}
+		while (!this.detector.shouldTakeOver(status(1, 7, 3), TimeUnit.MILLISECONDS.toNanos(this.nowMillis)));
+		assertThat(this.nowMillis - start)
+			.isAtMost(StallDetector.SILENCE_TIMEOUT_MILLIS + StallDetector.PROGRESS_POLL_INTERVAL_MILLIS);
+	}
+
 	@Test
 	void restartsItsTimersAfterItWasPausedItself() {
 		assertThat(millisUntilTakeover(status(1, 7, 3), StallDetector.SILENCE_TIMEOUT_MILLIS - POLL_INTERVAL_MILLIS,
