List the heartbeats of a large fleet less often

A listing of 400 entries every 5 s would take most of the 10 KB a second that a node may use for control.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/MembershipDuty.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/MembershipDuty.java
@@ -17,8 +17,17 @@
 
 	private static final Logger logger = LoggerFactory.getLogger(MembershipDuty.class);
 
-	/** Time for which other entries may learn late that this one has started. */
-	private static final long LISTING_INTERVAL_MILLIS = 5_000;
+	/**
+	 * Shortest interval between two listings, for which other entries may learn late that
+	 * this one has started.
+	 */
+	static final long MIN_LISTING_INTERVAL_MILLIS = 5_000;
+
+	/**
+	 * Interval between two listings for each entry in them, which bounds the bytes per
+	 * second of a large fleet.
+	 */
+	static final long LISTING_INTERVAL_PER_ENTRY_MILLIS = 50;
 
 	/** Listings for each heartbeat, since a write costs more than a read. */
 	private static final int LISTINGS_PER_HEARTBEAT = 2;
@@ -74,10 +83,14 @@
 		this.registry.list().thenAccept((heartbeats) -> {
 			heartbeats.ifPresent(this.membership::listed);
 			logSize();
-			this.loop.schedule(this::list, LISTING_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+			this.loop.schedule(this::list, listingIntervalMillis(), TimeUnit.MILLISECONDS);
 		});
 	}
 
+	private long listingIntervalMillis() {
+		return Math.max(MIN_LISTING_INTERVAL_MILLIS, LISTING_INTERVAL_PER_ENTRY_MILLIS * this.membership.size());
+	}
+
 	private void logSize() {
 		if (this.membership.size() != this.knownSize) {
 			this.knownSize = this.membership.size();
