Move a request from an unresponsive upstream only to one that responds

While an entry itself is cut off, all upstreams are unresponsive to it; requests then moved among them and used up the retry budget. They stay where they are unless an upstream that responds can take them.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
@@ -233,7 +233,9 @@
 	// requests anyway and is to get them as soon as it responds.
 	private void leaveUnresponsiveUpstream() {
 		Verdict verdict = Verdict.ofMayHaveRun(ErrorCode.ENGINE_UNREACHABLE);
-		boolean alternative = this.context.selectUpstream(this.service, this.triedUpstreams).isPresent();
+		boolean alternative = this.context.selectUpstream(this.service, this.triedUpstreams)
+			.filter((other) -> this.context.upstreamSelector().responsive(other.id()))
+			.isPresent();
 		if (!this.ended && this.connection != null && alternative && mayRetry(verdict)) {
 			this.connection.abandon();
 			attemptFailed(verdict, Outcome.NEUTRAL, "the upstream is unresponsive", true);
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamSelector.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamSelector.java
@@ -128,6 +128,15 @@
 		healthOf(id).responsive(responsive);
 	}
 
+	/**
+	 * Returns whether an upstream responds.
+	 * @param id the upstream's identifier
+	 * @return whether it was not recorded as unresponsive
+	 */
+	public boolean responsive(String id) {
+		return healthOf(id).responsive();
+	}
+
 	/**
 	 * Discards the health of upstreams that are no longer listed and have no requests in
 	 * flight.
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/upstream/UpstreamSelectorTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/upstream/UpstreamSelectorTests.java
@@ -76,6 +76,20 @@
 		assertThat(pick(SECOND)).isEmpty();
 	}
 
+	@Test
+	void picksAnUnresponsiveUpstreamOnlyIfNoOtherIsUsable() {
+		this.selector.responsive("near", false);
+		assertThat(pick(0)).hasValue("far");
+		this.selector.started("far");
+		this.selector.started("far");
+		assertThat(pick(0)).isEmpty();
+		this.selector.ended("far", Outcome.NEUTRAL, 0);
+		this.selector.responsive("far", false);
+		assertThat(pick(0)).hasValue("near");
+		this.selector.responsive("far", true);
+		assertThat(pick(0)).hasValue("far");
+	}
+
 	@Test
 	void neverEjectsAllUpstreams() {
 		fail("near", 2, 0);
