Tell a restart from a restored copy where an upstream states no lifetime

A departure was kept by identifier and start time. An upstream that states no start time, leaves and is then listed as ready again under the same identifier would have stayed left out for good. It now counts as restarted, unless the list came from a store that was just restored; an announcement in a response is forgotten once such an upstream has not been listed for 10 s.

Also: no field of GatewayContext that nothing reads.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/GatewayContext.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/GatewayContext.java
@@ -52,8 +52,6 @@
 
 	private final UpstreamMonitor monitor;
 
-	private final EntryMembership membership;
-
 	private final UpstreamNotices notices;
 
 	private final UpstreamNoticeDecoder noticeDecoder;
@@ -100,7 +98,6 @@
 		this.upstreamSelector = upstreamSelector;
 		this.freshness = freshness;
 		this.metrics = metrics;
-		this.membership = membership;
 		this.notices = new UpstreamNotices(membership, random);
 		this.noticeDecoder = new UpstreamNoticeDecoder(headers);
 		this.pool = new UpstreamConnectionPool(loop, clock, metrics.upstreamConnects());
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/UpstreamRecord.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/UpstreamRecord.java
@@ -12,11 +12,14 @@
  * @param slots the number of requests that it runs concurrently
  * @param leaving whether it is draining and must get no new requests
  * @param born the start of its lifetime as it states it, which tells it from an earlier
- * one under the same identifier; 0 if it states none
+ * one under the same identifier; {@link #BORN_UNKNOWN} if it states none
  */
 public record UpstreamRecord(String id, String service, InetSocketAddress address, String dataCentre, int slots,
 		boolean leaving, long born) {
 
+	/** The start of a lifetime that an upstream does not state. */
+	public static final long BORN_UNKNOWN = 0;
+
 	/**
 	 * Returns this upstream as one that is leaving.
 	 * @return the same upstream, leaving
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamDirectory.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamDirectory.java
@@ -142,7 +142,8 @@
 	}
 
 	private UpstreamRecord afterDeparture(UpstreamRecord upstream, Departure departure, long nowNanos) {
-		if (!departure.removed()) {
+		boolean sameLifetime = this.restored || upstream.born() != UpstreamRecord.BORN_UNKNOWN;
+		if (!departure.removed() && sameLifetime) {
 			return upstream.asLeaving();
 		}
 		if (this.restored) {
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamNotices.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamNotices.java
@@ -27,6 +27,12 @@
 	 */
 	private static final long DEPARTURE_RETENTION_NANOS = TimeUnit.MINUTES.toNanos(10);
 
+	/**
+	 * The same for an upstream that states no lifetime: if it is listed again later, it
+	 * has restarted.
+	 */
+	private static final long UNKNOWN_LIFETIME_RETENTION_NANOS = TimeUnit.SECONDS.toNanos(10);
+
 	/**
 	 * Share of the time for which an upstream wants no requests by which entries return
 	 * later, each by another part of it, so that they do not return together.
@@ -156,8 +162,7 @@
 		this.limits.retain(listed);
 		this.returnNanos.values().removeIf((returns) -> nowNanos - returns >= 0);
 		this.departures.replaceAll((id, departure) -> listed.contains(id) ? departure.seen(nowNanos) : departure);
-		this.departures.values()
-			.removeIf((departure) -> nowNanos - departure.lastListedNanos() > DEPARTURE_RETENTION_NANOS);
+		this.departures.values().removeIf((departure) -> departure.expired(nowNanos));
 	}
 
 	/**
@@ -172,6 +177,12 @@
 			return new Departure(this.born, nowNanos);
 		}
 
+		boolean expired(long nowNanos) {
+			long retention = (this.born == UpstreamRecord.BORN_UNKNOWN) ? UNKNOWN_LIFETIME_RETENTION_NANOS
+					: DEPARTURE_RETENTION_NANOS;
+			return nowNanos - this.lastListedNanos > retention;
+		}
+
 	}
 
 }
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/upstream/UpstreamDirectoryTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/upstream/UpstreamDirectoryTests.java
@@ -131,6 +131,13 @@
 		assertThat(usable()).containsExactly("a", "b");
 	}
 
+	@Test
+	void takesALeavingUpstreamForRestartedWhenItIsReadyAgainAndStatesNoLifetime() {
+		this.directory.replace(List.of(leaving("a"), ready("b")), 0);
+		this.directory.change(List.of(ready("a")), SECOND);
+		assertThat(usable()).containsExactly("a", "b");
+	}
+
 	@Test
 	void ignoresAnEntryThatCannotBeDecoded() {
 		this.directory.replace(List.of(ready("a"), removed("x")), 0);
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/upstream/UpstreamNoticesTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/upstream/UpstreamNoticesTests.java
@@ -70,6 +70,15 @@
 		assertThat(this.notices.accepts(upstream(1), nanos(700_000))).isTrue();
 	}
 
+	@Test
+	void takesAnUpstreamThatStatesNoLifetimeForRestartedOnceItWasNotListedForAWhile() {
+		this.notices.received(upstream(0), LEAVING, 0);
+		this.notices.retain(Set.of(), nanos(9_000));
+		assertThat(this.notices.accepts(upstream(0), nanos(9_000))).isFalse();
+		this.notices.retain(Set.of(), nanos(11_000));
+		assertThat(this.notices.accepts(upstream(0), nanos(11_000))).isTrue();
+	}
+
 	@Test
 	void keepsADepartureForAsLongAsTheUpstreamIsListed() {
 		this.notices.received(upstream(1), LEAVING, 0);
