Drop an upstream that is removed after the store's return within a second

An upstream is kept for the whole window only if the first answer after the outage lacks it, since its entry may have lapsed meanwhile.

neverKeepsAnUpstreamThatIsRemovedAfterTheStoresReturnBeyondTheTimeToDrain failed before (a was still in use a second after its removal).

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/GatewayContext.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/GatewayContext.java
@@ -176,6 +176,7 @@
 	 * @return the upstream, or empty if the request may be sent to none
 	 */
 	Optional<UpstreamRecord> selectUpstream(String service, Set<String> tried) {
+		this.directory.expire(nowNanos());
 		List<UpstreamRecord> allowed = this.notices.allowed(this.directory.ready(service), nowNanos());
 		return this.upstreamSelector.pick(allowed, tried, nowNanos());
 	}
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamDirectory.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamDirectory.java
@@ -30,6 +30,13 @@
 	 */
 	public static final Duration REREGISTRATION_WINDOW = Duration.ofMillis(2_200);
 
+	/**
+	 * How long an upstream is kept whose removal followed the store's return: it may have
+	 * been removed for good, and then gets nothing new from the end of the shortest drain
+	 * time on, which is two seconds.
+	 */
+	private static final long LATE_REMOVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
+
 	/**
 	 * Time after which an upstream that had been removed, and is in the copy from which
 	 * the store was restored, is taken for alive: by then the store has dropped the
@@ -42,7 +49,7 @@
 
 	private final Map<String, UpstreamRecord> listed = new HashMap<>();
 
-	private final Map<String, UpstreamRecord> lapsed = new HashMap<>();
+	private final Map<String, Lapsed> lapsed = new HashMap<>();
 
 	private final Map<String, List<UpstreamRecord>> readyByService = new HashMap<>();
 
@@ -76,9 +83,9 @@
 		Set<String> removed = new HashSet<>(this.listed.keySet());
 		items.forEach((item) -> {
 			removed.remove(item.name());
-			put(item, nowNanos);
+			put(item, this.reregistrationEndNanos, nowNanos);
 		});
-		removed.forEach((id) -> remove(id, nowNanos));
+		removed.forEach((id) -> remove(id, this.reregistrationEndNanos, nowNanos));
 		this.restored = false;
 		this.known = true;
 		this.readyByService.clear();
@@ -90,10 +97,12 @@
 	 * @param nowNanos the current monotonic time, in nanoseconds
 	 */
 	public void change(Collection<Item<UpstreamRecord>> items, long nowNanos) {
-		storeAnswered(nowNanos);
+		boolean removedDuringOutage = storeAnswered(nowNanos);
+		long keptUntilNanos = removedDuringOutage ? this.reregistrationEndNanos
+				: Math.min(this.reregistrationEndNanos, nowNanos + LATE_REMOVAL_NANOS);
 		items.forEach((item) -> {
 			this.unconfirmedUntilNanos.remove(item.name());
-			put(item, nowNanos);
+			put(item, keptUntilNanos, nowNanos);
 		});
 		if (!items.isEmpty()) {
 			this.readyByService.clear();
@@ -116,17 +125,20 @@
 		this.restored = true;
 	}
 
-	private void storeAnswered(long nowNanos) {
-		if (this.storeLost) {
-			this.storeLost = false;
-			this.reregistrationEndNanos = nowNanos + REREGISTRATION_WINDOW.toNanos();
+	// Returns whether this is the first answer after an outage.
+	private boolean storeAnswered(long nowNanos) {
+		if (!this.storeLost) {
+			return false;
 		}
+		this.storeLost = false;
+		this.reregistrationEndNanos = nowNanos + REREGISTRATION_WINDOW.toNanos();
+		return true;
 	}
 
-	private void put(Item<UpstreamRecord> item, long nowNanos) {
+	private void put(Item<UpstreamRecord> item, long keptUntilNanos, long nowNanos) {
 		Optional<UpstreamRecord> value = item.value();
 		if (value.isEmpty()) {
-			remove(item.name(), nowNanos);
+			remove(item.name(), keptUntilNanos, nowNanos);
 			return;
 		}
 		this.lapsed.remove(item.name());
@@ -155,7 +167,7 @@
 		return upstream;
 	}
 
-	private void remove(String id, long nowNanos) {
+	private void remove(String id, long keptUntilNanos, long nowNanos) {
 		UpstreamRecord previous = this.listed.remove(id);
 		if (previous == null) {
 			return;
@@ -163,8 +175,8 @@
 		if (!previous.leaving()) {
 			this.departures.put(id, new Departure(previous.born(), true, nowNanos));
 		}
-		if (!previous.leaving() && nowNanos < this.reregistrationEndNanos) {
-			this.lapsed.put(id, previous);
+		if (!previous.leaving() && nowNanos < keptUntilNanos) {
+			this.lapsed.put(id, new Lapsed(previous, keptUntilNanos));
 		}
 	}
 
@@ -173,8 +185,7 @@
 	 * @param nowNanos the current monotonic time, in nanoseconds
 	 */
 	public void expire(long nowNanos) {
-		if (!this.lapsed.isEmpty() && nowNanos >= this.reregistrationEndNanos) {
-			this.lapsed.clear();
+		if (this.lapsed.values().removeIf((entry) -> nowNanos >= entry.keptUntilNanos())) {
 			this.readyByService.clear();
 		}
 		if (this.unconfirmedUntilNanos.values().removeIf((until) -> nowNanos - until >= 0)) {
@@ -195,7 +206,7 @@
 	}
 
 	private List<UpstreamRecord> collect(String service) {
-		return Stream.concat(this.listed.values().stream(), this.lapsed.values().stream())
+		return Stream.concat(this.listed.values().stream(), this.lapsed.values().stream().map(Lapsed::upstream))
 			.filter((upstream) -> usable(upstream) && upstream.service().equals(service))
 			.sorted(Comparator.comparing(UpstreamRecord::id))
 			.toList();
@@ -207,8 +218,10 @@
 	 * @return whether it is listed, or kept although its entry lapsed, and not leaving
 	 */
 	public boolean accepts(String id) {
-		UpstreamRecord found = this.listed.getOrDefault(id, this.lapsed.get(id));
-		return found != null && usable(found);
+		return Optional.ofNullable(this.listed.get(id))
+			.or(() -> Optional.ofNullable(this.lapsed.get(id)).map(Lapsed::upstream))
+			.filter(this::usable)
+			.isPresent();
 	}
 
 	private boolean usable(UpstreamRecord upstream) {
@@ -225,6 +238,15 @@
 		return all;
 	}
 
+	/**
+	 * An upstream that is kept although its entry is missing.
+	 *
+	 * @param upstream the upstream
+	 * @param keptUntilNanos the time until which it may register again
+	 */
+	private record Lapsed(UpstreamRecord upstream, long keptUntilNanos) {
+	}
+
 	/**
 	 * The end of an upstream's lifetime as this entry learned of it.
 	 *
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/upstream/UpstreamDirectoryTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/upstream/UpstreamDirectoryTests.java
@@ -138,6 +138,18 @@
 		assertThat(usable()).containsExactly("a", "b");
 	}
 
+	@Test
+	void neverKeepsAnUpstreamThatIsRemovedAfterTheStoresReturnBeyondTheTimeToDrain() {
+		this.directory.replace(List.of(ready("a"), ready("b")), 0);
+		this.directory.storeLost();
+		this.directory.change(List.of(), 10 * SECOND);
+		this.directory.change(List.of(removed("a")), 10 * SECOND + SECOND / 2);
+		assertThat(usable()).containsExactly("a", "b");
+		this.directory.expire(11 * SECOND + SECOND / 2);
+		assertThat(usable()).containsExactly("b");
+		assertThat(this.directory.accepts("a")).isFalse();
+	}
+
 	@Test
 	void ignoresAnEntryThatCannotBeDecoded() {
 		this.directory.replace(List.of(ready("a"), removed("x")), 0);
