Call the lives of an upstream incarnations

The word that came in with the announcements of upstreams is the one of the users' pages; the project's is incarnation. Names and comments only.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/UpstreamRecord.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/UpstreamRecord.java
@@ -11,21 +11,23 @@
  * @param dataCentre the data centre in which it runs
  * @param slots the number of requests that it runs concurrently
  * @param leaving whether it is draining and must get no new requests
- * @param born the start of its lifetime as it states it, which tells it from an earlier
- * one under the same identifier; {@link #BORN_UNKNOWN} if it states none
+ * @param incarnation the start of this incarnation as it states it, which tells it from
+ * an earlier one under the same identifier; {@link #UNKNOWN_INCARNATION} if it states
+ * none
  */
 public record UpstreamRecord(String id, String service, InetSocketAddress address, String dataCentre, int slots,
-		boolean leaving, long born) {
+		boolean leaving, long incarnation) {
 
-	/** The start of a lifetime that an upstream does not state. */
-	public static final long BORN_UNKNOWN = 0;
+	/** The start of an incarnation that an upstream does not state. */
+	public static final long UNKNOWN_INCARNATION = 0;
 
 	/**
 	 * Returns this upstream as one that is leaving.
 	 * @return the same upstream, leaving
 	 */
 	public UpstreamRecord asLeaving() {
-		return new UpstreamRecord(this.id, this.service, this.address, this.dataCentre, this.slots, true, this.born);
+		return new UpstreamRecord(this.id, this.service, this.address, this.dataCentre, this.slots, true,
+				this.incarnation);
 	}
 
 }
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamDirectory.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamDirectory.java
@@ -144,18 +144,18 @@
 		this.lapsed.remove(item.name());
 		UpstreamRecord upstream = value.get();
 		Departure departure = this.departures.get(item.name());
-		if (departure != null && departure.born() == upstream.born()) {
+		if (departure != null && departure.incarnation() == upstream.incarnation()) {
 			upstream = afterDeparture(upstream, departure, nowNanos);
 		}
 		if (upstream.leaving()) {
-			this.departures.put(item.name(), new Departure(upstream.born(), false, nowNanos));
+			this.departures.put(item.name(), new Departure(upstream.incarnation(), false, nowNanos));
 		}
 		this.listed.put(item.name(), upstream);
 	}
 
 	private UpstreamRecord afterDeparture(UpstreamRecord upstream, Departure departure, long nowNanos) {
-		boolean sameLifetime = this.restored || upstream.born() != UpstreamRecord.BORN_UNKNOWN;
-		if (!departure.removed() && sameLifetime) {
+		boolean sameIncarnation = this.restored || upstream.incarnation() != UpstreamRecord.UNKNOWN_INCARNATION;
+		if (!departure.removed() && sameIncarnation) {
 			return upstream.asLeaving();
 		}
 		if (this.restored) {
@@ -173,7 +173,7 @@
 			return;
 		}
 		if (!previous.leaving()) {
-			this.departures.put(id, new Departure(previous.born(), true, nowNanos));
+			this.departures.put(id, new Departure(previous.incarnation(), true, nowNanos));
 		}
 		if (!previous.leaving() && nowNanos < keptUntilNanos) {
 			this.lapsed.put(id, new Lapsed(previous, keptUntilNanos));
@@ -248,14 +248,14 @@
 	}
 
 	/**
-	 * The end of an upstream's lifetime as this entry learned of it.
+	 * The end of an upstream's incarnation as this entry learned of it.
 	 *
-	 * @param born the start of the lifetime
+	 * @param incarnation the start of the incarnation
 	 * @param removed whether the upstream was removed from the list without having been
 	 * listed as leaving
 	 * @param seenNanos when this entry learned of it
 	 */
-	private record Departure(long born, boolean removed, long seenNanos) {
+	private record Departure(long incarnation, boolean removed, long seenNanos) {
 	}
 
 }
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamNotices.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamNotices.java
@@ -28,10 +28,10 @@
 	private static final long DEPARTURE_RETENTION_NANOS = TimeUnit.MINUTES.toNanos(10);
 
 	/**
-	 * The same for an upstream that states no lifetime: if it is listed again later, it
-	 * has restarted.
+	 * The same for an upstream that states no incarnation: if it is listed again later,
+	 * it has restarted.
 	 */
-	private static final long UNKNOWN_LIFETIME_RETENTION_NANOS = TimeUnit.SECONDS.toNanos(10);
+	private static final long UNKNOWN_INCARNATION_RETENTION_NANOS = TimeUnit.SECONDS.toNanos(10);
 
 	/**
 	 * Share of the time for which an upstream wants no requests by which entries return
@@ -70,7 +70,7 @@
 		this.limits.named(upstream.id(), notice.requestsPerSecond(), nowNanos);
 		if (notice.leaving() && !leaving(upstream)) {
 			logger.info("event=upstream-leaving upstream={} source=response", upstream.id());
-			this.departures.put(upstream.id(), new Departure(upstream.born(), nowNanos));
+			this.departures.put(upstream.id(), new Departure(upstream.incarnation(), nowNanos));
 		}
 		notice.retryAfter().ifPresent((pause) -> pause(upstream.id(), pause, nowNanos));
 	}
@@ -117,7 +117,7 @@
 
 	private boolean leaving(UpstreamRecord upstream) {
 		Departure departure = this.departures.get(upstream.id());
-		return departure != null && departure.born() == upstream.born();
+		return departure != null && departure.incarnation() == upstream.incarnation();
 	}
 
 	/**
@@ -137,7 +137,7 @@
 	 * Returns whether an upstream that was chosen for a request still accepts it.
 	 * @param upstream the upstream
 	 * @param nowNanos the current monotonic time, in nanoseconds
-	 * @return whether it has neither announced to leave in its present lifetime nor
+	 * @return whether it has neither announced to leave in its present incarnation nor
 	 * refused requests for a time that is not over
 	 */
 	public boolean accepts(UpstreamRecord upstream, long nowNanos) {
@@ -168,18 +168,19 @@
 	/**
 	 * The announcement of an upstream that it leaves.
 	 *
-	 * @param born the start of the lifetime that ends, as the upstream states it
+	 * @param incarnation the start of the incarnation that ends, as the upstream states
+	 * it
 	 * @param lastListedNanos the time at which the upstream was last listed
 	 */
-	private record Departure(long born, long lastListedNanos) {
+	private record Departure(long incarnation, long lastListedNanos) {
 
 		Departure seen(long nowNanos) {
-			return new Departure(this.born, nowNanos);
+			return new Departure(this.incarnation, nowNanos);
 		}
 
 		boolean expired(long nowNanos) {
-			long retention = (this.born == UpstreamRecord.BORN_UNKNOWN) ? UNKNOWN_LIFETIME_RETENTION_NANOS
-					: DEPARTURE_RETENTION_NANOS;
+			long retention = (this.incarnation == UpstreamRecord.UNKNOWN_INCARNATION)
+					? UNKNOWN_INCARNATION_RETENTION_NANOS : DEPARTURE_RETENTION_NANOS;
 			return nowNanos - this.lastListedNanos > retention;
 		}
 
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/GatewayFixture.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/GatewayFixture.java
@@ -103,15 +103,15 @@
 	}
 
 	/**
-	 * Lists all upstreams again, as ready and with a lifetime.
-	 * @param born the start of the lifetime
+	 * Lists all upstreams again, as ready and with an incarnation.
+	 * @param incarnation the start of the incarnation
 	 * @throws Exception if the event loop fails
 	 */
-	void relist(long born) throws Exception {
+	void relist(long incarnation) throws Exception {
 		List<Item<UpstreamRecord>> items = this.upstreams.stream().map((item) -> {
 			UpstreamRecord known = item.value().orElseThrow();
 			return new Item<>(item.name(), Optional.of(new UpstreamRecord(known.id(), known.service(), known.address(),
-					known.dataCentre(), known.slots(), false, born)));
+					known.dataCentre(), known.slots(), false, incarnation)));
 		}).toList();
 		this.group.next().submit(() -> this.directory.replace(items, 0)).get(10, TimeUnit.SECONDS);
 	}
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/LeavingUpstreamTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/LeavingUpstreamTests.java
@@ -39,7 +39,7 @@
 	}
 
 	@Test
-	void forgetsADepartureOnlyWithANewLifetimeOfTheUpstream() throws Exception {
+	void forgetsADepartureOnlyWithANewIncarnationOfTheUpstream() throws Exception {
 		try (ScriptedUpstream leaving = respondingWith(LEAVING);
 				ScriptedUpstream staying = respondingWith("");
 				GatewayFixture gateway = new GatewayFixture(leaving, staying)) {
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/upstream/UpstreamDirectoryTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/upstream/UpstreamDirectoryTests.java
@@ -132,7 +132,7 @@
 	}
 
 	@Test
-	void takesALeavingUpstreamForRestartedWhenItIsReadyAgainAndStatesNoLifetime() {
+	void takesALeavingUpstreamForRestartedWhenItIsReadyAgainAndStatesNoIncarnation() {
 		this.directory.replace(List.of(leaving("a"), ready("b")), 0);
 		this.directory.change(List.of(ready("a")), SECOND);
 		assertThat(usable()).containsExactly("a", "b");
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/upstream/UpstreamNoticesTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/upstream/UpstreamNoticesTests.java
@@ -26,8 +26,8 @@
 
 	private final UpstreamNotices notices = new UpstreamNotices((upstream, limit) -> limit, new Random(1));
 
-	private static UpstreamRecord upstream(long born) {
-		return new UpstreamRecord("up", "s", InetSocketAddress.createUnresolved("up", 1), "a", 8, false, born);
+	private static UpstreamRecord upstream(long incarnation) {
+		return new UpstreamRecord("up", "s", InetSocketAddress.createUnresolved("up", 1), "a", 8, false, incarnation);
 	}
 
 	private static UpstreamNotice pause(long millis) {
@@ -71,7 +71,7 @@
 	}
 
 	@Test
-	void takesAnUpstreamThatStatesNoLifetimeForRestartedOnceItWasNotListedForAWhile() {
+	void takesAnUpstreamThatStatesNoIncarnationForRestartedOnceItWasNotListedForAWhile() {
 		this.notices.received(upstream(0), LEAVING, 0);
 		this.notices.retain(Set.of(), nanos(9_000));
 		assertThat(this.notices.accepts(upstream(0), nanos(9_000))).isFalse();
