Keep the retention of departures out of the choice of an upstream

Whether a selected upstream still takes a request is asked in one place, GatewayContext.accepts, in place of two checks joined at the caller; the directory needs no accessor any more. leaveUnresponsiveUpstream selects only for a request that is still open. UpstreamDirectory.remove tests for leaving once. Behaviour is as it was.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
@@ -150,8 +150,7 @@
 			ready.abandon();
 			return;
 		}
-		if (!this.context.directory().accepts(this.upstream.id())
-				|| !this.context.notices().accepts(this.upstream, this.context.nowNanos())) {
+		if (!this.context.accepts(this.upstream)) {
 			ready.abandon();
 			attemptFailed(Verdict.ofNotRun(ErrorCode.DRAINING), "the upstream started to drain or pushed back");
 			return;
@@ -232,11 +231,14 @@
 	// resume in time. No failure is counted, since an unresponsive upstream gets no
 	// requests anyway and is to get them as soon as it responds.
 	private void leaveUnresponsiveUpstream() {
+		if (this.ended || this.connection == null) {
+			return;
+		}
 		Verdict verdict = Verdict.ofMayHaveRun(ErrorCode.ENGINE_UNREACHABLE);
 		boolean alternative = this.context.selectUpstream(this.service, this.triedUpstreams)
 			.filter((other) -> this.context.upstreamSelector().responsive(other.id()))
 			.isPresent();
-		if (!this.ended && this.connection != null && alternative && mayRetry(verdict)) {
+		if (alternative && mayRetry(verdict)) {
 			this.connection.abandon();
 			attemptFailed(verdict, Outcome.NEUTRAL, "the upstream is unresponsive", true);
 		}
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/GatewayContext.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/GatewayContext.java
@@ -124,10 +124,6 @@
 		return this.settings;
 	}
 
-	UpstreamDirectory directory() {
-		return this.directory;
-	}
-
 	UpstreamSelector upstreamSelector() {
 		return this.upstreamSelector;
 	}
@@ -176,9 +172,19 @@
 	 * @return the upstream, or empty if the request may be sent to none
 	 */
 	Optional<UpstreamRecord> selectUpstream(String service, Set<String> tried) {
-		this.directory.expire(nowNanos());
-		List<UpstreamRecord> allowed = this.notices.allowed(this.directory.ready(service), nowNanos());
-		return this.upstreamSelector.pick(allowed, tried, nowNanos());
+		long nowNanos = nowNanos();
+		this.directory.expire(nowNanos);
+		List<UpstreamRecord> allowed = this.notices.allowed(this.directory.ready(service), nowNanos);
+		return this.upstreamSelector.pick(allowed, tried, nowNanos);
+	}
+
+	/**
+	 * Returns whether an upstream that was selected still takes the request.
+	 * @param upstream the upstream
+	 * @return whether it is listed and neither leaves nor wants no requests for a time
+	 */
+	boolean accepts(UpstreamRecord upstream) {
+		return this.directory.accepts(upstream.id()) && this.notices.accepts(upstream, nowNanos());
 	}
 
 	ForwardMetrics metrics() {
@@ -267,6 +273,7 @@
 	 */
 	public void sweep() {
 		this.directory.expire(nowNanos());
+		this.directory.forgetOldDepartures(nowNanos());
 		Set<String> listed = this.directory.identifiers();
 		this.pool.sweep(listed);
 		this.monitor.retain(listed);
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamDirectory.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamDirectory.java
@@ -169,13 +169,11 @@
 
 	private void remove(String id, long keptUntilNanos, long nowNanos) {
 		UpstreamRecord previous = this.listed.remove(id);
-		if (previous == null) {
+		if (previous == null || previous.leaving()) {
 			return;
 		}
-		if (!previous.leaving()) {
-			this.departures.put(id, new Departure(previous.incarnation(), true, nowNanos));
-		}
-		if (!previous.leaving() && nowNanos < keptUntilNanos) {
+		this.departures.put(id, new Departure(previous.incarnation(), true, nowNanos));
+		if (nowNanos < keptUntilNanos) {
 			this.lapsed.put(id, new Lapsed(previous, keptUntilNanos));
 		}
 	}
@@ -191,6 +189,13 @@
 		if (this.unconfirmedUntilNanos.values().removeIf((until) -> nowNanos - until >= 0)) {
 			this.readyByService.clear();
 		}
+	}
+
+	/**
+	 * Forgets departures of upstreams that have not been listed for a long time.
+	 * @param nowNanos the current monotonic time, in nanoseconds
+	 */
+	public void forgetOldDepartures(long nowNanos) {
 		this.departures.entrySet()
 			.removeIf((entry) -> !this.listed.containsKey(entry.getKey())
 					&& nowNanos - entry.getValue().seenNanos() > DEPARTURE_RETENTION_NANOS);
--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/PeerCodec.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/PeerCodec.java
@@ -25,8 +25,7 @@
 	private static final int NONE = -1;
 
 	// Types 1 to 4 are those of an earlier format, whose sidecars lead and follow only
-	// each
-	// other.
+	// each other.
 	private static final byte STATUS_REQUEST = 5;
 
 	private static final byte CHOICES_REQUEST = 6;
