--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
@@ -347,13 +347,13 @@
 		String code = verdict.failure().map(ErrorCode::text).orElse("none");
 		this.context.metrics().countResponse(status, code);
 		logger.info("event={} request={} route={} organisation={} service={} upstream={} attempts={} connects={} "
-				+ "status={} verdict={} code={} millis={} attempt-millis={} silent-millis={} connection={} events={} "
-				+ "configuration={} proof-age-ms={} detail=\"{}\"", event, attemptId(), this.route.name(),
-				this.organisation.map(Organisation::name).orElse("-"), this.service,
+				+ "status={} verdict={} code={} millis={} attempt-millis={} silent-millis={} connection={} framing={} "
+				+ "events={} unfinished-bytes={} configuration={} proof-age-ms={} detail=\"{}\"", event, attemptId(),
+				this.route.name(), this.organisation.map(Organisation::name).orElse("-"), this.service,
 				(this.upstream != null) ? this.upstream.id() : "-", this.attempts, this.connects, status,
 				verdict.text(), code, millis, millisSince(this.sentNanos), millisSince(this.heardNanos),
-				connectionKind(), this.relay.eventsSent(), this.configurationVersion,
-				this.context.freshness().ageMillis(), detail);
+				connectionKind(), this.relay.framing().text(), this.relay.eventsSent(), this.relay.unfinishedBytes(),
+				this.configurationVersion, this.context.freshness().ageMillis(), detail);
 		this.onComplete.run();
 	}
 
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ResponseRelay.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ResponseRelay.java
@@ -48,6 +48,8 @@
 
 	private UpstreamConnection connection;
 
+	private ResponseFraming framing = ResponseFraming.NONE;
+
 	private EventSplitter splitter;
 
 	private List<ByteBuf> bufferedParts = new ArrayList<>();
@@ -73,6 +75,7 @@
 
 	void startAttempt(UpstreamConnection connection) {
 		this.connection = connection;
+		this.framing = ResponseFraming.NONE;
 		this.splitter = null;
 		this.bufferedParts = new ArrayList<>();
 		this.bufferedBytes = 0;
@@ -105,6 +108,22 @@
 		return this.lastEventId;
 	}
 
+	/**
+	 * Returns how the end of the response of the last attempt is marked.
+	 * @return the framing
+	 */
+	ResponseFraming framing() {
+		return this.framing;
+	}
+
+	/**
+	 * Returns how much of an event of the last attempt has arrived without its end.
+	 * @return the number of bytes
+	 */
+	int unfinishedBytes() {
+		return (this.splitter != null) ? this.splitter.unfinishedBytes() : 0;
+	}
+
 	/**
 	 * Handles the head of a response.
 	 * @param received the head
@@ -114,6 +133,7 @@
 	 * @return why the response cannot be used, or empty
 	 */
 	Optional<Rejection> relayHead(HttpResponse received, boolean reusedConnection, boolean retryPossible) {
+		this.framing = ResponseFraming.of(received);
 		Optional<Rejection> rejected = validate(received, reusedConnection, retryPossible);
 		if (rejected.isPresent()) {
 			return rejected;
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/stream/EventSplitter.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/stream/EventSplitter.java
@@ -65,11 +65,19 @@
 	}
 
 	/**
-	 * Removes and returns the bytes after the last complete event.
+	 * Returns how many bytes have arrived after the last complete event.
+	 * @return the number of bytes, 0 between two events
+	 */
+	public int unfinishedBytes() {
+		return this.pending.readableBytes();
+	}
+
+	/**
+	 * Returns the bytes after the last complete event.
 	 * @return the bytes, empty if the stream ended with a complete event
 	 */
 	public ByteBuf remainder() {
-		return take(this.pending.readableBytes());
+		return this.pending.copy();
 	}
 
 	private ByteBuf take(int length) {
