Treat a stream that ends inside an event as broken

Cause: the relay took the end that the HTTP decoder reports as proof that the stream is whole, and sent on what the splitter still held. A response with neither a length nor chunks ends with its connection, so that the decoder reports its end for an orderly close of any kind; a last chunk inside an event had the same result. Framing says that the message is over, not that the stream is. Now the end is checked against the events: bytes of an event without its end mean broken, and so does a connection that ends before the first event. The stream resumes elsewhere as after a reset, or the caller's connection closes without a last chunk.

Found with it: abandon() set the linger time of a connection that was closed already, which throws; the request then hung until its timeout (15 s in the test). Only open connections are reset.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
@@ -412,7 +412,7 @@
 			if (stale()) {
 				return;
 			}
-			Exchange.this.relay.relayEnd();
+			failIfRejected(Exchange.this.relay.relayEnd());
 			// Writing the end may reveal that the caller has closed the connection.
 			if (!stale()) {
 				succeeded();
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ResponseRelay.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ResponseRelay.java
@@ -64,6 +64,8 @@
 
 	private int eventsSent;
 
+	private int attemptEvents;
+
 	ResponseRelay(GatewayContext context, ResponseWriter responseWriter, Route route, CallerRequest request,
 			Runnable onFirstPart) {
 		this.onFirstPart = onFirstPart;
@@ -79,6 +81,7 @@
 		this.splitter = null;
 		this.bufferedParts = new ArrayList<>();
 		this.bufferedBytes = 0;
+		this.attemptEvents = 0;
 		if (!this.started) {
 			this.responseHead = null;
 		}
@@ -228,6 +231,7 @@
 			this.responseWriter.writePart(event.bytes());
 			event.id().ifPresent((id) -> this.lastEventId = Optional.of(id));
 			this.eventsSent++;
+			this.attemptEvents++;
 		}
 		applyBackpressure();
 		return Optional.empty();
@@ -290,13 +294,18 @@
 
 	/**
 	 * Handles the end of the response.
+	 * @return why the response is not complete, or empty
 	 */
-	void relayEnd() {
+	Optional<Rejection> relayEnd() {
 		if (this.splitter != null) {
-			ByteBuf remainder = this.splitter.remainder();
+			Optional<Rejection> broken = findBreak();
+			if (broken.isPresent()) {
+				return broken;
+			}
 			startIfNeeded();
-			if (remainder.isReadable()) {
-				this.responseWriter.writePart(remainder);
+			ByteBuf lineEnds = this.splitter.remainder();
+			if (lineEnds.isReadable()) {
+				this.responseWriter.writePart(lineEnds);
 			}
 			this.responseWriter.finish();
 		}
@@ -312,6 +321,18 @@
 		this.context.metrics()
 			.completeResponse()
 			.record(this.context.nowNanos() - this.request.arrivedNanos(), TimeUnit.NANOSECONDS);
+		return Optional.empty();
+	}
+
+	private Optional<Rejection> findBreak() {
+		if (this.splitter.unfinishedBytes() > 0) {
+			return mayHaveRun(ErrorCode.STREAM_BROKEN,
+					"the stream ended inside an event, after " + this.splitter.unfinishedBytes() + " bytes of it");
+		}
+		if (this.framing == ResponseFraming.CONNECTION && this.attemptEvents == 0) {
+			return mayHaveRun(ErrorCode.STREAM_BROKEN, "the connection ended before the first event of the stream");
+		}
+		return Optional.empty();
 	}
 
 	/**
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamConnection.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamConnection.java
@@ -88,7 +88,7 @@
 	 * for the end of the request body by an upstream that goes on writing its response.
 	 */
 	void abandon() {
-		if (this.responseHandler != null) {
+		if (this.responseHandler != null && this.channel.isActive()) {
 			this.channel.config().setOption(ChannelOption.SO_LINGER, 0);
 		}
 		this.responseHandler = null;
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/stream/EventSplitter.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/stream/EventSplitter.java
@@ -7,6 +7,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.util.ByteProcessor;
 
 /**
  * Splits the bytes of a stream of server-sent events into complete events, so that no
@@ -65,19 +66,20 @@
 	}
 
 	/**
-	 * Returns how many bytes have arrived after the last complete event.
+	 * Returns how many bytes of an event have arrived without its end.
 	 * @return the number of bytes, 0 between two events
 	 */
 	public int unfinishedBytes() {
-		return this.pending.readableBytes();
+		int first = this.pending.forEachByte(ByteProcessor.FIND_NON_CRLF);
+		return (first < 0) ? 0 : this.pending.writerIndex() - first;
 	}
 
 	/**
-	 * Returns the bytes after the last complete event.
+	 * Removes and returns the bytes after the last complete event.
 	 * @return the bytes, empty if the stream ended with a complete event
 	 */
 	public ByteBuf remainder() {
-		return this.pending.copy();
+		return take(this.pending.readableBytes());
 	}
 
 	private ByteBuf take(int length) {
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/stream/EventSplitterTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/stream/EventSplitterTests.java
@@ -44,6 +44,15 @@
 		assertThat(splitter.remainder().toString(StandardCharsets.UTF_8)).isEqualTo("id: 1\ndata: half\n");
 	}
 
+	@Test
+	void countsNoLineEndsBetweenEventsAsUnfinished() {
+		EventSplitter splitter = new EventSplitter();
+		assertThat(splitter.split(Unpooled.copiedBuffer("data: a\n\n\r\n\n", StandardCharsets.UTF_8))).isNotEmpty();
+		assertThat(splitter.unfinishedBytes()).isEqualTo(0);
+		splitter.split(Unpooled.copiedBuffer("data", StandardCharsets.UTF_8));
+		assertThat(splitter.unfinishedBytes()).isEqualTo(4);
+	}
+
 	@Test
 	void rejectsAnEventOverTheSizeLimit() {
 		EventSplitter splitter = new EventSplitter();
