Never take a close on this side for the end of an unframed response

A response with neither a length nor chunks ends with its connection, and the HTTP decoder reports its end for any close, one of our own too: an event loop that shuts down closes the upstream's connection, and a response that is cut off so would go to the caller as complete.

Half-closure is allowed on these connections, so that the end the upstream brings about is an event of its own, before which the decoder reports the end; an end reported on a closed channel is a failure.

UpstreamConnectionTests: the local close was reported as the end before, as a failure after.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamConnection.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpResponse;
@@ -188,7 +189,10 @@
 		else {
 			content.release();
 		}
-		if (last && this.responseHandler != null) {
+		if (last && this.responseHandler != null && !this.channel.isActive()) {
+			fail(ErrorCode.CONNECTION_LOST, "the connection was closed on this side");
+		}
+		else if (last && this.responseHandler != null) {
 			ResponseHandler done = this.responseHandler;
 			this.ended = true;
 			done.onEnd();
@@ -217,6 +221,17 @@
 		}
 	}
 
+	/**
+	 * Closes the connection once the upstream has ended it. The decoder has reported the
+	 * end of an unframed response by then.
+	 */
+	@Override
+	public void userEventTriggered(ChannelHandlerContext context, Object event) {
+		if (event instanceof ChannelInputShutdownEvent) {
+			fail(ErrorCode.CONNECTION_LOST, "the upstream closed the connection");
+		}
+	}
+
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
 		fail(ErrorCode.CONNECTION_LOST, cause.toString());
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamConnectionPool.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamConnectionPool.java
@@ -56,6 +56,9 @@
 			.option(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
 			.option(ChannelOption.TCP_NODELAY, true)
 			.option(ChannelOption.SO_KEEPALIVE, true)
+			// The end that the upstream brings about is an event of its own, so that it
+			// differs from a close on this side.
+			.option(ChannelOption.ALLOW_HALF_CLOSURE, true)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
 			.handler(new ChannelInitializer<Channel>() {
 				@Override
--- /dev/null
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/UpstreamConnectionTests.java
@@ -0,0 +1,81 @@
+package io.bulrushrouter.gateway.forward;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import org.junit.jupiter.api.Test;
+
+import io.bulrushrouter.kernel.Verdict;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * What a connection to an upstream reports of a response whose end is the end of the
+ * connection.
+ */
+class UpstreamConnectionTests {
+
+	private final EmbeddedChannel channel = new EmbeddedChannel(new HttpClientCodec());
+
+	private final List<String> reported = new ArrayList<>();
+
+	private void receiveUnframedResponse() {
+		UpstreamConnection connection = new UpstreamConnection(this.channel, (idle) -> this.reported.add("idle"),
+				(closed) -> this.reported.add("closed"));
+		this.channel.pipeline().addLast(connection);
+		connection.send(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"), new Recorder());
+		this.channel
+			.writeInbound(Unpooled.copiedBuffer("HTTP/1.1 200 OK\r\n\r\nsome bytes", StandardCharsets.ISO_8859_1));
+	}
+
+	@Test
+	void neverReportsTheEndOfAnUnframedResponseWhoseConnectionIsClosedHere() {
+		receiveUnframedResponse();
+		this.channel.close();
+		assertThat(this.reported).containsExactly("head", "some bytes", "failure", "closed").inOrder();
+	}
+
+	@Test
+	void reportsTheEndOfAnUnframedResponseWhoseConnectionTheUpstreamEnds() {
+		receiveUnframedResponse();
+		this.channel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+		assertThat(this.reported).containsExactly("head", "some bytes", "end", "closed").inOrder();
+		assertThat(this.channel.isOpen()).isFalse();
+	}
+
+	private final class Recorder implements ResponseHandler {
+
+		@Override
+		public void onHead(HttpResponse head) {
+			UpstreamConnectionTests.this.reported.add("head");
+		}
+
+		@Override
+		public void onContent(ByteBuf part) {
+			UpstreamConnectionTests.this.reported.add(part.toString(StandardCharsets.ISO_8859_1));
+			part.release();
+		}
+
+		@Override
+		public void onEnd() {
+			UpstreamConnectionTests.this.reported.add("end");
+		}
+
+		@Override
+		public void onFailure(Verdict verdict, String detail) {
+			UpstreamConnectionTests.this.reported.add("failure");
+		}
+
+	}
+
+}
