Reset the connection of an HTTP/1.0 caller when its response breaks off

A caller that speaks HTTP/1.0 gets a streamed response without chunks and takes the end of the connection for its end. A response that broke off was ended with an orderly close, so it looked complete. The connection is reset instead; callers of HTTP/1.1 miss the last chunk as before and get all bytes that were sent.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/CallerConnection.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/CallerConnection.java
@@ -14,6 +14,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -268,7 +269,7 @@
 	public void startResponse(HttpResponseStatus status, HttpHeaders headers) {
 		HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, status);
 		response.headers().set(headers);
-		if (this.head.protocolVersion().equals(HttpVersion.HTTP_1_0)) {
+		if (callerReadsToEndOfConnection()) {
 			this.keepAlive = false;
 		}
 		else {
@@ -293,9 +294,17 @@
 	public void abort() {
 		this.closing = true;
 		this.channel.flush();
+		if (callerReadsToEndOfConnection() && this.channel.isActive()) {
+			this.channel.config().setOption(ChannelOption.SO_LINGER, 0);
+		}
 		this.channel.close();
 	}
 
+	// An HTTP/1.0 caller takes the end of the connection for the end of the response.
+	private boolean callerReadsToEndOfConnection() {
+		return this.head != null && this.head.protocolVersion().equals(HttpVersion.HTTP_1_0);
+	}
+
 	@Override
 	public boolean writable() {
 		return this.channel.isWritable();
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/UnframedResponseTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/UnframedResponseTests.java
@@ -1,8 +1,11 @@
 package io.bulrushrouter.gateway.forward;
 
+import java.net.SocketException;
+
 import org.junit.jupiter.api.Test;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 /**
  * Responses with neither a length nor chunks, whose end is the end of the connection, and
@@ -109,4 +112,16 @@
 		}
 	}
 
+	@Test
+	void neverEndsABrokenResponseToAnOldCallerInGoodOrder() throws Exception {
+		try (ScriptedUpstream broken = ScriptedUpstream
+			.start((number, request, reply) -> reply.write(STREAM_HEAD.formatted(1) + "\r\n" + event(1)).reset());
+				GatewayFixture gateway = new GatewayFixture(broken);
+				GatewayFixture.Caller caller = gateway.caller()) {
+			caller.send("POST /stream/x HTTP/1.0\r\nHost: test\r\nX-Key: " + GatewayFixture.KEY
+					+ "\r\nX-Attempt: id-1\r\nContent-Length: 1\r\n\r\nb");
+			assertThrows(SocketException.class, caller::readToEnd);
+		}
+	}
+
 }
