Treat an engine's stream that ends inside an event as broken in the sidecar

The twin of the fault at the gateway: the client of the sidecar sent the rest of an unfinished event on and reported the end of the response, so that entries completed the caller's stream. It reports a broken stream now, which resumes or ends as after a lost connection.

EngineClientTests.neverEndsAStreamThatBreaksInsideAnEventAsComplete: EngineEnd before, EngineFailed with stream-broken after.

--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/EngineClient.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/EngineClient.java
@@ -1,6 +1,7 @@
 package io.bulrushrouter.daemon.sidecar;
 
 import java.net.URI;
+import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -104,8 +105,7 @@
 		@Override
 		public void head(HttpResponseHead head) {
 			if (head.status() >= SERVER_ERROR) {
-				this.failed = true;
-				emit(new SidecarEvent.EngineFailed(this.attempt, ErrorCode.ENGINE_ERROR, true));
+				fail(ErrorCode.ENGINE_ERROR, true);
 			}
 			else {
 				emit(new SidecarEvent.EngineHead(this.attempt, head.status(), head.contentType(),
@@ -132,7 +132,11 @@
 		@Override
 		public void failed(boolean mayHaveArrived, Throwable cause) {
 			ErrorCode code = mayHaveArrived ? ErrorCode.CONNECTION_LOST : ErrorCode.ENGINE_UNREACHABLE;
-			emit(new SidecarEvent.EngineFailed(this.attempt, code, mayHaveArrived));
+			fail(code, mayHaveArrived);
+		}
+
+		final void fail(ErrorCode code, boolean mayHaveRun) {
+			emit(new SidecarEvent.EngineFailed(this.attempt, code, mayHaveRun));
 			this.failed = true;
 		}
 
@@ -160,8 +164,14 @@
 
 		@Override
 		public void end() {
-			data(this.splitter.remainder(), 0);
-			super.end();
+			byte[] remainder = this.splitter.remainder();
+			if (new String(remainder, StandardCharsets.ISO_8859_1).isBlank()) {
+				data(remainder, 0);
+				super.end();
+			}
+			else {
+				fail(ErrorCode.STREAM_BROKEN, true);
+			}
 		}
 
 	}
