Bound the body of a response from an upstream

After 16 MiB the attempt fails now and the caller's response breaks off. What was sent cannot be taken back: from the outside such a body is a long one until then.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamConnection.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamConnection.java
@@ -32,6 +32,11 @@
 	 */
 	private static final int MAX_BYTES_BEFORE_BODY = 64 * 1024;
 
+	/**
+	 * Limit of a response body. A longer one is taken for bytes without end.
+	 */
+	private static final long MAX_BODY_BYTES = 16 * 1024 * 1024;
+
 	private final Channel channel;
 
 	private final Consumer<UpstreamConnection> onIdle;
@@ -44,6 +49,8 @@
 
 	private long bytesBeforeBody;
 
+	private long bodyBytes;
+
 	private boolean reusable;
 
 	private boolean written;
@@ -77,6 +84,7 @@
 		this.responseHandler = responseHandler;
 		this.headSeen = false;
 		this.bytesBeforeBody = 0;
+		this.bodyBytes = 0;
 		this.ended = false;
 		this.written = false;
 		this.reusable = true;
@@ -202,6 +210,12 @@
 			content.release();
 			return;
 		}
+		this.bodyBytes += content.content().readableBytes();
+		if (this.bodyBytes > MAX_BODY_BYTES) {
+			content.release();
+			fail(ErrorCode.ENGINE_ERROR, "the response body exceeds the limit of " + MAX_BODY_BYTES + " bytes");
+			return;
+		}
 		if (content.content().isReadable()) {
 			this.responseHandler.onContent(content.content());
 		}
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/EndlessResponseTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/EndlessResponseTests.java
@@ -17,6 +17,9 @@
 
 	private static final String HEAD = "HTTP/1.1 200 OK\r\nX-Attempt: id-1\r\nX-Stamp: s1\r\n";
 
+	/** Four times the limit of a response body, framing included. */
+	private static final long MAX_FORWARDED_BYTES = 64L << 20;
+
 	private static ScriptedUpstream endless(String start, String repeated, CountDownLatch closed) throws IOException {
 		String block = repeated.repeat(1 + 8_192 / repeated.length());
 		return ScriptedUpstream.start((number, request, reply) -> {
@@ -69,4 +72,40 @@
 		}
 	}
 
+	@ParameterizedTest
+	@ValueSource(strings = { HEAD + "\r\n", HEAD + "Transfer-Encoding: chunked\r\n\r\n",
+			"HTTP/1.1 500 Oops\r\nX-Attempt: id-1\r\n\r\n" })
+	void neverForwardsABodyWithoutEndToTheDeadline(String head) throws Exception {
+		assertEndsWithinLimit("/write/x", head, "2000\r\n" + "x".repeat(0x2000) + "\r\n");
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "x", "\n:\n", "data: a\n\n", ": comment\n\n" })
+	void neverForwardsAStreamWithoutEndToTheDeadline(String repeated) throws Exception {
+		assertEndsWithinLimit("/stream/x", HEAD + "\r\n", repeated);
+	}
+
+	private static void assertEndsWithinLimit(String path, String head, String repeated) throws Exception {
+		CountDownLatch closed = new CountDownLatch(1);
+		try (ScriptedUpstream upstream = endless(head, repeated, closed);
+				GatewayFixture gateway = new GatewayFixture(upstream);
+				GatewayFixture.Caller caller = gateway.caller()) {
+			caller.get(path, "Connection: close\r\n");
+			assertThat(caller.countToEnd(MAX_FORWARDED_BYTES)).isLessThan(MAX_FORWARDED_BYTES);
+			assertThat(closed.await(5, TimeUnit.SECONDS)).isTrue();
+		}
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "1", "1;a=", "0\r\nX-Trailer: a\r\n" })
+	void neverReadsChunkFramingWithoutEndToTheDeadline(String repeated) throws Exception {
+		CountDownLatch closed = new CountDownLatch(1);
+		try (ScriptedUpstream upstream = endless(HEAD + "Transfer-Encoding: chunked\r\n\r\n", repeated, closed);
+				GatewayFixture gateway = new GatewayFixture(upstream);
+				GatewayFixture.Caller caller = gateway.caller().patience(5_000)) {
+			assertThat(caller.post("/write/x", "b").readResponse()).startsWith("HTTP/1.1 502 ");
+			assertThat(closed.await(5, TimeUnit.SECONDS)).isTrue();
+		}
+	}
+
 }
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/GatewayFixture.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/GatewayFixture.java
@@ -208,6 +208,24 @@
 			return new String(this.in.readAllBytes(), StandardCharsets.ISO_8859_1);
 		}
 
+		/**
+		 * Counts the bytes up to the end of the connection.
+		 * @param limit the number of bytes at which counting stops
+		 * @return the number of bytes, at least the limit if the connection did not end
+		 * before
+		 * @throws IOException if the connection breaks
+		 */
+		long countToEnd(long limit) throws IOException {
+			byte[] buffer = new byte[1 << 16];
+			long count = 0;
+			int read = this.in.read(buffer);
+			while (read >= 0 && count < limit) {
+				count += read;
+				read = this.in.read(buffer);
+			}
+			return count;
+		}
+
 		/**
 		 * Reads until a text has arrived.
 		 * @param text the text
