Write the events of one read at once

Each event of a stream was a write, a flush and a chunk of its own. Events still leave as they arrive.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ResponseRelay.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ResponseRelay.java
@@ -222,19 +222,31 @@
 		finally {
 			part.release();
 		}
+		Optional<Rejection> rejected = Optional.empty();
+		List<ByteBuf> forwarded = new ArrayList<>(events.size());
 		for (Event event : events) {
 			if (!follows(event)) {
-				return mayHaveRun(ErrorCode.STREAM_BROKEN,
+				rejected = mayHaveRun(ErrorCode.STREAM_BROKEN,
 						"event " + event.id().orElse("-") + " does not follow " + this.lastEventId.orElse("-"));
+				break;
 			}
-			startIfNeeded();
-			this.responseWriter.writePart(event.bytes());
+			forwarded.add(event.bytes());
 			event.id().ifPresent((id) -> this.lastEventId = Optional.of(id));
-			this.eventsSent++;
-			this.attemptEvents++;
 		}
+		forwardEvents(forwarded);
+		return rejected;
+	}
+
+	// All events of a read are written at once, since each write costs a system call.
+	private void forwardEvents(List<ByteBuf> events) {
+		if (events.isEmpty()) {
+			return;
+		}
+		startIfNeeded();
+		this.responseWriter.writePart(Unpooled.wrappedBuffer(events.toArray(ByteBuf[]::new)));
+		this.eventsSent += events.size();
+		this.attemptEvents += events.size();
 		applyBackpressure();
-		return Optional.empty();
 	}
 
 	// Returns whether an event may follow the last one. Numeric identifiers must
