Count no probes as requests in the tests of the gateway

Its list names it: GET /status, the probe that the gateway sends to an upstream that owes a response and is silent for 0.3 s. The count thus depended on how busy the machine was.

The scripted upstream answers probes itself and does not list them; all callers' requests are counted as before, with the same bounds.

--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/GatewayFixture.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/GatewayFixture.java
@@ -46,6 +46,8 @@
 
 	static final String KEY = "secret";
 
+	static final String PROBE_PATH = "/status";
+
 	private static final int READ_TIMEOUT_MILLIS = 20_000;
 
 	private final NioEventLoopGroup group = new NioEventLoopGroup(1);
@@ -73,7 +75,7 @@
 				Duration.ofMillis(3_500), 1 << 20);
 		this.context = new GatewayContext(this.group.next(), TimeSource.ofSystem(), new Random(1), HEADERS, settings,
 				this.directory, new UpstreamSelector("a", new Random(1)), freshness,
-				new ForwardMetrics(new SimpleMeterRegistry()), new EntryMembership("entry"), "/status");
+				new ForwardMetrics(new SimpleMeterRegistry()), new EntryMembership("entry"), PROBE_PATH);
 		char id = 'a';
 		for (ScriptedUpstream each : scripted) {
 			// Only the first is in the gateway's data centre, so that it is selected
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/ScriptedUpstream.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/ScriptedUpstream.java
@@ -68,7 +68,8 @@
 	}
 
 	/**
-	 * Returns the received requests, each with its head and body as text.
+	 * Returns the received requests, each with its head and body as text. Probes, which
+	 * the gateway sends on a busy machine at any time, are answered but not among them.
 	 * @return the requests
 	 */
 	List<String> requests() {
@@ -98,8 +99,14 @@
 			InputStream in = connection.getInputStream();
 			String request = Messages.readMessage(in);
 			while (!request.isEmpty()) {
-				this.requests.add(request);
-				this.script.respond(this.requests.size(), request, new Reply(connection));
+				Reply reply = new Reply(connection);
+				if (request.startsWith("GET " + GatewayFixture.PROBE_PATH + " ")) {
+					reply.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+				}
+				else {
+					this.requests.add(request);
+					this.script.respond(this.requests.size(), request, reply);
+				}
 				request = Messages.readMessage(in);
 			}
 		}
