--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamConnection.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamConnection.java
@@ -192,8 +192,7 @@
 			return;
 		}
 		this.headSeen = true;
-		this.reusable = HttpUtil.isKeepAlive(head)
-				&& (HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head));
+		this.reusable = HttpUtil.isKeepAlive(head) && ResponseFraming.of(head) != ResponseFraming.CONNECTION;
 		this.idleLimitNanos = KeepAlive.idleLimitNanos(head);
 		this.responseHandler.onHead(head);
 	}
