Keep the text of event streams for tests in one place

UnframedResponseTests had copied event, chunk and the reading of chunks from StreamingTests. Both use StreamText; the assertions are the same.

--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/StreamingTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/StreamingTests.java
@@ -17,32 +17,18 @@
 	private static final String HEAD = "HTTP/1.1 200 OK\r\nX-Attempt: id-1\r\nX-Stamp: s%d\r\n"
 			+ "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 
-	private static String event(int id) {
-		return "id: " + id + "\ndata: e" + id + "\n\n";
-	}
-
-	private static String chunk(String text) {
-		return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
-	}
-
 	private static void writeWholeStream(ScriptedUpstream.Reply reply, int stamp, int from, int to) throws IOException {
 		reply.write(HEAD.formatted(stamp));
 		for (int id = from; id <= to; id++) {
-			reply.write(chunk(event(id)));
+			reply.write(StreamText.chunk(StreamText.event(id)));
 		}
 		reply.write("0\r\n\r\n");
 	}
 
-	private static String payload(String response) {
-		return response.substring(response.indexOf("\r\n\r\n") + 4)
-			.replaceAll("(?m)^[0-9a-f]+\r\n", "")
-			.replace("\r\n", "");
-	}
-
 	@Test
 	void forwardsEventsAsTheyArrive() throws Exception {
-		try (ScriptedUpstream upstream = ScriptedUpstream
-			.start((number, request, reply) -> reply.write(HEAD.formatted(1)).write(chunk(event(1))));
+		try (ScriptedUpstream upstream = ScriptedUpstream.start((number, request,
+				reply) -> reply.write(HEAD.formatted(1)).write(StreamText.chunk(StreamText.event(1))));
 				GatewayFixture gateway = new GatewayFixture(upstream);
 				GatewayFixture.Caller caller = gateway.caller()) {
 			caller.post("/stream/x", "b");
@@ -52,15 +38,18 @@
 
 	@Test
 	void resumesABrokenStreamWithinTheSameResponse() throws Exception {
-		try (ScriptedUpstream broken = ScriptedUpstream.start((number, request, reply) -> reply
-			.write(HEAD.formatted(1) + chunk(event(1)) + chunk(event(2)) + chunk("id: 3\nda"))
-			.reset());
+		try (ScriptedUpstream broken = ScriptedUpstream
+			.start((number, request,
+					reply) -> reply.write(HEAD.formatted(1) + StreamText.chunk(StreamText.event(1))
+							+ StreamText.chunk(StreamText.event(2)) + StreamText.chunk("id: 3\nda"))
+						.reset());
 				ScriptedUpstream free = ScriptedUpstream
 					.start((number, request, reply) -> writeWholeStream(reply, 2, 3, 4));
 				GatewayFixture gateway = new GatewayFixture(broken, free);
 				GatewayFixture.Caller caller = gateway.caller()) {
 			String response = caller.post("/stream/x", "b").readUntil("\r\n0\r\n\r\n");
-			assertThat(payload(response)).startsWith(event(1) + event(2) + event(3) + event(4));
+			assertThat(StreamText.events(response))
+				.startsWith(StreamText.event(1) + StreamText.event(2) + StreamText.event(3) + StreamText.event(4));
 			assertThat(response).contains("X-Stamp: s1");
 			assertThat(response).doesNotContain("X-Stamp: s2");
 			assertThat(free.requests().get(0)).contains("Last-Event-Id: 2\r\n");
@@ -76,7 +65,7 @@
 				GatewayFixture gateway = new GatewayFixture(broken, free);
 				GatewayFixture.Caller caller = gateway.caller()) {
 			String response = caller.post("/stream/x", "b").readUntil("\r\n0\r\n\r\n");
-			assertThat(payload(response)).startsWith(event(1) + event(2));
+			assertThat(StreamText.events(response)).startsWith(StreamText.event(1) + StreamText.event(2));
 			assertThat(response).contains("X-Stamp: s2");
 			assertThat(free.requests().get(0)).doesNotContain("Last-Event-Id");
 		}
@@ -84,20 +73,21 @@
 
 	@Test
 	void abortsAStreamThatCannotBeResumed() throws Exception {
-		try (ScriptedUpstream broken = ScriptedUpstream
-			.start((number, request, reply) -> reply.write(HEAD.formatted(1) + chunk(event(1))).reset());
+		try (ScriptedUpstream broken = ScriptedUpstream.start((number, request,
+				reply) -> reply.write(HEAD.formatted(1) + StreamText.chunk(StreamText.event(1))).reset());
 				GatewayFixture gateway = new GatewayFixture(broken);
 				GatewayFixture.Caller caller = gateway.caller()) {
 			String response = caller.post("/stream/x", "b").readToEnd();
-			assertThat(response).contains(event(1));
+			assertThat(response).contains(StreamText.event(1));
 			assertThat(response).doesNotContain("\r\n0\r\n\r\n");
 		}
 	}
 
 	@Test
 	void forwardsNoEventTwice() throws Exception {
-		try (ScriptedUpstream broken = ScriptedUpstream.start(
-				(number, request, reply) -> reply.write(HEAD.formatted(1) + chunk(event(1)) + chunk(event(2))).reset());
+		try (ScriptedUpstream broken = ScriptedUpstream.start((number, request, reply) -> reply
+			.write(HEAD.formatted(1) + StreamText.chunk(StreamText.event(1)) + StreamText.chunk(StreamText.event(2)))
+			.reset());
 				ScriptedUpstream repeating = ScriptedUpstream
 					.start((number, request, reply) -> writeWholeStream(reply, 2, 2, 4));
 				GatewayFixture gateway = new GatewayFixture(broken, repeating);
@@ -112,7 +102,7 @@
 	void cancelsTheUpstreamRequestWhenTheCallerDisconnects() throws Exception {
 		CountDownLatch cancelled = new CountDownLatch(1);
 		try (ScriptedUpstream upstream = ScriptedUpstream.start((number, request, reply) -> {
-			reply.write(HEAD.formatted(1) + chunk(event(1)));
+			reply.write(HEAD.formatted(1) + StreamText.chunk(StreamText.event(1)));
 			if (reply.awaitReset()) {
 				cancelled.countDown();
 			}
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/UnframedResponseTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/UnframedResponseTests.java
@@ -21,55 +21,45 @@
 
 	private static final String LAST_CHUNK = "0\r\n\r\n";
 
-	private static String event(int id) {
-		return "id: " + id + "\ndata: e" + id + "\n\n";
-	}
-
-	private static String chunk(String text) {
-		return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
-	}
-
-	private static String events(String response) {
-		return response.substring(response.indexOf("\r\n\r\n") + 4)
-			.replaceAll("(?m)^[0-9a-f]+\r\n", "")
-			.replace("\r\n", "");
-	}
-
 	private static ScriptedUpstream closing(String response) throws Exception {
 		return ScriptedUpstream.start((number, request, reply) -> reply.write(response).close());
 	}
 
 	@Test
 	void neverCompletesAStreamThatEndsInsideAnEventWithItsConnection() throws Exception {
-		try (ScriptedUpstream broken = closing(STREAM_HEAD.formatted(1) + "\r\n" + event(1) + "id: 2\ndata: e");
+		try (ScriptedUpstream broken = closing(
+				STREAM_HEAD.formatted(1) + "\r\n" + StreamText.event(1) + "id: 2\ndata: e");
 				GatewayFixture gateway = new GatewayFixture(broken);
 				GatewayFixture.Caller caller = gateway.caller()) {
 			String response = caller.post("/stream/x", "b").readToEnd();
-			assertThat(events(response)).isEqualTo(event(1));
+			assertThat(StreamText.events(response)).isEqualTo(StreamText.event(1));
 			assertThat(response).doesNotContain(LAST_CHUNK);
 		}
 	}
 
 	@Test
 	void resumesAStreamThatEndsInsideAnEventWithItsConnection() throws Exception {
-		try (ScriptedUpstream broken = closing(STREAM_HEAD.formatted(1) + "\r\n" + event(1) + "id: 2\ndata: e");
-				ScriptedUpstream free = closing(STREAM_HEAD.formatted(2) + "\r\n" + event(2) + event(3));
+		try (ScriptedUpstream broken = closing(
+				STREAM_HEAD.formatted(1) + "\r\n" + StreamText.event(1) + "id: 2\ndata: e");
+				ScriptedUpstream free = closing(
+						STREAM_HEAD.formatted(2) + "\r\n" + StreamText.event(2) + StreamText.event(3));
 				GatewayFixture gateway = new GatewayFixture(broken, free);
 				GatewayFixture.Caller caller = gateway.caller()) {
 			String response = caller.post("/stream/x", "b").readUntil("\r\n" + LAST_CHUNK);
-			assertThat(events(response)).startsWith(event(1) + event(2) + event(3));
+			assertThat(StreamText.events(response))
+				.startsWith(StreamText.event(1) + StreamText.event(2) + StreamText.event(3));
 			assertThat(free.requests().get(0)).contains("Last-Event-Id: 1\r\n");
 		}
 	}
 
 	@Test
 	void neverCompletesAChunkedStreamThatEndsInsideAnEvent() throws Exception {
-		try (ScriptedUpstream broken = closing(
-				STREAM_HEAD.formatted(1) + CHUNKED + "\r\n" + chunk(event(1) + "id: 2\nda") + LAST_CHUNK);
+		try (ScriptedUpstream broken = closing(STREAM_HEAD.formatted(1) + CHUNKED + "\r\n"
+				+ StreamText.chunk(StreamText.event(1) + "id: 2\nda") + LAST_CHUNK);
 				GatewayFixture gateway = new GatewayFixture(broken);
 				GatewayFixture.Caller caller = gateway.caller()) {
 			String response = caller.post("/stream/x", "b").readToEnd();
-			assertThat(events(response)).isEqualTo(event(1));
+			assertThat(StreamText.events(response)).isEqualTo(StreamText.event(1));
 			assertThat(response).doesNotContain(LAST_CHUNK);
 		}
 	}
@@ -85,11 +75,12 @@
 
 	@Test
 	void completesAStreamThatEndsBetweenEventsWithItsConnection() throws Exception {
-		try (ScriptedUpstream upstream = closing(STREAM_HEAD.formatted(1) + "\r\n" + event(1) + event(2));
+		try (ScriptedUpstream upstream = closing(
+				STREAM_HEAD.formatted(1) + "\r\n" + StreamText.event(1) + StreamText.event(2));
 				GatewayFixture gateway = new GatewayFixture(upstream);
 				GatewayFixture.Caller caller = gateway.caller()) {
 			String response = caller.post("/stream/x", "b").readUntil("\r\n" + LAST_CHUNK);
-			assertThat(events(response)).startsWith(event(1) + event(2));
+			assertThat(StreamText.events(response)).startsWith(StreamText.event(1) + StreamText.event(2));
 		}
 	}
 
@@ -114,8 +105,8 @@
 
 	@Test
 	void neverEndsABrokenResponseToAnOldCallerInGoodOrder() throws Exception {
-		try (ScriptedUpstream broken = ScriptedUpstream
-			.start((number, request, reply) -> reply.write(STREAM_HEAD.formatted(1) + "\r\n" + event(1)).reset());
+		try (ScriptedUpstream broken = ScriptedUpstream.start((number, request,
+				reply) -> reply.write(STREAM_HEAD.formatted(1) + "\r\n" + StreamText.event(1)).reset());
 				GatewayFixture gateway = new GatewayFixture(broken);
 				GatewayFixture.Caller caller = gateway.caller()) {
 			caller.send("POST /stream/x HTTP/1.0\r\nHost: test\r\nX-Key: " + GatewayFixture.KEY
