Close connections to peers whose heartbeats stop

A caller of the entry got no response and no error within 60 s when the sidecar of its upstream was suspended (SIGSTOP) before the response had started.

Cause: a suspended process keeps its connections open. The entry noticed one by the stall of a response only, and an attempt without a response has no stall timeout, so it waited for the caller's deadline. The test suspends the sidecar 600 ms after the requests; on a busy machine the first response of a cold sidecar takes as long.

Ruled out: the tick and the entry's duty (the requests at the other upstream went on and ended); a stall timeout before the response starts would also move requests that wait in a sidecar's queue in good order.

Change: a process sends a heartbeat when it has sent nothing for 2 s, and closes a connection on which nothing arrived for 5 s. What was sent there fails as a lost connection does today. Peers of an older version, which say hello but send no heartbeats, are kept.

Before: completesAnswersWhenASidecarIsSuspendedBeforeItsResponsesStart, which suspends the sidecar first, fails after 73 s; a heartbeat only after 2 s still failed, since the peer was suspended before its first one, so one follows the hello. After: it passes in 14 s, and the other four tests of the class pass.

--- a/bulrushrouter-daemon/src/test/java/io/bulrushrouter/daemon/process/ProcessFailureTests.java
+++ b/bulrushrouter-daemon/src/test/java/io/bulrushrouter/daemon/process/ProcessFailureTests.java
@@ -101,6 +101,13 @@
 		this.fleet.signal("sidecar-runner-1", "CONT");
 	}
 
+	@Test
+	void completesAnswersWhenASidecarIsSuspendedBeforeItsResponsesStart() {
+		this.fleet.signal("sidecar-runner-1", "STOP");
+		assertComplete("unanswered", startStreams("unanswered"));
+		this.fleet.signal("sidecar-runner-1", "CONT");
+	}
+
 	@Test
 	void cutsNoAnswerWhenASidecarAndThenTheEntryAreTerminated() {
 		List<CompletableFuture<EntryClient.Response>> drained = startStreams("drained");
--- a/bulrushrouter-wire/src/main/java/io/bulrushrouter/wire/PeerConnection.java
+++ b/bulrushrouter-wire/src/main/java/io/bulrushrouter/wire/PeerConnection.java
@@ -8,12 +8,16 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.timeout.IdleState;
+import io.netty.handler.timeout.IdleStateEvent;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
  * A connection to a peer process. Messages that are sent while the event loop is busy are
- * written in one batch.
+ * written in one batch. Both sides send a heartbeat when they have nothing else to send,
+ * so that a peer that is suspended or unreachable is told from one that is idle; the
+ * connection to it is closed.
  */
 public final class PeerConnection extends SimpleChannelInboundHandler<ByteBuf> {
 
@@ -27,6 +31,8 @@
 	/** The size from which a batch of frames is written. */
 	private static final int FLUSH_BYTES = 256 * 1024;
 
+	private static final WireMessage.Control HEARTBEAT = new WireMessage.Control("Heartbeat", new byte[0]);
+
 	private final long id = LAST_ID.incrementAndGet();
 
 	private final WireMessage.Hello ownHello;
@@ -45,6 +51,8 @@
 
 	private volatile WireMessage.Hello peer;
 
+	private boolean peerSendsHeartbeats;
+
 	PeerConnection(WireMessage.Hello ownHello, PeerHandler handler, WireCounters counters) {
 		this.counters = counters;
 		this.ownHello = ownHello;
@@ -123,6 +131,7 @@
 	public void channelActive(ChannelHandlerContext channelContext) {
 		this.context = channelContext;
 		send(this.ownHello);
+		send(HEARTBEAT);
 	}
 
 	@Override
@@ -132,11 +141,39 @@
 			this.peer = hello;
 			this.handler.connected(this);
 		}
+		else if (message instanceof WireMessage.Control control && control.topic().equals(HEARTBEAT.topic())) {
+			this.peerSendsHeartbeats = true;
+		}
 		else if (this.peer != null) {
 			this.handler.received(this, message);
 		}
 	}
 
+	@Override
+	public void userEventTriggered(ChannelHandlerContext channelContext, Object event) throws Exception {
+		if (event instanceof IdleStateEvent idle) {
+			handleIdle(idle.state());
+		}
+		else {
+			super.userEventTriggered(channelContext, event);
+		}
+	}
+
+	private void handleIdle(IdleState state) {
+		if (state == IdleState.WRITER_IDLE) {
+			send(HEARTBEAT);
+		}
+		else if (state == IdleState.READER_IDLE && expectsHeartbeats()) {
+			logger.warn("event=peer-silent peer={}", this.peer);
+			close();
+		}
+	}
+
+	// A peer of an older version says hello but sends no heartbeats.
+	private boolean expectsHeartbeats() {
+		return this.peer == null || this.peerSendsHeartbeats;
+	}
+
 	@Override
 	public void channelInactive(ChannelHandlerContext channelContext) {
 		if (this.peer != null) {
--- a/bulrushrouter-wire/src/main/java/io/bulrushrouter/wire/PeerNetwork.java
+++ b/bulrushrouter-wire/src/main/java/io/bulrushrouter/wire/PeerNetwork.java
@@ -17,6 +17,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.timeout.IdleStateHandler;
 import io.netty.util.concurrent.GlobalEventExecutor;
 
 import io.bulrushrouter.kernel.BulrushException;
@@ -34,6 +35,15 @@
 
 	private static final int CONNECT_TIMEOUT_MILLIS = 2_000;
 
+	/** The time without a message to send after which a heartbeat is sent. */
+	static final int HEARTBEAT_INTERVAL_MILLIS = 2_000;
+
+	/**
+	 * The time without a message from a peer after which its connection is closed; one
+	 * lost or late heartbeat is tolerated.
+	 */
+	static final int MAX_SILENCE_MILLIS = 5_000;
+
 	private static final int MIN_BACKOFF_MILLIS = 50;
 
 	private static final int MAX_BACKOFF_MILLIS = 1_000;
@@ -150,7 +160,10 @@
 			protected void initChannel(Channel channel) {
 				PeerNetwork.this.connections.add(channel);
 				channel.pipeline()
-					.addLast(new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES),
+					.addLast(
+							new IdleStateHandler(MAX_SILENCE_MILLIS, HEARTBEAT_INTERVAL_MILLIS, 0,
+									TimeUnit.MILLISECONDS),
+							new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES),
 							new PeerConnection(PeerNetwork.this.ownHello, PeerNetwork.this.handler,
 									PeerNetwork.this.counters));
 			}
