Divide the fixed part of the retry budget among the live entries

Each entry had a twentieth of the fixed part, though the users' sites have 4 to 18 entries; at 4 entries four fifths of it were never used.

Cause: entries did not know how many they are when the budget was written. Their heartbeats in the store have shown it since; the budget did not ask.

Ruled out: a larger share of the ratio, since the sum over entries keeps to the users' bound only with a margin for uneven counting.

Change: the share follows the number of live entries plus one that is not seen yet; before the first listing 20 are assumed, as before. 0.8 of the fixed part is used. With 90 spare retries and 4 entries each has 14.4 instead of 4.5 in 10 s.

RetryBudgetTests, givesAllSpareRetriesToFewEntriesAndNeverMoreWhileOneIs- NotSeenYet: 1 to 256 entries and one unseen never send more than 90.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/admission/RetryBudget.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/admission/RetryBudget.java
@@ -1,11 +1,12 @@
 package io.bulrushrouter.gateway.admission;
 
 import java.util.concurrent.TimeUnit;
+import java.util.function.DoubleSupplier;
 
 /**
  * Limits the retries that this entry sends to one service in any sliding window to a
- * ratio of its own requests in that window plus a fixed number. Since every entry keeps
- * to this ratio of its own requests, all entries together keep to it without
+ * ratio of its own requests in that window plus a share of a fixed number. Since every
+ * entry keeps to this ratio of its own requests, all entries together keep to it without
  * coordination. Not thread-safe.
  */
 public final class RetryBudget {
@@ -14,7 +15,7 @@
 
 	private final double ratio;
 
-	private final double minRetries;
+	private final DoubleSupplier spareRetries;
 
 	private final long bucketNanos;
 
@@ -24,9 +25,9 @@
 
 	private long newestBucket = Long.MIN_VALUE;
 
-	private RetryBudget(double ratio, double minRetries, long windowMillis) {
+	private RetryBudget(double ratio, DoubleSupplier spareRetries, long windowMillis) {
 		this.ratio = ratio;
-		this.minRetries = minRetries;
+		this.spareRetries = spareRetries;
 		// The counts span one bucket more than the window, so that they cover any sliding
 		// window whole.
 		this.bucketNanos = TimeUnit.MILLISECONDS.toNanos(windowMillis) / (BUCKETS - 1);
@@ -35,12 +36,13 @@
 	/**
 	 * Creates a retry budget.
 	 * @param ratio the retries allowed for each request
-	 * @param minRetries the retries allowed in a window without any request
+	 * @param spareRetries returns the retries that this entry is allowed in a window
+	 * without any request, which follows the number of entries
 	 * @param windowMillis the length of the window, in milliseconds
 	 * @return the budget
 	 */
-	public static RetryBudget of(double ratio, double minRetries, long windowMillis) {
-		return new RetryBudget(ratio, minRetries, windowMillis);
+	public static RetryBudget of(double ratio, DoubleSupplier spareRetries, long windowMillis) {
+		return new RetryBudget(ratio, spareRetries, windowMillis);
 	}
 
 	/**
@@ -58,7 +60,7 @@
 	 */
 	public boolean tryRetry(long nowNanos) {
 		int bucket = bucket(nowNanos);
-		if (sum(this.retries) + 1 > this.ratio * sum(this.requests) + this.minRetries) {
+		if (sum(this.retries) + 1 > this.ratio * sum(this.requests) + this.spareRetries.getAsDouble()) {
 			return false;
 		}
 		this.retries[bucket]++;
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ForwardSettings.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ForwardSettings.java
@@ -6,7 +6,8 @@
  * Limits for the forwarding of requests.
  *
  * @param retryRatio the retries allowed per request in a window
- * @param minRetriesPerWindow the retries allowed in a window in addition to that ratio
+ * @param spareRetriesPerWindow the retries that all entries together are allowed in a
+ * window in addition to that ratio
  * @param retryWindow the length of the sliding window
  * @param maxKeyProofAge the maximum age of the freshness proof at which requests with
  * keys are served; with an older one a key may have been revoked meanwhile
@@ -16,6 +17,6 @@
  * @param maxBufferedBytes the bytes of request bodies that may be buffered at once, over
  * all requests
  */
-public record ForwardSettings(double retryRatio, double minRetriesPerWindow, Duration retryWindow,
+public record ForwardSettings(double retryRatio, double spareRetriesPerWindow, Duration retryWindow,
 		Duration maxKeyProofAge, Duration maxConfigurationAge, long maxBufferedBytes) {
 }
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/GatewayContext.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/GatewayContext.java
@@ -58,6 +58,8 @@
 
 	private final ForwardMetrics metrics;
 
+	private final EntryMembership membership;
+
 	private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
 
 	private final Map<String, AdmissionQueue<AdmissionTicket>> admissionQueues = new HashMap<>();
@@ -98,6 +100,7 @@
 		this.upstreamSelector = upstreamSelector;
 		this.freshness = freshness;
 		this.metrics = metrics;
+		this.membership = membership;
 		this.notices = new UpstreamNotices(membership, random);
 		this.noticeDecoder = new UpstreamNoticeDecoder(headers);
 		this.pool = new UpstreamConnectionPool(loop, clock, metrics.upstreamConnects());
@@ -192,8 +195,10 @@
 	}
 
 	RetryBudget retryBudget(String service) {
-		return this.retryBudgets.computeIfAbsent(service, (key) -> RetryBudget.of(this.settings.retryRatio(),
-				this.settings.minRetriesPerWindow(), this.settings.retryWindow().toMillis()));
+		return this.retryBudgets.computeIfAbsent(service,
+				(key) -> RetryBudget.of(this.settings.retryRatio(),
+						() -> this.membership.equalShare(this.settings.spareRetriesPerWindow()),
+						this.settings.retryWindow().toMillis()));
 	}
 
 	/**
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/membership/EntryMembership.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/membership/EntryMembership.java
@@ -76,6 +76,17 @@
 		return this.listed ? this.live.size() : ASSUMED_ENTRIES;
 	}
 
+	/**
+	 * Returns this entry's equal share of a quantity that is allowed to all entries
+	 * together. One more entry than known is counted, since a new one is only seen with
+	 * the next listing.
+	 * @param total the quantity allowed to all entries
+	 * @return the share of this entry
+	 */
+	public double equalShare(double total) {
+		return total / (size() + 1);
+	}
+
 	/**
 	 * Returns this entry's share of the limit of an upstream. A few entries share the
 	 * limit, so that even if each of them sends at the same moment the sum stays near it;
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/GatewaySettings.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/GatewaySettings.java
@@ -33,17 +33,10 @@
 			Set.of("apply"), "stop", Set.of("grace"));
 
 	/**
-	 * Number of entries among which the fixed part of the retry budget is divided.
-	 * Entries do not know how many there are; the number covers the present 4 to 5 and
-	 * the planned 15.
+	 * Share of the configured retry budget that is used. The rest is a margin for uneven
+	 * counting and for entries that do not know of each other yet.
 	 */
-	private static final int RETRY_BUDGET_ENTRIES = 20;
-
-	/**
-	 * Share of the configured retry ratio that is used. The rest is a margin for uneven
-	 * counting.
-	 */
-	private static final double USED_RETRY_RATIO = 0.8;
+	private static final double USED_RETRY_BUDGET = 0.8;
 
 	/** Margin before the time at which a revoked key must be refused. */
 	private static final Duration KEY_REVOCATION_MARGIN = Duration.ofMillis(700);
@@ -77,8 +70,8 @@
 		int memoryMegabytes = settings.integer("instance", "memory-mb", 32, 1 << 20);
 		int descriptors = settings.integer("instance", "descriptors", 64, 1 << 24);
 		ForwardSettings forward = new ForwardSettings(
-				USED_RETRY_RATIO * settings.value("retry", "ratio", Double::parseDouble),
-				settings.value("retry", "spare", Double::parseDouble) / RETRY_BUDGET_ENTRIES,
+				USED_RETRY_BUDGET * settings.value("retry", "ratio", Double::parseDouble),
+				USED_RETRY_BUDGET * settings.value("retry", "spare", Double::parseDouble),
 				settings.duration("retry", "window", Duration.ofSeconds(10)),
 				settings.value("keys", "fail-closed", true, Boolean::parseBoolean)
 						? revocation.minus(KEY_REVOCATION_MARGIN) : Duration.ofDays(365),
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/admission/RetryBudgetTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/admission/RetryBudgetTests.java
@@ -3,9 +3,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.Test;
 
+import io.bulrushrouter.gateway.membership.EntryMembership;
+import io.bulrushrouter.gateway.source.EntryHeartbeat;
+
 import static com.google.common.truth.Truth.assertThat;
 
 /**
@@ -19,7 +23,7 @@
 
 	@Test
 	void staysWithinItsShareInAnySlidingWindow() {
-		RetryBudget budget = RetryBudget.of(0.16, 4, 10_000);
+		RetryBudget budget = RetryBudget.of(0.16, () -> 4, 10_000);
 		Random random = new Random(5);
 		List<Long> requests = new ArrayList<>();
 		List<Long> retries = new ArrayList<>();
@@ -44,9 +48,37 @@
 		}
 	}
 
+	@Test
+	void givesAllSpareRetriesToFewEntriesAndNeverMoreWhileOneIsNotSeenYet() {
+		double spare = 90;
+		for (int entries = 1; entries <= 400; entries *= 2) {
+			List<EntryHeartbeat> seen = IntStream.range(0, entries)
+				.mapToObj((index) -> new EntryHeartbeat("entry-" + index, 1))
+				.toList();
+			int sent = 0;
+			for (int index = 0; index <= entries; index++) {
+				EntryMembership membership = new EntryMembership("entry-" + index);
+				membership.listed(seen);
+				sent += retriesAtOnce(RetryBudget.of(0, () -> membership.equalShare(spare), 10_000));
+			}
+			assertThat(sent).isAtMost((int) spare);
+			if (entries <= 8) {
+				assertThat(sent).isAtLeast((int) (0.7 * spare));
+			}
+		}
+	}
+
+	private static int retriesAtOnce(RetryBudget budget) {
+		int sent = 0;
+		while (budget.tryRetry(0)) {
+			sent++;
+		}
+		return sent;
+	}
+
 	@Test
 	void allowsTheMinimumWithoutRequests() {
-		RetryBudget budget = RetryBudget.of(0.16, 2, 10_000);
+		RetryBudget budget = RetryBudget.of(0.16, () -> 2, 10_000);
 		assertThat(budget.tryRetry(0)).isTrue();
 		assertThat(budget.tryRetry(1)).isTrue();
 		assertThat(budget.tryRetry(2)).isFalse();
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/GatewayFixture.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/GatewayFixture.java
@@ -71,7 +71,7 @@
 	GatewayFixture(Duration timeout, ScriptedUpstream... scripted) throws Exception {
 		FreshnessProof freshness = new FreshnessProof(() -> this.proofAgeMillis * 1_000_000, () -> this.proofAgeMillis);
 		freshness.prove(0);
-		ForwardSettings settings = new ForwardSettings(0.16, 4, Duration.ofSeconds(10), Duration.ofMillis(4_300),
+		ForwardSettings settings = new ForwardSettings(0.16, 84, Duration.ofSeconds(10), Duration.ofMillis(4_300),
 				Duration.ofMillis(3_500), 1 << 20);
 		this.context = new GatewayContext(this.group.next(), TimeSource.ofSystem(), new Random(1), HEADERS, settings,
 				this.directory, new UpstreamSelector("a", new Random(1)), freshness,
