Let others release a group whose leader's instance is suspended

Cause: the group was held at rank 0, which is the leader's own, so the order that releases it reached nobody; and whether that rank was armed could not be known, so that no other process could undo the switch.

Change: the group is held at rank 1, by an order that the leader gives to that engine itself. The leader's rank is the last to be armed and the first to be disarmed, so it can be armed only while all others are. Another process that cannot ask rank 0 first has one other rank, not armed, take a new version; then rank 0 is not armed and never will be for this switch, and the others are undone and released as before. A go follows at once when the leader's rank has confirmed, so that a switch takes no further round.

Before: releaseAGroupThatIsHeldWhenTheInstanceOfItsLeaderIsSuspended does not end (3 and 20 ranks).

--- a/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/GroupSwitch.java
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/GroupSwitch.java
@@ -20,6 +20,11 @@
  * the prepared map is replaced by the one in use, so that a delayed arm finds nothing to
  * switch to, before the group is released. Versions and the passes of holds are never
  * reused.
+ * <p>
+ * The leader's own rank is the last to be armed and the first to be disarmed: it can only
+ * be armed while all others are. So another process can abort the switch while the
+ * instance of the leader is suspended and its rank cannot be asked, as long as one of the
+ * other ranks is not armed.
  */
 public final class GroupSwitch {
 
@@ -63,8 +68,9 @@
 	private long committedHoldStep = -1;
 
 	/**
-	 * Whether rank 0 has accepted an order of this lease holder in the current epoch, so
-	 * that it refuses orders of earlier holders that are still in flight.
+	 * Whether the rank that holds the group has accepted an order of this lease holder in
+	 * the current epoch, so that it refuses orders of earlier holders that are still in
+	 * flight.
 	 */
 	private boolean fenced;
 
@@ -114,7 +120,7 @@
 	 * for the same switch or none is armed
 	 */
 	public boolean settled(GroupView view) {
-		boolean holding = view.rank(0).held().isPresent() || (this.pending != null && this.pending.holdSent);
+		boolean holding = view.held().isPresent() || (this.pending != null && this.pending.holdSent);
 		return !holding && (!view.armedByAny() || view.armedByAll().isPresent());
 	}
 
@@ -143,11 +149,14 @@
 		if (view.epoch() != this.epoch) {
 			startEpoch(view);
 		}
-		OptionalLong held = view.rank(0).held();
+		OptionalLong held = view.held();
 		if (held.isPresent()) {
 			this.highestHoldStep = Math.max(this.highestHoldStep, held.getAsLong());
 			return whileHeld(view, held.getAsLong());
 		}
+		if (!view.complete()) {
+			return List.of();
+		}
 		if (view.armedByAny()) {
 			return whileArmed(view);
 		}
@@ -185,7 +194,7 @@
 		this.pending.step = step;
 		this.highestHoldStep = this.pending.step;
 		this.pending.holdSent = true;
-		return List.of(new RankCommand(0, new RankOrder.Hold(this.pending.step)));
+		return hold(this.pending.step);
 	}
 
 	private List<RankCommand> prepare(GroupView view) {
@@ -209,22 +218,19 @@
 	private List<RankCommand> whileHeld(GroupView view, long held) {
 		if (this.guards.fenceFirst() && !this.fenced) {
 			// A go of an earlier lease holder may be in flight. Before any rank is
-			// disarmed, it must have taken effect or be refused by rank 0 from now on.
-			return List.of(new RankCommand(0, new RankOrder.Hold(held)));
+			// disarmed, it must have taken effect or be refused from now on.
+			return hold(held);
 		}
 		if (this.guards.neverAbortCommitted() && held == this.committedHoldStep) {
 			// All ranks are armed even if an outdated status says otherwise, and the go
 			// that was sent may take effect at any time.
-			return List.of(new RankCommand(0, new RankOrder.Go(held)));
+			return release(held);
 		}
 		boolean ownHold = this.pending != null && this.pending.holdSent && this.pending.step == held
 				&& !(this.guards.neverCommitAborted() && this.pending.aborted);
 		Optional<RankStatus.Armed> armedForAll = view.armedByAll();
 		if (armedForAll.isPresent() && mayCommit(armedForAll.get(), ownHold)) {
-			this.committedVersion = armedForAll.get().version();
-			this.committedHoldStep = held;
-			this.pending = null;
-			return List.of(new RankCommand(0, new RankOrder.Go(held)));
+			return commit(armedForAll.get().version(), held);
 		}
 		if (ownHold) {
 			if (this.pending.armRounds++ < MAX_ARM_ROUNDS && canArm(view)) {
@@ -235,6 +241,32 @@
 		return rollBack(view, held);
 	}
 
+	private static List<RankCommand> hold(long step) {
+		return List.of(new RankCommand(GroupView.HOLD_RANK, new RankOrder.Hold(step)));
+	}
+
+	private static List<RankCommand> release(long step) {
+		return List.of(new RankCommand(GroupView.HOLD_RANK, new RankOrder.Go(step)));
+	}
+
+	private List<RankCommand> commit(long version, long step) {
+		this.committedVersion = version;
+		this.committedHoldStep = step;
+		this.pending = null;
+		return release(step);
+	}
+
+	/**
+	 * Returns the order that follows from the results of the last round without new
+	 * statuses, so that the group is not held for another round.
+	 * @return the go once the leader's rank, the last one, has confirmed that it is
+	 * armed, otherwise none
+	 */
+	public List<RankCommand> followUpOrders() {
+		boolean allArmed = this.pending != null && this.pending.leaderArmed && !this.pending.aborted;
+		return allArmed ? commit(this.pending.version, this.pending.step) : List.of();
+	}
+
 	// A switch may be committed only if no order to abort it was ever sent, since a
 	// delayed one could still reach one rank. An earlier lease holder may have sent such
 	// orders.
@@ -255,10 +287,13 @@
 
 	private List<RankCommand> arm(GroupView view, long step) {
 		this.pending.armsSent = true;
+		RankOrder.Arm order = new RankOrder.Arm(this.pending.version, step);
+		boolean leaderToo = !this.guards.leaderLast()
+				|| view.armedByOthers(new RankStatus.Armed(this.pending.version, step));
 		List<RankCommand> commands = new ArrayList<>();
-		for (int rank = 0; rank < view.size(); rank++) {
+		for (int rank = leaderToo ? 0 : GroupView.LEADER_RANK + 1; rank < view.size(); rank++) {
 			if (view.rank(rank).armed().isEmpty()) {
-				commands.add(new RankCommand(rank, new RankOrder.Arm(this.pending.version, step)));
+				commands.add(new RankCommand(rank, order));
 			}
 		}
 		return commands;
@@ -267,11 +302,56 @@
 	// Ensures that no rank is armed or can become armed by an arm in flight, then
 	// releases the group.
 	private List<RankCommand> rollBack(GroupView view, long held) {
+		if (this.guards.leaderExcluded() && !view.complete() && !excludesLeader(view)) {
+			return excludeLeader(view);
+		}
+		List<RankCommand> commands = view.complete() ? undo(view, 0, 1) : List.of();
+		if (commands.isEmpty() || !this.guards.leaderFirst()) {
+			commands = new ArrayList<>(commands);
+			commands.addAll(undo(view, 1, view.size()));
+		}
+		if (!commands.isEmpty()) {
+			return commands;
+		}
+		if (this.pending == null || this.pending.armsSent) {
+			this.pending = null;
+		}
+		return release(held);
+	}
+
+	// The leader's rank is armed only while all others are. It is not armed, and will not
+	// be, once another rank is not armed and has the prepared map replaced.
+	private boolean excludesLeader(GroupView view) {
+		for (int rank = GroupView.LEADER_RANK + 1; rank < view.size(); rank++) {
+			RankStatus status = view.rank(rank);
+			boolean neutral = status.prepared().isPresent()
+					&& this.neutralVersions.contains(status.prepared().getAsLong());
+			if (status.armed().isEmpty() && neutral) {
+				return true;
+			}
+		}
+		return false;
+	}
+
+	private List<RankCommand> excludeLeader(GroupView view) {
+		List<RankCommand> commands = new ArrayList<>();
+		long neutral = neutralVersion();
+		for (int rank = GroupView.LEADER_RANK + 1; rank < view.size(); rank++) {
+			if (view.rank(rank).armed().isEmpty()) {
+				commands.add(new RankCommand(rank, new RankOrder.Prepare(neutral, this.inUse)));
+			}
+		}
+		return commands;
+	}
+
+	// Returns the orders after which none of the given ranks is armed or can become
+	// armed.
+	private List<RankCommand> undo(GroupView view, int first, int end) {
 		List<RankCommand> commands = new ArrayList<>();
 		long pendingVersion = (this.pending != null) ? this.pending.version : -1;
 		boolean armsSent = this.pending == null || this.pending.armsSent;
 		long neutral = -1;
-		for (int rank = 0; rank < view.size(); rank++) {
+		for (int rank = first; rank < end; rank++) {
 			RankStatus status = view.rank(rank);
 			if (status.armed().isPresent()) {
 				commands.add(new RankCommand(rank, new RankOrder.Disarm(status.armed().get().version())));
@@ -281,13 +361,7 @@
 				commands.add(new RankCommand(rank, new RankOrder.Prepare(neutral, this.inUse)));
 			}
 		}
-		if (!commands.isEmpty()) {
-			return commands;
-		}
-		if (armsSent) {
-			this.pending = null;
-		}
-		return List.of(new RankCommand(0, new RankOrder.Go(held)));
+		return commands;
 	}
 
 	private boolean mayBeArmedLate(RankStatus status, long pendingVersion, boolean armsSent) {
@@ -309,8 +383,7 @@
 		if (view.armedByAll().isPresent()) {
 			return List.of();
 		}
-		long step = view.step() + 1;
-		return List.of(new RankCommand(0, new RankOrder.Hold(step)));
+		return hold(view.step() + 1);
 	}
 
 	/**
@@ -319,9 +392,13 @@
 	 * @param result the result
 	 */
 	public void recordResult(RankCommand command, OrderResult result) {
-		if (command.rank() == 0 && result == OrderResult.ACCEPTED) {
+		if (command.rank() == GroupView.HOLD_RANK && result == OrderResult.ACCEPTED) {
 			this.fenced = true;
 		}
+		if (this.pending != null && this.guards.leaderLast() && command.rank() == GroupView.LEADER_RANK
+				&& command.order() instanceof RankOrder.Arm && result == OrderResult.ACCEPTED) {
+			this.pending.leaderArmed = true;
+		}
 		if (this.pending == null || !(command.order() instanceof RankOrder.Prepare prepare)
 				|| prepare.version() != this.pending.version) {
 			return;
@@ -350,14 +427,20 @@
 	 * @param neverAbortCommitted whether a committed switch is never aborted
 	 * @param neverCommitAborted whether an aborted switch is never committed
 	 * @param fenceFirst whether a hold of an earlier lease holder is taken over only once
-	 * rank 0 refuses orders of that holder
+	 * the rank that holds the group refuses orders of that holder
 	 * @param neverReuseHold whether no two switches hold the group before the same pass,
 	 * so that a delayed go of one does not release the group for the other
+	 * @param leaderLast whether the leader's rank is armed only once all others are seen
+	 * armed
+	 * @param leaderFirst whether an abort disarms the leader's rank before all others
+	 * @param leaderExcluded whether a switch is aborted without the status of the
+	 * leader's rank only once another rank can no longer be armed
 	 */
 	record Guards(boolean prepareAll, boolean replacePrepared, boolean neverAbortCommitted, boolean neverCommitAborted,
-			boolean fenceFirst, boolean neverReuseHold) {
+			boolean fenceFirst, boolean neverReuseHold, boolean leaderLast, boolean leaderFirst,
+			boolean leaderExcluded) {
 
-		static final Guards ALL = new Guards(true, true, true, true, true, true);
+		static final Guards ALL = new Guards(true, true, true, true, true, true, true, true, true);
 
 	}
 
@@ -386,6 +469,8 @@
 
 		private boolean aborted;
 
+		private boolean leaderArmed;
+
 		private PendingSwitch(long version, int[][][] experts) {
 			this.version = version;
 			this.experts = experts;
--- a/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/GroupView.java
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/GroupView.java
@@ -2,14 +2,27 @@
 
 import java.util.Arrays;
 import java.util.List;
+import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.stream.Stream;
 
 /**
  * The statuses of all ranks of a group, taken after all earlier orders were answered or
- * timed out.
+ * timed out. The status of the leader's rank may be missing, as its instance may be
+ * suspended.
  */
 public final class GroupView {
 
+	/** The rank whose sidecar leads the group. */
+	public static final int LEADER_RANK = 0;
+
+	/**
+	 * The rank at which the group is held. It is not the leader's, so that others can
+	 * release the group while the instance of the leader is suspended.
+	 */
+	public static final int HOLD_RANK = 1;
+
 	private final RankStatus[] ranks;
 
 	private GroupView(RankStatus[] ranks) {
@@ -24,6 +37,17 @@
 	 * group
 	 */
 	public static Optional<GroupView> of(RankStatus own, List<RankStatus> statuses) {
+		return ofAllButLeader(own, statuses).filter(GroupView::complete);
+	}
+
+	/**
+	 * Creates a view in which the status of the leader's rank may be missing.
+	 * @param own the status that determines the group, its epoch and its size
+	 * @param statuses the statuses of the ranks that answered, in any order
+	 * @return the view, or empty unless all ranks but the leader's answered in the same
+	 * epoch with an open group
+	 */
+	public static Optional<GroupView> ofAllButLeader(RankStatus own, List<RankStatus> statuses) {
 		RankStatus[] ranks = new RankStatus[own.size()];
 		for (RankStatus status : statuses) {
 			boolean matches = status.group().equals(own.group()) && status.epoch() == own.epoch() && status.open();
@@ -31,8 +55,28 @@
 				ranks[status.rank()] = status;
 			}
 		}
-		boolean complete = Arrays.stream(ranks).allMatch((status) -> status != null);
-		return complete ? Optional.of(new GroupView(ranks)) : Optional.empty();
+		boolean othersKnown = Arrays.stream(ranks).skip(LEADER_RANK + 1).allMatch(Objects::nonNull);
+		return othersKnown ? Optional.of(new GroupView(ranks)) : Optional.empty();
+	}
+
+	/**
+	 * Returns whether the status of every rank is known.
+	 * @return whether the leader's is not missing
+	 */
+	public boolean complete() {
+		return this.ranks[LEADER_RANK] != null;
+	}
+
+	private Stream<RankStatus> known() {
+		return Arrays.stream(this.ranks).filter(Objects::nonNull);
+	}
+
+	/**
+	 * Returns the pass before which the group is held.
+	 * @return the pass, or empty if the group is not held
+	 */
+	public OptionalLong held() {
+		return this.ranks[HOLD_RANK].held();
 	}
 
 	/**
@@ -45,7 +89,8 @@
 
 	/**
 	 * Returns the status of a rank.
-	 * @param rank the index of the rank
+	 * @param rank the index of the rank, which must not be the leader's if its status is
+	 * missing
 	 * @return the status
 	 */
 	public RankStatus rank(int rank) {
@@ -57,7 +102,7 @@
 	 * @return the sum over ranks
 	 */
 	public int running() {
-		return Arrays.stream(this.ranks).mapToInt(RankStatus::running).sum();
+		return known().mapToInt(RankStatus::running).sum();
 	}
 
 	/**
@@ -65,7 +110,7 @@
 	 * @return the epoch
 	 */
 	public long epoch() {
-		return this.ranks[0].epoch();
+		return this.ranks[HOLD_RANK].epoch();
 	}
 
 	/**
@@ -73,7 +118,7 @@
 	 * @return the number of the pass
 	 */
 	public long step() {
-		return Arrays.stream(this.ranks).mapToLong(RankStatus::step).max().orElseThrow();
+		return known().mapToLong(RankStatus::step).max().orElseThrow();
 	}
 
 	/**
@@ -81,17 +126,28 @@
 	 * @return the switch, or empty unless all ranks are armed for the same one
 	 */
 	public Optional<RankStatus.Armed> armedByAll() {
-		Optional<RankStatus.Armed> first = this.ranks[0].armed();
-		boolean same = Arrays.stream(this.ranks).allMatch((status) -> status.armed().equals(first));
+		Optional<RankStatus.Armed> first = this.ranks[HOLD_RANK].armed();
+		boolean same = complete() && known().allMatch((status) -> status.armed().equals(first));
 		return same ? first : Optional.empty();
 	}
 
+	/**
+	 * Returns whether all ranks but the leader's are armed for a switch.
+	 * @param armed the switch
+	 * @return whether each of them is
+	 */
+	boolean armedByOthers(RankStatus.Armed armed) {
+		return Arrays.stream(this.ranks)
+			.skip(LEADER_RANK + 1)
+			.allMatch((status) -> status.armed().filter(armed::equals).isPresent());
+	}
+
 	/**
 	 * Returns whether any rank is armed.
 	 * @return whether at least one rank is armed
 	 */
 	public boolean armedByAny() {
-		return Arrays.stream(this.ranks).anyMatch((status) -> status.armed().isPresent());
+		return known().anyMatch((status) -> status.armed().isPresent());
 	}
 
 	/**
@@ -100,7 +156,7 @@
 	 * @return whether all ranks have prepared that version
 	 */
 	public boolean preparedByAll(long version) {
-		return Arrays.stream(this.ranks)
+		return complete() && known()
 			.allMatch((status) -> status.prepared().isPresent() && status.prepared().getAsLong() == version);
 	}
 
--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/Balancer.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/Balancer.java
@@ -262,9 +262,8 @@
 		return this.supersededStep.isPresent();
 	}
 
-	// Leadership is acquired only if all ranks answer, as a leader decides orders from
-	// the
-	// reports of all ranks.
+	// Leadership is acquired only if all ranks but that of the failed leader answer, as a
+	// leader decides orders from their reports.
 	private CompletionStage<Long> recover(RankStatus status) {
 		this.fleet.start();
 		return collectReports(status).thenCompose((reports) -> {
@@ -274,7 +273,7 @@
 						status.group(), status.epoch(), status.step());
 				return pollAfter(RECOVERY_RETRY_DELAY_MILLIS);
 			}
-			boolean held = reports.get().view().rank(0).held().isPresent();
+			boolean held = reports.get().view().held().isPresent();
 			return held ? acquireLeadership(status) : pollAfter(RECOVERY_RETRY_DELAY_MILLIS);
 		});
 	}
@@ -319,10 +318,12 @@
 		});
 	}
 
-	// Requests reports from all ranks.
+	// Requests reports from all ranks. The rank of a failed leader may no longer be
+	// listed.
 	private CompletionStage<Optional<GroupReports>> collectReports(RankStatus status) {
 		List<RankConnection> others = connectionsToOtherRanks();
-		if (this.fleet.engineSpec().isEmpty() || others.size() + 1 < status.size()) {
+		int mayBeMissing = (status.rank() == GroupView.LEADER_RANK) ? 0 : 1;
+		if (this.fleet.engineSpec().isEmpty() || others.size() + 1 < status.size() - mayBeMissing) {
 			this.otherGroupConnections.clear();
 			return CompletableFuture.completedStage(Optional.empty());
 		}
@@ -357,7 +358,7 @@
 
 	private RankConnection newConnection(UpstreamRecord upstream) {
 		return new RankConnection(upstream, this.peers.at(upstream.address().getAddress()),
-				() -> this.source.engineAt(upstream.address()), this.clock);
+				() -> this.source.engineAt(upstream.address()), this.loop, this.clock);
 	}
 
 	private CompletionStage<Long> decide(LeadershipTerm term, EngineSpec engineSpec, GroupReports reports) {
@@ -365,7 +366,7 @@
 		if (term.balancing() && !this.stopping) {
 			this.demandCollector.collectFrom(reports.connections().values());
 		}
-		Optional<int[][][]> mapInUse = reports.mapInUse();
+		Optional<int[][][]> mapInUse = engineSpec.experts().flatMap((experts) -> reports.mapInUse(experts.experts()));
 		if (mapInUse.isEmpty()) {
 			return pollAfter(SWITCH_POLL_INTERVAL_MILLIS);
 		}
@@ -375,7 +376,7 @@
 			endTerm(term, "the group runs without further orders");
 			return pollAfter(POLL_INTERVAL_MILLIS);
 		}
-		if (!onlyFinishing && groupSwitch.idle() && !ranks.armedByAny() && ranks.rank(0).held().isEmpty()) {
+		if (!onlyFinishing && groupSwitch.idle() && !ranks.armedByAny() && ranks.held().isEmpty()) {
 			this.mapProposer.profitablePlan(engineSpec, ranks, mapInUse.get()).ifPresent((plan) -> propose(term, plan));
 		}
 		return sendOrders(term, reports, groupSwitch.nextOrders(ranks, mapInUse.get()));
@@ -399,7 +400,7 @@
 		}
 		List<CompletableFuture<OrderResult>> pendingResults = this.orderDispatcher.send(reports, commands,
 				term.fence());
-		return CompletableFuture.allOf(pendingResults.toArray(CompletableFuture[]::new)).thenApply((all) -> {
+		return CompletableFuture.allOf(pendingResults.toArray(CompletableFuture[]::new)).thenCompose((all) -> {
 			List<OrderResult> results = pendingResults.stream().map(CompletableFuture::join).toList();
 			for (int index = 0; index < commands.size(); index++) {
 				term.groupSwitch().recordResult(commands.get(index), results.get(index));
@@ -409,8 +410,12 @@
 				endTerm(term, "a rank has seen a higher fencing token");
 				this.supersededStep = OptionalLong.of(reports.view().step());
 			}
+			List<RankCommand> followUp = term.groupSwitch().followUpOrders();
+			if (this.currentTerm.isPresent() && !followUp.isEmpty()) {
+				return sendOrders(term, reports, followUp);
+			}
 			boolean released = commands.get(0).order() instanceof RankOrder.Go;
-			return (released && !term.balancing()) ? REMOTE_RELEASE_DELAY_MILLIS : HELD_POLL_INTERVAL_MILLIS;
+			return pollAfter((released && !term.balancing()) ? REMOTE_RELEASE_DELAY_MILLIS : HELD_POLL_INTERVAL_MILLIS);
 		});
 	}
 
--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/OrderDispatcher.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/OrderDispatcher.java
@@ -13,7 +13,9 @@
 /**
  * Sends the orders of a leader to the ranks of its group. A new map goes to all ranks and
  * is much larger than other orders, so relays pass it on. A repeated order goes to each
- * rank directly, as a relay may have failed.
+ * rank directly, as a relay may have failed. Holds and their releases go straight to the
+ * engine: if the instance that gave one is suspended, another can still release the
+ * group, unless it is the instance of that engine.
  */
 final class OrderDispatcher {
 
@@ -39,13 +41,19 @@
 		long epoch = reports.view().epoch();
 		return commands.stream().map((command) -> {
 			RankConnection connection = reports.connections().get(command.rank());
-			CompletionStage<OrderResult> result = (connection != null)
-					? connection.order(command.order(), epoch, fence, commands.size())
-					: this.ownOrderSender.send(command.order(), epoch, fence);
-			return result.toCompletableFuture();
+			return send(connection, command.order(), epoch, fence, commands.size()).toCompletableFuture();
 		}).toList();
 	}
 
+	private CompletionStage<OrderResult> send(RankConnection connection, RankOrder order, long epoch, long fence,
+			int copies) {
+		if (connection == null) {
+			return this.ownOrderSender.send(order, epoch, fence);
+		}
+		boolean direct = order instanceof RankOrder.Hold || order instanceof RankOrder.Go;
+		return direct ? connection.orderDirectly(order, epoch, fence) : connection.order(order, epoch, fence, copies);
+	}
+
 	private List<CompletableFuture<OrderResult>> relayOrder(GroupReports reports, List<RankCommand> commands,
 			long fence) {
 		RankOrder order = commands.get(0).order();
--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/RankConnection.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/RankConnection.java
@@ -7,6 +7,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
@@ -41,6 +42,8 @@
 
 	private final Supplier<RankEngine> engineConnector;
 
+	private final ScheduledExecutorService loop;
+
 	private final TimeSource clock;
 
 	private RankEngine engine;
@@ -52,7 +55,9 @@
 	/** The last report that contained experts. */
 	private Optional<RankReport> lastReport = Optional.empty();
 
-	RankConnection(UpstreamRecord upstream, PeerClient peer, Supplier<RankEngine> engineConnector, TimeSource clock) {
+	RankConnection(UpstreamRecord upstream, PeerClient peer, Supplier<RankEngine> engineConnector,
+			ScheduledExecutorService loop, TimeSource clock) {
+		this.loop = loop;
 		this.address = upstream.address();
 		this.dataCentre = upstream.dataCentre();
 		this.peer = peer;
@@ -126,11 +131,22 @@
 	 * @return the result
 	 */
 	CompletionStage<OrderResult> order(RankOrder order, long epoch, long fence, int copies) {
-		return usesDirectAccess() ? this.engine.order(order, epoch, fence)
+		return usesDirectAccess() ? engine().order(order, epoch, fence)
 				: this.peer.order(EncodedOrder.of(order), epoch, fence, List.of(), copies)
 					.thenApply((results) -> results.get(0));
 	}
 
+	/**
+	 * Sends an order to the engine, not through its sidecar.
+	 * @param order the order
+	 * @param epoch the epoch in which the order is valid
+	 * @param fence the fencing token of the sender
+	 * @return the result
+	 */
+	CompletionStage<OrderResult> orderDirectly(RankOrder order, long epoch, long fence) {
+		return new RetryingOrderSender(engine(), this.loop).send(order, epoch, fence);
+	}
+
 	/**
 	 * Sends an order to this rank and, through its sidecar, to further ranks.
 	 * @param order the order
@@ -154,11 +170,16 @@
 				- this.peerTimeoutNanos.getAsLong() < TimeUnit.MILLISECONDS.toNanos(DIRECT_ACCESS_MILLIS);
 	}
 
-	private RankReporter reporter() {
+	private RankEngine engine() {
 		if (this.engine == null) {
 			this.engine = this.engineConnector.get();
 			this.reporter = new RankReporter(this.engine, this.clock);
 		}
+		return this.engine;
+	}
+
+	private RankReporter reporter() {
+		engine();
 		return this.reporter;
 	}
 
--- a/bulrushrouter-ranks/src/test/java/io/bulrushrouter/ranks/RankSidecarTests.java
+++ b/bulrushrouter-ranks/src/test/java/io/bulrushrouter/ranks/RankSidecarTests.java
@@ -118,6 +118,19 @@
 		}
 	}
 
+	@ParameterizedTest
+	@ValueSource(ints = { RANKS, MANY_RANKS })
+	void releaseAGroupThatIsHeldWhenTheInstanceOfItsLeaderIsSuspended(int ranks) throws Exception {
+		FakeGroup group = new FakeGroup(ranks, Integer.MAX_VALUE);
+		group.suspendInstanceAtHold(0);
+		try (Sidecars sidecars = new Sidecars(group, ranks)) {
+			group.resumed().get(60, TimeUnit.SECONDS);
+			group.thaw();
+			group.switchedTwice().get(60, TimeUnit.SECONDS);
+			assertThat(group.violation()).isEqualTo(Optional.empty());
+		}
+	}
+
 	@Test
 	void finishTheSwitchInProgressBeforeTheyStop() throws Exception {
 		FakeGroup group = new FakeGroup(RANKS, 2);
