Count answers to orders as what is known of a rank during a hold

Cause: a rank whose process is away is asked from another instance, and its status is then some hundred milliseconds old, several rounds of a hold. The decisions looked at statuses only.

Change: an accepted arm counts as armed for its hold, an accepted neutral map as not armed and not to be armed, and after an accepted disarm the neutral map follows without a look at the status; if it is refused, the rank is disarmed again, since a late arm may have come between.

Ruled out: longer pauses between rounds, which would lengthen all holds.

armsTheLeadersRankLastAndReleasesTheGroupThoughStatusesAreOld: without this the second round repeats the first.

--- a/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/GroupSwitch.java
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/GroupSwitch.java
@@ -1,8 +1,10 @@
 package io.bulrushrouter.experts.live;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -55,6 +57,15 @@
 	/** Versions of maps identical to the one in use; no arm was ever sent for them. */
 	private final Set<Long> neutralVersions = new HashSet<>();
 
+	/**
+	 * The ranks that have accepted a neutral version as prepared. They are not armed, and
+	 * a delayed arm finds nothing to switch to.
+	 */
+	private final Set<Integer> neutralRanks = new HashSet<>();
+
+	/** The versions for which ranks have accepted a disarm, by rank. */
+	private final Map<Integer, Long> disarmedVersions = new HashMap<>();
+
 	private long versionsUsed;
 
 	private long epoch = -1;
@@ -130,10 +141,16 @@
 	 * @return the version assigned to the map
 	 */
 	public long propose(int[][][] experts) {
+		forgetAbort();
 		this.pending = new PendingSwitch(nextVersion(), experts);
 		return this.pending.version;
 	}
 
+	private void forgetAbort() {
+		this.neutralRanks.clear();
+		this.disarmedVersions.clear();
+	}
+
 	private long nextVersion() {
 		return this.versionBase + ++this.versionsUsed;
 	}
@@ -171,6 +188,7 @@
 	private void startEpoch(GroupView view) {
 		this.epoch = view.epoch();
 		this.pending = null;
+		forgetAbort();
 		this.committedVersion = -1;
 		this.committedHoldStep = -1;
 		this.fenced = false;
@@ -228,6 +246,9 @@
 		}
 		boolean ownHold = this.pending != null && this.pending.holdSent && this.pending.step == held
 				&& !(this.guards.neverCommitAborted() && this.pending.aborted);
+		if (ownHold && armedRanks(view).size() == view.size()) {
+			return commit(this.pending.version, held);
+		}
 		Optional<RankStatus.Armed> armedForAll = view.armedByAll();
 		if (armedForAll.isPresent() && mayCommit(armedForAll.get(), ownHold)) {
 			return commit(armedForAll.get().version(), held);
@@ -263,7 +284,8 @@
 	 * armed, otherwise none
 	 */
 	public List<RankCommand> followUpOrders() {
-		boolean allArmed = this.pending != null && this.pending.leaderArmed && !this.pending.aborted;
+		boolean allArmed = this.pending != null && !this.pending.aborted && this.guards.leaderLast()
+				&& this.pending.armedRanks.contains(GroupView.LEADER_RANK);
 		return allArmed ? commit(this.pending.version, this.pending.step) : List.of();
 	}
 
@@ -274,11 +296,24 @@
 		return armed.version() == this.committedVersion || (ownHold && armed.version() == this.pending.version);
 	}
 
+	// Returns the ranks that are armed for the pending switch. The status of a rank on
+	// another instance may be older than its answer to an order.
+	private Set<Integer> armedRanks(GroupView view) {
+		RankStatus.Armed target = new RankStatus.Armed(this.pending.version, this.pending.step);
+		Set<Integer> armed = new HashSet<>(this.pending.armedRanks);
+		for (int rank = 0; rank < view.size(); rank++) {
+			if (view.rank(rank).armed().filter(target::equals).isPresent()) {
+				armed.add(rank);
+			}
+		}
+		return armed;
+	}
+
 	private boolean canArm(GroupView view) {
+		Set<Integer> armed = armedRanks(view);
 		for (int rank = 0; rank < view.size(); rank++) {
 			RankStatus status = view.rank(rank);
-			boolean armed = status.armed().filter((target) -> target.version() == this.pending.version).isPresent();
-			if (!armed && !hasPrepared(status, this.pending.version)) {
+			if (!armed.contains(rank) && !hasPrepared(status, this.pending.version)) {
 				return false;
 			}
 		}
@@ -288,11 +323,12 @@
 	private List<RankCommand> arm(GroupView view, long step) {
 		this.pending.armsSent = true;
 		RankOrder.Arm order = new RankOrder.Arm(this.pending.version, step);
-		boolean leaderToo = !this.guards.leaderLast()
-				|| view.armedByOthers(new RankStatus.Armed(this.pending.version, step));
+		Set<Integer> armed = armedRanks(view);
+		armed.remove(GroupView.LEADER_RANK);
+		boolean leaderToo = !this.guards.leaderLast() || armed.size() == view.size() - 1;
 		List<RankCommand> commands = new ArrayList<>();
-		for (int rank = leaderToo ? 0 : GroupView.LEADER_RANK + 1; rank < view.size(); rank++) {
-			if (view.rank(rank).armed().isEmpty()) {
+		for (int rank = leaderToo ? GroupView.LEADER_RANK : GroupView.LEADER_RANK + 1; rank < view.size(); rank++) {
+			if (!armed.contains(rank)) {
 				commands.add(new RankCommand(rank, order));
 			}
 		}
@@ -305,15 +341,18 @@
 		if (this.guards.leaderExcluded() && !view.complete() && !excludesLeader(view)) {
 			return excludeLeader(view);
 		}
-		List<RankCommand> commands = view.complete() ? undo(view, 0, 1) : List.of();
+		int others = GroupView.LEADER_RANK + 1;
+		List<RankCommand> commands = new ArrayList<>();
+		if (view.complete()) {
+			commands.addAll(undo(view, GroupView.LEADER_RANK, others));
+		}
 		if (commands.isEmpty() || !this.guards.leaderFirst()) {
-			commands = new ArrayList<>(commands);
-			commands.addAll(undo(view, 1, view.size()));
+			commands.addAll(undo(view, others, view.size()));
 		}
 		if (!commands.isEmpty()) {
 			return commands;
 		}
-		if (this.pending == null || this.pending.armsSent) {
+		if (this.pending != null && this.pending.armsSent) {
 			this.pending = null;
 		}
 		return release(held);
@@ -326,7 +365,7 @@
 			RankStatus status = view.rank(rank);
 			boolean neutral = status.prepared().isPresent()
 					&& this.neutralVersions.contains(status.prepared().getAsLong());
-			if (status.armed().isEmpty() && neutral) {
+			if (this.neutralRanks.contains(rank) || (status.armed().isEmpty() && neutral)) {
 				return true;
 			}
 		}
@@ -353,7 +392,10 @@
 		long neutral = -1;
 		for (int rank = first; rank < end; rank++) {
 			RankStatus status = view.rank(rank);
-			if (status.armed().isPresent()) {
+			if (this.neutralRanks.contains(rank)) {
+				continue;
+			}
+			if (status.armed().isPresent() && !isDisarmed(rank, status.armed().get().version())) {
 				commands.add(new RankCommand(rank, new RankOrder.Disarm(status.armed().get().version())));
 			}
 			else if (this.guards.replacePrepared() && mayBeArmedLate(status, pendingVersion, armsSent)) {
@@ -364,7 +406,14 @@
 		return commands;
 	}
 
+	private boolean isDisarmed(int rank, long version) {
+		return this.disarmedVersions.getOrDefault(rank, -1L) == version;
+	}
+
 	private boolean mayBeArmedLate(RankStatus status, long pendingVersion, boolean armsSent) {
+		if (status.armed().isPresent()) {
+			return true;
+		}
 		if (status.prepared().isEmpty() || this.neutralVersions.contains(status.prepared().getAsLong())) {
 			return false;
 		}
@@ -395,10 +444,8 @@
 		if (command.rank() == GroupView.HOLD_RANK && result == OrderResult.ACCEPTED) {
 			this.fenced = true;
 		}
-		if (this.pending != null && this.guards.leaderLast() && command.rank() == GroupView.LEADER_RANK
-				&& command.order() instanceof RankOrder.Arm && result == OrderResult.ACCEPTED) {
-			this.pending.leaderArmed = true;
-		}
+		recordAbort(command, result);
+		recordArm(command, result);
 		if (this.pending == null || !(command.order() instanceof RankOrder.Prepare prepare)
 				|| prepare.version() != this.pending.version) {
 			return;
@@ -416,6 +463,28 @@
 		}
 	}
 
+	private void recordArm(RankCommand command, OrderResult result) {
+		boolean current = this.pending != null && command.order() instanceof RankOrder.Arm arm
+				&& arm.version() == this.pending.version && arm.step() == this.pending.step;
+		if (current && result == OrderResult.ACCEPTED) {
+			this.pending.armedRanks.add(command.rank());
+		}
+	}
+
+	private void recordAbort(RankCommand command, OrderResult result) {
+		if (command.order() instanceof RankOrder.Disarm disarm && result == OrderResult.ACCEPTED) {
+			this.disarmedVersions.put(command.rank(), disarm.version());
+		}
+		else if (command.order() instanceof RankOrder.Prepare prepare
+				&& this.neutralVersions.contains(prepare.version())) {
+			if (result == OrderResult.ACCEPTED) {
+				this.neutralRanks.add(command.rank());
+			}
+			// A delayed arm may have armed the rank again.
+			this.disarmedVersions.remove(command.rank());
+		}
+	}
+
 	/**
 	 * The rules of a switch, each of which tests can disable. All but {@code prepareAll}
 	 * are needed for safety.
@@ -457,6 +526,9 @@
 
 		private final Set<Integer> unansweredRanks = new HashSet<>();
 
+		/** The ranks that have accepted the arm for the present hold. */
+		private final Set<Integer> armedRanks = new HashSet<>();
+
 		private int prepareRounds;
 
 		private int armRounds;
@@ -469,8 +541,6 @@
 
 		private boolean aborted;
 
-		private boolean leaderArmed;
-
 		private PendingSwitch(long version, int[][][] experts) {
 			this.version = version;
 			this.experts = experts;
--- a/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/GroupView.java
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/GroupView.java
@@ -131,17 +131,6 @@
 		return same ? first : Optional.empty();
 	}
 
-	/**
-	 * Returns whether all ranks but the leader's are armed for a switch.
-	 * @param armed the switch
-	 * @return whether each of them is
-	 */
-	boolean armedByOthers(RankStatus.Armed armed) {
-		return Arrays.stream(this.ranks)
-			.skip(LEADER_RANK + 1)
-			.allMatch((status) -> status.armed().filter(armed::equals).isPresent());
-	}
-
 	/**
 	 * Returns whether any rank is armed.
 	 * @return whether at least one rank is armed
--- a/bulrushrouter-experts/src/test/java/io/bulrushrouter/experts/live/GroupSwitchTests.java
+++ b/bulrushrouter-experts/src/test/java/io/bulrushrouter/experts/live/GroupSwitchTests.java
@@ -74,6 +74,37 @@
 			.isNotEqualTo(Optional.empty());
 	}
 
+	@Test
+	void armsTheLeadersRankLastAndReleasesTheGroupThoughStatusesAreOld() {
+		GroupSwitch groupSwitch = GroupSwitch.of(1000);
+		groupSwitch.nextOrders(view(OptionalLong.empty()), EXPERTS);
+		long version = groupSwitch.propose(EXPERTS);
+		accept(groupSwitch, groupSwitch.nextOrders(view(OptionalLong.empty()), EXPERTS));
+		List<RankCommand> hold = groupSwitch.nextOrders(view(OptionalLong.of(version)), EXPERTS);
+		long step = ((RankOrder.Hold) hold.get(0).order()).step();
+		accept(groupSwitch, hold);
+		RankOrder.Arm arm = new RankOrder.Arm(version, step);
+		GroupView old = heldWithNoneArmed(version, step);
+		assertThat(accept(groupSwitch, groupSwitch.nextOrders(old, EXPERTS))).containsExactly(new RankCommand(1, arm));
+		assertThat(groupSwitch.followUpOrders()).isEmpty();
+		assertThat(accept(groupSwitch, groupSwitch.nextOrders(old, EXPERTS))).containsExactly(new RankCommand(0, arm));
+		assertThat(groupSwitch.followUpOrders()).containsExactly(new RankCommand(1, new RankOrder.Go(step)));
+	}
+
+	private static List<RankCommand> accept(GroupSwitch groupSwitch, List<RankCommand> commands) {
+		commands.forEach((command) -> groupSwitch.recordResult(command, OrderResult.ACCEPTED));
+		return commands;
+	}
+
+	private static GroupView heldWithNoneArmed(long version, long step) {
+		List<RankStatus> statuses = new ArrayList<>();
+		for (int rank = 0; rank < 2; rank++) {
+			statuses.add(new RankStatus("group", 1, rank, 2, true, 0, 5, 0, OptionalLong.of(version), Optional.empty(),
+					(rank == GroupView.HOLD_RANK) ? OptionalLong.of(step) : OptionalLong.empty()));
+		}
+		return GroupView.of(statuses.get(0), statuses).orElseThrow();
+	}
+
 	@Test
 	void neverCommitsASwitchThatItBeganToAbort() {
 		assertThat(sendsGoOnceAllAreArmedAfterAbort(GroupSwitch.Guards.ALL)).isFalse();
