Count an accepted hold as known while the status of its rank is old

The leader sent seven more holds, each refused, found a hold for a pass that it no longer expected, and released it.

Cause: as with arms, an answer is newer than the status; the decision to hold looked at the status only. It shows since the group is held at a rank of another instance.

Change: an accepted hold counts until its release is answered, its pass has begun, or a new epoch has.

armsTheLeadersRankLastAndReleasesTheGroupThoughStatusesAreOld now sees no hold in any status; it failed before.

--- a/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/GroupSwitch.java
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/GroupSwitch.java
@@ -72,6 +72,11 @@
 
 	private long highestHoldStep;
 
+	/**
+	 * The pass of a hold that was accepted and whose release has no answer yet.
+	 */
+	private OptionalLong acceptedHold = OptionalLong.empty();
+
 	/** The version of the last committed switch. */
 	private long committedVersion = -1;
 
@@ -131,7 +136,7 @@
 	 * for the same switch or none is armed
 	 */
 	public boolean settled(GroupView view) {
-		boolean holding = view.held().isPresent() || (this.pending != null && this.pending.holdSent);
+		boolean holding = held(view).isPresent() || (this.pending != null && this.pending.holdSent);
 		return !holding && (!view.armedByAny() || view.armedByAll().isPresent());
 	}
 
@@ -166,7 +171,7 @@
 		if (view.epoch() != this.epoch) {
 			startEpoch(view);
 		}
-		OptionalLong held = view.held();
+		OptionalLong held = held(view);
 		if (held.isPresent()) {
 			this.highestHoldStep = Math.max(this.highestHoldStep, held.getAsLong());
 			return whileHeld(view, held.getAsLong());
@@ -183,11 +188,22 @@
 		return prepareThenHold(view);
 	}
 
+	// Returns the pass before which the group is held. The status of the rank that holds
+	// it
+	// may be older than its answer to the hold.
+	private OptionalLong held(GroupView view) {
+		if (this.acceptedHold.isPresent() && view.step() >= this.acceptedHold.getAsLong()) {
+			this.acceptedHold = OptionalLong.empty();
+		}
+		return view.held().isPresent() ? view.held() : this.acceptedHold;
+	}
+
 	// Discards the switch of the previous epoch. Passes up to MAX_PASSES_AHEAD after the
 	// last started one count as used, since an earlier lease holder may have held them.
 	private void startEpoch(GroupView view) {
 		this.epoch = view.epoch();
 		this.pending = null;
+		this.acceptedHold = OptionalLong.empty();
 		forgetAbort();
 		this.committedVersion = -1;
 		this.committedHoldStep = -1;
@@ -444,6 +460,7 @@
 		if (command.rank() == GroupView.HOLD_RANK && result == OrderResult.ACCEPTED) {
 			this.fenced = true;
 		}
+		recordHold(command.order(), result);
 		recordAbort(command, result);
 		recordArm(command, result);
 		if (this.pending == null || !(command.order() instanceof RankOrder.Prepare prepare)
@@ -463,6 +480,15 @@
 		}
 	}
 
+	private void recordHold(RankOrder order, OrderResult result) {
+		if (order instanceof RankOrder.Hold hold && result == OrderResult.ACCEPTED) {
+			this.acceptedHold = OptionalLong.of(hold.step());
+		}
+		else if (order instanceof RankOrder.Go && result != OrderResult.UNKNOWN) {
+			this.acceptedHold = OptionalLong.empty();
+		}
+	}
+
 	private void recordArm(RankCommand command, OrderResult result) {
 		boolean current = this.pending != null && command.order() instanceof RankOrder.Arm arm
 				&& arm.version() == this.pending.version && arm.step() == this.pending.step;
--- a/bulrushrouter-experts/src/test/java/io/bulrushrouter/experts/live/GroupSwitchTests.java
+++ b/bulrushrouter-experts/src/test/java/io/bulrushrouter/experts/live/GroupSwitchTests.java
@@ -84,7 +84,7 @@
 		long step = ((RankOrder.Hold) hold.get(0).order()).step();
 		accept(groupSwitch, hold);
 		RankOrder.Arm arm = new RankOrder.Arm(version, step);
-		GroupView old = heldWithNoneArmed(version, step);
+		GroupView old = view(OptionalLong.of(version));
 		assertThat(accept(groupSwitch, groupSwitch.nextOrders(old, EXPERTS))).containsExactly(new RankCommand(1, arm));
 		assertThat(groupSwitch.followUpOrders()).isEmpty();
 		assertThat(accept(groupSwitch, groupSwitch.nextOrders(old, EXPERTS))).containsExactly(new RankCommand(0, arm));
@@ -96,15 +96,6 @@
 		return commands;
 	}
 
-	private static GroupView heldWithNoneArmed(long version, long step) {
-		List<RankStatus> statuses = new ArrayList<>();
-		for (int rank = 0; rank < 2; rank++) {
-			statuses.add(new RankStatus("group", 1, rank, 2, true, 0, 5, 0, OptionalLong.of(version), Optional.empty(),
-					(rank == GroupView.HOLD_RANK) ? OptionalLong.of(step) : OptionalLong.empty()));
-		}
-		return GroupView.of(statuses.get(0), statuses).orElseThrow();
-	}
-
 	@Test
 	void neverCommitsASwitchThatItBeganToAbort() {
 		assertThat(sendsGoOnceAllAreArmedAfterAbort(GroupSwitch.Guards.ALL)).isFalse();
