Do not wait for a silent leader when its group is released

Change: a process that recovers a group has its round end 0.1 s after the question if all but the leader's rank have answered. If it cannot decide without that rank, since all others are armed, it asks it again.

Ruled out: a shorter timeout for all questions, which busy links need.

ReportCollectorTests: completesWithoutTheLeaderOnceItIsOverdueAndAllOthers- HaveAnswered, waitsForAllOthersThoughTheLeaderIsOverdue.

--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/Balancer.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/Balancer.java
@@ -65,6 +65,12 @@
 	/** Delay after the store issued no token; the store limits the rate of calls. */
 	private static final long TOKEN_RETRY_DELAY_MILLIS = 500;
 
+	/**
+	 * Time that a sidecar which recovers a group waits for the leader's report once it
+	 * has asked; the leader was silent for longer before.
+	 */
+	private static final long LEADER_REPORT_TIMEOUT_MILLIS = 100;
+
 	/** Delay before the next attempt to recover a stalled group. */
 	private static final long RECOVERY_RETRY_DELAY_MILLIS = 250;
 
@@ -276,7 +282,7 @@
 	private CompletionStage<Long> recover(RankStatus status) {
 		this.fleet.start();
 		this.missingLeader = Optional.empty();
-		return collectReports(status).thenCompose((reports) -> {
+		return collectReports(status, OptionalLong.of(LEADER_REPORT_TIMEOUT_MILLIS)).thenCompose((reports) -> {
 			if (reports.isEmpty()) {
 				logger.info(
 						"event=group-stalled group={} epoch={} step={} action=none reason=\"not all ranks answered\"",
@@ -331,7 +337,7 @@
 	}
 
 	private CompletionStage<Long> runRound(LeadershipTerm term, RankStatus status) {
-		return collectReports(status).thenCompose((reports) -> {
+		return collectReports(status, OptionalLong.empty()).thenCompose((reports) -> {
 			if (reports.isPresent()) {
 				return decide(term, this.fleet.engineSpec().get(), reports.get());
 			}
@@ -341,7 +347,7 @@
 
 	// Requests reports from all ranks. The rank of a failed leader may no longer be
 	// listed.
-	private CompletionStage<Optional<GroupReports>> collectReports(RankStatus status) {
+	private CompletionStage<Optional<GroupReports>> collectReports(RankStatus status, OptionalLong leaderMillis) {
 		List<RankConnection> others = connectionsToOtherRanks();
 		int mayBeMissing = (status.rank() == GroupView.LEADER_RANK) ? 0 : 1;
 		if (this.fleet.engineSpec().isEmpty() || others.size() + 1 < status.size() - mayBeMissing) {
@@ -352,6 +358,7 @@
 		for (RankConnection other : others) {
 			collector.collect(other, other.report());
 		}
+		leaderMillis.ifPresent((millis) -> this.loop.schedule(collector::leaderOverdue, millis, TimeUnit.MILLISECONDS));
 		return collector.collectOwn(this.ownReporter.report(status)).whenComplete((reports, failure) -> {
 			if (failure == null && reports.isEmpty()) {
 				logFailedRound(status, others.size(), collector);
@@ -418,6 +425,8 @@
 
 	private CompletionStage<Long> sendOrders(LeadershipTerm term, GroupReports reports, List<RankCommand> commands) {
 		if (commands.isEmpty()) {
+			// Without its status nothing can be decided.
+			this.missingLeader = Optional.empty();
 			return pollAfter(term.groupSwitch().idle() ? LEADER_POLL_INTERVAL_MILLIS : SWITCH_POLL_INTERVAL_MILLIS);
 		}
 		List<CompletableFuture<OrderResult>> pendingResults = this.orderDispatcher.send(reports, commands,
--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/ReportCollector.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/ReportCollector.java
@@ -13,7 +13,8 @@
 
 /**
  * Collects the reports of one round. The result is complete as soon as all ranks of the
- * group have answered: ranks of other groups, or of no group, must not delay it.
+ * group have answered: ranks of other groups, or of no group, must not delay it, nor a
+ * leader that is overdue.
  */
 final class ReportCollector {
 
@@ -29,6 +30,8 @@
 
 	private int pendingReports = 1;
 
+	private boolean leaderOverdue;
+
 	private final Set<RankConnection> unanswered = new LinkedHashSet<>();
 
 	/**
@@ -60,6 +63,7 @@
 			if (answer.isPresent()) {
 				this.unanswered.remove(connection);
 			}
+			this.pendingReports--;
 			completeIfReady();
 		});
 	}
@@ -86,11 +90,20 @@
 				return;
 			}
 			this.ownReport = answer;
+			this.pendingReports--;
 			completeIfReady();
 		});
 		return this.result;
 	}
 
+	/**
+	 * Stops waiting for the report of the leader's rank. Others are still waited for.
+	 */
+	void leaderOverdue() {
+		this.leaderOverdue = true;
+		completeIfReady();
+	}
+
 	/**
 	 * Returns the number of other ranks of the group that have answered.
 	 * @return the number
@@ -112,8 +125,8 @@
 	}
 
 	private void completeIfReady() {
-		this.pendingReports--;
-		if (this.result.isDone() || (this.pendingReports > 0 && this.reports.size() < this.ownStatus.size() - 1)) {
+		int awaited = this.ownStatus.size() - 1 - (this.leaderOverdue ? 1 : 0);
+		if (this.result.isDone() || (this.pendingReports > 0 && this.reports.size() < awaited)) {
 			return;
 		}
 		Optional<GroupReports> groupReports = this.ownReport
--- a/bulrushrouter-ranks/src/test/java/io/bulrushrouter/ranks/ReportCollectorTests.java
+++ b/bulrushrouter-ranks/src/test/java/io/bulrushrouter/ranks/ReportCollectorTests.java
@@ -32,10 +32,14 @@
 	private final CompletableFuture<Optional<RankReport>> otherGroup = collect();
 
 	private CompletableFuture<Optional<RankReport>> collect() {
+		return collect(this.collector);
+	}
+
+	private static CompletableFuture<Optional<RankReport>> collect(ReportCollector collector) {
 		CompletableFuture<Optional<RankReport>> answer = new CompletableFuture<>();
 		UpstreamRecord upstream = new UpstreamRecord("u", "service", new InetSocketAddress("10.0.0.9", 80), "a", 8,
 				false, 0);
-		this.collector.collect(new RankConnection(upstream, null, null, null, null), answer);
+		collector.collect(new RankConnection(upstream, null, null, null, null), answer);
 		return answer;
 	}
 
@@ -59,6 +63,36 @@
 		assertThat(reports.join().orElseThrow().view().size()).isEqualTo(RANKS);
 	}
 
+	@Test
+	void completesWithoutTheLeaderOnceItIsOverdueAndAllOthersHaveAnswered() {
+		ReportCollector beside = new ReportCollector(report("g", 1).status(), this.otherGroupConnections);
+		CompletableFuture<Optional<RankReport>> leader = collect(beside);
+		CompletableFuture<Optional<RankReport>> other = collect(beside);
+		CompletableFuture<Optional<GroupReports>> reports = beside
+			.collectOwn(CompletableFuture.completedFuture(Optional.of(report("g", 1))))
+			.toCompletableFuture();
+		beside.leaderOverdue();
+		assertThat(reports.isDone()).isFalse();
+		other.complete(Optional.of(report("g", 2)));
+		assertThat(reports.join().orElseThrow().view().complete()).isFalse();
+		assertThat(leader.isDone()).isFalse();
+	}
+
+	@Test
+	void waitsForAllOthersThoughTheLeaderIsOverdue() {
+		ReportCollector beside = new ReportCollector(report("g", 1).status(), this.otherGroupConnections);
+		CompletableFuture<Optional<RankReport>> leader = collect(beside);
+		CompletableFuture<Optional<RankReport>> other = collect(beside);
+		CompletableFuture<Optional<GroupReports>> reports = beside
+			.collectOwn(CompletableFuture.completedFuture(Optional.of(report("g", 1))))
+			.toCompletableFuture();
+		beside.leaderOverdue();
+		leader.complete(Optional.of(report("g", 0)));
+		assertThat(reports.isDone()).isFalse();
+		other.complete(Optional.of(report("g", 2)));
+		assertThat(reports.join().orElseThrow().view().complete()).isTrue();
+	}
+
 	@Test
 	void recordsConnectionsToRanksOfOtherGroups() {
 		this.otherGroup.complete(Optional.of(report("other", 1)));
