Explore switches whose store is restored from a copy

The explorer knew tokens that only rise. Now the store that issues them may be restored at any move of two holders: one to two writes are lost, revisions are given out again, and the era rises. With tokens that are revisions only, a random run does (twoHoldersRunTwoMapsIfARestoredStoreGivesTokensOutAgain): that mutant shows that the model would find it.

--- a/bulrushrouter-experts/src/test/java/io/bulrushrouter/experts/live/CompetingHolders.java
+++ b/bulrushrouter-experts/src/test/java/io/bulrushrouter/experts/live/CompetingHolders.java
@@ -10,21 +10,25 @@
  * Simulates a group with two processes that send orders: one balances it, and the other
  * releases it when it considers the first one failed. Either may pause between any two of
  * its status requests and orders and continue later with outdated knowledge. The status
- * of ranks on other instances may be outdated as well, and the one of the balancing
- * process's rank may be missing for the other process.
+ * of ranks on other instances may be outdated as well, the store that issues their
+ * fencing tokens may be restored from a copy, and the one of the balancing process's rank
+ * may be missing for the other process.
  */
 final class CompetingHolders {
 
 	/** The number of actions within which a single process must release the group. */
 	private static final int RECOVERY_ACTIONS = 400;
 
+	/** The maximum number of writes that a restore of the store takes back. */
+	private static final int MAX_LOST_WRITES = 2;
+
 	private final SimulatedRanks ranks;
 
 	private final Choices choices;
 
 	private final GroupSwitch.Guards guards;
 
-	private long lastFence;
+	private final SimulatedTokens tokens;
 
 	private Holder balancer;
 
@@ -37,6 +41,11 @@
 	private Optional<String> observedViolation = Optional.empty();
 
 	CompetingHolders(int size, Choices choices, GroupSwitch.Guards guards) {
+		this(size, choices, guards, SimulatedTokens.ofEraAndRevision());
+	}
+
+	CompetingHolders(int size, Choices choices, GroupSwitch.Guards guards, SimulatedTokens tokens) {
+		this.tokens = tokens;
 		this.ranks = new SimulatedRanks(size);
 		this.choices = choices;
 		this.guards = guards;
@@ -69,7 +78,7 @@
 	}
 
 	private void interleave() {
-		switch (this.choices.next(4)) {
+		switch (this.choices.next(5)) {
 			case 0 -> runPass();
 			case 2 -> {
 				if (this.ranks.delayed() > 0) {
@@ -77,6 +86,7 @@
 				}
 			}
 			case 3 -> this.ranks.reopen();
+			case 4 -> this.tokens.restore(1 + this.choices.next(MAX_LOST_WRITES));
 			default -> {
 				// No event.
 			}
@@ -130,7 +140,7 @@
 		}
 
 		private void acquireToken() {
-			this.fence = ++CompetingHolders.this.lastFence;
+			this.fence = CompetingHolders.this.tokens.acquire();
 			this.groupSwitch = GroupSwitch.ofGuards(1000 * this.fence, CompetingHolders.this.guards);
 			this.statuses.clear();
 			this.commands.clear();
--- a/bulrushrouter-experts/src/test/java/io/bulrushrouter/experts/live/GroupSwitchTests.java
+++ b/bulrushrouter-experts/src/test/java/io/bulrushrouter/experts/live/GroupSwitchTests.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
 
@@ -264,12 +265,23 @@
 			.isNotEqualTo(Optional.empty());
 	}
 
+	@Test
+	void twoHoldersRunTwoMapsIfARestoredStoreGivesTokensOutAgain() {
+		assertThat(runCompetingHolders(GroupSwitch.Guards.ALL, 60_000, SimulatedTokens::ofRevision))
+			.isNotEqualTo(Optional.empty());
+	}
+
 	private static Optional<String> runCompetingHolders(GroupSwitch.Guards guards, int runs) {
+		return runCompetingHolders(guards, runs, SimulatedTokens::ofEraAndRevision);
+	}
+
+	private static Optional<String> runCompetingHolders(GroupSwitch.Guards guards, int runs,
+			Supplier<SimulatedTokens> tokens) {
 		for (int seed = 0; seed < runs; seed++) {
 			RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
 			double deviationProbability = 0.03 + 0.4 * random.nextDouble();
 			Optional<String> violation = new CompetingHolders(2 + seed % 3,
-					Choices.ofRandom(random, deviationProbability), guards)
+					Choices.ofRandom(random, deviationProbability), guards, tokens.get())
 				.run(150);
 			if (violation.isPresent()) {
 				return Optional.of("seed " + seed + ": " + violation.get());
