--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/Balancer.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/Balancer.java
@@ -268,8 +268,7 @@
 	}
 
 	// Two sidecars that kept taking the leadership from each other would never release
-	// the
-	// group.
+	// the group.
 	private boolean defersToNewLeader(RankStatus status) {
 		if (this.supersededStep.isPresent() && this.supersededStep.getAsLong() != status.step()) {
 			this.supersededStep = OptionalLong.empty();
