--- a/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/GroupSwitch.java
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/GroupSwitch.java
@@ -188,9 +188,8 @@
 		return prepareThenHold(view);
 	}
 
-	// Returns the pass before which the group is held. The status of the rank that holds
-	// it
-	// may be older than its answer to the hold.
+	// Returns the pass before which the group is held. A status may be older than the
+	// answer to the hold.
 	private OptionalLong held(GroupView view) {
 		if (this.acceptedHold.isPresent() && view.step() >= this.acceptedHold.getAsLong()) {
 			this.acceptedHold = OptionalLong.empty();
