Count a prepared map only when the engine says that it is done

The engines answer 200 for an order that is carried out and 202 for one that has begun. Both were "accepted", and an accepted neutral map counted as one that no late arm can pass since answers count during a hold.

Change: 202 is a result of its own, STARTED. It counts as accepted where that is enough (the token was seen, the order need not be repeated); what a rank has prepared is known from its status, as before.

--- a/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/GroupSwitch.java
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/GroupSwitch.java
@@ -58,8 +58,8 @@
 	private final Set<Long> neutralVersions = new HashSet<>();
 
 	/**
-	 * The ranks that have accepted a neutral version as prepared. They are not armed, and
-	 * a delayed arm finds nothing to switch to.
+	 * The ranks that have confirmed a neutral version as prepared. They are not armed,
+	 * and a delayed arm finds nothing to switch to.
 	 */
 	private final Set<Integer> neutralRanks = new HashSet<>();
 
@@ -456,7 +456,7 @@
 	 * @param result the result
 	 */
 	public void recordResult(RankCommand command, OrderResult result) {
-		if (command.rank() == GroupView.HOLD_RANK && result == OrderResult.ACCEPTED) {
+		if (command.rank() == GroupView.HOLD_RANK && result.accepted()) {
 			this.fenced = true;
 		}
 		recordHold(command.order(), result);
@@ -469,7 +469,7 @@
 		if (result == OrderResult.UNKNOWN) {
 			this.pending.unansweredRanks.add(command.rank());
 		}
-		else if (result == OrderResult.ACCEPTED || this.pending.unansweredRanks.contains(command.rank())) {
+		else if (result.accepted() || this.pending.unansweredRanks.contains(command.rank())) {
 			// The refusal may be caused by an earlier copy of the order that was carried
 			// out without an answer.
 			this.pending.acceptedRanks.add(command.rank());
--- a/bulrushrouter-experts/src/test/java/io/bulrushrouter/experts/live/GroupSwitchTests.java
+++ b/bulrushrouter-experts/src/test/java/io/bulrushrouter/experts/live/GroupSwitchTests.java
@@ -132,6 +132,18 @@
 			.anyMatch((command) -> command.order() instanceof RankOrder.Go);
 	}
 
+	@Test
+	void keepsTheGroupHeldUntilTheReplacementOfAnAbortedMapIsConfirmed() {
+		GroupSwitch recovery = GroupSwitch.of(5000);
+		GroupView held = held(1001, 6, false);
+		accept(recovery, recovery.nextOrders(held, EXPERTS));
+		accept(recovery, recovery.nextOrders(held, EXPERTS));
+		List<RankCommand> replacement = recovery.nextOrders(held, EXPERTS);
+		assertThat(replacement.get(0).order()).isInstanceOf(RankOrder.Prepare.class);
+		replacement.forEach((command) -> recovery.recordResult(command, OrderResult.STARTED));
+		assertThat(recovery.nextOrders(held, EXPERTS).get(0).order()).isNotInstanceOf(RankOrder.Go.class);
+	}
+
 	@Test
 	void aDelayedGoDoesNotReleaseTheGroupForTheNextSwitch() {
 		assertThat(runPassesAfterDelayedGo(GroupSwitch.Guards.ALL)).isEqualTo(Optional.empty());
--- a/bulrushrouter-experts/src/test/java/io/bulrushrouter/experts/live/SimulatedRanks.java
+++ b/bulrushrouter-experts/src/test/java/io/bulrushrouter/experts/live/SimulatedRanks.java
@@ -166,7 +166,11 @@
 			return OrderResult.SUPERSEDED;
 		}
 		rank.highestFence = order.fence();
-		return rank.execute(order.command().order(), this.step) ? OrderResult.ACCEPTED : OrderResult.REFUSED;
+		if (!rank.execute(order.command().order(), this.step)) {
+			return OrderResult.REFUSED;
+		}
+		// Weights are copied for some time.
+		return (order.command().order() instanceof RankOrder.Prepare) ? OrderResult.STARTED : OrderResult.ACCEPTED;
 	}
 
 	/**
--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/Balancer.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/Balancer.java
@@ -451,7 +451,7 @@
 
 	private static void logOrders(LeadershipTerm term, GroupView ranks, List<RankCommand> commands,
 			List<OrderResult> results) {
-		long accepted = results.stream().filter(OrderResult.ACCEPTED::equals).count();
+		long accepted = results.stream().filter(OrderResult::accepted).count();
 		long unknown = results.stream().filter(OrderResult.UNKNOWN::equals).count();
 		String kind = commands.get(0).order().getClass().getSimpleName();
 		logger.info(
