Name the guards of a switch; look once a round at what is armed

They are an enum now: Guard.allBut(Guard.LEADER_LAST). The ranks that are armed were collected up to three times a round; now once. Whether a neutral map is prepared is asked in one place. The leader's rank is GroupView.LEADER_RANK in the ranks module too, which wrote 0.

Behaviour is as it was: the same tests with the same assertions, explorer and mutants included, are green.

--- a/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/GroupSwitch.java
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/GroupSwitch.java
@@ -1,6 +1,7 @@
 package io.bulrushrouter.experts.live;
 
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -52,7 +53,7 @@
 
 	private final long versionBase;
 
-	private final Guards guards;
+	private final Set<Guard> guards;
 
 	/** Versions of maps identical to the one in use; no arm was ever sent for them. */
 	private final Set<Long> neutralVersions = new HashSet<>();
@@ -94,7 +95,7 @@
 
 	private PendingSwitch pending;
 
-	private GroupSwitch(long versionBase, Guards guards) {
+	private GroupSwitch(long versionBase, Set<Guard> guards) {
 		this.versionBase = versionBase;
 		this.guards = guards;
 	}
@@ -106,7 +107,7 @@
 	 * @return the switch state
 	 */
 	public static GroupSwitch of(long versionBase) {
-		return new GroupSwitch(versionBase, Guards.ALL);
+		return new GroupSwitch(versionBase, Guard.all());
 	}
 
 	/**
@@ -116,7 +117,7 @@
 	 * @param guards the rules that are enabled
 	 * @return the switch state
 	 */
-	static GroupSwitch ofGuards(long versionBase, Guards guards) {
+	static GroupSwitch ofGuards(long versionBase, Set<Guard> guards) {
 		return new GroupSwitch(versionBase, guards);
 	}
 
@@ -214,11 +215,11 @@
 		if (this.pending.holdSent && view.step() >= this.pending.step) {
 			this.pending = this.pending.retry();
 		}
-		if (this.guards.prepareAll() && !view.preparedByAll(this.pending.version)) {
+		if (this.guards.contains(Guard.PREPARE_ALL) && !view.preparedByAll(this.pending.version)) {
 			return prepare(view);
 		}
 		long step = view.step() + PASSES_AHEAD;
-		if (this.guards.neverReuseHold()) {
+		if (this.guards.contains(Guard.NEVER_REUSE_HOLD)) {
 			step = Math.max(step, this.highestHoldStep + 1);
 		}
 		if (step > view.step() + 2 * MAX_PASSES_AHEAD) {
@@ -249,19 +250,20 @@
 	}
 
 	private List<RankCommand> whileHeld(GroupView view, long held) {
-		if (this.guards.fenceFirst() && !this.fenced) {
+		if (this.guards.contains(Guard.FENCE_FIRST) && !this.fenced) {
 			// A go of an earlier lease holder may be in flight. Before any rank is
 			// disarmed, it must have taken effect or be refused from now on.
 			return hold(held);
 		}
-		if (this.guards.neverAbortCommitted() && held == this.committedHoldStep) {
+		if (this.guards.contains(Guard.NEVER_ABORT_COMMITTED) && held == this.committedHoldStep) {
 			// All ranks are armed even if an outdated status says otherwise, and the go
 			// that was sent may take effect at any time.
 			return release(held);
 		}
 		boolean ownHold = this.pending != null && this.pending.holdSent && this.pending.step == held
-				&& !(this.guards.neverCommitAborted() && this.pending.aborted);
-		if (ownHold && armedRanks(view).size() == view.size()) {
+				&& !(this.guards.contains(Guard.NEVER_COMMIT_ABORTED) && this.pending.aborted);
+		Set<Integer> armed = ownHold ? armedRanks(view) : Set.of();
+		if (armed.size() == view.size()) {
 			return commit(this.pending.version, held);
 		}
 		Optional<RankStatus.Armed> armedForAll = view.armedByAll();
@@ -269,8 +271,8 @@
 			return commit(armedForAll.get().version(), held);
 		}
 		if (ownHold) {
-			if (this.pending.armRounds++ < MAX_ARM_ROUNDS && canArm(view)) {
-				return arm(view, held);
+			if (this.pending.armRounds++ < MAX_ARM_ROUNDS && canArm(view, armed)) {
+				return arm(view, held, armed);
 			}
 			this.pending.aborted = true;
 		}
@@ -299,7 +301,7 @@
 	 * armed, otherwise none
 	 */
 	public List<RankCommand> followUpOrders() {
-		boolean allArmed = this.pending != null && !this.pending.aborted && this.guards.leaderLast()
+		boolean allArmed = this.pending != null && !this.pending.aborted && this.guards.contains(Guard.LEADER_LAST)
 				&& this.pending.armedRanks.contains(GroupView.LEADER_RANK);
 		return allArmed ? commit(this.pending.version, this.pending.step) : List.of();
 	}
@@ -324,8 +326,7 @@
 		return armed;
 	}
 
-	private boolean canArm(GroupView view) {
-		Set<Integer> armed = armedRanks(view);
+	private boolean canArm(GroupView view, Set<Integer> armed) {
 		for (int rank = 0; rank < view.size(); rank++) {
 			RankStatus status = view.rank(rank);
 			if (!armed.contains(rank) && !hasPrepared(status, this.pending.version)) {
@@ -335,12 +336,11 @@
 		return true;
 	}
 
-	private List<RankCommand> arm(GroupView view, long step) {
+	private List<RankCommand> arm(GroupView view, long step, Set<Integer> armed) {
 		this.pending.armsSent = true;
 		RankOrder.Arm order = new RankOrder.Arm(this.pending.version, step);
-		Set<Integer> armed = armedRanks(view);
-		armed.remove(GroupView.LEADER_RANK);
-		boolean leaderToo = !this.guards.leaderLast() || armed.size() == view.size() - 1;
+		long othersArmed = armed.stream().filter((rank) -> rank != GroupView.LEADER_RANK).count();
+		boolean leaderToo = !this.guards.contains(Guard.LEADER_LAST) || othersArmed == view.size() - 1;
 		List<RankCommand> commands = new ArrayList<>();
 		for (int rank = leaderToo ? GroupView.LEADER_RANK : GroupView.LEADER_RANK + 1; rank < view.size(); rank++) {
 			if (!armed.contains(rank)) {
@@ -353,7 +353,7 @@
 	// Ensures that no rank is armed or can become armed by an arm in flight, then
 	// releases the group.
 	private List<RankCommand> rollBack(GroupView view, long held) {
-		if (this.guards.leaderExcluded() && !view.complete() && !excludesLeader(view)) {
+		if (this.guards.contains(Guard.LEADER_EXCLUDED) && !view.complete() && !excludesLeader(view)) {
 			return excludeLeader(view);
 		}
 		int others = GroupView.LEADER_RANK + 1;
@@ -361,7 +361,7 @@
 		if (view.complete()) {
 			commands.addAll(undo(view, GroupView.LEADER_RANK, others));
 		}
-		if (commands.isEmpty() || !this.guards.leaderFirst()) {
+		if (commands.isEmpty() || !this.guards.contains(Guard.LEADER_FIRST)) {
 			commands.addAll(undo(view, others, view.size()));
 		}
 		if (!commands.isEmpty()) {
@@ -378,15 +378,17 @@
 	private boolean excludesLeader(GroupView view) {
 		for (int rank = GroupView.LEADER_RANK + 1; rank < view.size(); rank++) {
 			RankStatus status = view.rank(rank);
-			boolean neutral = status.prepared().isPresent()
-					&& this.neutralVersions.contains(status.prepared().getAsLong());
-			if (this.neutralRanks.contains(rank) || (status.armed().isEmpty() && neutral)) {
+			if (this.neutralRanks.contains(rank) || (status.armed().isEmpty() && hasNeutralPrepared(status))) {
 				return true;
 			}
 		}
 		return false;
 	}
 
+	private boolean hasNeutralPrepared(RankStatus status) {
+		return status.prepared().isPresent() && this.neutralVersions.contains(status.prepared().getAsLong());
+	}
+
 	private List<RankCommand> excludeLeader(GroupView view) {
 		List<RankCommand> commands = new ArrayList<>();
 		long neutral = neutralVersion();
@@ -413,7 +415,7 @@
 			if (status.armed().isPresent() && !isDisarmed(rank, status.armed().get().version())) {
 				commands.add(new RankCommand(rank, new RankOrder.Disarm(status.armed().get().version())));
 			}
-			else if (this.guards.replacePrepared() && mayBeArmedLate(status, pendingVersion, armsSent)) {
+			else if (this.guards.contains(Guard.REPLACE_PREPARED) && mayBeArmedLate(status, pendingVersion, armsSent)) {
 				neutral = (neutral < 0) ? neutralVersion() : neutral;
 				commands.add(new RankCommand(rank, new RankOrder.Prepare(neutral, this.inUse)));
 			}
@@ -429,7 +431,7 @@
 		if (status.armed().isPresent()) {
 			return true;
 		}
-		if (status.prepared().isEmpty() || this.neutralVersions.contains(status.prepared().getAsLong())) {
+		if (status.prepared().isEmpty() || hasNeutralPrepared(status)) {
 			return false;
 		}
 		return armsSent || status.prepared().getAsLong() != pendingVersion;
@@ -511,30 +513,57 @@
 	}
 
 	/**
-	 * The rules of a switch, each of which tests can disable. All but {@code prepareAll}
-	 * are needed for safety.
-	 *
-	 * @param prepareAll whether the group is held only once all ranks have loaded the
-	 * weights, which keeps the hold short
-	 * @param replacePrepared whether the prepared map is replaced before the group is
-	 * released after an abort
-	 * @param neverAbortCommitted whether a committed switch is never aborted
-	 * @param neverCommitAborted whether an aborted switch is never committed
-	 * @param fenceFirst whether a hold of an earlier lease holder is taken over only once
-	 * the rank that holds the group refuses orders of that holder
-	 * @param neverReuseHold whether no two switches hold the group before the same pass,
-	 * so that a delayed go of one does not release the group for the other
-	 * @param leaderLast whether the leader's rank is armed only once all others are seen
-	 * armed
-	 * @param leaderFirst whether an abort disarms the leader's rank before all others
-	 * @param leaderExcluded whether a switch is aborted without the status of the
-	 * leader's rank only once another rank can no longer be armed
+	 * The rules of a switch, each of which tests can disable. All but
+	 * {@link #PREPARE_ALL} are needed for safety.
 	 */
-	record Guards(boolean prepareAll, boolean replacePrepared, boolean neverAbortCommitted, boolean neverCommitAborted,
-			boolean fenceFirst, boolean neverReuseHold, boolean leaderLast, boolean leaderFirst,
-			boolean leaderExcluded) {
+	enum Guard {
+
+		/**
+		 * The group is held only once all ranks have loaded the weights, which keeps the
+		 * hold short.
+		 */
+		PREPARE_ALL,
+
+		/** The prepared map is replaced before the group is released after an abort. */
+		REPLACE_PREPARED,
+
+		/** A committed switch is never aborted. */
+		NEVER_ABORT_COMMITTED,
+
+		/** An aborted switch is never committed. */
+		NEVER_COMMIT_ABORTED,
+
+		/**
+		 * A hold of an earlier lease holder is taken over only once the rank that holds
+		 * the group refuses orders of that holder.
+		 */
+		FENCE_FIRST,
 
-		static final Guards ALL = new Guards(true, true, true, true, true, true, true, true, true);
+		/**
+		 * No two switches hold the group before the same pass, so that a delayed go of
+		 * one does not release the group for the other.
+		 */
+		NEVER_REUSE_HOLD,
+
+		/** The leader's rank is armed only once all others are seen armed. */
+		LEADER_LAST,
+
+		/** An abort disarms the leader's rank before all others. */
+		LEADER_FIRST,
+
+		/**
+		 * A switch is aborted without the status of the leader's rank only once another
+		 * rank can no longer be armed.
+		 */
+		LEADER_EXCLUDED;
+
+		static Set<Guard> all() {
+			return EnumSet.allOf(Guard.class);
+		}
+
+		static Set<Guard> allBut(Guard disabled) {
+			return EnumSet.complementOf(EnumSet.of(disabled));
+		}
 
 	}
 
--- a/bulrushrouter-experts/src/test/java/io/bulrushrouter/experts/live/CompetingHolders.java
+++ b/bulrushrouter-experts/src/test/java/io/bulrushrouter/experts/live/CompetingHolders.java
@@ -5,6 +5,9 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+
+import io.bulrushrouter.experts.live.GroupSwitch.Guard;
 
 /**
  * Simulates a group with two processes that send orders: one balances it, and the other
@@ -26,7 +29,7 @@
 
 	private final Choices choices;
 
-	private final GroupSwitch.Guards guards;
+	private final Set<Guard> guards;
 
 	private final SimulatedTokens tokens;
 
@@ -40,11 +43,11 @@
 
 	private Optional<String> observedViolation = Optional.empty();
 
-	CompetingHolders(int size, Choices choices, GroupSwitch.Guards guards) {
+	CompetingHolders(int size, Choices choices, Set<Guard> guards) {
 		this(size, choices, guards, SimulatedTokens.ofEraAndRevision());
 	}
 
-	CompetingHolders(int size, Choices choices, GroupSwitch.Guards guards, SimulatedTokens tokens) {
+	CompetingHolders(int size, Choices choices, Set<Guard> guards, SimulatedTokens tokens) {
 		this.tokens = tokens;
 		this.ranks = new SimulatedRanks(size);
 		this.choices = choices;
--- a/bulrushrouter-experts/src/test/java/io/bulrushrouter/experts/live/GroupSwitchTests.java
+++ b/bulrushrouter-experts/src/test/java/io/bulrushrouter/experts/live/GroupSwitchTests.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.function.Function;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
@@ -12,6 +13,8 @@
 
 import org.junit.jupiter.api.Test;
 
+import io.bulrushrouter.experts.live.GroupSwitch.Guard;
+
 import static com.google.common.truth.Truth.assertThat;
 
 /**
@@ -36,43 +39,37 @@
 
 	@Test
 	void switchesWithoutDeviations() {
-		SimulatedGroup group = new SimulatedGroup(3, (options) -> 0, GroupSwitch.Guards.ALL);
+		SimulatedGroup group = new SimulatedGroup(3, (options) -> 0, Guard.all());
 		assertThat(group.run(20)).isEqualTo(Optional.empty());
 		assertThat(group.switches()).isEqualTo(1);
 	}
 
 	@Test
 	void neverRunsAPassOnTwoMapsWithUpToThreeDeviations() {
-		Exploration exploration = new Exploration(
-				(choices) -> new SimulatedGroup(2, choices, GroupSwitch.Guards.ALL).run(ROUNDS));
+		Exploration exploration = new Exploration((choices) -> new SimulatedGroup(2, choices, Guard.all()).run(ROUNDS));
 		assertThat(exploration.explore(3)).isEqualTo(Optional.empty());
 		assertThat(exploration.runs).isGreaterThan(100_000L);
 	}
 
 	@Test
 	void neverRunsAPassOnTwoMapsInThreeRanksWithUpToTwoDeviations() {
-		Exploration exploration = new Exploration(
-				(choices) -> new SimulatedGroup(3, choices, GroupSwitch.Guards.ALL).run(ROUNDS));
+		Exploration exploration = new Exploration((choices) -> new SimulatedGroup(3, choices, Guard.all()).run(ROUNDS));
 		assertThat(exploration.explore(2)).isEqualTo(Optional.empty());
 	}
 
 	@Test
 	void neverRunsAPassOnTwoMapsOnRandomSchedules() {
-		assertThat(runSingleHolder(GroupSwitch.Guards.ALL, 60_000)).isEqualTo(Optional.empty());
+		assertThat(runSingleHolder(Guard.all(), 60_000)).isEqualTo(Optional.empty());
 	}
 
 	@Test
 	void holdingBeforeAllArePreparedIsSafe() {
-		assertThat(
-				runSingleHolder(new GroupSwitch.Guards(false, true, true, true, true, true, true, true, true), 20_000))
-			.isEqualTo(Optional.empty());
+		assertThat(runSingleHolder(Guard.allBut(Guard.PREPARE_ALL), 20_000)).isEqualTo(Optional.empty());
 	}
 
 	@Test
 	void runsTwoMapsIfADelayedArmFindsItsPreparedMap() {
-		assertThat(
-				runSingleHolder(new GroupSwitch.Guards(true, false, true, true, true, true, true, true, true), 60_000))
-			.isNotEqualTo(Optional.empty());
+		assertThat(runSingleHolder(Guard.allBut(Guard.REPLACE_PREPARED), 60_000)).isNotEqualTo(Optional.empty());
 	}
 
 	@Test
@@ -99,14 +96,12 @@
 
 	@Test
 	void neverCommitsASwitchThatItBeganToAbort() {
-		assertThat(sendsGoOnceAllAreArmedAfterAbort(GroupSwitch.Guards.ALL)).isFalse();
+		assertThat(sendsGoOnceAllAreArmedAfterAbort(Guard.all())).isFalse();
 	}
 
 	@Test
 	void commitsAnAbortedSwitchWhileDisarmsAreInFlightWithoutTheGuard() {
-		assertThat(sendsGoOnceAllAreArmedAfterAbort(
-				new GroupSwitch.Guards(true, true, true, false, true, true, true, true, true)))
-			.isTrue();
+		assertThat(sendsGoOnceAllAreArmedAfterAbort(Guard.allBut(Guard.NEVER_COMMIT_ABORTED))).isTrue();
 	}
 
 	/**
@@ -115,7 +110,7 @@
 	 * @param guards the enabled guards
 	 * @return whether the group is released while disarms are in flight
 	 */
-	private static boolean sendsGoOnceAllAreArmedAfterAbort(GroupSwitch.Guards guards) {
+	private static boolean sendsGoOnceAllAreArmedAfterAbort(Set<Guard> guards) {
 		GroupSwitch groupSwitch = GroupSwitch.ofGuards(1000, guards);
 		groupSwitch.nextOrders(view(OptionalLong.empty()), EXPERTS);
 		long version = groupSwitch.propose(EXPERTS);
@@ -146,14 +141,12 @@
 
 	@Test
 	void aDelayedGoDoesNotReleaseTheGroupForTheNextSwitch() {
-		assertThat(runPassesAfterDelayedGo(GroupSwitch.Guards.ALL)).isEqualTo(Optional.empty());
+		assertThat(runPassesAfterDelayedGo(Guard.all())).isEqualTo(Optional.empty());
 	}
 
 	@Test
 	void runsTwoMapsIfTheNextSwitchReusesTheHold() {
-		assertThat(
-				runPassesAfterDelayedGo(new GroupSwitch.Guards(true, true, true, true, true, false, true, true, true)))
-			.isNotEqualTo(Optional.empty());
+		assertThat(runPassesAfterDelayedGo(Guard.allBut(Guard.NEVER_REUSE_HOLD))).isNotEqualTo(Optional.empty());
 	}
 
 	/**
@@ -162,7 +155,7 @@
 	 * @param guards the enabled guards
 	 * @return a description of the violation, or empty
 	 */
-	private static Optional<String> runPassesAfterDelayedGo(GroupSwitch.Guards guards) {
+	private static Optional<String> runPassesAfterDelayedGo(Set<Guard> guards) {
 		SimulatedRanks ranks = new SimulatedRanks(2);
 		GroupSwitch groupSwitch = GroupSwitch.ofGuards(1000, guards);
 		runRoundsUntil(RankOrder.Go.class, groupSwitch, ranks);
@@ -224,7 +217,7 @@
 		for (int ranks = 2; ranks <= 4; ranks++) {
 			int size = ranks;
 			Exploration exploration = new Exploration(
-					(choices) -> new CompetingHolders(size, choices, GroupSwitch.Guards.ALL).run(ACTIONS));
+					(choices) -> new CompetingHolders(size, choices, Guard.all()).run(ACTIONS));
 			assertThat(exploration.explore(2)).isEqualTo(Optional.empty());
 			assertThat(exploration.runs).isGreaterThan(5_000L);
 		}
@@ -232,63 +225,51 @@
 
 	@Test
 	void twoHoldersNeverRunTwoMapsOnRandomSchedules() {
-		assertThat(runCompetingHolders(GroupSwitch.Guards.ALL, 120_000)).isEqualTo(Optional.empty());
+		assertThat(runCompetingHolders(Guard.all(), 120_000)).isEqualTo(Optional.empty());
 	}
 
 	@Test
 	void twoHoldersRunTwoMapsWithoutFencingFirst() {
-		assertThat(runCompetingHolders(new GroupSwitch.Guards(true, true, true, true, false, true, true, true, true),
-				60_000))
-			.isNotEqualTo(Optional.empty());
+		assertThat(runCompetingHolders(Guard.allBut(Guard.FENCE_FIRST), 60_000)).isNotEqualTo(Optional.empty());
 	}
 
 	@Test
 	void twoHoldersRunTwoMapsIfADelayedArmFindsItsPreparedMap() {
-		assertThat(runCompetingHolders(new GroupSwitch.Guards(true, false, true, true, true, true, true, true, true),
-				60_000))
-			.isNotEqualTo(Optional.empty());
+		assertThat(runCompetingHolders(Guard.allBut(Guard.REPLACE_PREPARED), 60_000)).isNotEqualTo(Optional.empty());
 	}
 
 	@Test
 	void twoHoldersRunTwoMapsIfACommittedSwitchIsAborted() {
-		assertThat(runCompetingHolders(new GroupSwitch.Guards(true, true, false, true, true, true, true, true, true),
-				60_000))
+		assertThat(runCompetingHolders(Guard.allBut(Guard.NEVER_ABORT_COMMITTED), 60_000))
 			.isNotEqualTo(Optional.empty());
 	}
 
 	@Test
 	void twoHoldersRunTwoMapsIfTheLeadersRankIsNotArmedLast() {
-		assertThat(runCompetingHolders(new GroupSwitch.Guards(true, true, true, true, true, true, false, true, true),
-				60_000))
-			.isNotEqualTo(Optional.empty());
+		assertThat(runCompetingHolders(Guard.allBut(Guard.LEADER_LAST), 60_000)).isNotEqualTo(Optional.empty());
 	}
 
 	@Test
 	void twoHoldersRunTwoMapsIfTheLeadersRankIsNotDisarmedFirst() {
-		assertThat(runCompetingHolders(new GroupSwitch.Guards(true, true, true, true, true, true, true, false, true),
-				60_000))
-			.isNotEqualTo(Optional.empty());
+		assertThat(runCompetingHolders(Guard.allBut(Guard.LEADER_FIRST), 60_000)).isNotEqualTo(Optional.empty());
 	}
 
 	@Test
 	void twoHoldersRunTwoMapsIfTheUnknownLeadersRankMayBeArmed() {
-		assertThat(runCompetingHolders(new GroupSwitch.Guards(true, true, true, true, true, true, true, true, false),
-				60_000))
-			.isNotEqualTo(Optional.empty());
+		assertThat(runCompetingHolders(Guard.allBut(Guard.LEADER_EXCLUDED), 60_000)).isNotEqualTo(Optional.empty());
 	}
 
 	@Test
 	void twoHoldersRunTwoMapsIfARestoredStoreGivesTokensOutAgain() {
-		assertThat(runCompetingHolders(GroupSwitch.Guards.ALL, 60_000, SimulatedTokens::ofRevision))
+		assertThat(runCompetingHolders(Guard.all(), 60_000, SimulatedTokens::ofRevision))
 			.isNotEqualTo(Optional.empty());
 	}
 
-	private static Optional<String> runCompetingHolders(GroupSwitch.Guards guards, int runs) {
+	private static Optional<String> runCompetingHolders(Set<Guard> guards, int runs) {
 		return runCompetingHolders(guards, runs, SimulatedTokens::ofEraAndRevision);
 	}
 
-	private static Optional<String> runCompetingHolders(GroupSwitch.Guards guards, int runs,
-			Supplier<SimulatedTokens> tokens) {
+	private static Optional<String> runCompetingHolders(Set<Guard> guards, int runs, Supplier<SimulatedTokens> tokens) {
 		for (int seed = 0; seed < runs; seed++) {
 			RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
 			double deviationProbability = 0.03 + 0.4 * random.nextDouble();
@@ -304,12 +285,10 @@
 
 	@Test
 	void runsTwoMapsWithoutFencingFirst() {
-		assertThat(
-				runSingleHolder(new GroupSwitch.Guards(true, true, true, true, false, true, true, true, true), 60_000))
-			.isNotEqualTo(Optional.empty());
+		assertThat(runSingleHolder(Guard.allBut(Guard.FENCE_FIRST), 60_000)).isNotEqualTo(Optional.empty());
 	}
 
-	private static Optional<String> runSingleHolder(GroupSwitch.Guards guards, int runs) {
+	private static Optional<String> runSingleHolder(Set<Guard> guards, int runs) {
 		for (int seed = 0; seed < runs; seed++) {
 			RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
 			double deviationProbability = 0.05 + 0.5 * random.nextDouble();
--- a/bulrushrouter-experts/src/test/java/io/bulrushrouter/experts/live/SimulatedGroup.java
+++ b/bulrushrouter-experts/src/test/java/io/bulrushrouter/experts/live/SimulatedGroup.java
@@ -3,6 +3,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+
+import io.bulrushrouter.experts.live.GroupSwitch.Guard;
 
 /**
  * Simulates a group with one lease holder at a time. Orders may stay unanswered, take
@@ -15,7 +18,7 @@
 
 	private final Choices choices;
 
-	private final GroupSwitch.Guards guards;
+	private final Set<Guard> guards;
 
 	private final SimulatedRanks ranks;
 
@@ -25,7 +28,7 @@
 
 	private Optional<String> observedViolation = Optional.empty();
 
-	SimulatedGroup(int size, Choices choices, GroupSwitch.Guards guards) {
+	SimulatedGroup(int size, Choices choices, Set<Guard> guards) {
 		this.ranks = new SimulatedRanks(size);
 		this.choices = choices;
 		this.guards = guards;
--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/Balancer.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/Balancer.java
@@ -261,7 +261,7 @@
 			this.fleet.start();
 		}
 		boolean stalled = this.stallDetector.shouldTakeOver(status, this.clock.nanos());
-		if (status.rank() == 0 && !defersToNewLeader(status)) {
+		if (status.rank() == GroupView.LEADER_RANK && !defersToNewLeader(status)) {
 			return acquireLeadership(status);
 		}
 		return stalled ? recover(status) : pollAfter(this.stallDetector.pollIntervalMillis());
--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/LeadershipTerm.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/LeadershipTerm.java
@@ -1,6 +1,7 @@
 package io.bulrushrouter.ranks;
 
 import io.bulrushrouter.experts.live.GroupSwitch;
+import io.bulrushrouter.experts.live.GroupView;
 import io.bulrushrouter.experts.live.RankStatus;
 
 /**
@@ -26,7 +27,7 @@
 	 * @return the term
 	 */
 	static LeadershipTerm of(RankStatus status, long fence) {
-		return new LeadershipTerm(status.group(), status.epoch(), fence, status.rank() == 0,
+		return new LeadershipTerm(status.group(), status.epoch(), fence, status.rank() == GroupView.LEADER_RANK,
 				GroupSwitch.of(fence * VERSIONS_PER_TOKEN));
 	}
 
@@ -37,7 +38,7 @@
 	 * do for a leader that only recovers a group, so its term ends
 	 */
 	boolean isValidFor(RankStatus status) {
-		boolean sameRole = this.balancing == (status.rank() == 0);
+		boolean sameRole = this.balancing == (status.rank() == GroupView.LEADER_RANK);
 		return status.group().equals(this.group) && sameRole && (this.balancing || status.epoch() == this.epoch);
 	}
 
