Share the test engine that is frozen and the round without a leader

UnreachableEngine repeated FreezableEngine but for when a call without an answer ends; that is a parameter now. Two tests of ReportCollector built the same round. The retry budget of the gateway's fixture has a name.

Left as they are: the tests of UnframedResponseTests that open an upstream, a gateway and a caller alike; each of them reads whole.

--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/GatewayFixture.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/GatewayFixture.java
@@ -48,6 +48,9 @@
 
 	static final String PROBE_PATH = "/status";
 
+	/** Spare retries of all entries, of which one that knows no others takes 4. */
+	private static final int SPARE_RETRIES = 84;
+
 	private static final int READ_TIMEOUT_MILLIS = 20_000;
 
 	private final NioEventLoopGroup group = new NioEventLoopGroup(1);
@@ -71,8 +74,8 @@
 	GatewayFixture(Duration timeout, ScriptedUpstream... scripted) throws Exception {
 		FreshnessProof freshness = new FreshnessProof(() -> this.proofAgeMillis * 1_000_000, () -> this.proofAgeMillis);
 		freshness.prove(0);
-		ForwardSettings settings = new ForwardSettings(0.16, 84, Duration.ofSeconds(10), Duration.ofMillis(4_300),
-				Duration.ofMillis(3_500), 1 << 20);
+		ForwardSettings settings = new ForwardSettings(0.16, SPARE_RETRIES, Duration.ofSeconds(10),
+				Duration.ofMillis(4_300), Duration.ofMillis(3_500), 1 << 20);
 		this.context = new GatewayContext(this.group.next(), TimeSource.ofSystem(), new Random(1), HEADERS, settings,
 				this.directory, new UpstreamSelector("a", new Random(1)), freshness,
 				new ForwardMetrics(new SimpleMeterRegistry()), new EntryMembership("entry"), PROBE_PATH);
--- a/bulrushrouter-ranks/src/test/java/io/bulrushrouter/ranks/FakeGroup.java
+++ b/bulrushrouter-ranks/src/test/java/io/bulrushrouter/ranks/FakeGroup.java
@@ -81,7 +81,7 @@
 	 * @return the engine, which does not answer while the sidecar is frozen
 	 */
 	RankEngine localEngine(int rank) {
-		return new FreezableEngine(this.ranks.get(rank), () -> isFrozen(rank), this.frozenCalls);
+		return new FreezableEngine(this.ranks.get(rank), () -> isFrozen(rank), this.frozenCalls::add);
 	}
 
 	/**
@@ -90,7 +90,7 @@
 	 * @return the engine, which does not answer while its instance is suspended
 	 */
 	RankEngine remoteEngine(int rank) {
-		return new UnreachableEngine(this.ranks.get(rank), () -> this.instanceSuspended && isFrozen(rank));
+		return new FreezableEngine(this.ranks.get(rank), () -> this.instanceSuspended && isFrozen(rank), Runnable::run);
 	}
 
 	/**
--- a/bulrushrouter-ranks/src/test/java/io/bulrushrouter/ranks/FreezableEngine.java
+++ b/bulrushrouter-ranks/src/test/java/io/bulrushrouter/ranks/FreezableEngine.java
@@ -1,10 +1,10 @@
 package io.bulrushrouter.ranks;
 
 import java.util.Optional;
-import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 import io.bulrushrouter.experts.live.OrderResult;
@@ -12,27 +12,27 @@
 import io.bulrushrouter.experts.live.RankStatus;
 
 /**
- * An engine whose answers do not reach a sidecar while the sidecar is frozen. A call that
- * is running as the freeze begins still takes effect.
+ * An engine whose answers do not reach a sidecar while the sidecar, or the engine's
+ * instance, is frozen. A call that is running as the freeze begins still takes effect.
  *
  * @param engine the engine
- * @param frozen returns whether the sidecar is frozen
- * @param pendingCompletions receives the completions to run when the freeze ends
+ * @param frozen returns whether the sidecar or the instance is frozen
+ * @param unanswered receives the completions of calls without an answer, to be run when
+ * the sidecar notices
  */
-record FreezableEngine(RankEngine engine, BooleanSupplier frozen,
-		Queue<Runnable> pendingCompletions) implements RankEngine {
+record FreezableEngine(RankEngine engine, BooleanSupplier frozen, Consumer<Runnable> unanswered) implements RankEngine {
 
 	private <T> CompletionStage<T> call(Supplier<CompletionStage<T>> request, T noAnswer) {
 		if (this.frozen.getAsBoolean()) {
-			return completeAfterFreeze(noAnswer);
+			return completeUnanswered(noAnswer);
 		}
 		CompletionStage<T> answer = request.get();
-		return this.frozen.getAsBoolean() ? completeAfterFreeze(noAnswer) : answer;
+		return this.frozen.getAsBoolean() ? completeUnanswered(noAnswer) : answer;
 	}
 
-	private <T> CompletionStage<T> completeAfterFreeze(T noAnswer) {
+	private <T> CompletionStage<T> completeUnanswered(T noAnswer) {
 		CompletableFuture<T> answer = new CompletableFuture<>();
-		this.pendingCompletions.add(() -> answer.complete(noAnswer));
+		this.unanswered.accept(() -> answer.complete(noAnswer));
 		return answer;
 	}
 
--- a/bulrushrouter-ranks/src/test/java/io/bulrushrouter/ranks/ReportCollectorTests.java
+++ b/bulrushrouter-ranks/src/test/java/io/bulrushrouter/ranks/ReportCollectorTests.java
@@ -65,32 +65,20 @@
 
 	@Test
 	void completesWithoutTheLeaderOnceItIsOverdueAndAllOthersHaveAnswered() {
-		ReportCollector beside = new ReportCollector(report("g", 1).status(), this.otherGroupConnections);
-		CompletableFuture<Optional<RankReport>> leader = collect(beside);
-		CompletableFuture<Optional<RankReport>> other = collect(beside);
-		CompletableFuture<Optional<GroupReports>> reports = beside
-			.collectOwn(CompletableFuture.completedFuture(Optional.of(report("g", 1))))
-			.toCompletableFuture();
-		beside.leaderOverdue();
-		assertThat(reports.isDone()).isFalse();
-		other.complete(Optional.of(report("g", 2)));
-		assertThat(reports.join().orElseThrow().view().complete()).isFalse();
-		assertThat(leader.isDone()).isFalse();
+		OverdueLeader round = new OverdueLeader();
+		assertThat(round.reports.isDone()).isFalse();
+		round.other.complete(Optional.of(report("g", 2)));
+		assertThat(round.reports.join().orElseThrow().view().complete()).isFalse();
+		assertThat(round.leader.isDone()).isFalse();
 	}
 
 	@Test
 	void waitsForAllOthersThoughTheLeaderIsOverdue() {
-		ReportCollector beside = new ReportCollector(report("g", 1).status(), this.otherGroupConnections);
-		CompletableFuture<Optional<RankReport>> leader = collect(beside);
-		CompletableFuture<Optional<RankReport>> other = collect(beside);
-		CompletableFuture<Optional<GroupReports>> reports = beside
-			.collectOwn(CompletableFuture.completedFuture(Optional.of(report("g", 1))))
-			.toCompletableFuture();
-		beside.leaderOverdue();
-		leader.complete(Optional.of(report("g", 0)));
-		assertThat(reports.isDone()).isFalse();
-		other.complete(Optional.of(report("g", 2)));
-		assertThat(reports.join().orElseThrow().view().complete()).isTrue();
+		OverdueLeader round = new OverdueLeader();
+		round.leader.complete(Optional.of(report("g", 0)));
+		assertThat(round.reports.isDone()).isFalse();
+		round.other.complete(Optional.of(report("g", 2)));
+		assertThat(round.reports.join().orElseThrow().view().complete()).isTrue();
 	}
 
 	@Test
@@ -121,4 +109,25 @@
 		assertThat(collectOwn().isCompletedExceptionally()).isTrue();
 	}
 
+	/**
+	 * A round of the sidecar of rank 1 that no longer waits for the leader.
+	 */
+	private static final class OverdueLeader {
+
+		private final ReportCollector collector = new ReportCollector(report("g", 1).status(), new HashSet<>());
+
+		private final CompletableFuture<Optional<RankReport>> leader = collect(this.collector);
+
+		private final CompletableFuture<Optional<RankReport>> other = collect(this.collector);
+
+		private final CompletableFuture<Optional<GroupReports>> reports = this.collector
+			.collectOwn(CompletableFuture.completedFuture(Optional.of(report("g", 1))))
+			.toCompletableFuture();
+
+		private OverdueLeader() {
+			this.collector.leaderOverdue();
+		}
+
+	}
+
 }
