Log the parts of the prompt of a failed attempt that may have run

The logs of the incident name the requests that were in flight when an upstream ended, but not what their prompts have in common, so they cannot tell whether one part of a prompt, the entry's retries or something else ends the upstreams.

Change: attempt-failed names the parts (at most 256 characters, only where the request may have run) and the events of this attempt, beside those of the whole response. No decision is changed.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
@@ -40,6 +40,9 @@
 	 */
 	private static final int MAX_CONNECTS = 4;
 
+	/** Limit of the characters of prompt parts in a log line. */
+	private static final int MAX_LOGGED_PARTS_LENGTH = 256;
+
 	private final GatewayContext context;
 
 	private final ResponseWriter responseWriter;
@@ -210,9 +213,9 @@
 		this.mayHaveRun |= verdict.mayHaveRun();
 		logger.info(
 				"event=attempt-failed request={} upstream={} attempt={} verdict={} code={} detail=\"{}\" "
-						+ "millis-left={} events-sent={} retrying={}",
+						+ "millis-left={} events-sent={} attempt-events={} prompt-parts={} retrying={}",
 				attemptId(), this.upstream.id(), this.attempts, verdict.text(), code, detail, remainingMillis(),
-				this.relay.eventsSent(), retry);
+				this.relay.eventsSent(), this.relay.attemptEvents(), promptParts(verdict), retry);
 		this.triedUpstreams.add(this.upstream.id());
 		if (retry) {
 			dispatch();
@@ -222,6 +225,15 @@
 		}
 	}
 
+	// Only requests that may have run can have had an effect on the upstream.
+	private String promptParts(Verdict verdict) {
+		String parts = this.request.header(this.context.headers().promptParts());
+		if (parts == null || !verdict.mayHaveRun()) {
+			return "-";
+		}
+		return parts.substring(0, Math.min(parts.length(), MAX_LOGGED_PARTS_LENGTH));
+	}
+
 	private void releaseConnection() {
 		this.connection = null;
 		this.context.monitor().requestEnded(this.upstream.id(), this.onUnresponsive);
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ResponseRelay.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ResponseRelay.java
@@ -103,6 +103,14 @@
 		return this.eventsSent;
 	}
 
+	/**
+	 * Returns the number of events that the upstream of the last attempt sent.
+	 * @return the number
+	 */
+	int attemptEvents() {
+		return this.attemptEvents;
+	}
+
 	/**
 	 * Returns the identifier of the last event that was sent to the caller.
 	 * @return the identifier, or empty if no event with one was sent
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/HeaderNames.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/HeaderNames.java
@@ -21,8 +21,10 @@
  * @param limit the header in which an upstream names the requests per second that it
  * takes from all entries together
  * @param leaving the header in which an upstream says that it is about to stop
+ * @param promptParts the header with the parts of the prompt in their order, each as its
+ * identifier and its number of tokens; the last part is the request's own
  */
 public record HeaderNames(String attemptId, String deadlineMillis, String key, String organisation,
 		String expectedUpstream, String notRun, String stamp, String lastEventId, String priority, String tokenCounts,
-		String faultyUpstream, String limit, String leaving) {
+		String faultyUpstream, String limit, String leaving, String promptParts) {
 }
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/GatewayFixture.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/GatewayFixture.java
@@ -42,7 +42,7 @@
 
 	static final HeaderNames HEADERS = new HeaderNames("X-Attempt", "X-Deadline", "X-Key", "X-Organisation",
 			"X-Expected", "X-Not-Run", "X-Stamp", "Last-Event-Id", "X-Priority", "X-Tokens", "X-Faulty", "X-Limit",
-			"X-Leaving");
+			"X-Leaving", "X-Parts");
 
 	static final String KEY = "secret";
 
