--- /dev/null
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/CrashingFleet.java
@@ -0,0 +1,126 @@
+package io.bulrushrouter.gateway.forward;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Predicate;
+
+import io.bulrushrouter.gateway.source.UpstreamRecord;
+
+/**
+ * Several entries before several upstreams, each of which crashes as it begins to write
+ * the response to a fatal request. An upstream starts again at its address, with another
+ * identifier, when the test says so.
+ */
+final class CrashingFleet implements AutoCloseable {
+
+	private static final String HEAD = "HTTP/1.1 200 OK\r\nX-Attempt: id-1\r\nX-Stamp: s\r\n"
+			+ "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+	private static final String EVENTS = "f\r\nid: 1\ndata: x\n\n\r\nf\r\nid: 2\ndata: y\n\n\r\n";
+
+	static final String END = "0\r\n\r\n";
+
+	/** The header of a request whose response stops after its events. */
+	static final String ENDLESS = "X-Endless: 1\r\n";
+
+	private static final int SLOTS = 8;
+
+	private final List<ScriptedUpstream> upstreams = new ArrayList<>();
+
+	private final List<Integer> incarnations = new ArrayList<>();
+
+	private final List<GatewayFixture> entries = new ArrayList<>();
+
+	private final AtomicInteger fatalRequests = new AtomicInteger();
+
+	private final AtomicInteger crashes = new AtomicInteger();
+
+	CrashingFleet(int entryCount, int upstreamCount, Predicate<String> fatal) throws Exception {
+		for (int index = 0; index < upstreamCount; index++) {
+			int position = index;
+			this.upstreams
+				.add(ScriptedUpstream.start((number, request, reply) -> respond(position, fatal, request, reply)));
+			this.incarnations.add(0);
+		}
+		for (int index = 0; index < entryCount; index++) {
+			this.entries.add(new GatewayFixture("entry-" + index));
+		}
+		list();
+	}
+
+	private void respond(int position, Predicate<String> fatal, String request, ScriptedUpstream.Reply reply)
+			throws IOException {
+		if (fatal.test(request)) {
+			this.fatalRequests.incrementAndGet();
+			reply.write(request.contains("/stream/") ? HEAD : "");
+			crash(position);
+			return;
+		}
+		if (request.startsWith("GET /read/")) {
+			reply.write("HTTP/1.1 200 OK\r\nX-Attempt: id-1\r\nX-Stamp: s\r\nContent-Length: 5\r\n\r\nhello");
+			return;
+		}
+		reply.write(HEAD + EVENTS + (request.contains("X-Endless") ? "" : END));
+	}
+
+	void crash(int position) throws IOException {
+		this.upstreams.get(position).crash();
+		this.crashes.incrementAndGet();
+	}
+
+	void resetConnections(int position) throws IOException {
+		this.upstreams.get(position).resetConnections();
+	}
+
+	/**
+	 * Starts the crashed upstreams again and lists them with new identifiers.
+	 * @throws Exception if an upstream cannot be started or listed
+	 */
+	void restartCrashed() throws Exception {
+		for (int index = 0; index < this.upstreams.size(); index++) {
+			if (this.upstreams.get(index).crashed()) {
+				this.upstreams.get(index).restart();
+				this.incarnations.set(index, this.incarnations.get(index) + 1);
+			}
+		}
+		list();
+	}
+
+	private void list() throws Exception {
+		List<UpstreamRecord> records = new ArrayList<>();
+		for (int index = 0; index < this.upstreams.size(); index++) {
+			records.add(new UpstreamRecord("up-" + index + "-" + this.incarnations.get(index), "service",
+					this.upstreams.get(index).address(), "a", SLOTS, false, this.incarnations.get(index) + 1));
+		}
+		for (GatewayFixture entry : this.entries) {
+			entry.list(records);
+		}
+	}
+
+	GatewayFixture entry(int index) {
+		return this.entries.get(index % this.entries.size());
+	}
+
+	/**
+	 * Returns how many fatal requests have reached an upstream.
+	 * @return the number
+	 */
+	int fatalRequests() {
+		return this.fatalRequests.get();
+	}
+
+	int crashes() {
+		return this.crashes.get();
+	}
+
+	@Override
+	public void close() throws IOException {
+		this.entries.forEach(GatewayFixture::close);
+		for (ScriptedUpstream upstream : this.upstreams) {
+			upstream.close();
+		}
+	}
+
+}
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/GatewayFixture.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/GatewayFixture.java
@@ -71,14 +71,27 @@
 		this(Duration.ofSeconds(15), scripted);
 	}
 
+	/**
+	 * Starts one of several entries, without upstreams.
+	 * @param name the name of the entry
+	 * @throws Exception if the event loop fails
+	 */
+	GatewayFixture(String name) throws Exception {
+		this(name, Duration.ofSeconds(15));
+	}
+
 	GatewayFixture(Duration timeout, ScriptedUpstream... scripted) throws Exception {
+		this("entry", timeout, scripted);
+	}
+
+	private GatewayFixture(String name, Duration timeout, ScriptedUpstream... scripted) throws Exception {
 		FreshnessProof freshness = new FreshnessProof(() -> this.proofAgeMillis * 1_000_000, () -> this.proofAgeMillis);
 		freshness.prove(0);
 		ForwardSettings settings = new ForwardSettings(0.16, SPARE_RETRIES, Duration.ofSeconds(10),
 				Duration.ofMillis(4_300), Duration.ofMillis(3_500), 1 << 20);
 		this.context = new GatewayContext(this.group.next(), TimeSource.ofSystem(), new Random(1), HEADERS, settings,
 				this.directory, new UpstreamSelector("a", new Random(1)), freshness,
-				new ForwardMetrics(new SimpleMeterRegistry()), new EntryMembership("entry"), PROBE_PATH);
+				new ForwardMetrics(new SimpleMeterRegistry()), new EntryMembership(name), PROBE_PATH);
 		char id = 'a';
 		for (ScriptedUpstream each : scripted) {
 			// Only the first is in the gateway's data centre, so that it is selected
@@ -121,6 +134,18 @@
 		this.group.next().submit(() -> this.directory.replace(items, 0)).get(10, TimeUnit.SECONDS);
 	}
 
+	/**
+	 * Replaces the list of upstreams.
+	 * @param records the upstreams
+	 * @throws Exception if the event loop fails
+	 */
+	void list(List<UpstreamRecord> records) throws Exception {
+		List<Item<UpstreamRecord>> items = records.stream()
+			.map((record) -> new Item<>(record.id(), Optional.of(record)))
+			.toList();
+		this.group.next().submit(() -> this.directory.replace(items, 0)).get(10, TimeUnit.SECONDS);
+	}
+
 	/**
 	 * Sets the age of the freshness proof of the configuration.
 	 * @param millis the age in milliseconds
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/ScriptedUpstream.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/ScriptedUpstream.java
@@ -8,19 +8,23 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
 
 /**
  * An upstream that responds to each request as a test scripts it, byte by byte.
  */
 final class ScriptedUpstream implements AutoCloseable {
 
-	private final ServerSocket serverSocket;
+	private static final int BACKLOG = 50;
+
+	private volatile ServerSocket serverSocket;
 
 	private final Script script;
 
@@ -36,7 +40,7 @@
 
 	private ScriptedUpstream(Script script) throws IOException {
 		this.script = script;
-		this.serverSocket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+		this.serverSocket = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
 	}
 
 	static ScriptedUpstream start(Script script) throws IOException {
@@ -67,6 +71,54 @@
 		return (InetSocketAddress) this.serverSocket.getLocalSocketAddress();
 	}
 
+	/**
+	 * Ends the upstream as if its process had crashed: all connections close, and new
+	 * ones are refused.
+	 * @throws IOException if a socket cannot be closed
+	 */
+	void crash() throws IOException {
+		this.serverSocket.close();
+		for (Socket connection : this.connections) {
+			connection.close();
+		}
+		this.connections.clear();
+	}
+
+	/**
+	 * Returns whether the upstream has crashed and was not started again.
+	 * @return whether it accepts no connections
+	 */
+	boolean crashed() {
+		return this.serverSocket.isClosed();
+	}
+
+	/**
+	 * Starts a crashed upstream again at its address.
+	 * @throws IOException if the port is no longer free
+	 */
+	void restart() throws IOException {
+		this.serverSocket = new ServerSocket(address().getPort(), BACKLOG, InetAddress.getLoopbackAddress());
+		this.threads.execute(this::accept);
+	}
+
+	/**
+	 * Resets all connections; the upstream goes on.
+	 * @throws IOException if a socket cannot be closed
+	 */
+	void resetConnections() throws IOException {
+		for (Socket connection : this.connections) {
+			try {
+				connection.setSoLinger(true, 0);
+			}
+			catch (SocketException ex) {
+				// Closed by the gateway meanwhile.
+				this.connections.remove(connection);
+			}
+			connection.close();
+		}
+		this.connections.clear();
+	}
+
 	/**
 	 * Returns the received requests, each with its head and body as text. Probes, which
 	 * the gateway sends on a busy machine at any time, are answered but not among them.
@@ -81,16 +133,17 @@
 	}
 
 	private void accept() {
-		try {
-			while (true) {
-				Socket connection = this.serverSocket.accept();
+		ServerSocket accepting = this.serverSocket;
+		while (!accepting.isClosed()) {
+			try {
+				Socket connection = accepting.accept();
 				this.connections.add(connection);
 				this.threads.execute(() -> serve(connection));
 			}
-		}
-		catch (IOException ex) {
-			// Closed at the end of the test.
-			this.threads.shutdown();
+			catch (IOException | RejectedExecutionException ex) {
+				// Closed by a crash or at the end of the test.
+				this.connections.removeIf(Socket::isClosed);
+			}
 		}
 	}
 
