--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
@@ -101,7 +101,7 @@
 		this.context = context;
 		this.responseWriter = responseWriter;
 		this.request = admitted.request();
-		this.fingerprints = RequestFingerprints.of(this.request, context.headers());
+		this.fingerprints = fingerprints(this.request.header(context.headers().promptParts()));
 		this.route = admitted.route();
 		this.organisation = admitted.organisation();
 		this.configurationVersion = admitted.configurationVersion();
@@ -112,6 +112,10 @@
 		this.relay = new ResponseRelay(context, responseWriter, this.route, this.request, this::firstEvent);
 	}
 
+	private static List<Fingerprint> fingerprints(String promptParts) {
+		return (promptParts != null) ? Fingerprint.ofSharedParts(promptParts) : List.of();
+	}
+
 	void start() {
 		this.context.requestStarted();
 		this.context.retryBudget(this.service).recordRequest(this.context.nowNanos());
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/CrashReporter.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/CrashReporter.java
@@ -1,7 +1,9 @@
 package io.bulrushrouter.gateway.node;
 
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
@@ -149,11 +151,9 @@
 
 		@Override
 		public void changed(List<Item<CrashReport>> changes, long requestedNanos) {
-			for (Item<CrashReport> item : changes) {
-				item.value()
-					.ifPresent((report) -> CrashReporter.this.evidence.merge(item.name(), report,
-							CrashReporter.this.clock.nanos()));
-			}
+			Map<String, CrashReport> reports = new HashMap<>();
+			changes.forEach((item) -> item.value().ifPresent((report) -> reports.put(item.name(), report)));
+			CrashReporter.this.evidence.merge(reports, CrashReporter.this.clock.nanos());
 		}
 
 		// The copy may lack this entry's last report.
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/quarantine/CrashEvidence.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/quarantine/CrashEvidence.java
@@ -1,10 +1,12 @@
 package io.bulrushrouter.gateway.quarantine;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -215,31 +217,28 @@
 	}
 
 	/**
-	 * Merges the report of an entry.
-	 * @param reporter the name of the entry
-	 * @param report its report
+	 * Merges reports of entries.
+	 * @param reports the reports by the names of their entries
 	 * @param nowNanos the current monotonic time, in nanoseconds
 	 */
-	public void merge(String reporter, CrashReport report, long nowNanos) {
-		if (reporter.equals(this.instance) && report.incarnation() == this.incarnation) {
-			// An older write may have been carried out after a newer one, or the store
-			// may have been restored from a copy.
-			if (report.sequence() < this.lastReport.sequence()) {
-				reportLost();
+	public void merge(Map<String, CrashReport> reports, long nowNanos) {
+		List<CrashReport> newer = new ArrayList<>();
+		reports.forEach((reporter, report) -> {
+			if (reporter.equals(this.instance) && report.incarnation() == this.incarnation) {
+				mergeOwn(report);
 			}
+			else if (replacesKnown(reporter, report)) {
+				newer.add(report);
+			}
+		});
+		if (newer.isEmpty()) {
 			return;
 		}
-		// An entry that restarts has forgotten what it reported before; the others have
-		// not.
-		String process = reporter + "@" + report.incarnation();
-		CrashReport known = this.others.get(process);
-		if (known != null && known.sequence() >= report.sequence()) {
-			return;
-		}
-		this.others.put(process, report);
-		report.suspected().keySet().forEach((crash) -> this.learnedNanos.putIfAbsent(crash, nowNanos));
+		newer.forEach((report) -> report.suspected()
+			.keySet()
+			.forEach((crash) -> this.learnedNanos.putIfAbsent(crash, nowNanos)));
 		rebuild(nowNanos);
-		if (suspectedAfterClearance(report)) {
+		if (newer.stream().anyMatch(this::suspectedAfterClearance)) {
 			this.urgent = true;
 			this.onChange.run();
 		}
@@ -249,6 +248,25 @@
 			.forEach((fingerprint) -> clear(fingerprint, nowNanos));
 	}
 
+	// An older write may have been carried out after a newer one, or the store may have
+	// been restored from a copy.
+	private void mergeOwn(CrashReport report) {
+		if (report.sequence() < this.lastReport.sequence()) {
+			reportLost();
+		}
+	}
+
+	// An entry that restarts has forgotten what it reported before; the others have not.
+	private boolean replacesKnown(String reporter, CrashReport report) {
+		String process = reporter + "@" + report.incarnation();
+		CrashReport known = this.others.get(process);
+		if (known != null && known.sequence() >= report.sequence()) {
+			return false;
+		}
+		this.others.put(process, report);
+		return true;
+	}
+
 	private boolean suspectedAfterClearance(CrashReport report) {
 		return !this.unreportedClearances.isEmpty() && report.suspected()
 			.values()
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/quarantine/Fingerprint.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/quarantine/Fingerprint.java
@@ -1,5 +1,8 @@
 package io.bulrushrouter.gateway.quarantine;
 
+import java.util.ArrayList;
+import java.util.List;
+
 /**
  * Something that requests may have in common and that may be the reason why they crash
  * their upstreams.
@@ -10,6 +13,9 @@
 
 	private static final String PART_PREFIX = "part:";
 
+	/** Limit of the parts of a prompt that are considered, from the first on. */
+	static final int MAX_PARTS = 64;
+
 	/**
 	 * Returns the fingerprint of a part of a prompt.
 	 * @param identifier the identifier of the part
@@ -19,4 +25,25 @@
 		return new Fingerprint(PART_PREFIX + identifier);
 	}
 
+	/**
+	 * Returns the fingerprints of the parts of a prompt that requests may share: all but
+	 * the last one, which is the request's own.
+	 * @param parts the parts in their order, separated by commas, each as its identifier
+	 * and its number of tokens, separated by a colon
+	 * @return the fingerprints of the first parts
+	 */
+	public static List<Fingerprint> ofSharedParts(String parts) {
+		List<Fingerprint> fingerprints = new ArrayList<>();
+		int start = 0;
+		int end = parts.indexOf(',');
+		while (end >= 0 && fingerprints.size() < MAX_PARTS) {
+			int colon = parts.indexOf(':', start);
+			int identifierEnd = (colon >= 0 && colon < end) ? colon : end;
+			fingerprints.add(ofPart(parts.substring(start, identifierEnd).strip()));
+			start = end + 1;
+			end = parts.indexOf(',', start);
+		}
+		return fingerprints;
+	}
+
 }
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/quarantine/CrashEvidenceTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/quarantine/CrashEvidenceTests.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
@@ -68,7 +69,7 @@
 		for (String name : List.of("b", "c", "d")) {
 			CrashEvidence other = entry(name);
 			crash(other, 2);
-			evidence.merge(name, other.nextReport(), SECOND);
+			evidence.merge(Map.of(name, other.nextReport()), SECOND);
 		}
 		assertThat(quarantined(evidence, FATAL, SECOND)).isFalse();
 	}
@@ -79,7 +80,7 @@
 		for (int number = 1; number <= 3; number++) {
 			CrashEvidence other = entry("other-" + number);
 			other.crashed(crash(number), List.of(FATAL, COMMON), SECOND);
-			evidence.merge("other-" + number, other.nextReport(), SECOND);
+			evidence.merge(Map.of("other-" + number, other.nextReport()), SECOND);
 		}
 		assertThat(quarantined(evidence, FATAL, SECOND)).isTrue();
 	}
@@ -120,11 +121,11 @@
 		CrashEvidence evidence = entry("a");
 		CrashEvidence other = entry("b");
 		crash(evidence, 3);
-		other.merge("a", evidence.nextReport(), 4 * SECOND);
+		other.merge(Map.of("a", evidence.nextReport()), 4 * SECOND);
 		assertThat(quarantined(other, FATAL, 4 * SECOND)).isTrue();
 		other.succeeded(List.of(FATAL), 5 * SECOND);
 		assertThat(other.urgent()).isTrue();
-		evidence.merge("b", other.nextReport(), 5 * SECOND);
+		evidence.merge(Map.of("b", other.nextReport()), 5 * SECOND);
 		assertThat(quarantined(evidence, FATAL, 5 * SECOND)).isFalse();
 		assertThat(quarantined(other, FATAL, 5 * SECOND)).isFalse();
 	}
@@ -135,12 +136,12 @@
 		CrashEvidence second = entry("c");
 		crash(first, 4);
 		CrashReport suspicion = first.nextReport();
-		second.merge("b", suspicion, 5 * SECOND);
+		second.merge(Map.of("b", suspicion), 5 * SECOND);
 		second.succeeded(List.of(FATAL), 6 * SECOND);
 		CrashReport clearance = second.nextReport();
 		CrashEvidence late = entry("d");
-		late.merge("c", clearance, 7 * SECOND);
-		late.merge("b", suspicion, 7 * SECOND);
+		late.merge(Map.of("c", clearance), 7 * SECOND);
+		late.merge(Map.of("b", suspicion), 7 * SECOND);
 		assertThat(quarantined(late, FATAL, 7 * SECOND)).isFalse();
 	}
 
@@ -151,10 +152,10 @@
 		crash(other, 1);
 		CrashReport older = other.nextReport();
 		crash(other, 3);
-		evidence.merge("b", other.nextReport(), 4 * SECOND);
-		evidence.merge("b", older, 4 * SECOND);
+		evidence.merge(Map.of("b", other.nextReport()), 4 * SECOND);
+		evidence.merge(Map.of("b", older), 4 * SECOND);
 		assertThat(quarantined(evidence, FATAL, 4 * SECOND)).isTrue();
-		other.merge("b", older, 4 * SECOND);
+		other.merge(Map.of("b", older), 4 * SECOND);
 		assertThat(other.reportDue()).isTrue();
 	}
 
@@ -164,11 +165,11 @@
 		crash(before, 3);
 		CrashReport report = before.nextReport();
 		CrashEvidence restarted = new CrashEvidence("b", 7, (key) -> 0);
-		restarted.merge("b", report, 4 * SECOND);
+		restarted.merge(Map.of("b", report), 4 * SECOND);
 		assertThat(quarantined(restarted, FATAL, 4 * SECOND)).isTrue();
 		restarted.crashed(crash(9), List.of(COMMON), 5 * SECOND);
 		CrashEvidence started = entry("c");
-		started.merge("b", restarted.nextReport(), 6 * SECOND);
+		started.merge(Map.of("b", restarted.nextReport()), 6 * SECOND);
 		assertThat(quarantined(started, FATAL, 6 * SECOND)).isTrue();
 	}
 
@@ -379,7 +380,7 @@
 			for (CrashEvidence entry : this.entries) {
 				for (int index = 0; index < ENTRIES; index++) {
 					if (this.reports.get(index) != null) {
-						entry.merge("entry-" + index, this.reports.get(index), now);
+						entry.merge(Map.of("entry-" + index, this.reports.get(index)), now);
 					}
 				}
 			}
