Reproduce a request that comes again and crashes a service

Other requests of the same caller and kind wait at the upstreams that end; some crash by themselves, connections are reset.

--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/CrashingFleet.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/CrashingFleet.java
@@ -26,6 +26,9 @@
 	/** The header of a request whose response stops after its events. */
 	static final String ENDLESS = "X-Endless: 1\r\n";
 
+	/** The header of a request that gets no response. */
+	static final String WAITING = "X-Waiting: 1\r\n";
+
 	private static final int SLOTS = 8;
 
 	private final List<ScriptedUpstream> upstreams = new ArrayList<>();
@@ -56,24 +59,38 @@
 			throws IOException {
 		if (fatal.test(request)) {
 			this.fatalRequests.incrementAndGet();
-			reply.write(request.contains("/stream/") ? HEAD : "");
+			reply.write(request.contains(" /stream/") ? HEAD : "");
 			crash(position);
 			return;
 		}
-		if (request.startsWith("GET /read/")) {
+		if (request.contains("X-Waiting")) {
+			return;
+		}
+		if (!request.contains(" /stream/")) {
 			reply.write("HTTP/1.1 200 OK\r\nX-Attempt: id-1\r\nX-Stamp: s\r\nContent-Length: 5\r\n\r\nhello");
 			return;
 		}
 		reply.write(HEAD + EVENTS + (request.contains("X-Endless") ? "" : END));
 	}
 
-	void crash(int position) throws IOException {
+	private void crash(int position) throws IOException {
 		this.upstreams.get(position).crash();
 		this.crashes.incrementAndGet();
 	}
 
-	void resetConnections(int position) throws IOException {
-		this.upstreams.get(position).resetConnections();
+	/**
+	 * Lets an upstream crash by itself in each fifth round, and resets connections in
+	 * each third.
+	 * @param round the number of the round
+	 * @throws IOException if a socket cannot be closed
+	 */
+	void disturb(int round) throws IOException {
+		if (round % 5 == 4) {
+			crash(round % this.upstreams.size());
+		}
+		if (round % 3 == 2) {
+			this.upstreams.get((round + 1) % this.upstreams.size()).resetConnections();
+		}
 	}
 
 	/**
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/CrashingPromptPartTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/CrashingPromptPartTests.java
@@ -63,25 +63,13 @@
 		GatewayFixture.Caller stream = fleet.entry(round).caller();
 		this.streams.add(stream);
 		stream.get("/stream/s", SOUND.formatted(round), CrashingFleet.ENDLESS).readUntil("data: y");
-		disturb(fleet, round);
+		fleet.disturb(round);
 		sendFatal(fleet, round);
 		fleet.awaitChecks(CONTACT);
 		fleet.restartCrashed();
 		return served(fleet, round);
 	}
 
-	// An upstream crashes by itself in each fifth round, and connections are reset in
-	// each
-	// third.
-	private static void disturb(CrashingFleet fleet, int round) throws IOException {
-		if (round % 5 == 4) {
-			fleet.crash(round % UPSTREAMS);
-		}
-		if (round % 3 == 2) {
-			fleet.resetConnections((round + 1) % UPSTREAMS);
-		}
-	}
-
 	private static void sendFatal(CrashingFleet fleet, int round) throws IOException {
 		try (GatewayFixture.Caller caller = fleet.entry(round).caller()) {
 			String response = caller.get("/stream/f", FATAL.formatted(1_000 + round)).readResponse();
--- /dev/null
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/CrashingRequestTests.java
@@ -0,0 +1,83 @@
+package io.bulrushrouter.gateway.forward;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * A request that crashes each upstream that begins to run it, and that comes again at any
+ * entry.
+ */
+class CrashingRequestTests {
+
+	private static final int ENTRIES = 4;
+
+	private static final int UPSTREAMS = 6;
+
+	/** Crashes after which the request must be known as their cause. */
+	private static final int CRASHES_TO_KNOW = 3;
+
+	/** Time within which all entries must know it. */
+	private static final Duration CONTACT = Duration.ofSeconds(3);
+
+	/** Retries of the request that may reach upstreams after that time. */
+	private static final int ALLOWED_AFTERWARDS = 3;
+
+	private static final int ROUNDS = 30;
+
+	private final List<GatewayFixture.Caller> waiting = new ArrayList<>();
+
+	@Tag("known-red")
+	@Test
+	void neverLetsARequestThatComesAgainCrashUpstreamAfterUpstream() throws Exception {
+		try (CrashingFleet fleet = new CrashingFleet(ENTRIES, UPSTREAMS,
+				(request) -> request.startsWith("GET /read/fatal "))) {
+			int soundServed = 0;
+			int round = 0;
+			while (fleet.fatalRequests() < CRASHES_TO_KNOW && round < ROUNDS) {
+				soundServed += play(fleet, round++) ? 1 : 0;
+			}
+			fleet.awaitQuarantine(CONTACT);
+			int known = fleet.fatalRequests();
+			for (int later = 0; later < ROUNDS; later++) {
+				soundServed += play(fleet, round++) ? 1 : 0;
+			}
+			for (GatewayFixture.Caller caller : this.waiting) {
+				caller.close();
+			}
+			assertThat(fleet.fatalRequests() - known).isAtMost(ALLOWED_AFTERWARDS);
+			assertThat(soundServed).isEqualTo(round);
+		}
+	}
+
+	private boolean play(CrashingFleet fleet, int round) throws Exception {
+		// Other requests of the same caller and kind wait at the upstreams that crash.
+		GatewayFixture.Caller caller = fleet.entry(round).caller();
+		this.waiting.add(caller);
+		caller.get("/read/" + round, CrashingFleet.WAITING);
+		fleet.disturb(round);
+		sendFatal(fleet, round);
+		fleet.awaitChecks(CONTACT);
+		fleet.restartCrashed();
+		return served(fleet, round);
+	}
+
+	private static void sendFatal(CrashingFleet fleet, int round) throws IOException {
+		try (GatewayFixture.Caller caller = fleet.entry(round).caller()) {
+			assertThat(caller.get("/read/fatal").readResponse()).containsMatch("^HTTP/1.1 50[23]");
+		}
+	}
+
+	private static boolean served(CrashingFleet fleet, int round) throws IOException {
+		try (GatewayFixture.Caller caller = fleet.entry(round + 1).caller()) {
+			return caller.get("/read/sound-" + round).readResponse().startsWith("HTTP/1.1 200");
+		}
+	}
+
+}
