Watch crash reports closely only while crashes follow; back off when writes fail

A suspicion that is never cleared, such as that of a request that may run only once, kept the short watch of crash reports for two hours, six times the calls of a quiet entry. It is kept for 30 s after the last crash now. Writes that fail are repeated after 0.2 s, doubled up to 2 s and spread, not each 0.3 s, so that a store that is down gets fewer calls. Identifiers of parts are cut at 64 characters.

The suspicions and their judgement have a class of their own, SuspicionTable; what one response clears is taken away with one rebuild instead of one for each part. Decisions are as before: the tests of the package are unchanged but for one name.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/CrashReporter.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/CrashReporter.java
@@ -32,7 +32,10 @@
 	 */
 	private static final long SETTLE_MILLIS = 1_000;
 
-	private static final long WRITE_RETRY_MILLIS = 300;
+	/** Base of the exponential backoff after failed writes. */
+	private static final long BASE_BACKOFF_MILLIS = 200;
+
+	private static final long MAX_BACKOFF_MILLIS = 2_000;
 
 	/**
 	 * Timeout of a watch while nothing is suspected. A connection that is lost without
@@ -40,7 +43,7 @@
 	 */
 	private static final Duration QUIET_WATCH_TIMEOUT = Duration.ofSeconds(10);
 
-	/** The same while something is suspected. */
+	/** The same while crashes follow each other. */
 	private static final Duration WATCH_TIMEOUT = Duration.ofMillis(1_500);
 
 	/**
@@ -61,8 +64,12 @@
 
 	private final FeedFollower<CrashReport> follower;
 
+	private final RandomGenerator random;
+
 	private boolean writing;
 
+	private int failures;
+
 	private boolean scheduled;
 
 	private boolean closed;
@@ -80,11 +87,12 @@
 			CrashReportStore store, CrashEvidence evidence) {
 		this.loop = loop;
 		this.clock = clock;
+		this.random = random;
 		this.instance = instance;
 		this.store = store;
 		this.evidence = evidence;
 		this.follower = FeedFollower.builder("crash-reports", store.reports(), new ReportListener())
-			.watchTimeout(() -> evidence.suspicious() ? WATCH_TIMEOUT : QUIET_WATCH_TIMEOUT)
+			.watchTimeout(() -> evidence.crashedRecently(clock.nanos()) ? WATCH_TIMEOUT : QUIET_WATCH_TIMEOUT)
 			.minWatchInterval(MIN_WATCH_INTERVAL)
 			.loop(loop)
 			.clock(clock)
@@ -124,15 +132,21 @@
 			logger.info("event=crash-report sequence={} suspected-crashes={} cleared-crashes={} accepted={}",
 					report.sequence(), report.suspected().size(), report.cleared().size(), accepted);
 			if (accepted) {
+				this.failures = 0;
 				this.writing = false;
 				writeDueReport();
 			}
 			else {
-				this.loop.schedule(this::retry, WRITE_RETRY_MILLIS, TimeUnit.MILLISECONDS);
+				this.loop.schedule(this::retry, backoffMillis(), TimeUnit.MILLISECONDS);
 			}
 		});
 	}
 
+	private long backoffMillis() {
+		long millis = Math.min(MAX_BACKOFF_MILLIS, BASE_BACKOFF_MILLIS << Math.min(this.failures++, 6));
+		return millis / 2 + this.random.nextLong(millis);
+	}
+
 	private void retry() {
 		this.writing = false;
 		this.evidence.reportLost();
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/quarantine/CrashEvidence.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/quarantine/CrashEvidence.java
@@ -34,40 +34,17 @@
 	 */
 	public static final int EVENTS_OF_SOUND_START = 2;
 
-	/**
-	 * Crashes that a fingerprint is suspected of before it is quarantined, if it was
-	 * hardly running there by chance.
-	 */
-	static final int CRASHES_TO_QUARANTINE = 3;
-
-	/**
-	 * Crashes that a fingerprint is suspected of before it is quarantined in any case.
-	 */
-	static final int MAX_CRASHES_TO_QUARANTINE = 5;
-
-	/**
-	 * Share of the crashes from the first to the last suspicion below which a fingerprint
-	 * may have been running there by chance.
-	 */
-	private static final double MIN_SHARE_OF_CRASHES = 1.0 / 3;
-
 	/**
 	 * Crashes that a fingerprint is suspected of before other entries need to know at
 	 * once.
 	 */
-	private static final int CRASHES_TO_REPORT_AT_ONCE = CRASHES_TO_QUARANTINE - 1;
+	private static final int CRASHES_TO_REPORT_AT_ONCE = SuspicionTable.CRASHES_TO_QUARANTINE - 1;
 
 	/** Duration of the first quarantine, which each further crash doubles. */
 	static final long FIRST_QUARANTINE_NANOS = TimeUnit.MINUTES.toNanos(2);
 
 	static final long MAX_QUARANTINE_NANOS = TimeUnit.HOURS.toNanos(1);
 
-	/**
-	 * Interval between the trials of two entries, within which the second one learns how
-	 * the trial of the first one ended.
-	 */
-	static final long TRIAL_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(10);
-
 	/** How long a crash is remembered. It exceeds the longest quarantine. */
 	private static final long RETENTION_NANOS = TimeUnit.HOURS.toNanos(2);
 
@@ -77,6 +54,9 @@
 	 */
 	static final long RECENT_SUCCESS_NANOS = TimeUnit.SECONDS.toNanos(30);
 
+	/** Time within which a crash is followed by others if it has a cause in common. */
+	private static final long RECENT_CRASH_NANOS = TimeUnit.SECONDS.toNanos(30);
+
 	/** Limit of the remembered successes; the one used longest ago is dropped first. */
 	private static final int MAX_SUCCESSES = 4_096;
 
@@ -90,19 +70,13 @@
 
 	private final long incarnation;
 
-	private final ToIntFunction<String> trialOrder;
-
 	private final Map<String, CrashReport> others = new HashMap<>();
 
 	private final Map<CrashId, Set<Fingerprint>> suspected = new LinkedHashMap<>();
 
 	private final Map<CrashId, Set<Fingerprint>> cleared = new LinkedHashMap<>();
 
-	private final Map<CrashId, Long> learnedNanos = new HashMap<>();
-
-	private final Map<Fingerprint, Suspicion> suspicions = new HashMap<>();
-
-	private final Map<Fingerprint, Long> trialNanos = new HashMap<>();
+	private final SuspicionTable suspicions;
 
 	private final Map<Fingerprint, Long> successNanos = new LinkedHashMap<>(16, 0.75f, true) {
 		@Override
@@ -136,7 +110,7 @@
 	public CrashEvidence(String instance, long incarnation, ToIntFunction<String> trialOrder) {
 		this.instance = instance;
 		this.incarnation = incarnation;
-		this.trialOrder = trialOrder;
+		this.suspicions = new SuspicionTable(trialOrder);
 		this.lastReport = new CrashReport(incarnation, 0, Map.of(), Map.of());
 	}
 
@@ -162,9 +136,10 @@
 			.forEach(reported::add);
 		this.suspected.values().removeIf(Set::isEmpty);
 		dropOldest(this.suspected);
-		this.learnedNanos.putIfAbsent(crash, nowNanos);
-		rebuild(nowNanos);
-		this.urgent |= reported.stream().anyMatch((fingerprint) -> crashes(fingerprint) >= CRASHES_TO_REPORT_AT_ONCE);
+		this.suspicions.learn(List.of(crash), nowNanos);
+		rebuild();
+		this.urgent |= reported.stream()
+			.anyMatch((fingerprint) -> this.suspicions.crashes(fingerprint) >= CRASHES_TO_REPORT_AT_ONCE);
 		this.onChange.run();
 	}
 
@@ -188,34 +163,42 @@
 	 * @param nowNanos the current monotonic time, in nanoseconds
 	 */
 	public void succeeded(Collection<Fingerprint> fingerprints, long nowNanos) {
-		for (Fingerprint fingerprint : fingerprints) {
-			this.successNanos.put(fingerprint, nowNanos);
-			clear(fingerprint, nowNanos);
-		}
+		fingerprints.forEach((fingerprint) -> this.successNanos.put(fingerprint, nowNanos));
+		clear(fingerprints);
 	}
 
-	private void clear(Fingerprint fingerprint, long nowNanos) {
-		Suspicion suspicion = this.suspicions.get(fingerprint);
-		if (suspicion == null) {
+	private void clear(Collection<Fingerprint> fingerprints) {
+		List<Fingerprint> suspects = fingerprints.stream()
+			.filter((fingerprint) -> this.suspicions.crashes(fingerprint) > 0)
+			.toList();
+		if (suspects.isEmpty()) {
 			return;
 		}
-		for (CrashId crash : suspicion.crashes()) {
-			this.cleared.computeIfAbsent(crash, (key) -> new LinkedHashSet<>()).add(fingerprint);
-			this.suspected.getOrDefault(crash, new HashSet<>()).remove(fingerprint);
+		boolean known = false;
+		for (Fingerprint fingerprint : suspects) {
+			Set<CrashId> crashes = this.suspicions.suspicion(fingerprint).orElseThrow().crashes();
+			crashes.forEach((crash) -> clear(fingerprint, crash));
+			this.unreportedClearances.add(fingerprint);
+			if (crashes.size() >= CRASHES_TO_REPORT_AT_ONCE) {
+				logger.info("event=suspicion-cleared fingerprint={} crashes={}", fingerprint.text(), crashes.size());
+				known = true;
+			}
 		}
 		this.suspected.values().removeIf(Set::isEmpty);
 		dropOldest(this.cleared);
-		this.clearedFingerprints++;
-		this.unreportedClearances.add(fingerprint);
-		rebuild(nowNanos);
-		if (suspicion.crashes().size() >= CRASHES_TO_REPORT_AT_ONCE) {
-			logger.info("event=suspicion-cleared fingerprint={} crashes={}", fingerprint.text(),
-					suspicion.crashes().size());
+		this.clearedFingerprints += suspects.size();
+		rebuild();
+		if (known) {
 			this.urgent = true;
 			this.onChange.run();
 		}
 	}
 
+	private void clear(Fingerprint fingerprint, CrashId crash) {
+		this.cleared.computeIfAbsent(crash, (key) -> new LinkedHashSet<>()).add(fingerprint);
+		this.suspected.getOrDefault(crash, new HashSet<>()).remove(fingerprint);
+	}
+
 	/**
 	 * Merges reports of entries.
 	 * @param reports the reports by the names of their entries
@@ -234,18 +217,16 @@
 		if (newer.isEmpty()) {
 			return;
 		}
-		newer.forEach((report) -> report.suspected()
-			.keySet()
-			.forEach((crash) -> this.learnedNanos.putIfAbsent(crash, nowNanos)));
-		rebuild(nowNanos);
+		newer.forEach((report) -> this.suspicions.learn(report.suspected().keySet(), nowNanos));
+		rebuild();
 		if (newer.stream().anyMatch(this::suspectedAfterClearance)) {
 			this.urgent = true;
 			this.onChange.run();
 		}
-		Set.copyOf(this.suspicions.keySet())
+		clear(this.suspicions.fingerprints()
 			.stream()
 			.filter((fingerprint) -> succeededRecently(fingerprint, nowNanos))
-			.forEach((fingerprint) -> clear(fingerprint, nowNanos));
+			.toList());
 	}
 
 	// An older write may have been carried out after a newer one, or the store may have
@@ -272,69 +253,14 @@
 			.values()
 			.stream()
 			.flatMap(Set::stream)
-			.anyMatch((fingerprint) -> this.unreportedClearances.contains(fingerprint) && crashes(fingerprint) > 0);
-	}
-
-	private void rebuild(long nowNanos) {
-		Map<CrashId, Set<Fingerprint>> allCleared = new HashMap<>();
-		this.others.values().forEach((report) -> CrashReports.addAll(allCleared, report.cleared()));
-		CrashReports.addAll(allCleared, this.cleared);
-		Map<CrashId, Set<Fingerprint>> allSuspected = new HashMap<>();
-		this.others.values().forEach((report) -> CrashReports.addAll(allSuspected, report.suspected()));
-		CrashReports.addAll(allSuspected, this.suspected);
-		Map<Fingerprint, Suspicion> previous = new HashMap<>(this.suspicions);
-		this.suspicions.clear();
-		allSuspected.forEach((crash, fingerprints) -> fingerprints.stream()
-			.filter((fingerprint) -> !allCleared.getOrDefault(crash, Set.of()).contains(fingerprint))
-			.forEach((fingerprint) -> this.suspicions.computeIfAbsent(fingerprint, (key) -> new Suspicion())
-				.add(crash, this.learnedNanos.getOrDefault(crash, nowNanos))));
-		this.suspicions.forEach(this::judge);
-		this.trialNanos.keySet().retainAll(this.suspicions.keySet());
-		logQuarantines(previous);
+			.anyMatch((fingerprint) -> this.unreportedClearances.contains(fingerprint)
+					&& this.suspicions.crashes(fingerprint) > 0);
 	}
 
-	private void judge(Fingerprint fingerprint, Suspicion suspicion) {
-		int count = suspicion.crashes().size();
-		suspicion.quarantined(count >= MAX_CRASHES_TO_QUARANTINE
-				|| (count >= CRASHES_TO_QUARANTINE && likelyCause(fingerprint, suspicion)));
-	}
-
-	private boolean likelyCause(Fingerprint fingerprint, Suspicion suspicion) {
-		if (fingerprint.identifiesRequest()) {
-			return true;
-		}
-		long crashesMeanwhile = this.learnedNanos.values()
-			.stream()
-			.filter((learned) -> learned >= suspicion.firstNanos() && learned <= suspicion.lastNanos())
-			.count();
-		return suspicion.crashes().size() >= MIN_SHARE_OF_CRASHES * crashesMeanwhile;
-	}
-
-	private void logQuarantines(Map<Fingerprint, Suspicion> previous) {
-		this.suspicions.forEach((fingerprint, suspicion) -> {
-			Suspicion before = previous.get(fingerprint);
-			int crashesBefore = (before != null) ? before.crashes().size() : 0;
-			if (suspicion.quarantined() && suspicion.crashes().size() > crashesBefore) {
-				logger.warn("event=quarantined fingerprint={} crashes={} upstreams={} millis={}", fingerprint.text(),
-						suspicion.crashes().size(), suspicion.upstreams(),
-						TimeUnit.NANOSECONDS.toMillis(suspicion.durationNanos()));
-			}
-		});
-		previous.forEach((fingerprint, suspicion) -> {
-			if (suspicion.quarantined() && !quarantined(fingerprint)) {
-				logger.info("event=quarantine-lifted fingerprint={}", fingerprint.text());
-			}
-		});
-	}
-
-	private boolean quarantined(Fingerprint fingerprint) {
-		Suspicion suspicion = this.suspicions.get(fingerprint);
-		return suspicion != null && suspicion.quarantined();
-	}
-
-	private int crashes(Fingerprint fingerprint) {
-		Suspicion suspicion = this.suspicions.get(fingerprint);
-		return (suspicion != null) ? suspicion.crashes().size() : 0;
+	private void rebuild() {
+		List<CrashReport> reports = new ArrayList<>(this.others.values());
+		reports.add(new CrashReport(this.incarnation, 0, this.suspected, this.cleared));
+		this.suspicions.rebuild(reports);
 	}
 
 	/**
@@ -348,10 +274,11 @@
 			return Optional.empty();
 		}
 		for (Fingerprint fingerprint : fingerprints) {
-			if (quarantined(fingerprint)) {
-				long remaining = nextTrialNanos(fingerprint) - nowNanos;
+			if (this.suspicions.quarantined(fingerprint)) {
+				long remaining = this.suspicions.nanosToTrial(fingerprint, nowNanos);
 				if (remaining > 0) {
-					return Optional.of(new Quarantine(fingerprint, this.suspicions.get(fingerprint).upstreams(),
+					return Optional.of(new Quarantine(fingerprint,
+							this.suspicions.suspicion(fingerprint).orElseThrow().upstreams(),
 							TimeUnit.NANOSECONDS.toMillis(remaining)));
 				}
 			}
@@ -359,26 +286,15 @@
 		return Optional.empty();
 	}
 
-	private long nextTrialNanos(Fingerprint fingerprint) {
-		Suspicion suspicion = this.suspicions.get(fingerprint);
-		Long trial = this.trialNanos.get(fingerprint);
-		long end = suspicion.endNanos() + this.trialOrder.applyAsInt(fingerprint.text()) * TRIAL_INTERVAL_NANOS;
-		return (trial != null) ? Math.max(end, trial + TRIAL_INTERVAL_NANOS) : end;
-	}
-
 	/**
 	 * Records that a request is sent to an upstream.
 	 * @param fingerprints the fingerprints of the request
 	 * @param nowNanos the current monotonic time, in nanoseconds
 	 */
 	public void sent(Collection<Fingerprint> fingerprints, long nowNanos) {
-		if (this.suspicions.isEmpty()) {
-			return;
-		}
-		fingerprints.stream().filter(this::quarantined).forEach((fingerprint) -> {
-			logger.info("event=quarantine-trial fingerprint={}", fingerprint.text());
-			this.trialNanos.put(fingerprint, nowNanos);
-		});
+		fingerprints.stream()
+			.filter(this.suspicions::quarantined)
+			.forEach((fingerprint) -> this.suspicions.startTrial(fingerprint, nowNanos));
 	}
 
 	/**
@@ -386,23 +302,17 @@
 	 * @param nowNanos the current monotonic time, in nanoseconds
 	 */
 	public void expire(long nowNanos) {
-		Set<CrashId> expired = new HashSet<>();
-		this.learnedNanos.forEach((crash, learned) -> {
-			if (nowNanos - learned > RETENTION_NANOS) {
-				expired.add(crash);
-			}
-		});
+		Set<CrashId> expired = this.suspicions.forget(nowNanos - RETENTION_NANOS);
 		if (expired.isEmpty()) {
 			return;
 		}
-		this.learnedNanos.keySet().removeAll(expired);
 		this.suspected.keySet().removeAll(expired);
 		this.cleared.keySet().removeAll(expired);
 		this.unreportedClearances
 			.removeIf((fingerprint) -> this.cleared.values().stream().noneMatch((set) -> set.contains(fingerprint)));
 		this.others.replaceAll((process, report) -> CrashReports.without(report, expired));
 		this.others.values().removeIf((report) -> report.suspected().isEmpty() && report.cleared().isEmpty());
-		rebuild(nowNanos);
+		rebuild();
 	}
 
 	/**
@@ -447,7 +357,17 @@
 	 * @return the number
 	 */
 	public int quarantines() {
-		return (int) this.suspicions.values().stream().filter(Suspicion::quarantined).count();
+		return this.suspicions.quarantines();
+	}
+
+	/**
+	 * Returns whether this entry has learned of a crash a short time ago, so that more
+	 * may follow.
+	 * @param nowNanos the current monotonic time, in nanoseconds
+	 * @return whether the last crash is recent
+	 */
+	public boolean crashedRecently(long nowNanos) {
+		return suspicious() && nowNanos - this.suspicions.lastCrashNanos() < RECENT_CRASH_NANOS;
 	}
 
 	/**
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/quarantine/Fingerprint.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/quarantine/Fingerprint.java
@@ -19,13 +19,17 @@
 	/** Limit of the parts of a prompt that are considered, from the first on. */
 	static final int MAX_PARTS = 64;
 
+	/** Limit of the characters of a part's identifier that are considered. */
+	private static final int MAX_IDENTIFIER_LENGTH = 64;
+
 	/**
 	 * Returns the fingerprint of a part of a prompt.
 	 * @param identifier the identifier of the part
 	 * @return the fingerprint
 	 */
 	public static Fingerprint ofPart(String identifier) {
-		return new Fingerprint(PART_PREFIX + identifier);
+		return new Fingerprint(
+				PART_PREFIX + identifier.substring(0, Math.min(identifier.length(), MAX_IDENTIFIER_LENGTH)));
 	}
 
 	/**
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/quarantine/Suspicion.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/quarantine/Suspicion.java
@@ -46,7 +46,7 @@
 	}
 
 	long durationNanos() {
-		int doublings = Math.min(this.crashes.size() - CrashEvidence.CRASHES_TO_QUARANTINE, MAX_DOUBLINGS);
+		int doublings = Math.min(this.crashes.size() - SuspicionTable.CRASHES_TO_QUARANTINE, MAX_DOUBLINGS);
 		return Math.min(CrashEvidence.MAX_QUARANTINE_NANOS, CrashEvidence.FIRST_QUARANTINE_NANOS << doublings);
 	}
 
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/quarantine/CrashEvidenceTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/quarantine/CrashEvidenceTests.java
@@ -204,8 +204,8 @@
 		CrashEvidence second = new CrashEvidence("b", 1, (key) -> 1);
 		crash(second, 3);
 		long end = 3 * SECOND + CrashEvidence.FIRST_QUARANTINE_NANOS;
-		assertThat(quarantined(second, FATAL, end + CrashEvidence.TRIAL_INTERVAL_NANOS - 1)).isTrue();
-		assertThat(quarantined(second, FATAL, end + CrashEvidence.TRIAL_INTERVAL_NANOS)).isFalse();
+		assertThat(quarantined(second, FATAL, end + SuspicionTable.TRIAL_INTERVAL_NANOS - 1)).isTrue();
+		assertThat(quarantined(second, FATAL, end + SuspicionTable.TRIAL_INTERVAL_NANOS)).isFalse();
 	}
 
 	@Test
