Test resets, entries that start later, and a store that is down beside crashes

A connection that is reset by an upstream that goes on is no crash; an entry that starts later, and entries whose store was down during the crashes, refuse the request too; the caller is told that it has not run and when to come back. Decisions are unchanged.

--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/CrashingFleet.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/CrashingFleet.java
@@ -29,6 +29,9 @@
 	/** The header of a request that gets no response. */
 	static final String WAITING = "X-Waiting: 1\r\n";
 
+	/** The header of a request whose connection is reset by an upstream that goes on. */
+	static final String RESET = "X-Reset: 1\r\n";
+
 	private static final int SLOTS = 8;
 
 	private final List<ScriptedUpstream> upstreams = new ArrayList<>();
@@ -37,6 +40,8 @@
 
 	private final List<GatewayFixture> entries = new ArrayList<>();
 
+	private final SharedCrashReports reports = new SharedCrashReports();
+
 	private final AtomicInteger fatalRequests = new AtomicInteger();
 
 	private final AtomicInteger crashes = new AtomicInteger();
@@ -48,11 +53,29 @@
 				.add(ScriptedUpstream.start((number, request, reply) -> respond(position, fatal, request, reply)));
 			this.incarnations.add(0);
 		}
-		SharedCrashReports reports = new SharedCrashReports();
 		for (int index = 0; index < entryCount; index++) {
-			this.entries.add(new GatewayFixture("entry-" + index, reports));
+			addEntry();
 		}
+	}
+
+	/**
+	 * Starts another entry.
+	 * @return the entry
+	 * @throws Exception if the event loop fails
+	 */
+	GatewayFixture addEntry() throws Exception {
+		GatewayFixture entry = new GatewayFixture("entry-" + this.entries.size(), this.reports);
+		this.entries.add(entry);
 		list();
+		return entry;
+	}
+
+	/**
+	 * Returns the store of the entries' reports.
+	 * @return the store
+	 */
+	SharedCrashReports reports() {
+		return this.reports;
 	}
 
 	private void respond(int position, Predicate<String> fatal, String request, ScriptedUpstream.Reply reply)
@@ -66,6 +89,10 @@
 		if (request.contains("X-Waiting")) {
 			return;
 		}
+		if (request.contains("X-Reset")) {
+			reply.reset();
+			return;
+		}
 		if (!request.contains(" /stream/")) {
 			reply.write("HTTP/1.1 200 OK\r\nX-Attempt: id-1\r\nX-Stamp: s\r\nContent-Length: 5\r\n\r\nhello");
 			return;
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/CrashingRequestTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/CrashingRequestTests.java
@@ -25,6 +25,9 @@
 	/** Time within which all entries must know it. */
 	private static final Duration CONTACT = Duration.ofSeconds(3);
 
+	/** Time after the return of the store within which reports are written again. */
+	private static final Duration RECOVERY = Duration.ofSeconds(10);
+
 	/** Retries of the request that may reach upstreams after that time. */
 	private static final int ALLOWED_AFTERWARDS = 3;
 
@@ -80,6 +83,76 @@
 		}
 	}
 
+	@Test
+	void neverTakesAResetConnectionForACrash() throws Exception {
+		try (CrashingFleet fleet = new CrashingFleet(1, UPSTREAMS, (request) -> false)) {
+			for (int round = 0; round < ROUNDS; round++) {
+				try (GatewayFixture.Caller caller = fleet.entry(0).caller()) {
+					String response = caller.get("/read/reset", CrashingFleet.RESET).readResponse();
+					assertThat(response).startsWith("HTTP/1.1 502");
+				}
+				fleet.awaitChecks(CONTACT);
+			}
+			assertThat(fleet.entry(0).quarantines()).isEqualTo(0);
+		}
+	}
+
+	@Test
+	void refusesTheRequestAtAnEntryThatStartsLater() throws Exception {
+		try (CrashingFleet fleet = new CrashingFleet(ENTRIES, UPSTREAMS,
+				(request) -> request.startsWith("GET /read/fatal "))) {
+			crashUntilKnown(fleet);
+			fleet.addEntry();
+			fleet.awaitQuarantines(1, CONTACT);
+			int known = fleet.fatalRequests();
+			sendFatal(fleet, ENTRIES);
+			assertThat(fleet.fatalRequests()).isEqualTo(known);
+		}
+	}
+
+	@Test
+	void tellsTheOtherEntriesOfCrashesThatItSawWhileTheStoreWasDown() throws Exception {
+		try (CrashingFleet fleet = new CrashingFleet(ENTRIES, UPSTREAMS,
+				(request) -> request.startsWith("GET /read/fatal "))) {
+			fleet.reports().available(false);
+			while (fleet.entry(0).quarantines() == 0) {
+				sendFatal(fleet, 0);
+				fleet.awaitChecks(CONTACT);
+				fleet.restartCrashed();
+			}
+			fleet.reports().available(true);
+			fleet.awaitQuarantines(1, RECOVERY);
+			int known = fleet.fatalRequests();
+			for (int round = 0; round < ROUNDS; round++) {
+				sendFatal(fleet, round);
+			}
+			assertThat(fleet.fatalRequests()).isEqualTo(known);
+		}
+	}
+
+	@Test
+	void tellsTheCallerAtOnceThatTheRequestHasNotRunAndWhenToComeBack() throws Exception {
+		try (CrashingFleet fleet = new CrashingFleet(ENTRIES, UPSTREAMS,
+				(request) -> request.startsWith("GET /read/fatal "))) {
+			crashUntilKnown(fleet);
+			try (GatewayFixture.Caller caller = fleet.entry(0).caller()) {
+				String response = caller.get("/read/fatal").readResponse();
+				assertThat(response).startsWith("HTTP/1.1 503");
+				assertThat(response).containsMatch("(?i)retry-after: [0-9]{3}\\.");
+				assertThat(response).contains("\"error\":\"quarantined\",\"verdict\":\"not-run\"");
+			}
+		}
+	}
+
+	private static void crashUntilKnown(CrashingFleet fleet) throws Exception {
+		for (int round = 0; fleet.fatalRequests() < CRASHES_TO_KNOW; round++) {
+			sendFatal(fleet, round);
+			fleet.awaitChecks(CONTACT);
+			fleet.restartCrashed();
+		}
+		fleet.awaitQuarantines(1, CONTACT);
+	}
+
 	private static void sendFatalPart(CrashingFleet fleet, int round) throws IOException {
 		try (GatewayFixture.Caller caller = fleet.entry(round + 2).caller()) {
 			String parts = "X-Parts: 5a:800,dead:410,%x:250\r\n".formatted(round);
