--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/quarantine/CrashEvidenceTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/quarantine/CrashEvidenceTests.java
@@ -141,6 +141,27 @@
 		assertThat(quarantined(other, FATAL, 5 * SECOND)).isFalse();
 	}
 
+	@Test
+	void tellsOfAClearanceAsSoonAsAnotherCrashFollows() {
+		CrashEvidence evidence = entry("a");
+		CrashEvidence witness = entry("b");
+		CrashEvidence other = entry("c");
+		other.crashed(crash(1), List.of(FATAL), SECOND);
+		CrashReport first = other.nextReport();
+		evidence.merge(Map.of("c", first), SECOND);
+		witness.merge(Map.of("c", first), SECOND);
+		witness.succeeded(List.of(FATAL), 2 * SECOND);
+		assertThat(witness.reportDue()).isFalse();
+		long later = 2 * SECOND + CrashEvidence.RECENT_SUCCESS_NANOS;
+		other.crashed(crash(2), List.of(FATAL), later);
+		other.crashed(crash(3), List.of(FATAL), later);
+		CrashReport second = other.nextReport();
+		witness.merge(Map.of("c", second), later);
+		assertThat(witness.reportDue()).isTrue();
+		evidence.merge(Map.of("b", witness.nextReport(), "c", second), later);
+		assertThat(quarantined(evidence, FATAL, later)).isFalse();
+	}
+
 	@Test
 	void reachesTheSameViewInWhateverOrderReportsArrive() {
 		CrashEvidence first = entry("b");
