Keep empty crash reports, so that an old one is no news when listed again

After two hours the crashes of a report are forgotten. The entry forgot the report as well, so that the next listing of the store, after lost history or a restore, would have brought the same crashes back for two hours more.

forgetsOldCrashesThoughTheirReportIsListedAgain failed before. A flag of a clearance has a name that says what it is for.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
@@ -239,7 +239,7 @@
 		this.context.upstreamSelector().ended(this.upstream.id(), outcome, this.context.nowNanos());
 		this.mayHaveRun |= verdict.mayHaveRun();
 		logger.info("event=attempt-failed request={} upstream={} attempt={} verdict={} code={} detail=\"{}\" "
-				+ "millis-left={} events-sent={} attempt-events={} prompt-parts={} " + "request-digest={} retrying={}",
+				+ "millis-left={} events-sent={} attempt-events={} prompt-parts={} request-digest={} retrying={}",
 				attemptId(), this.upstream.id(), this.attempts, verdict.text(), code, detail, remainingMillis(),
 				this.relay.eventsSent(), this.relay.attemptEvents(), promptParts(verdict),
 				verdict.mayHaveRun() ? RequestDigest.of(this.request, this.context.headers()) : "-", retry);
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/quarantine/CrashEvidence.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/quarantine/CrashEvidence.java
@@ -174,21 +174,21 @@
 		if (suspects.isEmpty()) {
 			return;
 		}
-		boolean known = false;
+		boolean reportAtOnce = false;
 		for (Fingerprint fingerprint : suspects) {
 			Set<CrashId> crashes = this.suspicions.suspicion(fingerprint).orElseThrow().crashes();
 			crashes.forEach((crash) -> clear(fingerprint, crash));
 			this.unreportedClearances.add(fingerprint);
 			if (crashes.size() >= CRASHES_TO_REPORT_AT_ONCE) {
 				logger.info("event=suspicion-cleared fingerprint={} crashes={}", fingerprint.text(), crashes.size());
-				known = true;
+				reportAtOnce = true;
 			}
 		}
 		this.suspected.values().removeIf(Set::isEmpty);
 		dropOldest(this.cleared);
 		this.clearedFingerprints += suspects.size();
 		rebuild();
-		if (known) {
+		if (reportAtOnce) {
 			this.urgent = true;
 			this.onChange.run();
 		}
@@ -310,8 +310,9 @@
 		this.cleared.keySet().removeAll(expired);
 		this.unreportedClearances
 			.removeIf((fingerprint) -> this.cleared.values().stream().noneMatch((set) -> set.contains(fingerprint)));
+		// Empty reports are kept, so that the same one does not count as news when the
+		// store is listed again.
 		this.others.replaceAll((process, report) -> CrashReports.without(report, expired));
-		this.others.values().removeIf((report) -> report.suspected().isEmpty() && report.cleared().isEmpty());
 		rebuild();
 	}
 
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/quarantine/CrashEvidenceTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/quarantine/CrashEvidenceTests.java
@@ -162,6 +162,19 @@
 		assertThat(quarantined(evidence, FATAL, later)).isFalse();
 	}
 
+	@Test
+	void forgetsOldCrashesThoughTheirReportIsListedAgain() {
+		CrashEvidence evidence = entry("a");
+		CrashEvidence other = entry("b");
+		crash(other, 3);
+		CrashReport report = other.nextReport();
+		evidence.merge(Map.of("b", report), 4 * SECOND);
+		long later = TimeUnit.HOURS.toNanos(3);
+		evidence.expire(later);
+		evidence.merge(Map.of("b", report), later);
+		assertThat(evidence.suspects()).isEqualTo(0);
+	}
+
 	@Test
 	void reachesTheSameViewInWhateverOrderReportsArrive() {
 		CrashEvidence first = entry("b");
