Play the rounds of both kinds of crash in one place

Three tests had the same loop: rounds until the causes must be known, the time to learn of them, rounds afterwards. CrashingFleet.play has it now, with the same bounds: 3 fatal requests of each cause afterwards, no sound request refused.

--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/CrashingFleet.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/CrashingFleet.java
@@ -34,6 +34,11 @@
 
 	private static final int SLOTS = 8;
 
+	/** Time within which all entries must know what the upstreams crashed for. */
+	static final Duration CONTACT = Duration.ofSeconds(3);
+
+	private static final int MAX_ROUNDS = 30;
+
 	private final List<ScriptedUpstream> upstreams = new ArrayList<>();
 
 	private final List<Integer> incarnations = new ArrayList<>();
@@ -121,12 +126,11 @@
 	}
 
 	/**
-	 * Waits until all entries have checked their lost connections, or a time has passed.
-	 * @param limit the time
+	 * Waits until all entries have checked their lost connections.
 	 * @throws Exception if an event loop fails
 	 */
-	void awaitChecks(Duration limit) throws Exception {
-		await(limit, GatewayFixture::connectionsChecked);
+	void awaitChecks() throws Exception {
+		await(CONTACT, GatewayFixture::connectionsChecked);
 	}
 
 	/**
@@ -149,6 +153,29 @@
 		}
 	}
 
+	/**
+	 * Plays rounds until fatal requests have crashed several upstreams, gives the entries
+	 * the time to learn of it, and plays as many rounds as may be needed again.
+	 * @param crashesToKnow the crashes after which the entries must know their causes
+	 * @param causes the number of causes
+	 * @param round plays one round
+	 * @return what became of the requests
+	 * @throws Exception if a round fails
+	 */
+	Outcome play(int crashesToKnow, int causes, Round round) throws Exception {
+		int served = 0;
+		int rounds = 0;
+		while (fatalRequests() < crashesToKnow && rounds < MAX_ROUNDS) {
+			served += round.play(rounds++) ? 1 : 0;
+		}
+		awaitQuarantines(causes, CONTACT);
+		int known = fatalRequests();
+		for (int later = 0; later < MAX_ROUNDS; later++) {
+			served += round.play(rounds++) ? 1 : 0;
+		}
+		return new Outcome(fatalRequests() - known, rounds - served);
+	}
+
 	/**
 	 * Starts the crashed upstreams again and lists them with new identifiers.
 	 * @throws Exception if an upstream cannot be started or listed
@@ -198,6 +225,32 @@
 		}
 	}
 
+	/**
+	 * One round of requests.
+	 */
+	@FunctionalInterface
+	interface Round {
+
+		/**
+		 * Plays the round.
+		 * @param number the number of the round
+		 * @return whether the sound request at its end was served
+		 * @throws Exception if a connection breaks
+		 */
+		boolean play(int number) throws Exception;
+
+	}
+
+	/**
+	 * What became of the requests.
+	 *
+	 * @param fatalAfterwards the fatal requests that reached upstreams after their causes
+	 * must have been known
+	 * @param soundRefused the sound requests that were not served
+	 */
+	record Outcome(int fatalAfterwards, int soundRefused) {
+	}
+
 	/**
 	 * A condition of an entry.
 	 */
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/CrashingPromptPartTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/CrashingPromptPartTests.java
@@ -1,7 +1,6 @@
 package io.bulrushrouter.gateway.forward;
 
 import java.io.IOException;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -22,14 +21,9 @@
 	/** Crashes after which the part must be known as their cause. */
 	private static final int CRASHES_TO_KNOW = 5;
 
-	/** Time within which all entries must know it. */
-	private static final Duration CONTACT = Duration.ofSeconds(3);
-
 	/** Requests with the part that may reach upstreams after that time. */
 	private static final int ALLOWED_AFTERWARDS = 3;
 
-	private static final int ROUNDS = 30;
-
 	private static final String FATAL = "X-Parts: 5a:800,dead:410,%x:250\r\n";
 
 	private static final String SOUND = "X-Parts: 5a:800,b0:410,%x:250\r\n";
@@ -39,21 +33,12 @@
 	@Test
 	void neverLetsOnePartOfAPromptCrashUpstreamAfterUpstream() throws Exception {
 		try (CrashingFleet fleet = new CrashingFleet(ENTRIES, UPSTREAMS, (request) -> request.contains(",dead:"))) {
-			int soundServed = 0;
-			int round = 0;
-			while (fleet.fatalRequests() < CRASHES_TO_KNOW && round < ROUNDS) {
-				soundServed += play(fleet, round++) ? 1 : 0;
-			}
-			fleet.awaitQuarantines(1, CONTACT);
-			int known = fleet.fatalRequests();
-			for (int later = 0; later < ROUNDS; later++) {
-				soundServed += play(fleet, round++) ? 1 : 0;
-			}
+			CrashingFleet.Outcome outcome = fleet.play(CRASHES_TO_KNOW, 1, (round) -> play(fleet, round));
 			for (GatewayFixture.Caller stream : this.streams) {
 				stream.close();
 			}
-			assertThat(fleet.fatalRequests() - known).isAtMost(ALLOWED_AFTERWARDS);
-			assertThat(soundServed).isEqualTo(round);
+			assertThat(outcome.fatalAfterwards()).isAtMost(ALLOWED_AFTERWARDS);
+			assertThat(outcome.soundRefused()).isEqualTo(0);
 		}
 	}
 
@@ -65,7 +50,7 @@
 		stream.get("/stream/e" + round, SOUND.formatted(round), CrashingFleet.ENDLESS).readUntil("data: y");
 		fleet.disturb(round);
 		sendFatal(fleet, round);
-		fleet.awaitChecks(CONTACT);
+		fleet.awaitChecks();
 		fleet.restartCrashed();
 		return served(fleet, round);
 	}
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/CrashingRequestTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/CrashingRequestTests.java
@@ -22,9 +22,6 @@
 	/** Crashes after which the request must be known as their cause. */
 	private static final int CRASHES_TO_KNOW = 3;
 
-	/** Time within which all entries must know it. */
-	private static final Duration CONTACT = Duration.ofSeconds(3);
-
 	/** Time after the return of the store within which reports are written again. */
 	private static final Duration RECOVERY = Duration.ofSeconds(10);
 
@@ -41,21 +38,16 @@
 	void neverLetsARequestThatComesAgainCrashUpstreamAfterUpstream() throws Exception {
 		try (CrashingFleet fleet = new CrashingFleet(ENTRIES, UPSTREAMS,
 				(request) -> request.startsWith("GET /read/fatal "))) {
-			int soundServed = 0;
-			int round = 0;
-			while (fleet.fatalRequests() < CRASHES_TO_KNOW && round < ROUNDS) {
-				soundServed += play(fleet, round++) ? 1 : 0;
-			}
-			fleet.awaitQuarantines(1, CONTACT);
-			int known = fleet.fatalRequests();
-			for (int later = 0; later < ROUNDS; later++) {
-				soundServed += play(fleet, round++) ? 1 : 0;
-			}
-			for (GatewayFixture.Caller caller : this.waiting) {
-				caller.close();
-			}
-			assertThat(fleet.fatalRequests() - known).isAtMost(ALLOWED_AFTERWARDS);
-			assertThat(soundServed).isEqualTo(round);
+			CrashingFleet.Outcome outcome = fleet.play(CRASHES_TO_KNOW, 1, (round) -> play(fleet, round));
+			closeWaiting();
+			assertThat(outcome.fatalAfterwards()).isAtMost(ALLOWED_AFTERWARDS);
+			assertThat(outcome.soundRefused()).isEqualTo(0);
+		}
+	}
+
+	private void closeWaiting() throws IOException {
+		for (GatewayFixture.Caller caller : this.waiting) {
+			caller.close();
 		}
 	}
 
@@ -63,23 +55,13 @@
 	void neverLetsRequestsAndPromptPartsCrashUpstreamsTogether() throws Exception {
 		try (CrashingFleet fleet = new CrashingFleet(ENTRIES, UPSTREAMS,
 				(request) -> request.startsWith("GET /read/fatal ") || request.contains(",dead:"))) {
-			int soundServed = 0;
-			int round = 0;
-			while (fleet.fatalRequests() < FATAL_KINDS * CRASHES_TO_KNOW && round < ROUNDS) {
-				sendFatalPart(fleet, round);
-				soundServed += play(fleet, round++) ? 1 : 0;
-			}
-			fleet.awaitQuarantines(FATAL_KINDS, CONTACT);
-			int known = fleet.fatalRequests();
-			for (int later = 0; later < ROUNDS; later++) {
+			CrashingFleet.Outcome outcome = fleet.play(FATAL_KINDS * CRASHES_TO_KNOW, FATAL_KINDS, (round) -> {
 				sendFatalPart(fleet, round);
-				soundServed += play(fleet, round++) ? 1 : 0;
-			}
-			for (GatewayFixture.Caller caller : this.waiting) {
-				caller.close();
-			}
-			assertThat(fleet.fatalRequests() - known).isAtMost(FATAL_KINDS * ALLOWED_AFTERWARDS);
-			assertThat(soundServed).isEqualTo(round);
+				return play(fleet, round);
+			});
+			closeWaiting();
+			assertThat(outcome.fatalAfterwards()).isAtMost(FATAL_KINDS * ALLOWED_AFTERWARDS);
+			assertThat(outcome.soundRefused()).isEqualTo(0);
 		}
 	}
 
@@ -91,7 +73,7 @@
 					String response = caller.get("/read/reset", CrashingFleet.RESET).readResponse();
 					assertThat(response).startsWith("HTTP/1.1 502");
 				}
-				fleet.awaitChecks(CONTACT);
+				fleet.awaitChecks();
 			}
 			assertThat(fleet.entry(0).quarantines()).isEqualTo(0);
 		}
@@ -103,7 +85,7 @@
 				(request) -> request.startsWith("GET /read/fatal "))) {
 			crashUntilKnown(fleet);
 			fleet.addEntry();
-			fleet.awaitQuarantines(1, CONTACT);
+			fleet.awaitQuarantines(1, CrashingFleet.CONTACT);
 			int known = fleet.fatalRequests();
 			sendFatal(fleet, ENTRIES);
 			assertThat(fleet.fatalRequests()).isEqualTo(known);
@@ -117,7 +99,7 @@
 			fleet.reports().available(false);
 			while (fleet.entry(0).quarantines() == 0) {
 				sendFatal(fleet, 0);
-				fleet.awaitChecks(CONTACT);
+				fleet.awaitChecks();
 				fleet.restartCrashed();
 			}
 			fleet.reports().available(true);
@@ -147,10 +129,10 @@
 	private static void crashUntilKnown(CrashingFleet fleet) throws Exception {
 		for (int round = 0; fleet.fatalRequests() < CRASHES_TO_KNOW; round++) {
 			sendFatal(fleet, round);
-			fleet.awaitChecks(CONTACT);
+			fleet.awaitChecks();
 			fleet.restartCrashed();
 		}
-		fleet.awaitQuarantines(1, CONTACT);
+		fleet.awaitQuarantines(1, CrashingFleet.CONTACT);
 	}
 
 	private static void sendFatalPart(CrashingFleet fleet, int round) throws IOException {
@@ -167,7 +149,7 @@
 		caller.get("/read/" + round, CrashingFleet.WAITING);
 		fleet.disturb(round);
 		sendFatal(fleet, round);
-		fleet.awaitChecks(CONTACT);
+		fleet.awaitChecks();
 		fleet.restartCrashed();
 		return served(fleet, round);
 	}
