Share the backoff of calls to the store; compute a request's digest once

The reporter of crashes had the formula of FeedFollower's backoff again, half to one and a half times a doubled delay: JitteredBackoff serves both, with the same figures. (The one of the coordination module has full jitter, and the gateway does not depend on it.) The pool opened connections in two places.

A failed attempt computed the digest of its request for the log line and again for its fingerprint, and read the parts of its prompt in two places: RequestFingerprints keeps both. A comment on the quiet watch still said what it was before the last change. Behaviour is as before; the tests of the gateway are green, unchanged.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
@@ -42,9 +42,6 @@
 	 */
 	private static final int MAX_CONNECTS = 4;
 
-	/** Limit of the characters of prompt parts in a log line. */
-	private static final int MAX_LOGGED_PARTS_LENGTH = 256;
-
 	private final GatewayContext context;
 
 	private final ResponseWriter responseWriter;
@@ -241,8 +238,9 @@
 		logger.info("event=attempt-failed request={} upstream={} attempt={} verdict={} code={} detail=\"{}\" "
 				+ "millis-left={} events-sent={} attempt-events={} prompt-parts={} request-digest={} retrying={}",
 				attemptId(), this.upstream.id(), this.attempts, verdict.text(), code, detail, remainingMillis(),
-				this.relay.eventsSent(), this.relay.attemptEvents(), promptParts(verdict),
-				verdict.mayHaveRun() ? RequestDigest.of(this.request, this.context.headers()) : "-", retry);
+				this.relay.eventsSent(), this.relay.attemptEvents(),
+				verdict.mayHaveRun() ? this.fingerprints.loggedParts() : "-",
+				verdict.mayHaveRun() ? this.fingerprints.digest() : "-", retry);
 		this.triedUpstreams.add(this.upstream.id());
 		if (retry) {
 			dispatch();
@@ -252,15 +250,6 @@
 		}
 	}
 
-	// Only requests that may have run can have had an effect on the upstream.
-	private String promptParts(Verdict verdict) {
-		String parts = this.request.header(this.context.headers().promptParts());
-		if (parts == null || !verdict.mayHaveRun()) {
-			return "-";
-		}
-		return parts.substring(0, Math.min(parts.length(), MAX_LOGGED_PARTS_LENGTH));
-	}
-
 	private void releaseConnection() {
 		this.connection = null;
 		this.context.monitor().requestEnded(this.upstream.id(), this.onUnresponsive);
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/RequestFingerprints.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/RequestFingerprints.java
@@ -15,26 +15,53 @@
  */
 final class RequestFingerprints {
 
+	/** Limit of the characters of prompt parts in a log line. */
+	private static final int MAX_LOGGED_PARTS_LENGTH = 256;
+
 	private final GatewayContext context;
 
 	private final CallerRequest request;
 
+	private final Optional<String> parts;
+
 	private final List<Fingerprint> sharedParts;
 
+	private String digest;
+
 	private List<Fingerprint> all;
 
 	RequestFingerprints(GatewayContext context, CallerRequest request) {
 		this.context = context;
 		this.request = request;
-		String parts = request.header(context.headers().promptParts());
-		this.sharedParts = (parts != null) ? Fingerprint.ofSharedParts(parts) : List.of();
+		this.parts = Optional.ofNullable(request.header(context.headers().promptParts()));
+		this.sharedParts = this.parts.map(Fingerprint::ofSharedParts).orElse(List.of());
+	}
+
+	/**
+	 * Returns the parts of the prompt for a log line, cut where they are long.
+	 * @return the parts as the caller states them, or a hyphen if it states none
+	 */
+	String loggedParts() {
+		return this.parts.map((text) -> text.substring(0, Math.min(text.length(), MAX_LOGGED_PARTS_LENGTH)))
+			.orElse("-");
+	}
+
+	/**
+	 * Returns the digest by which the request is recognised when it comes again. It is
+	 * computed at the first call, which most requests do not get.
+	 * @return the digest in hexadecimal
+	 */
+	String digest() {
+		if (this.digest == null) {
+			this.digest = RequestDigest.of(this.request, this.context.headers());
+		}
+		return this.digest;
 	}
 
-	// The digest is computed only where upstreams have crashed.
 	private List<Fingerprint> all() {
 		if (this.all == null) {
 			this.all = new ArrayList<>(this.sharedParts);
-			this.all.add(Fingerprint.ofRequest(RequestDigest.of(this.request, this.context.headers())));
+			this.all.add(Fingerprint.ofRequest(digest()));
 		}
 		return this.all;
 	}
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamConnectionPool.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamConnectionPool.java
@@ -1,7 +1,6 @@
 package io.bulrushrouter.gateway.forward;
 
 import java.net.ConnectException;
-import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -102,9 +101,7 @@
 	}
 
 	private void connect(UpstreamRecord upstream, Consumer<UpstreamConnection> onReady, Consumer<String> onFailure) {
-		this.connects.increment();
-		InetSocketAddress address = upstream.address();
-		ChannelFuture connecting = this.bootstrap.connect(address);
+		ChannelFuture connecting = open(upstream);
 		connecting.addListener((result) -> {
 			if (!result.isSuccess()) {
 				onFailure.accept(String.valueOf(result.cause()));
@@ -121,14 +118,18 @@
 		});
 	}
 
+	private ChannelFuture open(UpstreamRecord upstream) {
+		this.connects.increment();
+		return this.bootstrap.connect(upstream.address());
+	}
+
 	/**
 	 * Finds out whether an upstream accepts connections.
 	 * @param upstream the upstream
 	 * @param onResult called with the result
 	 */
 	void findListener(UpstreamRecord upstream, Consumer<ListenerState> onResult) {
-		this.connects.increment();
-		ChannelFuture connecting = this.bootstrap.connect(upstream.address());
+		ChannelFuture connecting = open(upstream);
 		connecting.addListener((result) -> {
 			connecting.channel().close();
 			onResult.accept(ListenerState.of(result.cause()));
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/CrashReporter.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/CrashReporter.java
@@ -16,6 +16,7 @@
 import io.bulrushrouter.gateway.source.CrashReportStore;
 import io.bulrushrouter.gateway.source.FeedFollower;
 import io.bulrushrouter.gateway.source.FeedResult.Item;
+import io.bulrushrouter.gateway.source.JitteredBackoff;
 import io.bulrushrouter.kernel.TimeSource;
 
 /**
@@ -32,13 +33,11 @@
 	 */
 	private static final long SETTLE_MILLIS = 1_000;
 
-	/** Base of the exponential backoff after failed writes. */
-	private static final long BASE_BACKOFF_MILLIS = 200;
-
-	private static final long MAX_BACKOFF_MILLIS = 2_000;
+	/** Backoff after failed writes. */
+	private static final JitteredBackoff BACKOFF = new JitteredBackoff(200, 2_000);
 
 	/**
-	 * Timeout of a watch while nothing is suspected. A connection that is lost without
+	 * Timeout of a watch while no upstreams crash. A connection that is lost without
 	 * being closed is noticed this late, and each watch is a call to the store.
 	 */
 	private static final Duration QUIET_WATCH_TIMEOUT = Duration.ofSeconds(10);
@@ -137,16 +136,12 @@
 				writeDueReport();
 			}
 			else {
-				this.loop.schedule(this::retry, backoffMillis(), TimeUnit.MILLISECONDS);
+				this.loop.schedule(this::retry, BACKOFF.delayMillis(this.failures++, this.random),
+						TimeUnit.MILLISECONDS);
 			}
 		});
 	}
 
-	private long backoffMillis() {
-		long millis = Math.min(MAX_BACKOFF_MILLIS, BASE_BACKOFF_MILLIS << Math.min(this.failures++, 6));
-		return millis / 2 + this.random.nextLong(millis);
-	}
-
 	private void retry() {
 		this.writing = false;
 		this.evidence.reportLost();
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/FeedFollower.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/FeedFollower.java
@@ -24,11 +24,8 @@
 
 	private static final Logger logger = LoggerFactory.getLogger(FeedFollower.class);
 
-	/** Base of the exponential backoff after failed calls. */
-	private static final long BASE_BACKOFF_MILLIS = 60;
-
-	/** Maximum backoff, short so that a recovered store is noticed soon. */
-	private static final long MAX_BACKOFF_MILLIS = 500;
+	/** Backoff after failed calls, short so that a recovered store is noticed soon. */
+	private static final JitteredBackoff BACKOFF = new JitteredBackoff(60, 500);
 
 	private static final long UNKNOWN_ERA = -1;
 
@@ -179,9 +176,7 @@
 			logger.warn("event=store-lost feed={} reason=\"{}\"", this.name, reason);
 		}
 		this.listener.unavailable();
-		long backoffMillis = Math.min(MAX_BACKOFF_MILLIS, BASE_BACKOFF_MILLIS << Math.min(this.failures, 6));
-		this.loop.schedule(this::requestNext, backoffMillis / 2 + this.random.nextLong(backoffMillis),
-				TimeUnit.MILLISECONDS);
+		this.loop.schedule(this::requestNext, BACKOFF.delayMillis(this.failures, this.random), TimeUnit.MILLISECONDS);
 	}
 
 	@Override
