Hold a group as far ahead as a switch takes

A stand-still is a pause of all running streams at once, which made them late although the engines had room.

The distance of a hold now follows the measured time from hold to release and the measured time of a pass, from two to twelve passes. The first switch of an epoch had to wait for nine passes before.

Ruled out: load. A fixed larger distance, since passes take 40 to 200 ms.

--- a/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/GroupSwitch.java
+++ b/bulrushrouter-experts/src/main/java/io/bulrushrouter/experts/live/GroupSwitch.java
@@ -32,18 +32,11 @@
 public final class GroupSwitch {
 
 	/**
-	 * The distance from the last started pass to the one before which the group is held:
-	 * polling and arming all ranks takes about one pass.
+	 * No hold is sent for a pass more than this number after the last started one. The
+	 * pass of a hold is never reused, so repeated holds of an idle group move ahead of
+	 * its passes.
 	 */
-	static final int PASSES_AHEAD = 2;
-
-	/**
-	 * The number of passes after the last started one that count as used by holds of
-	 * earlier lease holders when an epoch starts. No hold is sent for a pass more than
-	 * twice this number after the last started one. The pass of a hold is never reused,
-	 * so repeated holds of an idle group move ahead of its passes.
-	 */
-	static final int MAX_PASSES_AHEAD = 4 * PASSES_AHEAD;
+	static final int MAX_PASSES_AHEAD = 2 * HoldDistance.MAX_PASSES;
 
 	/** The number of rounds in which arming is tried before the switch is aborted. */
 	private static final int MAX_ARM_ROUNDS = 6;
@@ -73,6 +66,11 @@
 
 	private long highestHoldStep;
 
+	/**
+	 * The distance from the last started pass to the one before which the group is held.
+	 */
+	private int holdDistance = HoldDistance.MIN_PASSES;
+
 	/**
 	 * The pass of a hold that was accepted and whose release has no answer yet.
 	 */
@@ -161,6 +159,14 @@
 		return this.versionBase + ++this.versionsUsed;
 	}
 
+	/**
+	 * Sets how far ahead the group is held for a switch.
+	 * @param passes the number of passes after the last started one
+	 */
+	public void holdDistance(int passes) {
+		this.holdDistance = passes;
+	}
+
 	/**
 	 * Returns the orders of the next round.
 	 * @param view the statuses of the ranks
@@ -198,8 +204,9 @@
 		return view.held().isPresent() ? view.held() : this.acceptedHold;
 	}
 
-	// Discards the switch of the previous epoch. Passes up to MAX_PASSES_AHEAD after the
-	// last started one count as used, since an earlier lease holder may have held them.
+	// Discards the switch of the previous epoch. The passes of holds of earlier lease
+	// holders may be used again: a rank that has accepted a hold of this one refuses
+	// their delayed orders.
 	private void startEpoch(GroupView view) {
 		this.epoch = view.epoch();
 		this.pending = null;
@@ -208,7 +215,7 @@
 		this.committedVersion = -1;
 		this.committedHoldStep = -1;
 		this.fenced = false;
-		this.highestHoldStep = view.step() + MAX_PASSES_AHEAD;
+		this.highestHoldStep = view.step();
 	}
 
 	private List<RankCommand> prepareThenHold(GroupView view) {
@@ -218,11 +225,11 @@
 		if (this.guards.contains(Guard.PREPARE_ALL) && !view.preparedByAll(this.pending.version)) {
 			return prepare(view);
 		}
-		long step = view.step() + PASSES_AHEAD;
+		long step = view.step() + this.holdDistance;
 		if (this.guards.contains(Guard.NEVER_REUSE_HOLD)) {
 			step = Math.max(step, this.highestHoldStep + 1);
 		}
-		if (step > view.step() + 2 * MAX_PASSES_AHEAD) {
+		if (step > view.step() + MAX_PASSES_AHEAD) {
 			return List.of();
 		}
 		this.pending.step = step;
--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/Balancer.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/Balancer.java
@@ -21,6 +21,7 @@
 import io.bulrushrouter.experts.live.ChoiceSample;
 import io.bulrushrouter.experts.live.GroupSwitch;
 import io.bulrushrouter.experts.live.GroupView;
+import io.bulrushrouter.experts.live.HoldDistance;
 import io.bulrushrouter.experts.live.OrderResult;
 import io.bulrushrouter.experts.live.PlacementPlan;
 import io.bulrushrouter.experts.live.RankCommand;
@@ -115,6 +116,8 @@
 
 	private final StallDetector stallDetector = new StallDetector();
 
+	private final HoldDistance holdDistance = new HoldDistance();
+
 	private final CompletableFuture<Void> stopped = new CompletableFuture<>();
 
 	private final RetryingOrderSender ownOrderSender;
@@ -407,15 +410,18 @@
 		if (!onlyFinishing && groupSwitch.idle() && !ranks.armedByAny() && ranks.held().isEmpty()) {
 			this.mapProposer.profitablePlan(engineSpec, ranks, mapInUse.get()).ifPresent((plan) -> propose(term, plan));
 		}
+		this.holdDistance.observe(ranks.step(), ranks.held().isPresent(), this.clock.nanos());
+		groupSwitch.holdDistance(this.holdDistance.passes());
 		return sendOrders(term, reports, groupSwitch.nextOrders(ranks, mapInUse.get()));
 	}
 
-	private static void propose(LeadershipTerm term, PlacementPlan plan) {
+	private void propose(LeadershipTerm term, PlacementPlan plan) {
 		long version = term.groupSwitch().propose(plan.experts());
 		logger.info(
-				"event=map-proposed group={} version={} copies={} max-copies-per-rank={} skew-before={} skew-after={}",
+				"event=map-proposed group={} version={} copies={} max-copies-per-rank={} skew-before={} "
+						+ "skew-after={} hold-distance={}",
 				term.group(), version, plan.copies(), plan.maxCopiesPerRank(), roundToThousandths(plan.skewBefore()),
-				roundToThousandths(plan.skewAfter()));
+				roundToThousandths(plan.skewAfter()), this.holdDistance.passes());
 	}
 
 	private static double roundToThousandths(double value) {
@@ -428,6 +434,10 @@
 			this.missingLeader = Optional.empty();
 			return pollAfter(term.groupSwitch().idle() ? LEADER_POLL_INTERVAL_MILLIS : SWITCH_POLL_INTERVAL_MILLIS);
 		}
+		RankOrder first = commands.get(0).order();
+		if (first instanceof RankOrder.Hold) {
+			this.holdDistance.holdSent(this.clock.nanos());
+		}
 		List<CompletableFuture<OrderResult>> pendingResults = this.orderDispatcher.send(reports, commands,
 				term.fence());
 		return CompletableFuture.allOf(pendingResults.toArray(CompletableFuture[]::new)).thenCompose((all) -> {
@@ -444,7 +454,10 @@
 			if (this.currentTerm.isPresent() && !followUp.isEmpty()) {
 				return sendOrders(term, reports, followUp);
 			}
-			boolean released = commands.get(0).order() instanceof RankOrder.Go;
+			boolean released = first instanceof RankOrder.Go;
+			if (released) {
+				this.holdDistance.released(this.clock.nanos());
+			}
 			return pollAfter((released && !term.balancing()) ? REMOTE_RELEASE_DELAY_MILLIS : HELD_POLL_INTERVAL_MILLIS);
 		});
 	}
