Let callers return at once when only this entry refuses them

An entry that is cut off from the store cannot verify keys and refuses requests with 503. Its callers were asked to wait 0.3 to 1 s like those of an overloaded service, so each came back too late for its objective, although other entries were ready all the while.

Ruled out: overload.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/AdmissionHandler.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/AdmissionHandler.java
@@ -108,7 +108,7 @@
 				this.context.configuration().map(ActiveConfiguration::version).orElse(-1L),
 				this.context.freshness().ageMillis(), detail);
 		ErrorResponse.send(responseWriter, status, verdict,
-				(status == 503) ? RetryAfter.millis(this.context.random()) : 0);
+				(status == 503) ? RetryAfter.millis(code, this.context.random()) : 0);
 		return Optional.empty();
 	}
 
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/CallerConnection.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/CallerConnection.java
@@ -253,8 +253,10 @@
 		return this.head != null && this.head.method().equals(HttpMethod.HEAD);
 	}
 
+	// The load balancer gives a new connection to an entry that is ready, so a caller
+	// loses nothing by leaving one that refuses requests with keys.
 	private void setConnectionHeader(HttpResponse response) {
-		if (this.context.draining()) {
+		if (this.context.draining() || !this.context.ready()) {
 			this.keepAlive = false;
 		}
 		if (!this.keepAlive) {
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
@@ -312,15 +312,16 @@
 			return;
 		}
 		int status = verdict.mayHaveRun() ? statusForUnknownOutcome(verdict) : 503;
-		long retryAfter = verdict.mayHaveRun() ? 0 : retryAfterMillis();
+		long retryAfter = verdict.mayHaveRun() ? 0 : retryAfterMillis(verdict);
 		ErrorResponse.send(this.responseWriter, status, verdict, retryAfter);
 		end("refused", status, verdict, detail);
 	}
 
-	private long retryAfterMillis() {
+	private long retryAfterMillis(Verdict verdict) {
 		long pausedMillis = this.context.pausedMillis(this.service);
 		long quarantinedMillis = this.fingerprints.quarantine().map(Quarantine::remainingMillis).orElse(0L);
-		return Math.max(pausedMillis, quarantinedMillis) + RetryAfter.millis(this.context.random());
+		ErrorCode reason = verdict.failure().orElse(ErrorCode.INTERNAL);
+		return Math.max(pausedMillis, quarantinedMillis) + RetryAfter.millis(reason, this.context.random());
 	}
 
 	private static int statusForUnknownOutcome(Verdict verdict) {
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/ForwardingTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/ForwardingTests.java
@@ -211,4 +211,32 @@
 		}
 	}
 
+	/**
+	 * Guards against a retry that is late because its caller waited, although another
+	 * entry could have served it, and against a caller that stays with an entry that
+	 * refuses its requests.
+	 */
+	@Test
+	void sendsCallersToOtherEntriesAtOnceWhileKeysCannotBeVerified() throws Exception {
+		try (ScriptedUpstream upstream = respondingWith(OK);
+				GatewayFixture gateway = new GatewayFixture(upstream);
+				GatewayFixture.Caller caller = gateway.caller()) {
+			gateway.setProofAge(4_400);
+			String refusal = caller.get("/read/").readToEnd();
+			assertThat(refusal).startsWith("HTTP/1.1 503");
+			assertThat(refusal.toLowerCase()).contains("connection: close");
+			assertThat(retryAfterSeconds(refusal)).isGreaterThan(0.0);
+			assertThat(retryAfterSeconds(refusal)).isLessThan(0.05);
+			assertThat(upstream.requests()).isEmpty();
+		}
+	}
+
+	private static double retryAfterSeconds(String response) {
+		return response.lines()
+			.filter((line) -> line.toLowerCase().startsWith("retry-after:"))
+			.mapToDouble((line) -> Double.parseDouble(line.substring(line.indexOf(':') + 1)))
+			.findFirst()
+			.orElseThrow();
+	}
+
 }
