Write the ends of the last responses before an entry or sidecar ends

Cause: the shutdown hook lets the process end as soon as drainAndWait returns, and that returned once the core had no request in flight. The core hands the parts of a response to the event loops as tasks; an event loop that was late on the busy machine had not run the last of them. A sidecar had the same gap towards its entries. In addition a request that a network thread had accepted just before the drain was in no count yet.

Ruled out: the bounds of the test (60 s for an answer, all streams were logged as answered within 2.2 s), and an attempt at the stopped sidecar (one attempt each, at the other runner).

HttpServer now counts each request until its response is written or its connection has closed; the entry waits for that count, 5 s at most, for a caller may read slowly. PeerNetwork.awaitWritten does the same for a sidecar. LastWritesTests holds the event loop back, which reproduces the gap without load.

--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/EntryNode.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/entry/EntryNode.java
@@ -69,6 +69,12 @@
 
 	private static final long DRAIN_POLL_MILLIS = 20;
 
+	/**
+	 * How long a drained entry waits for callers to read the ends of their responses,
+	 * longer than a caller on a busy instance needs to read a socket buffer.
+	 */
+	private static final Duration LAST_WRITES_TIMEOUT = Duration.ofSeconds(5);
+
 	/**
 	 * Operators use only a few entries at a time, so one entry may use more than an equal
 	 * share of the call rate.
@@ -240,21 +246,41 @@
 	}
 
 	/**
-	 * Refuses new requests and waits until all requests in flight have completed.
+	 * Refuses new requests and waits until all requests in flight have completed and
+	 * their responses are written. A caller that does not read the end of its response
+	 * delays this for a few seconds at most.
 	 */
 	public void drainAndWait() {
 		this.draining = true;
 		while (this.core.inFlight() > 0 || this.duty.backlog() > 0) {
-			try {
-				Thread.sleep(DRAIN_POLL_MILLIS);
+			if (!pause()) {
+				return;
 			}
-			catch (InterruptedException ex) {
-				Thread.currentThread().interrupt();
+		}
+		// The event loops write a response after the core has completed its request.
+		long deadlineNanos = System.nanoTime() + LAST_WRITES_TIMEOUT.toNanos();
+		while (busy() && System.nanoTime() < deadlineNanos) {
+			if (!pause()) {
 				return;
 			}
 		}
 	}
 
+	private boolean busy() {
+		return this.callers.openExchanges() > 0 || this.core.inFlight() > 0 || this.duty.backlog() > 0;
+	}
+
+	private static boolean pause() {
+		try {
+			Thread.sleep(DRAIN_POLL_MILLIS);
+			return true;
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return false;
+		}
+	}
+
 	/**
 	 * Returns the counters of bytes sent to other processes.
 	 * @return the counters
--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/SidecarNode.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/SidecarNode.java
@@ -64,6 +64,9 @@
 
 	private static final long DRAIN_POLL_MILLIS = 20;
 
+	/** How long a drained sidecar waits for entries to read the ends of responses. */
+	private static final Duration LAST_WRITES_TIMEOUT = Duration.ofSeconds(5);
+
 	private final SidecarSettings settings;
 
 	private final DaemonResources resources;
@@ -258,6 +261,10 @@
 				return;
 			}
 		}
+		// The process may end at once, while the event loops have yet to write the ends
+		// of
+		// the last responses.
+		this.peers.awaitWritten(LAST_WRITES_TIMEOUT);
 	}
 
 	/**
--- a/bulrushrouter-http/src/main/java/io/bulrushrouter/http/HttpExchange.java
+++ b/bulrushrouter-http/src/main/java/io/bulrushrouter/http/HttpExchange.java
@@ -1,6 +1,7 @@
 package io.bulrushrouter.http;
 
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -40,12 +41,14 @@
 
 	private final Runnable onFinished;
 
+	private final AtomicReference<Runnable> onSettled;
+
 	private volatile boolean done;
 
 	private volatile Runnable closeListener = () -> {
 	};
 
-	HttpExchange(Channel channel, RequestParts parts, int maxPendingBytes, Runnable onFinished) {
+	HttpExchange(Channel channel, RequestParts parts, int maxPendingBytes, Runnable onFinished, Runnable onSettled) {
 		this.channel = channel;
 		this.method = parts.method();
 		this.target = parts.target();
@@ -54,6 +57,7 @@
 		this.keepAlive = parts.keepAlive();
 		this.maxPendingBytes = maxPendingBytes;
 		this.onFinished = onFinished;
+		this.onSettled = new AtomicReference<>(onSettled);
 	}
 
 	/**
@@ -176,11 +180,13 @@
 	public void abort() {
 		this.done = true;
 		this.channel.close();
+		settled();
 	}
 
 	private void finish(Object last) {
 		this.done = true;
 		var written = this.channel.writeAndFlush(last);
+		written.addListener((future) -> settled());
 		if (this.keepAlive) {
 			this.channel.eventLoop().execute(this.onFinished);
 		}
@@ -198,12 +204,19 @@
 	}
 
 	void connectionClosed() {
+		settled();
 		if (!this.done) {
 			this.done = true;
 			this.closeListener.run();
 		}
 	}
 
+	// Runs the callback at most once: the last write may fail after the connection
+	// closed.
+	private void settled() {
+		Optional.ofNullable(this.onSettled.getAndSet(null)).ifPresent(Runnable::run);
+	}
+
 	record RequestParts(String method, String target, HttpHeaders headers, byte[] body, boolean keepAlive) {
 	}
 
--- a/bulrushrouter-http/src/main/java/io/bulrushrouter/http/HttpServer.java
+++ b/bulrushrouter-http/src/main/java/io/bulrushrouter/http/HttpServer.java
@@ -1,6 +1,7 @@
 package io.bulrushrouter.http;
 
 import java.net.InetSocketAddress;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -34,9 +35,12 @@
 
 	private final ChannelGroup connections;
 
-	private HttpServer(Channel channel, ChannelGroup connections) {
+	private final AtomicInteger openExchanges;
+
+	private HttpServer(Channel channel, ChannelGroup connections, AtomicInteger openExchanges) {
 		this.channel = channel;
 		this.connections = connections;
+		this.openExchanges = openExchanges;
 	}
 
 	/**
@@ -52,6 +56,7 @@
 	public static HttpServer start(EventLoopGroup group, InetSocketAddress address, HttpLimits limits,
 			HttpHandler handler) {
 		ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+		AtomicInteger openExchanges = new AtomicInteger();
 		var bound = new ServerBootstrap().group(group)
 			.channel(NioServerSocketChannel.class)
 			.option(ChannelOption.SO_BACKLOG, BACKLOG)
@@ -62,7 +67,8 @@
 					connections.add(connection);
 					HttpDecoderConfig config = new HttpDecoderConfig().setMaxInitialLineLength(limits.maxLineBytes())
 						.setMaxHeaderSize(limits.maxHeaderBytes());
-					connection.pipeline().addLast(new HttpServerCodec(config), new HttpServerHandler(limits, handler));
+					connection.pipeline()
+						.addLast(new HttpServerCodec(config), new HttpServerHandler(limits, handler, openExchanges));
 				}
 			})
 			.bind(address)
@@ -70,7 +76,7 @@
 		if (!bound.isSuccess()) {
 			throw new BulrushException(ErrorCode.PORT_IN_USE, "cannot listen on " + address, bound.cause());
 		}
-		return new HttpServer(bound.channel(), connections);
+		return new HttpServer(bound.channel(), connections, openExchanges);
 	}
 
 	/**
@@ -81,6 +87,15 @@
 		return ((InetSocketAddress) this.channel.localAddress()).getPort();
 	}
 
+	/**
+	 * Returns the number of requests whose response has not been handed to the operating
+	 * system as a whole.
+	 * @return the number, those included whose response waits in a write queue
+	 */
+	public int openExchanges() {
+		return this.openExchanges.get();
+	}
+
 	/**
 	 * Stops accepting new connections. Open connections stay open.
 	 */
--- a/bulrushrouter-http/src/main/java/io/bulrushrouter/http/HttpServerHandler.java
+++ b/bulrushrouter-http/src/main/java/io/bulrushrouter/http/HttpServerHandler.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -30,7 +31,9 @@
 
 	private final HttpHandler handler;
 
-	private final ArrayDeque<Runnable> pendingDeliveries = new ArrayDeque<>();
+	private final AtomicInteger openExchanges;
+
+	private final ArrayDeque<Delivery> pendingDeliveries = new ArrayDeque<>();
 
 	private HttpRequest head;
 
@@ -40,9 +43,10 @@
 
 	private ScheduledFuture<?> readTimer;
 
-	HttpServerHandler(HttpLimits limits, HttpHandler handler) {
+	HttpServerHandler(HttpLimits limits, HttpHandler handler, AtomicInteger openExchanges) {
 		this.limits = limits;
 		this.handler = handler;
+		this.openExchanges = openExchanges;
 	}
 
 	@Override
@@ -114,7 +118,9 @@
 	private HttpExchange exchange(ChannelHandlerContext context, boolean keepAlive) {
 		var parts = new HttpExchange.RequestParts(this.head.method().name(), this.head.uri(), this.head.headers(),
 				this.body.toByteArray(), keepAlive);
-		return new HttpExchange(context.channel(), parts, this.limits.maxPendingBytes(), this::deliverNext);
+		this.openExchanges.incrementAndGet();
+		return new HttpExchange(context.channel(), parts, this.limits.maxPendingBytes(), this::deliverNext,
+				this.openExchanges::decrementAndGet);
 	}
 
 	private void resetRequest() {
@@ -127,29 +133,32 @@
 	}
 
 	private void deliver(HttpExchange exchange, Runnable action) {
-		Runnable delivery = () -> {
-			this.current = exchange;
-			action.run();
-		};
+		Delivery delivery = new Delivery(exchange, action);
 		if (this.current == null) {
-			delivery.run();
+			run(delivery);
 		}
 		else {
 			this.pendingDeliveries.add(delivery);
 		}
 	}
 
+	private void run(Delivery delivery) {
+		this.current = delivery.exchange();
+		delivery.action().run();
+	}
+
 	private void deliverNext() {
 		this.current = null;
-		Runnable delivery = this.pendingDeliveries.poll();
+		Delivery delivery = this.pendingDeliveries.poll();
 		if (delivery != null) {
-			delivery.run();
+			run(delivery);
 		}
 	}
 
 	@Override
 	public void channelInactive(ChannelHandlerContext context) {
 		resetRequest();
+		this.pendingDeliveries.forEach((delivery) -> delivery.exchange().connectionClosed());
 		this.pendingDeliveries.clear();
 		if (this.current != null) {
 			this.current.connectionClosed();
@@ -161,4 +170,7 @@
 		context.close();
 	}
 
+	private record Delivery(HttpExchange exchange, Runnable action) {
+	}
+
 }
--- a/bulrushrouter-wire/src/main/java/io/bulrushrouter/wire/PeerNetwork.java
+++ b/bulrushrouter-wire/src/main/java/io/bulrushrouter/wire/PeerNetwork.java
@@ -1,12 +1,14 @@
 package io.bulrushrouter.wire;
 
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.random.RandomGenerator;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
@@ -170,6 +172,17 @@
 		};
 	}
 
+	/**
+	 * Waits until everything that was sent before is written to the sockets.
+	 * @param timeout how long to wait for peers that read slowly
+	 * @return whether all of it was written within the timeout
+	 */
+	public boolean awaitWritten(Duration timeout) {
+		// An empty buffer is written after all batches that the event loop has queued.
+		return this.connections.writeAndFlush(Unpooled.EMPTY_BUFFER)
+			.awaitUninterruptibly(timeout.toMillis(), TimeUnit.MILLISECONDS);
+	}
+
 	/**
 	 * Stops listening and closes all connections.
 	 */
