--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/config/EngineSpec.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/config/EngineSpec.java
@@ -1,6 +1,7 @@
 package io.bulrushrouter.gateway.config;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * The published performance characteristics of a service's model engines.
@@ -14,8 +15,11 @@
  * @param stepsPerPass the number of decoding steps in one forward pass of a group
  * @param meanPromptTokens the mean length of a prompt, in tokens
  * @param meanAnswerTokens the mean length of an answer, in tokens
+ * @param kvCapacityTokens the tokens of prompts and answers that the memory of one engine
+ * holds, empty if it is not published
  * @param experts the characteristics of the model's experts, or empty if it has none
  */
 public record EngineSpec(int slots, double stepMillis, double stepMillisPerSequence, double prefillTokensPerSecond,
-		int stepsPerPass, int meanPromptTokens, int meanAnswerTokens, Optional<ExpertSpec> experts) {
+		int stepsPerPass, int meanPromptTokens, int meanAnswerTokens, OptionalLong kvCapacityTokens,
+		Optional<ExpertSpec> experts) {
 }
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/CallerConnection.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/CallerConnection.java
@@ -61,6 +61,15 @@
 	 */
 	private static final long LINGER_MILLIS = 400;
 
+	/**
+	 * Bytes reserved for a request besides its body, so that requests without one also
+	 * count.
+	 */
+	private static final int REQUEST_OVERHEAD_BYTES = 1_024;
+
+	/** Bytes counted for the head of a response, more than usual ones have. */
+	private static final int RESPONSE_HEAD_BYTES = 512;
+
 	private final GatewayContext context;
 
 	private final AdmissionHandler admissionHandler;
@@ -69,14 +78,16 @@
 
 	private final Deque<HttpObject> pipelinedMessages = new ArrayDeque<>();
 
+	private final MemoryLedger.Account account;
+
 	private Channel channel;
 
+	private CallerQueue queue;
+
 	private HttpRequest head;
 
 	private ByteArrayOutputStream body;
 
-	private long reservedBytes;
-
 	private long arrivedNanos;
 
 	private long waitingSinceNanos;
@@ -89,25 +100,41 @@
 
 	private boolean closing;
 
+	private boolean awaitingReader;
+
+	private String closeReason = "the caller closed the connection";
+
 	CallerConnection(GatewayContext context, AdmissionHandler admissionHandler, StrictRequestDecoder decoder) {
 		this.context = context;
 		this.admissionHandler = admissionHandler;
 		this.decoder = decoder;
+		this.account = context.memory().open(() -> context.loop().execute(this::cutForMemory));
 	}
 
 	@Override
 	public void channelActive(ChannelHandlerContext handlerContext) {
 		this.channel = handlerContext.channel();
+		this.queue = new CallerQueue(this.channel, this.account, this.context::nowNanos, this::callerHasRead);
 		this.waitingSinceNanos = this.context.nowNanos();
 	}
 
 	/**
 	 * Refuses a request that takes too long to arrive and closes a connection that is
-	 * idle.
+	 * idle, or whose caller reads nothing more of a finished response. While an upstream
+	 * still sends the response, only its deadline ends it.
 	 * @param nowNanos the time on the monotonic clock, in nanoseconds
 	 */
 	void sweep(long nowNanos) {
-		if (this.responding || this.closing || this.channel == null) {
+		if (this.channel == null || this.exchange != null) {
+			return;
+		}
+		if (!this.queue.isEmpty()) {
+			if (this.queue.unreadNanos(nowNanos) > this.context.limits().idleTimeout().toNanos()) {
+				cut("the caller read nothing of a finished response within the idle timeout");
+			}
+			return;
+		}
+		if (this.responding || this.closing) {
 			return;
 		}
 		long waited = nowNanos - this.waitingSinceNanos;
@@ -177,6 +204,10 @@
 			refuse(400, ErrorCode.BAD_REQUEST, problem.get());
 			return;
 		}
+		if (!this.account.reserveRequest(REQUEST_OVERHEAD_BYTES)) {
+			refuse(503, ErrorCode.OVERLOADED, "the memory bound of all connections is reached");
+			return;
+		}
 		if (HttpUtil.getContentLength(request, 0L) > this.context.limits().bodyBytes()) {
 			refuse(413, ErrorCode.TOO_LARGE, "the request body is longer than the limit");
 			return;
@@ -199,12 +230,11 @@
 			refuse(413, ErrorCode.TOO_LARGE, "the request body is longer than the limit");
 			return;
 		}
-		if (!this.context.reserve(length)) {
+		if (!this.account.reserveRequest(length)) {
 			content.release();
-			refuse(503, ErrorCode.OVERLOADED, "the limit of buffered bytes of all requests is reached");
+			refuse(503, ErrorCode.OVERLOADED, "the memory bound of all connections is reached");
 			return;
 		}
-		this.reservedBytes += length;
 		if (length > 0) {
 			byte[] copy = ByteBufUtil.getBytes(bytes);
 			this.body.write(copy, 0, copy.length);
@@ -233,7 +263,8 @@
 		this.context.metrics().countResponse(status, code.text());
 		this.keepAlive = false;
 		this.responding = true;
-		ErrorResponse.send(this, status, Verdict.ofNotRun(code), 0);
+		ErrorResponse.send(this, status, Verdict.ofNotRun(code),
+				(status == 503) ? RetryAfter.millis(this.context.random()) : 0);
 	}
 
 	@Override
@@ -245,7 +276,7 @@
 			response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
 		}
 		setConnectionHeader(response);
-		this.channel.write(response);
+		this.queue.write(response, RESPONSE_HEAD_BYTES + response.content().readableBytes());
 		responseFinished();
 	}
 
@@ -276,17 +307,22 @@
 			response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
 		}
 		setConnectionHeader(response);
-		this.channel.write(response);
+		this.queue.add(response, RESPONSE_HEAD_BYTES);
 	}
 
 	@Override
 	public void writePart(ByteBuf part) {
-		this.channel.writeAndFlush(new DefaultHttpContent(part));
+		this.queue.write(new DefaultHttpContent(part), part.readableBytes());
+	}
+
+	@Override
+	public void buffered(long bytes) {
+		this.account.buffered(bytes);
 	}
 
 	@Override
 	public void finish() {
-		this.channel.write(LastHttpContent.EMPTY_LAST_CONTENT);
+		this.queue.write(LastHttpContent.EMPTY_LAST_CONTENT, 0);
 		responseFinished();
 	}
 
@@ -307,31 +343,40 @@
 
 	@Override
 	public boolean writable() {
-		return this.channel.isWritable();
+		return this.queue.writable();
 	}
 
 	private void responseFinished() {
-		this.channel.flush();
-		this.context.release(this.reservedBytes);
-		this.reservedBytes = 0;
+		this.account.releaseRequest();
 		this.head = null;
 		if (!this.keepAlive) {
 			closeAfterLinger();
 			return;
 		}
+		// A caller that pipelines requests and reads no responses gets no further ones.
+		this.awaitingReader = !this.queue.writable();
+		if (!this.awaitingReader) {
+			awaitRequest();
+		}
+	}
+
+	private void awaitRequest() {
 		this.responding = false;
 		this.waitingSinceNanos = this.context.nowNanos();
 		this.context.loop().execute(this::processPipelinedMessages);
 	}
 
+	// The linger time begins when the caller has been sent everything, however slowly it
+	// reads.
 	private void closeAfterLinger() {
 		this.closing = true;
-		if (this.channel instanceof SocketChannel socket) {
-			this.channel.writeAndFlush(Unpooled.EMPTY_BUFFER)
-				.addListener((ChannelFutureListener) (done) -> socket.shutdownOutput());
-		}
 		this.channel.config().setAutoRead(true);
-		this.context.loop().schedule(() -> this.channel.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
+		this.channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener((ChannelFutureListener) (done) -> {
+			if (this.channel instanceof SocketChannel socket && socket.isActive()) {
+				socket.shutdownOutput();
+			}
+			this.context.loop().schedule(() -> this.channel.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
+		});
 	}
 
 	private void processPipelinedMessages() {
@@ -343,11 +388,41 @@
 		}
 	}
 
-	@Override
-	public void channelWritabilityChanged(ChannelHandlerContext handlerContext) {
+	private void callerHasRead() {
 		if (this.exchange != null) {
-			this.exchange.callerWritabilityChanged(this.channel.isWritable());
+			this.exchange.callerWritabilityChanged(true);
+		}
+		else if (this.awaitingReader) {
+			this.awaitingReader = false;
+			awaitRequest();
+		}
+	}
+
+	private void cutForMemory() {
+		cut("the caller read nothing for the longest time when the memory bound was reached");
+	}
+
+	// Resets the connection, which also frees what the operating system holds for it.
+	private void cut(String reason) {
+		if (this.channel == null || !this.channel.isActive()) {
+			return;
 		}
+		long unreadMillis = TimeUnit.NANOSECONDS.toMillis(this.queue.unreadNanos(this.context.nowNanos()));
+		logger.info("event=reader-cut queued-bytes={} unread-ms={} held-bytes={} limit={} detail=\"{}\"",
+				this.queue.bytes(), unreadMillis, this.context.heldBytes(), this.context.settings().maxBufferedBytes(),
+				reason);
+		this.closing = true;
+		this.closeReason = reason;
+		this.channel.config().setOption(ChannelOption.SO_LINGER, 0);
+		this.channel.close();
+	}
+
+	/**
+	 * Returns whether a request is arriving or its response is not written as a whole.
+	 * @return whether closing the connection now would cut something off
+	 */
+	boolean busy() {
+		return this.head != null || this.decoder.headIncomplete() || (this.queue != null && !this.queue.isEmpty());
 	}
 
 	@Override
@@ -355,10 +430,9 @@
 		this.closing = true;
 		this.pipelinedMessages.forEach(ReferenceCountUtil::release);
 		this.pipelinedMessages.clear();
-		this.context.release(this.reservedBytes);
-		this.reservedBytes = 0;
+		this.account.close();
 		if (this.exchange != null) {
-			this.exchange.callerDisconnected();
+			this.exchange.callerDisconnected(this.closeReason);
 		}
 	}
 
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/CallerServer.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/CallerServer.java
@@ -37,6 +37,8 @@
 
 	private Channel serverChannel;
 
+	private long accepted;
+
 	/**
 	 * Creates a server.
 	 * @param context the state shared by all requests
@@ -59,9 +61,12 @@
 			.channel(NioServerSocketChannel.class)
 			.option(ChannelOption.SO_BACKLOG, BACKLOG)
 			.option(ChannelOption.SO_REUSEADDR, true)
+			// Inherited by accepted connections; later it could not be negotiated.
+			.option(ChannelOption.SO_RCVBUF, SocketBuffers.BYTES)
 			.childOption(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
 			.childOption(ChannelOption.TCP_NODELAY, true)
 			.childOption(ChannelOption.SO_KEEPALIVE, true)
+			.childOption(ChannelOption.SO_SNDBUF, SocketBuffers.BYTES)
 			.childHandler(new ChannelInitializer<Channel>() {
 				@Override
 				protected void initChannel(Channel channel) {
@@ -78,6 +83,7 @@
 	}
 
 	private void accept(Channel channel) {
+		this.accepted++;
 		if (this.connections.size() >= this.maxConnections) {
 			channel.close();
 			return;
@@ -106,6 +112,23 @@
 		return this.connections.size();
 	}
 
+	/**
+	 * Returns the number of connections that were accepted since the start.
+	 * @return the number
+	 */
+	public long accepted() {
+		return this.accepted;
+	}
+
+	/**
+	 * Returns whether a request is arriving on a connection or a response is not written
+	 * as a whole.
+	 * @return whether ending now would cut something off
+	 */
+	public boolean busy() {
+		return this.connections.stream().anyMatch(CallerConnection::busy);
+	}
+
 	@Override
 	public void close() {
 		if (this.serverChannel != null) {
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
@@ -52,6 +52,8 @@
 
 	private final RequestFingerprints fingerprints;
 
+	private final EngineTokens tokens;
+
 	private final Route route;
 
 	private final Optional<Organisation> organisation;
@@ -76,6 +78,8 @@
 
 	private UpstreamConnection connection;
 
+	private EventProgress progress;
+
 	private long sentNanos;
 
 	private long heardNanos;
@@ -101,6 +105,7 @@
 		this.organisation = admitted.organisation();
 		this.configurationVersion = admitted.configurationVersion();
 		this.service = this.route.service(context.random().nextDouble());
+		this.tokens = context.engineTokens(this.request, this.service);
 		this.onComplete = onComplete;
 		this.deadlineNanos = admitted.deadlineNanos();
 		this.ticket = new AdmissionTicket(context, admitted, this.service, this::dispatch, this::refuseAsOverloaded);
@@ -143,7 +148,12 @@
 			giveUp(Verdict.ofNotRun(ErrorCode.STORE_UNAVAILABLE), "configuration too old for keys");
 			return;
 		}
-		Optional<UpstreamRecord> choice = this.context.selectUpstream(this.service, this.triedUpstreams);
+		Optional<String> oversize = this.tokens.oversize();
+		if (oversize.isPresent()) {
+			giveUp(Verdict.ofNotRun(ErrorCode.TOO_LARGE), oversize.get());
+			return;
+		}
+		Optional<UpstreamRecord> choice = this.context.selectUpstream(this.service, this.triedUpstreams, this.tokens);
 		if (choice.isEmpty()) {
 			giveUp(Verdict.ofNotRun(ErrorCode.NO_UPSTREAM), "no upstream accepts the request");
 			return;
@@ -152,8 +162,11 @@
 		this.connects++;
 		int current = ++this.generation;
 		this.context.upstreamSelector().started(this.upstream.id());
+		this.tokens.reserve(this.upstream);
 		this.context.notices().sent(this.upstream.id(), this.context.nowNanos());
-		boolean fresh = !this.route.repeatable();
+		// A response cannot be told from a late one to an earlier request if the request
+		// has no identifier to be echoed.
+		boolean fresh = !this.route.repeatable() || this.request.header(this.context.headers().attemptId()) == null;
 		this.context.pool().acquire(this.upstream, fresh, (ready) -> connected(ready, current), (cause) -> {
 			if (current == this.generation && !this.ended) {
 				attemptFailed(Verdict.ofNotRun(ErrorCode.ENGINE_UNREACHABLE), cause);
@@ -193,6 +206,7 @@
 		this.sentNanos = this.context.nowNanos();
 		this.heardNanos = this.sentNanos;
 		this.relay.startAttempt(ready);
+		this.progress = new EventProgress(this.route.objective(), Optional.empty());
 		this.connectionReused = ready.used();
 		this.context.monitor().requestSent(this.upstream, this.onUnresponsive);
 		ready.send(upstreamRequest(), new AttemptResponseHandler(current));
@@ -231,6 +245,7 @@
 	private void attemptFailed(Verdict verdict, Outcome outcome, String detail, boolean retry) {
 		this.generation++;
 		releaseConnection();
+		this.tokens.release();
 		String code = verdict.failure().map(ErrorCode::text).orElse("none");
 		this.context.metrics().countAttempt(code);
 		this.context.upstreamSelector().ended(this.upstream.id(), outcome, this.context.nowNanos());
@@ -263,7 +278,7 @@
 			return;
 		}
 		Verdict verdict = Verdict.ofMayHaveRun(ErrorCode.ENGINE_UNREACHABLE);
-		boolean alternative = this.context.selectUpstream(this.service, this.triedUpstreams)
+		boolean alternative = this.context.selectUpstream(this.service, this.triedUpstreams, this.tokens)
 			.filter((other) -> this.context.upstreamSelector().responsive(other.id()))
 			.isPresent();
 		if (alternative && mayRetry(verdict)) {
@@ -311,8 +326,8 @@
 			end("broken-off", 0, verdict, detail);
 			return;
 		}
-		int status = verdict.mayHaveRun() ? statusForUnknownOutcome(verdict) : 503;
-		long retryAfter = verdict.mayHaveRun() ? 0 : retryAfterMillis();
+		int status = verdict.mayHaveRun() ? statusForUnknownOutcome(verdict) : statusForNotRun(verdict);
+		long retryAfter = (status == 503) ? retryAfterMillis() : 0;
 		ErrorResponse.send(this.responseWriter, status, verdict, retryAfter);
 		end("refused", status, verdict, detail);
 	}
@@ -327,6 +342,11 @@
 		return verdict.failure().filter(ErrorCode.DEADLINE_EXCEEDED::equals).isPresent() ? 504 : 502;
 	}
 
+	// A request that is too large for every upstream is not worth another try.
+	private static int statusForNotRun(Verdict verdict) {
+		return verdict.failure().filter(ErrorCode.TOO_LARGE::equals).map(ErrorCode::httpStatus).orElse(503);
+	}
+
 	private void timedOut() {
 		if (this.ended) {
 			return;
@@ -338,16 +358,17 @@
 	}
 
 	/**
-	 * Cancels the request after its caller has closed the connection.
+	 * Cancels the request after the connection of its caller has closed.
+	 * @param detail why it closed, for the log
 	 */
-	void callerDisconnected() {
+	void callerDisconnected(String detail) {
 		if (this.ended) {
 			return;
 		}
 		cancelAttempt();
 		end("caller-left", 0,
 				(this.attempts > 0) ? Verdict.ofMayHaveRun(ErrorCode.CANCELLED) : Verdict.ofNotRun(ErrorCode.CANCELLED),
-				"the caller closed the connection");
+				detail);
 	}
 
 	private void cancelAttempt() {
@@ -374,6 +395,7 @@
 	private void end(String event, int status, Verdict verdict, String detail) {
 		this.ended = true;
 		this.timeout.cancel(false);
+		this.tokens.release();
 		this.ticket.requestEnded();
 		this.context.requestEnded();
 		long millis = TimeUnit.NANOSECONDS.toMillis(this.context.nowNanos() - this.request.arrivedNanos());
@@ -445,12 +467,30 @@
 			}
 		}
 
+		@Override
+		public void onBytes() {
+			Exchange exchange = Exchange.this;
+			if (stale() || exchange.route.kind() != RouteKind.STREAM) {
+				return;
+			}
+			int completed = exchange.relay.attemptEvents() + (exchange.relay.headReceived() ? 1 : 0);
+			boolean partial = completed == 0 || exchange.relay.unfinishedBytes() > 0;
+			if (exchange.progress.bytesArrived(completed, partial, exchange.connection.readingClock())) {
+				failIfRejected(Optional.of(new ResponseRelay.Rejection(Verdict.ofMayHaveRun(ErrorCode.STREAM_BROKEN),
+						"the upstream sends bytes but completes no event")));
+			}
+		}
+
 		@Override
 		public void onEnd() {
 			if (stale()) {
 				return;
 			}
 			Optional<ResponseRelay.Rejection> broken = Exchange.this.relay.relayEnd();
+			if (broken.isPresent() && Exchange.this.connection.unreadLoss()) {
+				failAsUnread(broken.get().verdict(), broken.get().detail());
+				return;
+			}
 			if (broken.isPresent() && Exchange.this.relay.framing() == ResponseFraming.CONNECTION) {
 				recordLostConnection();
 			}
@@ -466,12 +506,24 @@
 			if (stale()) {
 				return;
 			}
+			if (verdict.mayHaveRun() && Exchange.this.connection.unreadLoss()) {
+				failAsUnread(verdict, detail + " after the response was not read for "
+						+ Exchange.this.connection.longestPauseMillis() + " ms");
+				return;
+			}
 			if (verdict.mayHaveRun()) {
 				recordLostConnection();
 			}
 			attemptFailed(verdict, detail);
 		}
 
+		// The upstream cut the response since it could not send it: neither a crash nor a
+		// failure of the upstream.
+		private void failAsUnread(Verdict verdict, String detail) {
+			Exchange.this.connection.abandon();
+			attemptFailed(verdict, Outcome.NEUTRAL, detail, mayRetry(verdict));
+		}
+
 		private boolean responseBegun() {
 			return Exchange.this.relay.attemptEvents() >= CrashEvidence.EVENTS_OF_SOUND_START;
 		}
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ForwardSettings.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ForwardSettings.java
@@ -14,8 +14,8 @@
  * @param maxConfigurationAge the maximum age of the freshness proof at which a request
  * with an unknown route or key is refused for good; with an older one the caller is asked
  * to retry
- * @param maxBufferedBytes the bytes of request bodies that may be buffered at once, over
- * all requests
+ * @param maxBufferedBytes the bytes of requests, buffered responses and write queues that
+ * may be held at once, over all connections
  */
 public record ForwardSettings(double retryRatio, double spareRetriesPerWindow, Duration retryWindow,
 		Duration maxKeyProofAge, Duration maxConfigurationAge, long maxBufferedBytes) {
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/GatewayContext.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/GatewayContext.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 
@@ -15,6 +16,7 @@
 import io.bulrushrouter.gateway.admission.RetryBudget;
 import io.bulrushrouter.gateway.config.ActiveConfiguration;
 import io.bulrushrouter.gateway.config.CallerLimits;
+import io.bulrushrouter.gateway.config.EngineSpec;
 import io.bulrushrouter.gateway.config.Route;
 import io.bulrushrouter.gateway.config.RouteKind;
 import io.bulrushrouter.gateway.config.ServiceSpec;
@@ -24,6 +26,7 @@
 import io.bulrushrouter.gateway.source.FreshnessProof;
 import io.bulrushrouter.gateway.source.HeaderNames;
 import io.bulrushrouter.gateway.source.UpstreamRecord;
+import io.bulrushrouter.gateway.upstream.TokensInFlight;
 import io.bulrushrouter.gateway.upstream.UpstreamDirectory;
 import io.bulrushrouter.gateway.upstream.UpstreamNotices;
 import io.bulrushrouter.gateway.upstream.UpstreamSelector;
@@ -66,14 +69,16 @@
 
 	private final CrashDetector crashDetector;
 
+	private final MemoryLedger memory = new MemoryLedger(() -> settings().maxBufferedBytes());
+
+	private final TokensInFlight tokensInFlight = new TokensInFlight();
+
 	private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
 
 	private final Map<String, AdmissionQueue<AdmissionTicket>> admissionQueues = new HashMap<>();
 
 	private ActiveConfiguration configuration;
 
-	private long bufferedBytes;
-
 	private int inFlight;
 
 	private boolean draining;
@@ -202,13 +207,14 @@
 	 * Selects an upstream for an attempt.
 	 * @param service the service
 	 * @param tried the identifiers of the upstreams that the request was sent to before
+	 * @param tokens the memory that the request takes at an engine
 	 * @return the upstream, or empty if the request may be sent to none
 	 */
-	Optional<UpstreamRecord> selectUpstream(String service, Set<String> tried) {
+	Optional<UpstreamRecord> selectUpstream(String service, Set<String> tried, EngineTokens tokens) {
 		long nowNanos = nowNanos();
 		this.directory.expire(nowNanos);
 		List<UpstreamRecord> allowed = this.notices.allowed(this.directory.ready(service), nowNanos);
-		return this.upstreamSelector.pick(allowed, tried, nowNanos);
+		return this.upstreamSelector.pick(allowed.stream().filter(tokens::fits).toList(), tried, nowNanos);
 	}
 
 	/**
@@ -317,16 +323,38 @@
 		this.crashEvidence.expire(nowNanos());
 	}
 
-	boolean reserve(long bytes) {
-		if (this.bufferedBytes + bytes > this.settings.maxBufferedBytes()) {
-			return false;
-		}
-		this.bufferedBytes += bytes;
-		return true;
+	MemoryLedger memory() {
+		return this.memory;
+	}
+
+	/**
+	 * Returns what all connections of callers hold.
+	 * @return the number of bytes
+	 */
+	public long heldBytes() {
+		return this.memory.heldBytes();
 	}
 
-	void release(long bytes) {
-		this.bufferedBytes -= bytes;
+	/**
+	 * Returns how many responses were cut because the memory bound was reached.
+	 * @return the number since the start
+	 */
+	public long cutReaders() {
+		return this.memory.cuts();
+	}
+
+	/**
+	 * Returns the memory that a request takes at an engine of a service.
+	 * @param request the request
+	 * @param service the service
+	 * @return the account of the request
+	 */
+	EngineTokens engineTokens(CallerRequest request, String service) {
+		OptionalLong capacity = configuration().flatMap((current) -> current.service(service))
+			.flatMap(ServiceSpec::engine)
+			.map(EngineSpec::kvCapacityTokens)
+			.orElse(OptionalLong.empty());
+		return new EngineTokens(this.tokensInFlight, request.header(this.headers.tokenCounts()), capacity);
 	}
 
 	void requestStarted() {
--- /dev/null
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/MemoryLedger.java
@@ -0,0 +1,216 @@
+package io.bulrushrouter.gateway.forward;
+
+import java.util.LinkedHashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.LongSupplier;
+
+/**
+ * Bounds what all connections of callers hold together: request bodies, responses that
+ * are buffered, and bytes in write queues. If the bound is exceeded, the response whose
+ * caller has read nothing for the longest time is cut. Decides only; not thread-safe.
+ */
+final class MemoryLedger {
+
+	/**
+	 * Share of the bound that requests may take. The rest is left to responses, without
+	 * which requests do not end.
+	 */
+	private static final double REQUEST_SHARE = 0.75;
+
+	/**
+	 * Part of the free bytes that a single response may queue. With N slow readers each
+	 * queues at most the bound / (N + 16), so that many of them share the bound without a
+	 * cut, while a few get deep queues.
+	 */
+	private static final int FREE_BYTES_DIVISOR = 16;
+
+	/** A response may queue this much in any case, some tens of events of a stream. */
+	private static final long MIN_ALLOWANCE_BYTES = 1_024;
+
+	/** Netty's default high-water mark; a deeper queue does not speed a caller up. */
+	private static final long MAX_ALLOWANCE_BYTES = 64 * 1024;
+
+	private final LongSupplier limit;
+
+	private final Set<Account> waiting = new LinkedHashSet<>();
+
+	private long requestBytes;
+
+	private long responseBytes;
+
+	private long cuts;
+
+	/**
+	 * Creates a ledger.
+	 * @param limit the bound in bytes, which may change when the settings are reloaded
+	 */
+	MemoryLedger(LongSupplier limit) {
+		this.limit = limit;
+	}
+
+	/**
+	 * Opens the account of one connection.
+	 * @param onCut runs when the response of the connection is to be cut; the account is
+	 * closed by then
+	 * @return the account
+	 */
+	Account open(Runnable onCut) {
+		return new Account(onCut);
+	}
+
+	/**
+	 * Returns what all connections hold.
+	 * @return the number of bytes
+	 */
+	long heldBytes() {
+		return this.requestBytes + this.responseBytes;
+	}
+
+	/**
+	 * Returns how many responses were cut since the start.
+	 * @return the number
+	 */
+	long cuts() {
+		return this.cuts;
+	}
+
+	private void cutUnread(Account grown) {
+		Optional<Account> longest = longestUnread();
+		while (heldBytes() > this.limit.getAsLong() && longest.isPresent()) {
+			longest.get().cut();
+			longest = longestUnread();
+		}
+		if (heldBytes() > this.limit.getAsLong() && !grown.closed) {
+			grown.cut();
+		}
+	}
+
+	private Optional<Account> longestUnread() {
+		Account longest = null;
+		for (Account account : this.waiting) {
+			if (longest == null || account.unreadSinceNanos < longest.unreadSinceNanos) {
+				longest = account;
+			}
+		}
+		return Optional.ofNullable(longest);
+	}
+
+	/**
+	 * What one connection holds.
+	 */
+	final class Account implements AutoCloseable {
+
+		private final Runnable onCut;
+
+		private long ownRequestBytes;
+
+		private long bufferedBytes;
+
+		private long queuedBytes;
+
+		private long unreadSinceNanos;
+
+		private boolean closed;
+
+		private Account(Runnable onCut) {
+			this.onCut = onCut;
+		}
+
+		/**
+		 * Reserves bytes for a request.
+		 * @param bytes the number of bytes
+		 * @return whether they fit; if not, nothing is reserved
+		 */
+		boolean reserveRequest(long bytes) {
+			MemoryLedger ledger = MemoryLedger.this;
+			long bound = ledger.limit.getAsLong();
+			if (this.closed || heldBytes() + bytes > bound || ledger.requestBytes + bytes > REQUEST_SHARE * bound) {
+				return false;
+			}
+			this.ownRequestBytes += bytes;
+			ledger.requestBytes += bytes;
+			return true;
+		}
+
+		/**
+		 * Releases what is reserved for the request.
+		 */
+		void releaseRequest() {
+			MemoryLedger.this.requestBytes -= this.ownRequestBytes;
+			this.ownRequestBytes = 0;
+		}
+
+		/**
+		 * Records how much of the response is held back until more of it has arrived.
+		 * @param bytes the number of bytes
+		 */
+		void buffered(long bytes) {
+			if (!this.closed) {
+				MemoryLedger.this.responseBytes += bytes - this.bufferedBytes;
+				this.bufferedBytes = bytes;
+				cutUnread(this);
+			}
+		}
+
+		/**
+		 * Records how much of the response waits for the caller to read.
+		 * @param bytes the number of bytes
+		 * @param progress whether the caller has read something since the last call
+		 * @param nowNanos the time on the monotonic clock, in nanoseconds
+		 */
+		void queued(long bytes, boolean progress, long nowNanos) {
+			if (this.closed) {
+				return;
+			}
+			if (progress || this.queuedBytes == 0) {
+				this.unreadSinceNanos = nowNanos;
+			}
+			MemoryLedger.this.responseBytes += bytes - this.queuedBytes;
+			this.queuedBytes = bytes;
+			if (bytes == 0) {
+				MemoryLedger.this.waiting.remove(this);
+			}
+			else {
+				MemoryLedger.this.waiting.add(this);
+				cutUnread(this);
+			}
+		}
+
+		/**
+		 * Returns how much may wait for the caller before reading from the upstream
+		 * pauses.
+		 * @return the number of bytes
+		 */
+		long allowance() {
+			long free = MemoryLedger.this.limit.getAsLong() - heldBytes();
+			return Math.min(MAX_ALLOWANCE_BYTES, Math.max(MIN_ALLOWANCE_BYTES, free / FREE_BYTES_DIVISOR));
+		}
+
+		/**
+		 * Returns since when the caller has read nothing of what waits for it.
+		 * @return the time on the monotonic clock, in nanoseconds
+		 */
+		long unreadSinceNanos() {
+			return this.unreadSinceNanos;
+		}
+
+		private void cut() {
+			MemoryLedger.this.cuts++;
+			close();
+			this.onCut.run();
+		}
+
+		@Override
+		public void close() {
+			releaseRequest();
+			MemoryLedger.this.responseBytes -= this.bufferedBytes + this.queuedBytes;
+			this.bufferedBytes = 0;
+			this.queuedBytes = 0;
+			this.closed = true;
+			MemoryLedger.this.waiting.remove(this);
+		}
+
+	}
+
+}
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ResponseHandler.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ResponseHandler.java
@@ -23,6 +23,12 @@
 	 */
 	void onContent(ByteBuf part);
 
+	/**
+	 * Called after bytes have arrived and what they complete has been reported.
+	 */
+	default void onBytes() {
+	}
+
 	/**
 	 * Called when the response is complete.
 	 */
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ResponseRelay.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ResponseRelay.java
@@ -81,6 +81,7 @@
 		this.splitter = null;
 		this.bufferedParts = new ArrayList<>();
 		this.bufferedBytes = 0;
+		this.responseWriter.buffered(0);
 		this.attemptEvents = 0;
 		if (!this.started) {
 			this.responseHead = null;
@@ -95,6 +96,14 @@
 		return this.started;
 	}
 
+	/**
+	 * Returns whether the head of the response of the last attempt has arrived.
+	 * @return whether it has arrived and can be used
+	 */
+	boolean headReceived() {
+		return this.framing != ResponseFraming.NONE;
+	}
+
 	int status() {
 		return this.responseHead.status().code();
 	}
@@ -180,6 +189,10 @@
 				return mayHaveRun(ErrorCode.ENGINE_ERROR, "the response has a content coding that was not requested");
 			}
 		}
+		else if (requestedId != null && echoedId == null && reusedConnection) {
+			return mayHaveRun(ErrorCode.CONNECTION_LOST,
+					"the response on a reused connection does not name its request");
+		}
 		else if (this.started) {
 			return mayHaveRun(ErrorCode.STREAM_BROKEN, "the stream cannot be resumed: status " + status);
 		}
@@ -242,6 +255,7 @@
 			event.id().ifPresent((id) -> this.lastEventId = Optional.of(id));
 		}
 		forwardEvents(forwarded);
+		this.responseWriter.buffered(this.splitter.unfinishedBytes());
 		return rejected;
 	}
 
@@ -279,9 +293,13 @@
 		}
 		this.bufferedParts.add(part);
 		this.bufferedBytes += part.readableBytes();
-		if (this.bufferedBytes > MAX_BUFFERED_RESPONSE_BYTES) {
+		if (this.bufferedBytes <= MAX_BUFFERED_RESPONSE_BYTES) {
+			this.responseWriter.buffered(this.bufferedBytes);
+		}
+		else {
 			startIfNeeded();
 			this.passThrough = true;
+			this.responseWriter.buffered(0);
 			this.bufferedParts.forEach(this.responseWriter::writePart);
 			this.bufferedParts.clear();
 			applyBackpressure();
@@ -317,6 +335,12 @@
 	 * @return why the response is not complete, or empty
 	 */
 	Optional<Rejection> relayEnd() {
+		this.responseWriter.buffered(0);
+		// The upstream may have cut the response because it was not read.
+		if (this.framing == ResponseFraming.CONNECTION && this.connection.unreadLoss()) {
+			return mayHaveRun(ErrorCode.STREAM_BROKEN, "the connection ended after the response was not read for "
+					+ this.connection.longestPauseMillis() + " ms");
+		}
 		if (this.splitter != null) {
 			Optional<Rejection> broken = findBreak();
 			if (broken.isPresent()) {
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ResponseWriter.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ResponseWriter.java
@@ -30,6 +30,13 @@
 	 */
 	void writePart(ByteBuf part);
 
+	/**
+	 * Records how much of the response is held back until more of it has arrived, which
+	 * counts toward the memory bound of all connections.
+	 * @param bytes the number of bytes
+	 */
+	void buffered(long bytes);
+
 	/**
 	 * Ends a started response.
 	 */
@@ -42,7 +49,8 @@
 	void abort();
 
 	/**
-	 * Returns whether the write buffer of the connection is below its high-water mark.
+	 * Returns whether the caller reads fast enough for more parts to be read from the
+	 * upstream.
 	 * @return whether more parts may be sent
 	 */
 	boolean writable();
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamConnection.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamConnection.java
@@ -1,5 +1,6 @@
 package io.bulrushrouter.gateway.forward;
 
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 import io.netty.buffer.ByteBuf;
@@ -18,6 +19,7 @@
 import io.netty.util.ReferenceCountUtil;
 
 import io.bulrushrouter.kernel.ErrorCode;
+import io.bulrushrouter.kernel.TimeSource;
 import io.bulrushrouter.kernel.Verdict;
 
 /**
@@ -43,6 +45,10 @@
 
 	private final Consumer<UpstreamConnection> onClosed;
 
+	private final TimeSource clock;
+
+	private ReadPause pause = new ReadPause();
+
 	private ResponseHandler responseHandler;
 
 	private boolean headSeen;
@@ -68,9 +74,12 @@
 	 * @param channel the channel
 	 * @param onIdle called when the connection can carry the next request
 	 * @param onClosed called when the connection has closed
+	 * @param clock the monotonic clock
 	 */
-	UpstreamConnection(Channel channel, Consumer<UpstreamConnection> onIdle, Consumer<UpstreamConnection> onClosed) {
+	UpstreamConnection(Channel channel, Consumer<UpstreamConnection> onIdle, Consumer<UpstreamConnection> onClosed,
+			TimeSource clock) {
 		this.channel = channel;
+		this.clock = clock;
 		this.onIdle = onIdle;
 		this.onClosed = onClosed;
 	}
@@ -88,6 +97,7 @@
 		this.ended = false;
 		this.written = false;
 		this.reusable = true;
+		this.pause = new ReadPause();
 		this.requests++;
 		this.channel.config().setAutoRead(true);
 		this.channel.writeAndFlush(request).addListener((ChannelFutureListener) (future) -> {
@@ -120,9 +130,31 @@
 	 * @param reading whether to read
 	 */
 	void reading(boolean reading) {
+		this.pause.reading(reading, this.clock.nanos());
 		this.channel.config().setAutoRead(reading);
 	}
 
+	/**
+	 * Returns whether the loss of the connection is the upstream's cut of a response that
+	 * was not read here, and no crash.
+	 * @return whether reading of the response paused long enough
+	 */
+	boolean unreadLoss() {
+		return this.pause.explainsLoss(this.clock.nanos());
+	}
+
+	long longestPauseMillis() {
+		return TimeUnit.NANOSECONDS.toMillis(this.pause.longestNanos(this.clock.nanos()));
+	}
+
+	/**
+	 * Returns the time on a clock that stands while the response is not read.
+	 * @return the time in nanoseconds
+	 */
+	long readingClock() {
+		return this.pause.readingClock(this.clock.nanos());
+	}
+
 	boolean active() {
 		return this.channel.isActive();
 	}
@@ -302,6 +334,9 @@
 			}
 			connection.bytesBeforeBody += ((ByteBuf) bytes).readableBytes();
 			context.fireChannelRead(bytes);
+			if (connection.responseHandler != null && !connection.ended) {
+				connection.responseHandler.onBytes();
+			}
 			if (!connection.headSeen && connection.bytesBeforeBody > MAX_BYTES_BEFORE_BODY) {
 				fail(ErrorCode.CONNECTION_LOST, "no response head within " + MAX_BYTES_BEFORE_BODY + " bytes");
 			}
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamConnectionPool.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamConnectionPool.java
@@ -11,6 +11,7 @@
 import io.micrometer.core.instrument.Counter;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
@@ -35,12 +36,21 @@
 	 */
 	private static final int CONNECT_TIMEOUT_MILLIS = 500;
 
+	/** Some events of a stream. Each read adapts to the length of those before it. */
+	private static final int MIN_READ_BYTES = 512;
+
 	private static final int MAX_INITIAL_LINE_BYTES = 4_096;
 
 	private static final int MAX_HEADER_BYTES = 32_768;
 
 	private static final int MAX_CHUNK_BYTES = 16_384;
 
+	/**
+	 * Largest buffer for one read. It is how far a response may exceed its allowance
+	 * before reading pauses: 8 MB for 2,000 callers that read nothing.
+	 */
+	static final int MAX_READ_BYTES = 4_096;
+
 	private final Bootstrap bootstrap;
 
 	private final TimeSource clock;
@@ -57,6 +67,10 @@
 			.option(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
 			.option(ChannelOption.TCP_NODELAY, true)
 			.option(ChannelOption.SO_KEEPALIVE, true)
+			.option(ChannelOption.SO_RCVBUF, SocketBuffers.BYTES)
+			.option(ChannelOption.SO_SNDBUF, SocketBuffers.BYTES)
+			.option(ChannelOption.RCVBUF_ALLOCATOR,
+					new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, MIN_READ_BYTES, MAX_READ_BYTES))
 			// The end that the upstream brings about is an event of its own, so that it
 			// differs from a close on this side.
 			.option(ChannelOption.ALLOW_HALF_CLOSURE, true)
@@ -109,7 +123,8 @@
 			}
 			Channel channel = connecting.channel();
 			UpstreamConnection connection = new UpstreamConnection(channel,
-					(released) -> addIdle(upstream.id(), released), (closed) -> removeIdle(upstream.id(), closed));
+					(released) -> addIdle(upstream.id(), released), (closed) -> removeIdle(upstream.id(), closed),
+					this.clock);
 			channel.pipeline()
 				.addLast(connection.byteLimiter(),
 						new HttpClientCodec(MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES, false, true),
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/Gateway.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/Gateway.java
@@ -141,6 +141,8 @@
 		this.registry.gauge("bulrush.gateway.crash.suspects", crashEvidence, CrashEvidence::suspects);
 		this.registry.gauge("bulrush.gateway.crash.quarantines", crashEvidence, CrashEvidence::quarantines);
 		this.registry.gauge("bulrush.gateway.crash.cleared", crashEvidence, CrashEvidence::clearedFingerprints);
+		this.registry.gauge("bulrush.gateway.held.bytes", this.context, GatewayContext::heldBytes);
+		this.registry.gauge("bulrush.gateway.readers.cut", this.context, GatewayContext::cutReaders);
 		this.registry.gauge("bulrush.gateway.callers", this.callers, CallerServer::connections);
 	}
 
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/GatewaySettings.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/GatewaySettings.java
@@ -53,9 +53,18 @@
 	 */
 	private static final double CALLER_DESCRIPTOR_SHARE = 0.5;
 
-	/** Share of the instance's memory for buffered bodies. */
+	/**
+	 * Share of the instance's memory for request bodies, buffered responses and write
+	 * queues. Socket buffers of the operating system take their part of the rest.
+	 */
 	private static final double BUFFER_MEMORY_SHARE = 0.06;
 
+	/**
+	 * Upper bound of that memory: a quarter of the process's heap of 96 MB. A body is
+	 * held twice while it is copied.
+	 */
+	private static final long MAX_BUFFER_BYTES = 24L * 1024 * 1024;
+
 	/**
 	 * Parses the settings of an entry.
 	 * @param settings the INI settings
@@ -76,7 +85,7 @@
 				settings.value("keys", "fail-closed", true, Boolean::parseBoolean)
 						? revocation.minus(KEY_REVOCATION_MARGIN) : Duration.ofDays(365),
 				settings.duration("configuration", "apply", Duration.ofSeconds(2)).plus(WATCH_SLACK),
-				(long) (BUFFER_MEMORY_SHARE * memoryMegabytes * 1024 * 1024));
+				Math.min(MAX_BUFFER_BYTES, (long) (BUFFER_MEMORY_SHARE * memoryMegabytes * 1024 * 1024)));
 		return new GatewaySettings(settings.text("instance", "name"), settings.text("instance", "data-centre"),
 				settings.address("listen", "callers"), settings.address("listen", "readiness"),
 				settings.address("listen", "metrics"), settings.text("source", "kind"),
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/GracefulShutdown.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/GracefulShutdown.java
@@ -32,6 +32,15 @@
 
 	private static final long POLL_INTERVAL_MILLIS = 100;
 
+	/** Polls after which connections that are idle no longer delay the end. */
+	private static final int MAX_IDLE_POLLS = 10;
+
+	/**
+	 * Polls after which the server stops listening even if callers still connect. Those
+	 * that the operating system has accepted for it would be reset.
+	 */
+	private static final int MAX_LISTENING_POLLS = 10;
+
 	private final EventLoop loop;
 
 	private final GatewayContext context;
@@ -44,7 +53,13 @@
 
 	private boolean requested;
 
-	private int polls;
+	private boolean listening = true;
+
+	private long acceptedBefore;
+
+	private int listeningPolls;
+
+	private int idlePolls;
 
 	GracefulShutdown(EventLoop loop, GatewayContext context, CallerServer callers, Duration grace,
 			CompletableFuture<Void> stopped) {
@@ -76,18 +91,39 @@
 
 	private void refuse() {
 		this.context.refuseRequests();
-		this.callers.close();
-		poll();
+		this.acceptedBefore = this.callers.accepted();
+		this.loop.schedule(this::poll, POLL_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
 	private void poll() {
-		if (this.context.inFlight() == 0 && (this.callers.connections() == 0 || this.polls++ > 10)) {
+		if (this.listening) {
+			stopListeningOnceQuiet();
+		}
+		else if (finished()) {
 			end();
 			return;
 		}
 		this.loop.schedule(this::poll, POLL_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
+	// Callers that still connect are refused with an answer until an interval passes in
+	// which none did.
+	private void stopListeningOnceQuiet() {
+		long accepted = this.callers.accepted();
+		if (accepted == this.acceptedBefore || ++this.listeningPolls >= MAX_LISTENING_POLLS) {
+			this.callers.close();
+			this.listening = false;
+		}
+		this.acceptedBefore = accepted;
+	}
+
+	private boolean finished() {
+		if (this.context.inFlight() > 0 || this.callers.busy()) {
+			return false;
+		}
+		return this.callers.connections() == 0 || this.idlePolls++ > MAX_IDLE_POLLS;
+	}
+
 	private void end() {
 		if (!this.stopped.isDone()) {
 			logger.info("event=stopped open={} connections={}", this.context.inFlight(), this.callers.connections());
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/GatewayFixture.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/GatewayFixture.java
@@ -14,6 +14,7 @@
 import java.util.OptionalInt;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import java.util.function.ToLongFunction;
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -199,7 +200,28 @@
 	}
 
 	Caller caller() throws IOException {
-		return new Caller();
+		return new Caller(new Socket());
+	}
+
+	/**
+	 * Connects a caller whose instance receives little that it has not read.
+	 * @return the caller
+	 * @throws IOException if the connection fails
+	 */
+	Caller slowCaller() throws IOException {
+		Socket socket = new Socket();
+		socket.setReceiveBufferSize(4_096);
+		return new Caller(socket);
+	}
+
+	/**
+	 * Returns what the gateway reports about its connections.
+	 * @param value reads the value
+	 * @return the value
+	 * @throws Exception if the event loop fails
+	 */
+	long read(ToLongFunction<GatewayContext> value) throws Exception {
+		return this.group.next().submit(() -> value.applyAsLong(this.context)).get(10, TimeUnit.SECONDS);
 	}
 
 	@Override
@@ -218,8 +240,9 @@
 
 		private final InputStream in;
 
-		private Caller() throws IOException {
-			this.socket = new Socket(GatewayFixture.this.address.getAddress(), GatewayFixture.this.address.getPort());
+		private Caller(Socket socket) throws IOException {
+			this.socket = socket;
+			this.socket.connect(GatewayFixture.this.address);
 			this.socket.setSoTimeout(READ_TIMEOUT_MILLIS);
 			this.in = this.socket.getInputStream();
 		}
--- /dev/null
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/MemoryLedgerTests.java
@@ -0,0 +1,91 @@
+package io.bulrushrouter.gateway.forward;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards against an entry that runs out of memory while callers read slowly, and against
+ * cuts of callers that do read.
+ */
+class MemoryLedgerTests {
+
+	private static final long LIMIT = 18L << 20;
+
+	private final MemoryLedger ledger = new MemoryLedger(() -> LIMIT);
+
+	private final List<String> cut = new ArrayList<>();
+
+	private MemoryLedger.Account account(String name) {
+		return this.ledger.open(() -> this.cut.add(name));
+	}
+
+	@Test
+	void cutsNoneOfTwoThousandSlowReaders() {
+		Random random = new Random(7);
+		List<MemoryLedger.Account> accounts = new ArrayList<>();
+		long[] queued = new long[2_000];
+		long mostHeld = 0;
+		for (int index = 0; index < queued.length; index++) {
+			accounts.add(account("reader " + index));
+		}
+		for (int turn = 0; turn < 200_000; turn++) {
+			int index = random.nextInt(queued.length);
+			boolean reads = random.nextInt(4) == 0;
+			if (reads) {
+				queued[index] = Math.max(0, queued[index] - 2_000);
+			}
+			else if (queued[index] <= accounts.get(index).allowance()) {
+				queued[index] += 1 + random.nextInt(UpstreamConnectionPool.MAX_READ_BYTES);
+			}
+			accounts.get(index).queued(queued[index], reads, turn);
+			mostHeld = Math.max(mostHeld, this.ledger.heldBytes());
+		}
+		assertThat(mostHeld).isAtMost(LIMIT);
+		assertThat(this.cut).isEmpty();
+	}
+
+	@Test
+	void cutsTheResponseWhoseCallerHasReadNothingForTheLongestTime() {
+		MemoryLedger.Account reading = account("reading");
+		MemoryLedger.Account stopped = account("stopped");
+		reading.queued(LIMIT / 2, false, 0);
+		stopped.queued(LIMIT / 2, false, 1);
+		reading.queued(LIMIT / 2, true, 2);
+		account("new").queued(1, false, 3);
+		assertThat(this.cut).containsExactly("stopped");
+		assertThat(this.ledger.heldBytes()).isEqualTo(LIMIT / 2 + 1);
+		assertThat(this.ledger.cuts()).isEqualTo(1);
+	}
+
+	@Test
+	void cutsAnUnboundedResponseThatWaitsForItsUpstream() {
+		account("endless").buffered(LIMIT + 1);
+		assertThat(this.cut).containsExactly("endless");
+		assertThat(this.ledger.heldBytes()).isEqualTo(0);
+	}
+
+	@Test
+	void refusesARequestOnceTheBoundIsReached() {
+		account("reader").queued(LIMIT, false, 0);
+		MemoryLedger.Account request = account("request");
+		assertThat(request.reserveRequest(1)).isFalse();
+		assertThat(this.cut).isEmpty();
+	}
+
+	@Test
+	void leavesRoomForTheResponsesToRequests() {
+		MemoryLedger.Account request = account("request");
+		assertThat(request.reserveRequest(LIMIT * 3 / 4)).isTrue();
+		assertThat(request.reserveRequest(1)).isFalse();
+		account("reader").queued(LIMIT / 4, false, 0);
+		assertThat(this.cut).isEmpty();
+		request.close();
+		assertThat(this.ledger.heldBytes()).isEqualTo(LIMIT / 4);
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/SlowReaderTests.java
@@ -0,0 +1,131 @@
+package io.bulrushrouter.gateway.forward;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards against sound responses that are cut because their callers read slowly, and
+ * against memory without bound for them.
+ */
+class SlowReaderTests {
+
+	private static final String HEAD = "HTTP/1.1 200 OK\r\nX-Attempt: id-1\r\nX-Stamp: s\r\n";
+
+	private static final int EVENTS = 1_000;
+
+	private static final String FILL = "x".repeat(1_000);
+
+	private static String event(int id) {
+		return "id: " + id + "\ndata: " + FILL + "\n\n";
+	}
+
+	private static void stream(String request, ScriptedUpstream.Reply reply) throws IOException {
+		int from = request.contains("Last-Event-Id: ")
+				? Integer.parseInt(request.replaceAll("(?s).*Last-Event-Id: (\\d+).*", "$1")) + 1 : 1;
+		reply.write(HEAD + "Transfer-Encoding: chunked\r\n\r\n");
+		for (int id = from; id <= EVENTS; id++) {
+			reply.write(StreamText.chunk(event(id)));
+		}
+		reply.write("0\r\n\r\n");
+	}
+
+	private static void assertComplete(String response) {
+		assertThat(response.endsWith("\r\n0\r\n\r\n")).isTrue();
+		assertThat(response.split("\ndata: ", -1)).hasLength(EVENTS + 1);
+	}
+
+	@Test
+	void neverCutsTheEndOfAResponseThatItsCallerReadsSlowly() throws Exception {
+		String body = "z".repeat(80_000);
+		try (ScriptedUpstream upstream = ScriptedUpstream.start(
+				(number, request, reply) -> reply.write(HEAD + "Content-Length: " + body.length() + "\r\n\r\n" + body));
+				GatewayFixture gateway = new GatewayFixture(upstream);
+				GatewayFixture.Caller caller = gateway.slowCaller()) {
+			caller.get("/read/x", "Connection: close\r\n");
+			while (upstream.requests().isEmpty() || gateway.read(GatewayContext::inFlight) > 0) {
+				Thread.onSpinWait();
+			}
+			// Longer than the gateway lingers on a connection that it closes.
+			TimeUnit.MILLISECONDS.sleep(600);
+			assertThat(gateway.read(GatewayContext::heldBytes)).isGreaterThan(0);
+			String response = caller.readToEnd();
+			assertThat(response.endsWith("\r\n0\r\n\r\n")).isTrue();
+			assertThat(StreamText.events(response).chars().filter((letter) -> letter == 'z').count())
+				.isEqualTo(body.length());
+		}
+	}
+
+	@Test
+	void holdsLittleForManyCallersThatReadNothingAndThenAll() throws Exception {
+		try (ScriptedUpstream upstream = ScriptedUpstream.start((number, request, reply) -> stream(request, reply));
+				GatewayFixture gateway = new GatewayFixture(upstream)) {
+			List<GatewayFixture.Caller> callers = new ArrayList<>();
+			for (int index = 0; index < 8; index++) {
+				callers.add(gateway.slowCaller().get("/stream/" + index, "Connection: close\r\n"));
+			}
+			while (gateway.read(GatewayContext::heldBytes) < 200_000) {
+				Thread.onSpinWait();
+			}
+			for (GatewayFixture.Caller caller : callers) {
+				assertThat(gateway.read(GatewayContext::heldBytes)).isAtMost(1L << 20);
+				assertComplete(caller.readToEnd());
+				caller.close();
+			}
+			assertThat(gateway.read(GatewayContext::cutReaders)).isEqualTo(0);
+			assertThat(gateway.read(GatewayContext::heldBytes)).isEqualTo(0);
+		}
+	}
+
+	@Test
+	void resumesAStreamThatItsUpstreamCutBecauseItWasNotRead() throws Exception {
+		try (ScriptedUpstream cutting = ScriptedUpstream.start((number, request, reply) -> stream(request, reply));
+				ScriptedUpstream other = ScriptedUpstream.start((number, request, reply) -> stream(request, reply));
+				GatewayFixture gateway = new GatewayFixture(cutting, other);
+				GatewayFixture.Caller caller = gateway.slowCaller()) {
+			caller.get("/stream/x", "Connection: close\r\n");
+			while (gateway.read(GatewayContext::heldBytes) < 50_000) {
+				Thread.onSpinWait();
+			}
+			// Longer than the pause after which a loss counts as a cut.
+			TimeUnit.MILLISECONDS.sleep(1_300);
+			cutting.resetConnections();
+			assertComplete(caller.readToEnd());
+			assertThat(other.requests()).hasSize(1);
+			assertThat(gateway.connectionsChecked()).isTrue();
+		}
+	}
+
+	@Test
+	void endsAStreamThatOnlyTricklesBytesAndResumesItElsewhere() throws Exception {
+		try (ScriptedUpstream trickling = ScriptedUpstream.start((number, request, reply) -> {
+			reply.write(HEAD + "Transfer-Encoding: chunked\r\n\r\n" + StreamText.chunk(event(1)) + "fff\r\n");
+			// Ends with an exception once the gateway has reset the connection.
+			while (true) {
+				reply.write("x");
+				pause();
+			}
+		});
+				ScriptedUpstream other = ScriptedUpstream.start((number, request, reply) -> stream(request, reply));
+				GatewayFixture gateway = new GatewayFixture(trickling, other);
+				GatewayFixture.Caller caller = gateway.caller()) {
+			assertComplete(caller.get("/stream/x", "Connection: close\r\n").readToEnd());
+			assertThat(other.requests().get(0)).contains("Last-Event-Id: 1\r\n");
+		}
+	}
+
+	private static void pause() {
+		try {
+			TimeUnit.MILLISECONDS.sleep(100);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+}
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/UpstreamConnectionTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/UpstreamConnectionTests.java
@@ -31,7 +31,7 @@
 
 	private void receiveUnframedResponse() {
 		UpstreamConnection connection = new UpstreamConnection(this.channel, (idle) -> this.reported.add("idle"),
-				(closed) -> this.reported.add("closed"));
+				(closed) -> this.reported.add("closed"), System::nanoTime);
 		this.channel.pipeline().addLast(connection);
 		connection.send(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"), new Recorder());
 		this.channel
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/node/GatewayStopTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/node/GatewayStopTests.java
@@ -126,6 +126,38 @@
 		}
 	}
 
+	// While an entry stops, callers still connect: those that it accepts get an answer,
+	// as
+	// does one whose request arrives slowly.
+	@Test
+	void answersCallersThatConnectOrSendSlowlyWhileItStops() throws Exception {
+		int callers = freePort();
+		int readiness = freePort();
+		PluginRegistry plugins = PluginRegistry
+			.of(List.of(Plugin.of(FleetSource.Factory.class, "test", new FixedFleet(freePort()))));
+		try (Gateway gateway = Gateway.start(settings(callers, readiness), plugins, new Random(1));
+				Socket slow = new Socket(InetAddress.getLoopbackAddress(), callers)) {
+			slow.getOutputStream()
+				.write("POST /write/x HTTP/1.1\r\nHost: test\r\nContent-Length: 2\r\n\r\na"
+					.getBytes(StandardCharsets.ISO_8859_1));
+			gateway.stop();
+			String answer = "";
+			while (!answer.contains("draining")) {
+				try (Socket late = new Socket(InetAddress.getLoopbackAddress(), callers)) {
+					late.getOutputStream()
+						.write("GET /write/x HTTP/1.1\r\nHost: test\r\nConnection: close\r\n\r\n"
+							.getBytes(StandardCharsets.ISO_8859_1));
+					answer = new String(late.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+				}
+				assertThat(answer).startsWith("HTTP/1.1 503");
+			}
+			// Longer than an entry without requests in flight keeps idle connections.
+			Thread.sleep(2_000);
+			assertThat(exchange(slow, "b")).startsWith("HTTP/1.1 503");
+			gateway.awaitStopped();
+		}
+	}
+
 	private static String slowRequest(Socket caller) {
 		try {
 			return exchange(caller,
--- a/bulrushrouter-ranks/src/test/java/io/bulrushrouter/ranks/RankSidecarTests.java
+++ b/bulrushrouter-ranks/src/test/java/io/bulrushrouter/ranks/RankSidecarTests.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -208,7 +209,8 @@
 		public Feed<GatewayConfiguration> configuration() {
 			int count = FakeGroup.experts(this.ranks);
 			ExpertSpec experts = new ExpertSpec(1, count, count / this.ranks + 2, 2, 0.01);
-			EngineSpec engine = new EngineSpec(8, 5, 0.5, 70_000, 6, 800, 150, Optional.of(experts));
+			EngineSpec engine = new EngineSpec(8, 5, 0.5, 70_000, 6, 800, 150, OptionalLong.empty(),
+					Optional.of(experts));
 			ServiceSpec service = new ServiceSpec("service", 100, Optional.of(engine));
 			return fixed(List.of(new FeedResult.Item<>("main", Optional.of(new GatewayConfiguration(1, List.of(),
 					Map.of("service", service), CallerLimits.DEFAULTS, List.of())))));
