--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/CallerConnection.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/CallerConnection.java
@@ -1,14 +1,10 @@
 package io.bulrushrouter.gateway.forward;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
@@ -19,12 +15,9 @@
 import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -49,24 +42,12 @@
 
 	private static final Logger logger = LoggerFactory.getLogger(CallerConnection.class);
 
-	/**
-	 * Messages of pipelined requests that are buffered while a request is served; reading
-	 * pauses at this number.
-	 */
-	private static final int MAX_PIPELINED_MESSAGES = 16;
-
 	/**
 	 * How long a closing connection is still read: closing with unread bytes would send a
 	 * reset, which can discard the response.
 	 */
 	private static final long LINGER_MILLIS = 400;
 
-	/**
-	 * Bytes reserved for a request besides its body, so that requests without one also
-	 * count.
-	 */
-	private static final int REQUEST_OVERHEAD_BYTES = 1_024;
-
 	/** Bytes counted for the head of a response, more than usual ones have. */
 	private static final int RESPONSE_HEAD_BYTES = 512;
 
@@ -76,7 +57,7 @@
 
 	private final StrictRequestDecoder decoder;
 
-	private final Deque<HttpObject> pipelinedMessages = new ArrayDeque<>();
+	private final PipelinedMessages pipelinedMessages;
 
 	private final MemoryLedger.Account account;
 
@@ -86,7 +67,7 @@
 
 	private HttpRequest head;
 
-	private ByteArrayOutputStream body;
+	private RequestBody body;
 
 	private long arrivedNanos;
 
@@ -109,6 +90,8 @@
 		this.admissionHandler = admissionHandler;
 		this.decoder = decoder;
 		this.account = context.memory().open(() -> context.loop().execute(this::cutForMemory));
+		this.pipelinedMessages = new PipelinedMessages(this.account,
+				(reading) -> this.channel.config().setAutoRead(reading));
 	}
 
 	@Override
@@ -132,6 +115,8 @@
 			if (this.queue.unreadNanos(nowNanos) > this.context.limits().idleTimeout().toNanos()) {
 				cut("the caller read nothing of a finished response within the idle timeout");
 			}
+			// The caller is idle only once it has read the response.
+			this.waitingSinceNanos = nowNanos;
 			return;
 		}
 		if (this.responding || this.closing) {
@@ -162,9 +147,6 @@
 		}
 		if (this.responding) {
 			this.pipelinedMessages.add((HttpObject) message);
-			if (this.pipelinedMessages.size() >= MAX_PIPELINED_MESSAGES) {
-				this.channel.config().setAutoRead(false);
-			}
 			return;
 		}
 		process((HttpObject) message);
@@ -195,7 +177,7 @@
 
 	private void startRequest(HttpRequest request) {
 		this.head = request;
-		this.body = new ByteArrayOutputStream(0);
+		this.body = new RequestBody(this.account, this.context.limits().bodyBytes());
 		this.arrivedNanos = this.context.nowNanos();
 		this.waitingSinceNanos = this.arrivedNanos;
 		this.keepAlive = HttpUtil.isKeepAlive(request);
@@ -204,12 +186,9 @@
 			refuse(400, ErrorCode.BAD_REQUEST, problem.get());
 			return;
 		}
-		if (!this.account.reserveRequest(REQUEST_OVERHEAD_BYTES)) {
-			refuse(503, ErrorCode.OVERLOADED, "the memory bound of all connections is reached");
-			return;
-		}
-		if (HttpUtil.getContentLength(request, 0L) > this.context.limits().bodyBytes()) {
-			refuse(413, ErrorCode.TOO_LARGE, "the request body is longer than the limit");
+		Optional<ErrorCode> refusal = this.body.begin(HttpUtil.getContentLength(request, 0L));
+		if (refusal.isPresent()) {
+			refuseForSize(refusal.get());
 			return;
 		}
 		if (HttpUtil.is100ContinueExpected(request)) {
@@ -219,33 +198,28 @@
 	}
 
 	private void appendBody(HttpContent content) {
-		ByteBuf bytes = content.content();
-		int length = bytes.readableBytes();
 		if (this.closing || this.head == null) {
 			content.release();
 			return;
 		}
-		if (this.body.size() + length > this.context.limits().bodyBytes()) {
-			content.release();
-			refuse(413, ErrorCode.TOO_LARGE, "the request body is longer than the limit");
-			return;
-		}
-		if (!this.account.reserveRequest(length)) {
-			content.release();
-			refuse(503, ErrorCode.OVERLOADED, "the memory bound of all connections is reached");
-			return;
-		}
-		if (length > 0) {
-			byte[] copy = ByteBufUtil.getBytes(bytes);
-			this.body.write(copy, 0, copy.length);
+		if (content.content().isReadable()) {
 			this.waitingSinceNanos = this.context.nowNanos();
 		}
+		Optional<ErrorCode> refusal = this.body.append(content.content());
 		content.release();
-		if (content instanceof LastHttpContent) {
+		if (refusal.isPresent()) {
+			refuseForSize(refusal.get());
+		}
+		else if (content instanceof LastHttpContent) {
 			serve();
 		}
 	}
 
+	private void refuseForSize(ErrorCode code) {
+		refuse(code.httpStatus(), code, (code == ErrorCode.TOO_LARGE) ? "the request body is longer than the limit"
+				: "the memory bound of all connections is reached");
+	}
+
 	private void serve() {
 		this.responding = true;
 		CallerRequest request = new CallerRequest(this.head, this.body.toByteArray(), this.arrivedNanos);
@@ -269,47 +243,25 @@
 
 	@Override
 	public void respond(HttpResponseStatus status, HttpHeaders headers, ByteBuf content) {
-		DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
-				isHeadRequest() ? Unpooled.EMPTY_BUFFER : content);
-		response.headers().set(headers);
-		if (status.code() != 204 && status.code() != 304) {
-			response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
-		}
+		FullHttpResponse response = ResponseHeads.ofComplete(this.head, status, headers, content);
 		setConnectionHeader(response);
 		this.queue.write(response, RESPONSE_HEAD_BYTES + response.content().readableBytes());
 		responseFinished();
 	}
 
-	private boolean isHeadRequest() {
-		return this.head != null && this.head.method().equals(HttpMethod.HEAD);
-	}
-
-	private void setConnectionHeader(HttpResponse response) {
-		if (this.context.draining()) {
-			this.keepAlive = false;
-		}
-		if (!this.keepAlive) {
-			response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-		}
-		else if (this.head != null && this.head.protocolVersion().equals(HttpVersion.HTTP_1_0)) {
-			response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.KEEP_ALIVE);
-		}
-	}
-
 	@Override
 	public void startResponse(HttpResponseStatus status, HttpHeaders headers) {
-		HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, status);
-		response.headers().set(headers);
-		if (callerReadsToEndOfConnection()) {
-			this.keepAlive = false;
-		}
-		else {
-			response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-		}
+		HttpResponse response = ResponseHeads.ofStreamed(this.head, status, headers);
+		this.keepAlive &= !ResponseHeads.readsToEndOfConnection(this.head);
 		setConnectionHeader(response);
 		this.queue.add(response, RESPONSE_HEAD_BYTES);
 	}
 
+	private void setConnectionHeader(HttpResponse response) {
+		this.keepAlive &= !this.context.draining();
+		ResponseHeads.setConnection(response, this.head, this.keepAlive);
+	}
+
 	@Override
 	public void writePart(ByteBuf part) {
 		this.queue.write(new DefaultHttpContent(part), part.readableBytes());
@@ -330,17 +282,14 @@
 	public void abort() {
 		this.closing = true;
 		this.channel.flush();
-		if (callerReadsToEndOfConnection() && this.channel.isActive()) {
+		// Such a caller would take the orderly end of the connection for a complete
+		// response.
+		if (ResponseHeads.readsToEndOfConnection(this.head) && this.channel.isActive()) {
 			this.channel.config().setOption(ChannelOption.SO_LINGER, 0);
 		}
 		this.channel.close();
 	}
 
-	// An HTTP/1.0 caller takes the end of the connection for the end of the response.
-	private boolean callerReadsToEndOfConnection() {
-		return this.head != null && this.head.protocolVersion().equals(HttpVersion.HTTP_1_0);
-	}
-
 	@Override
 	public boolean writable() {
 		return this.queue.writable();
@@ -383,9 +332,6 @@
 		while (!this.responding && !this.closing && !this.pipelinedMessages.isEmpty()) {
 			process(this.pipelinedMessages.poll());
 		}
-		if (this.pipelinedMessages.size() < MAX_PIPELINED_MESSAGES) {
-			this.channel.config().setAutoRead(true);
-		}
 	}
 
 	private void callerHasRead() {
@@ -428,8 +374,7 @@
 	@Override
 	public void channelInactive(ChannelHandlerContext handlerContext) {
 		this.closing = true;
-		this.pipelinedMessages.forEach(ReferenceCountUtil::release);
-		this.pipelinedMessages.clear();
+		this.pipelinedMessages.release();
 		this.account.close();
 		if (this.exchange != null) {
 			this.exchange.callerDisconnected(this.closeReason);
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/CallerServer.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/CallerServer.java
@@ -7,6 +7,7 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -27,6 +28,14 @@
 	 */
 	private static final int BACKLOG = 1_024;
 
+	/** The length of usual request heads. */
+	private static final int MIN_READ_BYTES = 1_024;
+
+	/**
+	 * Largest buffer for one read, which bounds what arrives after reading has paused.
+	 */
+	private static final int MAX_READ_BYTES = 16 * 1024;
+
 	private final GatewayContext context;
 
 	private final AdmissionHandler admissionHandler;
@@ -67,6 +76,8 @@
 			.childOption(ChannelOption.TCP_NODELAY, true)
 			.childOption(ChannelOption.SO_KEEPALIVE, true)
 			.childOption(ChannelOption.SO_SNDBUF, SocketBuffers.BYTES)
+			.childOption(ChannelOption.RCVBUF_ALLOCATOR,
+					new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, MIN_READ_BYTES, MAX_READ_BYTES))
 			.childHandler(new ChannelInitializer<Channel>() {
 				@Override
 				protected void initChannel(Channel channel) {
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/EventProgress.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/EventProgress.java
@@ -20,21 +20,19 @@
 	private static final int PAUSES = 8;
 
 	/**
-	 * Reads without any part of an event, such as parts of chunk sizes, before they are
-	 * judged. The rest of a chunk's framing may arrive with the last event, in up to two
-	 * reads, and the next event follows in its own time.
+	 * Part of the wait that a single pause between two reads counts for at most. An
+	 * instance that is suspended in the middle of an event, this one included, is not
+	 * taken for one that trickles bytes.
 	 */
-	private static final int MIN_FRUITLESS_READS = 4;
+	private static final int MAX_PAUSE_DIVISOR = 4;
 
 	private final long limitNanos;
 
 	private int completed = -1;
 
-	private int fruitlessReads;
+	private long lastReadNanos;
 
-	private boolean partial;
-
-	private long sinceNanos;
+	private long trickledNanos;
 
 	/**
 	 * Starts to watch one attempt.
@@ -49,22 +47,20 @@
 	/**
 	 * Records that bytes have arrived.
 	 * @param completed the number of items (the head and the events) that are complete
-	 * @param partial whether a part of the next event has arrived
 	 * @param readingNanos the time on a clock that stands while the response is not read,
 	 * in nanoseconds
 	 * @return whether the stream is stalled
 	 */
-	boolean bytesArrived(int completed, boolean partial, long readingNanos) {
-		boolean begins = this.fruitlessReads == 0 || partial != this.partial;
-		if (completed != this.completed || begins) {
-			this.sinceNanos = readingNanos;
-			this.fruitlessReads = 0;
+	boolean bytesArrived(int completed, long readingNanos) {
+		if (completed != this.completed) {
+			this.completed = completed;
+			this.trickledNanos = 0;
+		}
+		else {
+			this.trickledNanos += Math.min(readingNanos - this.lastReadNanos, this.limitNanos / MAX_PAUSE_DIVISOR);
 		}
-		this.completed = completed;
-		this.partial = partial;
-		this.fruitlessReads++;
-		boolean judged = partial || this.fruitlessReads >= MIN_FRUITLESS_READS;
-		return judged && readingNanos - this.sinceNanos >= this.limitNanos;
+		this.lastReadNanos = readingNanos;
+		return this.trickledNanos >= this.limitNanos;
 	}
 
 }
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
@@ -474,8 +474,7 @@
 				return;
 			}
 			int completed = exchange.relay.attemptEvents() + (exchange.relay.headReceived() ? 1 : 0);
-			boolean partial = completed == 0 || exchange.relay.unfinishedBytes() > 0;
-			if (exchange.progress.bytesArrived(completed, partial, exchange.connection.readingClock())) {
+			if (exchange.progress.bytesArrived(completed, exchange.connection.readingClock())) {
 				failIfRejected(Optional.of(new ResponseRelay.Rejection(Verdict.ofMayHaveRun(ErrorCode.STREAM_BROKEN),
 						"the upstream sends bytes but completes no event")));
 			}
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/MemoryLedger.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/MemoryLedger.java
@@ -105,6 +105,8 @@
 
 		private long ownRequestBytes;
 
+		private long pipelinedBytes;
+
 		private long bufferedBytes;
 
 		private long queuedBytes;
@@ -141,6 +143,17 @@
 			this.ownRequestBytes = 0;
 		}
 
+		/**
+		 * Records how much of later requests has arrived before they are served.
+		 * @param bytes the number of bytes
+		 */
+		void pipelined(long bytes) {
+			if (!this.closed) {
+				MemoryLedger.this.requestBytes += bytes - this.pipelinedBytes;
+				this.pipelinedBytes = bytes;
+			}
+		}
+
 		/**
 		 * Records how much of the response is held back until more of it has arrived.
 		 * @param bytes the number of bytes
@@ -204,6 +217,7 @@
 		@Override
 		public void close() {
 			releaseRequest();
+			pipelined(0);
 			MemoryLedger.this.responseBytes -= this.bufferedBytes + this.queuedBytes;
 			this.bufferedBytes = 0;
 			this.queuedBytes = 0;
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/EventProgressTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/EventProgressTests.java
@@ -5,6 +5,8 @@
 import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -19,53 +21,59 @@
 	private final EventProgress progress = new EventProgress(Duration.ofMillis(500),
 			Optional.of(Duration.ofMillis(150)));
 
-	private boolean arrive(int completed, boolean partial, double seconds) {
-		return this.progress.bytesArrived(completed, partial, (long) (seconds * SECOND));
+	private boolean arrive(int completed, double seconds) {
+		return this.progress.bytesArrived(completed, (long) (seconds * SECOND));
 	}
 
-	@Test
-	void aStreamThatTricklesAnEventIsStalledOnceCallersHaveLeft() {
-		assertThat(arrive(1, true, 0)).isFalse();
-		assertThat(arrive(1, true, 1.9)).isFalse();
-		assertThat(arrive(1, true, 2)).isTrue();
+	private double secondsToStall(int completed, double interval) {
+		double seconds = 0;
+		while (!arrive(completed, seconds) && seconds < 60) {
+			seconds += interval;
+		}
+		return seconds;
 	}
 
-	@Test
-	void aStreamThatTricklesItsHeadIsStalled() {
-		assertThat(arrive(0, true, 0)).isFalse();
-		assertThat(arrive(0, true, 2)).isTrue();
+	@ParameterizedTest
+	@ValueSource(ints = { 0, 1, 7 })
+	void aStreamThatTricklesBytesIsStalledOnceCallersHaveLeft(int completed) {
+		assertThat(secondsToStall(completed, 0.25)).isEqualTo(2.0);
 	}
 
 	@Test
-	void aStreamThatTricklesTheFramingOfChunksIsStalled() {
-		assertThat(arrive(1, false, 0)).isFalse();
-		assertThat(arrive(1, false, 1)).isFalse();
-		assertThat(arrive(1, false, 2)).isFalse();
-		assertThat(arrive(1, false, 3)).isTrue();
+	void aStreamThatSendsAByteNowAndThenIsStalledAfterSomeOfThem() {
+		assertThat(secondsToStall(1, 3)).isEqualTo(12.0);
 	}
 
 	@Test
 	void anEventInPartsAfterALongSilenceIsNoStall() {
-		assertThat(arrive(2, false, 0)).isFalse();
-		assertThat(arrive(2, false, 0)).isFalse();
-		assertThat(arrive(2, false, 9)).isFalse();
-		assertThat(arrive(2, true, 9.1)).isFalse();
-		assertThat(arrive(3, false, 9.2)).isFalse();
+		assertThat(arrive(2, 0)).isFalse();
+		assertThat(arrive(2, 0)).isFalse();
+		assertThat(arrive(2, 9)).isFalse();
+		assertThat(arrive(2, 9.1)).isFalse();
+		assertThat(arrive(3, 9.2)).isFalse();
+	}
+
+	@Test
+	void aSuspensionInTheMiddleOfAnEventIsNoStall() {
+		assertThat(arrive(1, 0)).isFalse();
+		assertThat(arrive(1, 5)).isFalse();
+		assertThat(arrive(1, 5.1)).isFalse();
 	}
 
 	@Test
 	void aSlowStreamOfWholeEventsIsNoStall() {
 		for (int event = 1; event < 10; event++) {
-			assertThat(arrive(event, event % 2 == 0, event * 5)).isFalse();
+			assertThat(arrive(event, event * 5)).isFalse();
 		}
 	}
 
 	@Test
 	void waitsAsLongAsCallersOfTheRouteDo() {
 		EventProgress patient = new EventProgress(Duration.ofMillis(500), Optional.of(Duration.ofMillis(400)));
-		assertThat(patient.bytesArrived(1, true, 0)).isFalse();
-		assertThat(patient.bytesArrived(1, true, 3 * SECOND)).isFalse();
-		assertThat(patient.bytesArrived(1, true, 4 * SECOND)).isTrue();
+		for (int read = 0; read < 4; read++) {
+			assertThat(patient.bytesArrived(1, read * SECOND * 4 / 5)).isFalse();
+		}
+		assertThat(patient.bytesArrived(1, 4 * SECOND * 4 / 5)).isTrue();
 	}
 
 	@Test
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/SlowReaderTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/SlowReaderTests.java
@@ -82,22 +82,32 @@
 		}
 	}
 
+	// Two failures in a row would eject the upstream.
 	@Test
-	void resumesAStreamThatItsUpstreamCutBecauseItWasNotRead() throws Exception {
+	void resumesStreamsThatTheirUpstreamCutUnreadAndCountsNoFailure() throws Exception {
 		try (ScriptedUpstream cutting = ScriptedUpstream.start((number, request, reply) -> stream(request, reply));
 				ScriptedUpstream other = ScriptedUpstream.start((number, request, reply) -> stream(request, reply));
 				GatewayFixture gateway = new GatewayFixture(cutting, other);
-				GatewayFixture.Caller caller = gateway.slowCaller()) {
-			caller.get("/stream/x", "Connection: close\r\n");
-			while (gateway.read(GatewayContext::heldBytes) < 50_000) {
+				GatewayFixture.Caller later = gateway.caller()) {
+			List<GatewayFixture.Caller> callers = new ArrayList<>();
+			for (int index = 0; index < 4; index++) {
+				callers.add(gateway.slowCaller().get("/stream/" + index, "Connection: close\r\n"));
+			}
+			while (gateway.read(GatewayContext::heldBytes) < 200_000) {
 				Thread.onSpinWait();
 			}
 			// Longer than the pause after which a loss counts as a cut.
 			TimeUnit.MILLISECONDS.sleep(1_300);
+			assertThat(cutting.requests().size()).isAtLeast(2);
 			cutting.resetConnections();
-			assertComplete(caller.readToEnd());
-			assertThat(other.requests()).hasSize(1);
+			for (GatewayFixture.Caller caller : callers) {
+				assertComplete(caller.readToEnd());
+				caller.close();
+			}
+			assertThat(other.requests()).hasSize(4);
 			assertThat(gateway.connectionsChecked()).isTrue();
+			assertComplete(later.get("/stream/later", "Connection: close\r\n").readToEnd());
+			assertThat(cutting.requests().get(cutting.requests().size() - 1)).startsWith("GET /stream/later ");
 		}
 	}
 
