--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/CallerConnection.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/CallerConnection.java
@@ -1,14 +1,10 @@
 package io.bulrushrouter.gateway.forward;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
@@ -19,12 +15,9 @@
 import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -49,33 +42,32 @@
 
 	private static final Logger logger = LoggerFactory.getLogger(CallerConnection.class);
 
-	/**
-	 * Messages of pipelined requests that are buffered while a request is served; reading
-	 * pauses at this number.
-	 */
-	private static final int MAX_PIPELINED_MESSAGES = 16;
-
 	/**
 	 * How long a closing connection is still read: closing with unread bytes would send a
 	 * reset, which can discard the response.
 	 */
 	private static final long LINGER_MILLIS = 400;
 
+	/** Bytes counted for the head of a response, more than usual ones have. */
+	private static final int RESPONSE_HEAD_BYTES = 512;
+
 	private final GatewayContext context;
 
 	private final AdmissionHandler admissionHandler;
 
 	private final StrictRequestDecoder decoder;
 
-	private final Deque<HttpObject> pipelinedMessages = new ArrayDeque<>();
+	private final PipelinedMessages pipelinedMessages;
+
+	private final MemoryLedger.Account account;
 
 	private Channel channel;
 
-	private HttpRequest head;
+	private CallerQueue queue;
 
-	private ByteArrayOutputStream body;
+	private HttpRequest head;
 
-	private long reservedBytes;
+	private RequestBody body;
 
 	private long arrivedNanos;
 
@@ -89,25 +81,45 @@
 
 	private boolean closing;
 
+	private boolean awaitingReader;
+
+	private String closeReason = "the caller closed the connection";
+
 	CallerConnection(GatewayContext context, AdmissionHandler admissionHandler, StrictRequestDecoder decoder) {
 		this.context = context;
 		this.admissionHandler = admissionHandler;
 		this.decoder = decoder;
+		this.account = context.memory().open(() -> context.loop().execute(this::cutForMemory));
+		this.pipelinedMessages = new PipelinedMessages(this.account,
+				(reading) -> this.channel.config().setAutoRead(reading));
 	}
 
 	@Override
 	public void channelActive(ChannelHandlerContext handlerContext) {
 		this.channel = handlerContext.channel();
+		this.queue = new CallerQueue(this.channel, this.account, this.context::nowNanos, this::callerHasRead);
 		this.waitingSinceNanos = this.context.nowNanos();
 	}
 
 	/**
 	 * Refuses a request that takes too long to arrive and closes a connection that is
-	 * idle.
+	 * idle, or whose caller reads nothing more of a finished response. While an upstream
+	 * still sends the response, only its deadline ends it.
 	 * @param nowNanos the time on the monotonic clock, in nanoseconds
 	 */
 	void sweep(long nowNanos) {
-		if (this.responding || this.closing || this.channel == null) {
+		if (this.channel == null || this.exchange != null) {
+			return;
+		}
+		if (!this.queue.isEmpty()) {
+			if (this.queue.unreadNanos(nowNanos) > this.context.limits().idleTimeout().toNanos()) {
+				cut("the caller read nothing of a finished response within the idle timeout");
+			}
+			// The caller is idle only once it has read the response.
+			this.waitingSinceNanos = nowNanos;
+			return;
+		}
+		if (this.responding || this.closing) {
 			return;
 		}
 		long waited = nowNanos - this.waitingSinceNanos;
@@ -135,9 +147,6 @@
 		}
 		if (this.responding) {
 			this.pipelinedMessages.add((HttpObject) message);
-			if (this.pipelinedMessages.size() >= MAX_PIPELINED_MESSAGES) {
-				this.channel.config().setAutoRead(false);
-			}
 			return;
 		}
 		process((HttpObject) message);
@@ -168,7 +177,7 @@
 
 	private void startRequest(HttpRequest request) {
 		this.head = request;
-		this.body = new ByteArrayOutputStream(0);
+		this.body = new RequestBody(this.account, this.context.limits().bodyBytes());
 		this.arrivedNanos = this.context.nowNanos();
 		this.waitingSinceNanos = this.arrivedNanos;
 		this.keepAlive = HttpUtil.isKeepAlive(request);
@@ -177,8 +186,9 @@
 			refuse(400, ErrorCode.BAD_REQUEST, problem.get());
 			return;
 		}
-		if (HttpUtil.getContentLength(request, 0L) > this.context.limits().bodyBytes()) {
-			refuse(413, ErrorCode.TOO_LARGE, "the request body is longer than the limit");
+		Optional<ErrorCode> refusal = this.body.begin(HttpUtil.getContentLength(request, 0L));
+		if (refusal.isPresent()) {
+			refuseForSize(refusal.get());
 			return;
 		}
 		if (HttpUtil.is100ContinueExpected(request)) {
@@ -188,34 +198,28 @@
 	}
 
 	private void appendBody(HttpContent content) {
-		ByteBuf bytes = content.content();
-		int length = bytes.readableBytes();
 		if (this.closing || this.head == null) {
 			content.release();
 			return;
 		}
-		if (this.body.size() + length > this.context.limits().bodyBytes()) {
-			content.release();
-			refuse(413, ErrorCode.TOO_LARGE, "the request body is longer than the limit");
-			return;
-		}
-		if (!this.context.reserve(length)) {
-			content.release();
-			refuse(503, ErrorCode.OVERLOADED, "the limit of buffered bytes of all requests is reached");
-			return;
-		}
-		this.reservedBytes += length;
-		if (length > 0) {
-			byte[] copy = ByteBufUtil.getBytes(bytes);
-			this.body.write(copy, 0, copy.length);
+		if (content.content().isReadable()) {
 			this.waitingSinceNanos = this.context.nowNanos();
 		}
+		Optional<ErrorCode> refusal = this.body.append(content.content());
 		content.release();
-		if (content instanceof LastHttpContent) {
+		if (refusal.isPresent()) {
+			refuseForSize(refusal.get());
+		}
+		else if (content instanceof LastHttpContent) {
 			serve();
 		}
 	}
 
+	private void refuseForSize(ErrorCode code) {
+		refuse(code.httpStatus(), code, (code == ErrorCode.TOO_LARGE) ? "the request body is longer than the limit"
+				: "the memory bound of all connections is reached");
+	}
+
 	private void serve() {
 		this.responding = true;
 		CallerRequest request = new CallerRequest(this.head, this.body.toByteArray(), this.arrivedNanos);
@@ -233,62 +237,46 @@
 		this.context.metrics().countResponse(status, code.text());
 		this.keepAlive = false;
 		this.responding = true;
-		ErrorResponse.send(this, status, Verdict.ofNotRun(code), 0);
+		ErrorResponse.send(this, status, Verdict.ofNotRun(code),
+				(status == 503) ? RetryAfter.millis(code, this.context.random()) : 0);
 	}
 
 	@Override
 	public void respond(HttpResponseStatus status, HttpHeaders headers, ByteBuf content) {
-		DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
-				isHeadRequest() ? Unpooled.EMPTY_BUFFER : content);
-		response.headers().set(headers);
-		if (status.code() != 204 && status.code() != 304) {
-			response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
-		}
+		FullHttpResponse response = ResponseHeads.ofComplete(this.head, status, headers, content);
 		setConnectionHeader(response);
-		this.channel.write(response);
+		this.queue.write(response, RESPONSE_HEAD_BYTES + response.content().readableBytes());
 		responseFinished();
 	}
 
-	private boolean isHeadRequest() {
-		return this.head != null && this.head.method().equals(HttpMethod.HEAD);
+	@Override
+	public void startResponse(HttpResponseStatus status, HttpHeaders headers) {
+		HttpResponse response = ResponseHeads.ofStreamed(this.head, status, headers);
+		this.keepAlive &= !ResponseHeads.readsToEndOfConnection(this.head);
+		setConnectionHeader(response);
+		this.queue.add(response, RESPONSE_HEAD_BYTES);
 	}
 
 	// The load balancer gives a new connection to an entry that is ready, so a caller
 	// loses nothing by leaving one that refuses requests with keys.
 	private void setConnectionHeader(HttpResponse response) {
-		if (this.context.draining() || !this.context.ready()) {
-			this.keepAlive = false;
-		}
-		if (!this.keepAlive) {
-			response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-		}
-		else if (this.head != null && this.head.protocolVersion().equals(HttpVersion.HTTP_1_0)) {
-			response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.KEEP_ALIVE);
-		}
+		this.keepAlive &= !this.context.draining() && this.context.ready();
+		ResponseHeads.setConnection(response, this.head, this.keepAlive);
 	}
 
 	@Override
-	public void startResponse(HttpResponseStatus status, HttpHeaders headers) {
-		HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, status);
-		response.headers().set(headers);
-		if (callerReadsToEndOfConnection()) {
-			this.keepAlive = false;
-		}
-		else {
-			response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-		}
-		setConnectionHeader(response);
-		this.channel.write(response);
+	public void writePart(ByteBuf part) {
+		this.queue.write(new DefaultHttpContent(part), part.readableBytes());
 	}
 
 	@Override
-	public void writePart(ByteBuf part) {
-		this.channel.writeAndFlush(new DefaultHttpContent(part));
+	public void buffered(long bytes) {
+		this.account.buffered(bytes);
 	}
 
 	@Override
 	public void finish() {
-		this.channel.write(LastHttpContent.EMPTY_LAST_CONTENT);
+		this.queue.write(LastHttpContent.EMPTY_LAST_CONTENT, 0);
 		responseFinished();
 	}
 
@@ -296,71 +284,102 @@
 	public void abort() {
 		this.closing = true;
 		this.channel.flush();
-		if (callerReadsToEndOfConnection() && this.channel.isActive()) {
+		// Such a caller would take the orderly end of the connection for a complete
+		// response.
+		if (ResponseHeads.readsToEndOfConnection(this.head) && this.channel.isActive()) {
 			this.channel.config().setOption(ChannelOption.SO_LINGER, 0);
 		}
 		this.channel.close();
 	}
 
-	// An HTTP/1.0 caller takes the end of the connection for the end of the response.
-	private boolean callerReadsToEndOfConnection() {
-		return this.head != null && this.head.protocolVersion().equals(HttpVersion.HTTP_1_0);
-	}
-
 	@Override
 	public boolean writable() {
-		return this.channel.isWritable();
+		return this.queue.writable();
 	}
 
 	private void responseFinished() {
-		this.channel.flush();
-		this.context.release(this.reservedBytes);
-		this.reservedBytes = 0;
+		this.account.releaseRequest();
 		this.head = null;
 		if (!this.keepAlive) {
 			closeAfterLinger();
 			return;
 		}
+		// A caller that pipelines requests and reads no responses gets no further ones.
+		this.awaitingReader = !this.queue.writable();
+		if (!this.awaitingReader) {
+			awaitRequest();
+		}
+	}
+
+	private void awaitRequest() {
 		this.responding = false;
 		this.waitingSinceNanos = this.context.nowNanos();
 		this.context.loop().execute(this::processPipelinedMessages);
 	}
 
+	// The linger time begins when the caller has been sent everything, however slowly it
+	// reads.
 	private void closeAfterLinger() {
 		this.closing = true;
-		if (this.channel instanceof SocketChannel socket) {
-			this.channel.writeAndFlush(Unpooled.EMPTY_BUFFER)
-				.addListener((ChannelFutureListener) (done) -> socket.shutdownOutput());
-		}
 		this.channel.config().setAutoRead(true);
-		this.context.loop().schedule(() -> this.channel.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
+		this.channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener((ChannelFutureListener) (done) -> {
+			if (this.channel instanceof SocketChannel socket && socket.isActive()) {
+				socket.shutdownOutput();
+			}
+			this.context.loop().schedule(() -> this.channel.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
+		});
 	}
 
 	private void processPipelinedMessages() {
 		while (!this.responding && !this.closing && !this.pipelinedMessages.isEmpty()) {
 			process(this.pipelinedMessages.poll());
 		}
-		if (this.pipelinedMessages.size() < MAX_PIPELINED_MESSAGES) {
-			this.channel.config().setAutoRead(true);
-		}
 	}
 
-	@Override
-	public void channelWritabilityChanged(ChannelHandlerContext handlerContext) {
+	private void callerHasRead() {
 		if (this.exchange != null) {
-			this.exchange.callerWritabilityChanged(this.channel.isWritable());
+			this.exchange.callerWritabilityChanged(true);
 		}
+		else if (this.awaitingReader) {
+			this.awaitingReader = false;
+			awaitRequest();
+		}
+	}
+
+	private void cutForMemory() {
+		cut("the caller read nothing for the longest time when the memory bound was reached");
+	}
+
+	// Resets the connection, which also frees what the operating system holds for it.
+	private void cut(String reason) {
+		if (this.channel == null || !this.channel.isActive()) {
+			return;
+		}
+		long unreadMillis = TimeUnit.NANOSECONDS.toMillis(this.queue.unreadNanos(this.context.nowNanos()));
+		logger.info("event=reader-cut queued-bytes={} unread-ms={} held-bytes={} limit={} detail=\"{}\"",
+				this.queue.bytes(), unreadMillis, this.context.heldBytes(), this.context.settings().maxBufferedBytes(),
+				reason);
+		this.closing = true;
+		this.closeReason = reason;
+		this.channel.config().setOption(ChannelOption.SO_LINGER, 0);
+		this.channel.close();
+	}
+
+	/**
+	 * Returns whether a request is arriving or its response is not written as a whole.
+	 * @return whether closing the connection now would cut something off
+	 */
+	boolean busy() {
+		return this.head != null || this.decoder.headIncomplete() || (this.queue != null && !this.queue.isEmpty());
 	}
 
 	@Override
 	public void channelInactive(ChannelHandlerContext handlerContext) {
 		this.closing = true;
-		this.pipelinedMessages.forEach(ReferenceCountUtil::release);
-		this.pipelinedMessages.clear();
-		this.context.release(this.reservedBytes);
-		this.reservedBytes = 0;
+		this.pipelinedMessages.release();
+		this.account.close();
 		if (this.exchange != null) {
-			this.exchange.callerDisconnected();
+			this.exchange.callerDisconnected(this.closeReason);
 		}
 	}
 
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/CallerServer.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/CallerServer.java
@@ -7,6 +7,7 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -27,6 +28,14 @@
 	 */
 	private static final int BACKLOG = 1_024;
 
+	/** The length of usual request heads. */
+	private static final int MIN_READ_BYTES = 1_024;
+
+	/**
+	 * Largest buffer for one read, which bounds what arrives after reading has paused.
+	 */
+	private static final int MAX_READ_BYTES = 16 * 1024;
+
 	private final GatewayContext context;
 
 	private final AdmissionHandler admissionHandler;
@@ -37,6 +46,8 @@
 
 	private Channel serverChannel;
 
+	private long accepted;
+
 	/**
 	 * Creates a server.
 	 * @param context the state shared by all requests
@@ -59,9 +70,14 @@
 			.channel(NioServerSocketChannel.class)
 			.option(ChannelOption.SO_BACKLOG, BACKLOG)
 			.option(ChannelOption.SO_REUSEADDR, true)
+			// Inherited by accepted connections; later it could not be negotiated.
+			.option(ChannelOption.SO_RCVBUF, SocketBuffers.BYTES)
 			.childOption(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
 			.childOption(ChannelOption.TCP_NODELAY, true)
 			.childOption(ChannelOption.SO_KEEPALIVE, true)
+			.childOption(ChannelOption.SO_SNDBUF, SocketBuffers.BYTES)
+			.childOption(ChannelOption.RCVBUF_ALLOCATOR,
+					new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, MIN_READ_BYTES, MAX_READ_BYTES))
 			.childHandler(new ChannelInitializer<Channel>() {
 				@Override
 				protected void initChannel(Channel channel) {
@@ -78,6 +94,7 @@
 	}
 
 	private void accept(Channel channel) {
+		this.accepted++;
 		if (this.connections.size() >= this.maxConnections) {
 			channel.close();
 			return;
@@ -106,6 +123,23 @@
 		return this.connections.size();
 	}
 
+	/**
+	 * Returns the number of connections that were accepted since the start.
+	 * @return the number
+	 */
+	public long accepted() {
+		return this.accepted;
+	}
+
+	/**
+	 * Returns whether a request is arriving on a connection or a response is not written
+	 * as a whole.
+	 * @return whether ending now would cut something off
+	 */
+	public boolean busy() {
+		return this.connections.stream().anyMatch(CallerConnection::busy);
+	}
+
 	@Override
 	public void close() {
 		if (this.serverChannel != null) {
