Learn the capacity of each upstream from answers and choose by it

The choice counted only this entry's own requests in flight. An entry sees about a fifteenth of the load of an upstream, so an upstream that had turned slow kept almost all of its traffic.

Each upstream now has an estimate of how much slower it is than its service: a Kalman filter on the logarithm of the latency over the one that is expected for the kind, size and own load of the request. Noise and the spread between upstreams are measured, so that an even service gives no differences; sums of deviations detect sudden changes; an answer that is missing counts with its age. A slow upstream takes part in 1/s^2 of the choices, and every 2 s in one that checks it, at most a tenth of all.

Ruled out: a common mean over 16 answers.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
@@ -24,6 +24,8 @@
 import io.bulrushrouter.gateway.quarantine.CrashEvidence.Quarantine;
 import io.bulrushrouter.gateway.source.HeaderNames;
 import io.bulrushrouter.gateway.source.UpstreamRecord;
+import io.bulrushrouter.gateway.upstream.AttemptObservation;
+import io.bulrushrouter.gateway.upstream.AttemptSize;
 import io.bulrushrouter.gateway.upstream.UpstreamSelector.Outcome;
 import io.bulrushrouter.kernel.ErrorCode;
 import io.bulrushrouter.kernel.Verdict;
@@ -70,6 +72,10 @@
 
 	private final Runnable onUnresponsive = this::leaveUnresponsiveUpstream;
 
+	private final AttemptSize size;
+
+	private AttemptObservation observation = AttemptObservation.NONE;
+
 	private Future<?> timeout;
 
 	private UpstreamRecord upstream;
@@ -98,6 +104,8 @@
 		this.request = admitted.request();
 		this.fingerprints = new RequestFingerprints(context, this.request);
 		this.route = admitted.route();
+		this.size = AttemptSize.of(this.route.kind(), this.request.header(context.headers().tokenCounts()),
+				this.request.body().length);
 		this.organisation = admitted.organisation();
 		this.configurationVersion = admitted.configurationVersion();
 		this.service = this.route.service(context.random().nextDouble());
@@ -194,6 +202,7 @@
 		this.heardNanos = this.sentNanos;
 		this.relay.startAttempt(ready);
 		this.connectionReused = ready.used();
+		this.observation = this.context.upstreamSelector().observe(this.upstream, this.size, this.sentNanos);
 		this.context.monitor().requestSent(this.upstream, this.onUnresponsive);
 		ready.send(upstreamRequest(), new AttemptResponseHandler(current));
 	}
@@ -234,6 +243,7 @@
 		String code = verdict.failure().map(ErrorCode::text).orElse("none");
 		this.context.metrics().countAttempt(code);
 		this.context.upstreamSelector().ended(this.upstream.id(), outcome, this.context.nowNanos());
+		endObservation(verdict);
 		this.mayHaveRun |= verdict.mayHaveRun();
 		logger.info("event=attempt-failed request={} upstream={} attempt={} verdict={} code={} detail=\"{}\" "
 				+ "millis-left={} events-sent={} attempt-events={} prompt-parts={} request-digest={} retrying={}",
@@ -250,6 +260,16 @@
 		}
 	}
 
+	// An upstream that says for how long it wants no requests gets none anyway.
+	private void endObservation(Verdict verdict) {
+		long nowNanos = this.context.nowNanos();
+		if (verdict.failure().filter(ErrorCode.OVERLOADED::equals).isPresent()
+				&& !this.context.notices().paused(this.upstream.id(), nowNanos)) {
+			this.observation.refused(nowNanos);
+		}
+		this.observation.abandoned(nowNanos);
+	}
+
 	private void releaseConnection() {
 		this.connection = null;
 		this.context.monitor().requestEnded(this.upstream.id(), this.onUnresponsive);
@@ -353,6 +373,7 @@
 	private void cancelAttempt() {
 		this.generation++;
 		if (this.upstream != null) {
+			this.observation.abandoned(this.context.nowNanos());
 			this.context.upstreamSelector().ended(this.upstream.id(), Outcome.NEUTRAL, this.context.nowNanos());
 		}
 		if (this.connection != null) {
@@ -367,6 +388,7 @@
 	 */
 	void callerWritabilityChanged(boolean writable) {
 		if (this.connection != null && !this.ended) {
+			this.observation.delayedByCaller();
 			this.connection.reading(writable);
 		}
 	}
@@ -438,6 +460,8 @@
 				heard();
 				boolean begun = responseBegun();
 				Optional<ResponseRelay.Rejection> rejected = Exchange.this.relay.relayContent(part);
+				Exchange.this.observation.progress(Exchange.this.relay.attemptEvents(), Exchange.this.relay.started(),
+						Exchange.this.context.nowNanos());
 				if (!begun && responseBegun()) {
 					Exchange.this.fingerprints.succeeded();
 				}
@@ -500,6 +524,7 @@
 			releaseConnection();
 			Exchange.this.fingerprints.succeeded();
 			Exchange.this.context.metrics().countAttempt("answered");
+			Exchange.this.observation.completed(status < 300, Exchange.this.context.nowNanos());
 			Exchange.this.context.upstreamSelector()
 				.ended(Exchange.this.upstream.id(), (status < 500) ? Outcome.SUCCESS : Outcome.FAILURE,
 						Exchange.this.context.nowNanos());
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/GatewayContext.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/GatewayContext.java
@@ -313,6 +313,7 @@
 		this.pool.sweep(listed);
 		this.monitor.retain(listed);
 		this.upstreamSelector.retain(listed);
+		this.upstreamSelector.review(nowNanos());
 		this.notices.retain(listed, nowNanos());
 		this.crashEvidence.expire(nowNanos());
 	}
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamHealth.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamHealth.java
@@ -20,6 +20,8 @@
 	/** Maximum duration of an ejection; a restart takes a few seconds. */
 	private static final long MAX_EJECTION_NANOS = TimeUnit.SECONDS.toNanos(4);
 
+	private final UpstreamCapacity capacity = new UpstreamCapacity();
+
 	private int inFlight;
 
 	private double failureRate;
@@ -34,6 +36,10 @@
 
 	private boolean responsive = true;
 
+	UpstreamCapacity capacity() {
+		return this.capacity;
+	}
+
 	int inFlight() {
 		return this.inFlight;
 	}
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamSelector.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamSelector.java
@@ -6,16 +6,19 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 
 import io.bulrushrouter.gateway.source.UpstreamRecord;
 
 /**
  * Selects the upstream of an attempt by least load. Load is the number of requests that
- * this entry has in flight there plus a cost for recent failures; among equals an
- * upstream in the own data centre is preferred. Entries see only their own load, so
- * remaining ties are broken at random to keep entries from all picking the same upstream.
- * Not thread-safe.
+ * this entry has in flight there, each counted by how slow the upstream is compared with
+ * its service, plus a cost for recent failures; among equals an upstream in the own data
+ * centre is preferred. A slow upstream takes part only in a share of the choices. Entries
+ * see only their own load, so remaining ties are broken at random to keep entries from
+ * all picking the same upstream. Not thread-safe.
  */
 public final class UpstreamSelector {
 
@@ -28,20 +31,41 @@
 	 */
 	private static final double REMOTE_COST = 0.4;
 
+	/** Upper bound of the random cost that breaks ties. */
+	private static final double TIE_COST = 0.1;
+
 	private final String dataCentre;
 
 	private final RandomGenerator random;
 
+	private final Predicate<UpstreamRecord> cold;
+
 	private final Map<String, UpstreamHealth> health = new HashMap<>();
 
+	private final Map<String, ServiceCapacity> services = new HashMap<>();
+
+	private final CapacityLog capacityLog = new CapacityLog();
+
 	/**
-	 * Creates a selector.
+	 * Creates a selector for upstreams that are never cold.
 	 * @param dataCentre the entry's data centre
 	 * @param random the random source that breaks ties
 	 */
 	public UpstreamSelector(String dataCentre, RandomGenerator random) {
+		this(dataCentre, random, (upstream) -> false);
+	}
+
+	/**
+	 * Creates a selector.
+	 * @param dataCentre the entry's data centre
+	 * @param random the random source that breaks ties
+	 * @param cold whether an upstream is cold, so that nothing is learned from its
+	 * latency
+	 */
+	public UpstreamSelector(String dataCentre, RandomGenerator random, Predicate<UpstreamRecord> cold) {
 		this.dataCentre = dataCentre;
 		this.random = random;
+		this.cold = cold;
 	}
 
 	/**
@@ -55,22 +79,59 @@
 	 */
 	public Optional<UpstreamRecord> pick(List<UpstreamRecord> candidates, Set<String> tried, long nowNanos) {
 		UpstreamRecord best = null;
+		boolean bestExplores = false;
 		double bestCost = Double.MAX_VALUE;
+		ServiceCapacity service = candidates.isEmpty() ? null : this.services.get(candidates.get(0).service());
+		boolean mayExplore = service != null && service.mayExplore();
 		for (UpstreamRecord candidate : candidates) {
 			UpstreamHealth upstreamHealth = healthOf(candidate.id());
-			if (tried.contains(candidate.id()) || !upstreamHealth.usable(nowNanos)
-					|| upstreamHealth.inFlight() >= maxInFlight(candidate)) {
+			if (exclusion(candidate, upstreamHealth, tried, nowNanos) != Exclusion.NONE) {
 				continue;
 			}
-			double cost = cost(candidate, upstreamHealth);
+			double slowness = upstreamHealth.capacity().slowness(nowNanos);
+			boolean withheld = slowness > 1 && this.random.nextDouble() >= choiceShare(slowness);
+			boolean explores = withheld && mayExplore && upstreamHealth.capacity().explorationDue(nowNanos);
+			double cost = loadCost(upstreamHealth, slowness) + failureCost(upstreamHealth) + distanceCost(candidate)
+					+ ((withheld && !explores) ? slowness : 0) + TIE_COST * this.random.nextDouble();
 			if (cost < bestCost) {
 				best = candidate;
 				bestCost = cost;
+				bestExplores = explores;
 			}
 		}
+		if (service != null) {
+			service.chosen(bestExplores);
+		}
 		return (best != null) ? Optional.of(best) : earliestReadmitted(candidates, tried, nowNanos);
 	}
 
+	private static Exclusion exclusion(UpstreamRecord candidate, UpstreamHealth upstreamHealth, Set<String> tried,
+			long nowNanos) {
+		if (tried.contains(candidate.id())) {
+			return Exclusion.TRIED;
+		}
+		if (!upstreamHealth.usable(nowNanos)) {
+			return upstreamHealth.responsive() ? Exclusion.EJECTED : Exclusion.UNRESPONSIVE;
+		}
+		return (upstreamHealth.inFlight() >= maxInFlight(candidate)) ? Exclusion.FULL : Exclusion.NONE;
+	}
+
+	private static double choiceShare(double slowness) {
+		return Math.min(1, 1 / (slowness * slowness));
+	}
+
+	private static double loadCost(UpstreamHealth upstreamHealth, double slowness) {
+		return slowness * upstreamHealth.inFlight();
+	}
+
+	private static double failureCost(UpstreamHealth upstreamHealth) {
+		return FAILURE_COST * upstreamHealth.failureRate();
+	}
+
+	private double distanceCost(UpstreamRecord candidate) {
+		return candidate.dataCentre().equals(this.dataCentre) ? 0 : REMOTE_COST;
+	}
+
 	// If no candidate is usable, the one whose ejection ends first gets the request, an
 	// unresponsive one last: never are all upstreams of a service unavailable because of
 	// what this entry has observed.
@@ -86,12 +147,6 @@
 				.thenComparing((candidate) -> healthOf(candidate.id()).ejectedUntilNanos()));
 	}
 
-	private double cost(UpstreamRecord candidate, UpstreamHealth upstreamHealth) {
-		double distance = candidate.dataCentre().equals(this.dataCentre) ? 0 : REMOTE_COST;
-		return upstreamHealth.inFlight() + FAILURE_COST * upstreamHealth.failureRate() + distance
-				+ 0.1 * this.random.nextDouble();
-	}
-
 	private static int maxInFlight(UpstreamRecord candidate) {
 		return Math.max(2, candidate.slots());
 	}
@@ -104,6 +159,27 @@
 		healthOf(id).started();
 	}
 
+	/**
+	 * Observes an attempt that was sent, to learn the capacity of its upstream.
+	 * @param upstream the upstream
+	 * @param size the size of the request
+	 * @param nowNanos the current monotonic time, in nanoseconds
+	 * @return the observation
+	 */
+	public AttemptObservation observe(UpstreamRecord upstream, AttemptSize size, long nowNanos) {
+		if (this.cold.test(upstream)) {
+			return AttemptObservation.NONE;
+		}
+		UpstreamHealth upstreamHealth = healthOf(upstream.id());
+		ServiceCapacity service = this.services.computeIfAbsent(upstream.service(), (key) -> new ServiceCapacity());
+		int requestClass = size.requestClass(Math.max(0, upstreamHealth.inFlight() - 1));
+		AttemptObservation observation = new AttemptObservation(upstreamHealth.capacity(),
+				() -> this.cold.test(upstream), size.stream(), requestClass,
+				service.answers().expectedNanos(requestClass), nowNanos);
+		upstreamHealth.capacity().sent(observation, upstream.service(), service);
+		return observation;
+	}
+
 	/**
 	 * Records the outcome of an attempt.
 	 * @param id the upstream's identifier
@@ -138,8 +214,39 @@
 	}
 
 	/**
-	 * Discards the health of upstreams that are no longer listed and have no requests in
-	 * flight.
+	 * Compares the upstreams of each service and logs what was learned.
+	 * @param nowNanos the current monotonic time, in nanoseconds
+	 */
+	public void review(long nowNanos) {
+		Map<String, List<UpstreamCapacity>> byService = this.health.values()
+			.stream()
+			.map(UpstreamHealth::capacity)
+			.filter((capacity) -> capacity.serviceName() != null)
+			.collect(Collectors.groupingBy(UpstreamCapacity::serviceName));
+		this.services.keySet().retainAll(byService.keySet());
+		byService.forEach((name, capacities) -> this.services.get(name)
+			.compare(capacities.stream().mapToDouble((capacity) -> capacity.ownIntervalEstimate(nowNanos)).toArray()));
+		this.health.forEach((id, upstreamHealth) -> this.capacityLog.review(id, upstreamHealth.capacity(), nowNanos));
+	}
+
+	/**
+	 * Returns the capacity of each upstream that this entry has sent to.
+	 * @param nowNanos the current monotonic time, in nanoseconds
+	 * @return the capacities by identifier, relative to the mean of the service
+	 */
+	public Map<String, Double> capacities(long nowNanos) {
+		Map<String, Double> capacities = new HashMap<>();
+		this.health.forEach((id, upstreamHealth) -> {
+			if (upstreamHealth.capacity().serviceName() != null) {
+				capacities.put(id, 1 / upstreamHealth.capacity().slowness(nowNanos));
+			}
+		});
+		return capacities;
+	}
+
+	/**
+	 * Discards the health and capacity of upstreams that are no longer listed and have no
+	 * requests in flight.
 	 * @param listed the identifiers of the listed upstreams
 	 */
 	public void retain(Set<String> listed) {
@@ -151,6 +258,28 @@
 		return this.health.computeIfAbsent(id, (key) -> new UpstreamHealth());
 	}
 
+	/**
+	 * Why an upstream is not chosen for an attempt.
+	 */
+	enum Exclusion {
+
+		/** It may be chosen. */
+		NONE,
+
+		/** The request was sent there before. */
+		TRIED,
+
+		/** Requests failed there, and its ejection or probe is not over. */
+		EJECTED,
+
+		/** It owes responses and answers no probe. */
+		UNRESPONSIVE,
+
+		/** This entry has as many requests in flight there as it has slots. */
+		FULL
+
+	}
+
 	/**
 	 * The outcome of an attempt with regard to the health of its upstream.
 	 */
