Keep the choice among 600 slow upstreams short; export learned capacities

An upstream that was unresponsive is not judged by the time in which it was suspended, since it is to get requests as soon as it responds. Intervals between events count half, so that load does not swing between the groups of a service.

The metrics have a gauge of the learned capacity of each upstream, read when the page is.

--- a/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/gateway/UpstreamChoiceBenchmark.java
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/gateway/UpstreamChoiceBenchmark.java
@@ -18,8 +18,11 @@
 import org.openjdk.jmh.annotations.State;
 import org.openjdk.jmh.annotations.Warmup;
 
+import io.bulrushrouter.gateway.config.RouteKind;
 import io.bulrushrouter.gateway.source.UpstreamRecord;
+import io.bulrushrouter.gateway.upstream.AttemptSize;
 import io.bulrushrouter.gateway.upstream.UpstreamSelector;
+import io.bulrushrouter.gateway.upstream.UpstreamSelector.Outcome;
 
 /**
  * Measures the choice of one upstream among 600.
@@ -34,6 +37,9 @@
 
 	private static final int UPSTREAMS = 600;
 
+	/** Answers of each upstream from which its capacity is learned. */
+	private static final int ROUNDS = 30;
+
 	private final UpstreamSelector choice = new UpstreamSelector("dc-3", new Random(1));
 
 	private final List<UpstreamRecord> upstreams = upstreams();
@@ -47,6 +53,32 @@
 		return upstreams;
 	}
 
+	private final UpstreamSelector unevenChoice = unevenChoice(this.upstreams);
+
+	private static UpstreamSelector unevenChoice(List<UpstreamRecord> upstreams) {
+		UpstreamSelector selector = new UpstreamSelector("dc-3", new Random(1));
+		AttemptSize size = new AttemptSize(RouteKind.IDEMPOTENT, 0, 100);
+		for (int round = 0; round < ROUNDS; round++) {
+			for (int index = 0; index < UPSTREAMS; index++) {
+				UpstreamRecord upstream = upstreams.get(index);
+				long latencyNanos = TimeUnit.MILLISECONDS.toNanos((index % 2 == 0) ? 30 : 120);
+				selector.started(upstream.id());
+				selector.observe(upstream, size, -latencyNanos).completed(true, 0);
+				selector.ended(upstream.id(), Outcome.SUCCESS, 0);
+			}
+		}
+		return selector;
+	}
+
+	/**
+	 * Picks an upstream where half of them are four times as slow.
+	 * @return the chosen upstream, if any
+	 */
+	@Benchmark
+	public Optional<UpstreamRecord> pickUneven() {
+		return this.unevenChoice.pick(this.upstreams, Set.of(), 0);
+	}
+
 	/**
 	 * Picks an upstream.
 	 * @return the chosen upstream, if any
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
@@ -388,7 +388,7 @@
 	 */
 	void callerWritabilityChanged(boolean writable) {
 		if (this.connection != null && !this.ended) {
-			this.observation.delayedByCaller();
+			this.observation.discard();
 			this.connection.reading(writable);
 		}
 	}
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/Gateway.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/Gateway.java
@@ -109,12 +109,14 @@
 		CrashEvidence crashEvidence = new CrashEvidence(settings.instance(), random.nextLong(),
 				this.membership::position);
 		FleetSource.Factory factory = plugins.require(FleetSource.Factory.class, settings.source());
+		UpstreamSelector selector = new UpstreamSelector(settings.dataCentre(), random);
 		this.context = new GatewayContext(this.loop, this.clock, random, factory.headers(), settings.forward(),
-				this.directory, new UpstreamSelector(settings.dataCentre(), random), this.freshness,
-				new ForwardMetrics(this.registry), this.membership, crashEvidence, factory.probePath());
+				this.directory, selector, this.freshness, new ForwardMetrics(this.registry), this.membership,
+				crashEvidence, factory.probePath());
 		this.callers = new CallerServer(this.context, settings.maxConnections());
 		this.readiness = new StatusServer(this.loop, this::readinessPage);
-		this.metrics = new StatusServer(this.loop, (path) -> new StatusServer.Page(200, this.registry.scrape()));
+		MetricsPage metricsPage = new MetricsPage(this.registry, () -> selector.capacities(this.clock.nanos()));
+		this.metrics = new StatusServer(this.loop, (path) -> metricsPage.page());
 		this.source = factory.connect(settings.store().getHostString(), settings.store().getPort(), this.group);
 		this.configurations = FeedFollower
 			.builder("configuration", this.source.configuration(), new ConfigurationListener())
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/AttemptObservation.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/AttemptObservation.java
@@ -165,10 +165,10 @@
 	}
 
 	/**
-	 * Records that the caller delays the rest of the answer, which then shows nothing of
-	 * the upstream.
+	 * Ends the observation because the rest of the answer shows nothing of the upstream's
+	 * capacity, such as when the caller delays it.
 	 */
-	public void delayedByCaller() {
+	public void discard() {
 		end();
 	}
 
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamCapacity.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamCapacity.java
@@ -18,9 +18,23 @@
 	/** Time without an answer after which a slow upstream is explored. */
 	private static final long EXPLORATION_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(2);
 
+	/**
+	 * Time for which a factor is used again if nothing was learned in between. The
+	 * estimate reverts by a hundredth in it, and most of the time of a choice among many
+	 * slow upstreams would be spent on exponentials.
+	 */
+	private static final long MAX_CACHED_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
 	/** Deviation that a refusal counts as, a factor of 4. */
 	private static final double REFUSAL_DEVIATION = Math.log(4);
 
+	/**
+	 * Weight of the estimate of intervals. With the half of it an upstream takes part in
+	 * the choices in proportion to its speed. More would let the load swing between the
+	 * groups of a service, since their intervals follow their load after some seconds.
+	 */
+	private static final double INTERVAL_WEIGHT = 0.5;
+
 	private final SlownessEstimate answers = new SlownessEstimate();
 
 	private final SlownessEstimate intervals = new SlownessEstimate();
@@ -31,6 +45,10 @@
 
 	private ServiceCapacity service;
 
+	private double cachedSlowness = Double.NaN;
+
+	private long cachedNanos;
+
 	private double loggedSlowness = 1;
 
 	private long loggedNanos;
@@ -51,6 +69,15 @@
 		this.unanswered.remove(attempt);
 	}
 
+	/**
+	 * Ends the observation of all attempts without an answer.
+	 */
+	void discardUnanswered() {
+		while (!this.unanswered.isEmpty()) {
+			this.unanswered.peek().discard();
+		}
+	}
+
 	void answered(int requestClass, double nanos, long nowNanos) {
 		learn(this.answers, this.service.answers(), requestClass, nanos, nowNanos);
 	}
@@ -59,8 +86,9 @@
 		learn(this.intervals, this.service.intervals(), 0, nanos, nowNanos);
 	}
 
-	private static void learn(SlownessEstimate estimate, LatencyReference reference, int requestClass, double nanos,
+	private void learn(SlownessEstimate estimate, LatencyReference reference, int requestClass, double nanos,
 			long nowNanos) {
+		this.cachedSlowness = Double.NaN;
 		double expectedNanos = reference.expectedNanos(requestClass);
 		if (Double.isFinite(expectedNanos)) {
 			double deviation = LatencyReference.deviation(nanos, expectedNanos);
@@ -79,6 +107,7 @@
 	 * @param nowNanos the current monotonic time, in nanoseconds
 	 */
 	void abandoned(double openNanos, double expectedNanos, long nowNanos) {
+		this.cachedSlowness = Double.NaN;
 		if (openNanos > expectedNanos) {
 			double deviation = LatencyReference.deviation(openNanos, expectedNanos);
 			if (deviation > this.answers.value(nowNanos)) {
@@ -92,6 +121,7 @@
 	 * @param nowNanos the current monotonic time, in nanoseconds
 	 */
 	void refused(long nowNanos) {
+		this.cachedSlowness = Double.NaN;
 		this.answers.add(REFUSAL_DEVIATION, this.service.answers(), nowNanos);
 		this.service.answers().learnCommon(REFUSAL_DEVIATION);
 	}
@@ -105,7 +135,20 @@
 		if (this.service == null) {
 			return 1;
 		}
-		double estimate = Math.max(answerEstimate(nowNanos), intervalEstimate(nowNanos));
+		AttemptObservation oldest = this.unanswered.peek();
+		double deviation = (oldest != null) ? oldest.deviation(nowNanos) : Double.NEGATIVE_INFINITY;
+		if (deviation > 0) {
+			return slowness(this.answers.valueWithOpen(deviation, this.service.answers(), nowNanos), nowNanos);
+		}
+		if (Double.isNaN(this.cachedSlowness) || nowNanos - this.cachedNanos > MAX_CACHED_NANOS) {
+			this.cachedSlowness = slowness(this.answers.value(nowNanos), nowNanos);
+			this.cachedNanos = nowNanos;
+		}
+		return this.cachedSlowness;
+	}
+
+	private double slowness(double answerEstimate, long nowNanos) {
+		double estimate = Math.max(answerEstimate, intervalEstimate(nowNanos));
 		double size = Math.abs(estimate);
 		if (size <= INSIGNIFICANT) {
 			return 1;
@@ -113,19 +156,12 @@
 		return Math.exp(estimate * Math.min(1, size / INSIGNIFICANT - 1));
 	}
 
-	private double answerEstimate(long nowNanos) {
-		AttemptObservation oldest = this.unanswered.peek();
-		double deviation = (oldest != null) ? oldest.deviation(nowNanos) : Double.NEGATIVE_INFINITY;
-		return (deviation > 0) ? this.answers.valueWithOpen(deviation, this.service.answers(), nowNanos)
-				: this.answers.value(nowNanos);
-	}
-
 	// Fast intervals do not make up for late first events.
 	private double intervalEstimate(long nowNanos) {
 		if (this.service.intervalBound() <= INSIGNIFICANT) {
 			return Double.NEGATIVE_INFINITY;
 		}
-		double estimate = Math.min(this.intervals.value(nowNanos), this.service.intervalBound());
+		double estimate = INTERVAL_WEIGHT * Math.min(this.intervals.value(nowNanos), this.service.intervalBound());
 		return (estimate > 0) ? estimate : Double.NEGATIVE_INFINITY;
 	}
 
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamSelector.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamSelector.java
@@ -85,14 +85,18 @@
 		boolean mayExplore = service != null && service.mayExplore();
 		for (UpstreamRecord candidate : candidates) {
 			UpstreamHealth upstreamHealth = healthOf(candidate.id());
-			if (exclusion(candidate, upstreamHealth, tried, nowNanos) != Exclusion.NONE) {
+			double fixedCost = failureCost(upstreamHealth) + distanceCost(candidate);
+			// No random number and no estimate can make up for a higher fixed cost.
+			if (fixedCost >= bestCost || exclusion(candidate, upstreamHealth, tried, nowNanos) != Exclusion.NONE) {
 				continue;
 			}
 			double slowness = upstreamHealth.capacity().slowness(nowNanos);
 			boolean withheld = slowness > 1 && this.random.nextDouble() >= choiceShare(slowness);
 			boolean explores = withheld && mayExplore && upstreamHealth.capacity().explorationDue(nowNanos);
-			double cost = loadCost(upstreamHealth, slowness) + failureCost(upstreamHealth) + distanceCost(candidate)
-					+ ((withheld && !explores) ? slowness : 0) + TIE_COST * this.random.nextDouble();
+			double cost = fixedCost + loadCost(upstreamHealth, slowness) + ((withheld && !explores) ? slowness : 0);
+			if (cost < bestCost) {
+				cost += TIE_COST * this.random.nextDouble();
+			}
 			if (cost < bestCost) {
 				best = candidate;
 				bestCost = cost;
@@ -196,12 +200,18 @@
 	}
 
 	/**
-	 * Records whether an upstream responds. An unresponsive upstream is not selected.
+	 * Records whether an upstream responds. An unresponsive upstream is not selected, and
+	 * what its open attempts take says nothing of its capacity: it is to get requests as
+	 * soon as it responds.
 	 * @param id the upstream's identifier
 	 * @param responsive whether it responds
 	 */
 	public void responsive(String id, boolean responsive) {
-		healthOf(id).responsive(responsive);
+		UpstreamHealth upstreamHealth = healthOf(id);
+		upstreamHealth.responsive(responsive);
+		if (!responsive) {
+			upstreamHealth.capacity().discardUnanswered();
+		}
 	}
 
 	/**
