Follow sparse answers of many ranks, and refusals apart from latency

With streams an entry sees each of 48 ranks about once in 14 s.

The time of reversion and the time to the next exploration now follow the mean time between two answers of one upstream. Ranks without a stream are taken to have the intervals of those in their data centre. Refusals have a memory of 3 s of their own: through the estimate of latency they lowered the capacity of a rank for up to a minute.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/CapacityLog.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/CapacityLog.java
@@ -47,8 +47,8 @@
 			return false;
 		}
 		capacity.logged(slowness, nowNanos);
-		logger.info("event=upstream-capacity upstream={} service={} capacity={} before={}", id, capacity.serviceName(),
-				relative(slowness), relative(before));
+		logger.info("event=upstream-capacity upstream={} service={} capacity={} before={}", id,
+				capacity.upstream().service(), relative(slowness), relative(before));
 		return true;
 	}
 
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/LatencyReference.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/LatencyReference.java
@@ -1,5 +1,7 @@
 package io.bulrushrouter.gateway.upstream;
 
+import java.util.concurrent.TimeUnit;
+
 /**
  * The latency that the upstreams of one service have in common, for each class of
  * requests, and how much single answers and whole upstreams deviate from it. Deviations
@@ -29,6 +31,36 @@
 	/** Pairs of answers over which noise and spread are averaged. */
 	private static final double PAIR_MEMORY = 64;
 
+	/** Answers over which the time between two of one upstream is averaged. */
+	private static final double GAP_MEMORY = 32;
+
+	/**
+	 * Time in which an estimate without answers falls to 1/e, at least. An upstream that
+	 * has recovered must get its traffic back within seconds.
+	 */
+	private static final long MIN_REVERSION_NANOS = TimeUnit.SECONDS.toNanos(10);
+
+	/**
+	 * The same, at most. An entry that sends to each of many upstreams once in 10 to 20 s
+	 * would otherwise forget each answer before the next.
+	 */
+	private static final long MAX_REVERSION_NANOS = TimeUnit.SECONDS.toNanos(60);
+
+	/** That time in mean times between two answers of one upstream. */
+	private static final double REVERSION_GAPS = 4;
+
+	/**
+	 * Time without an answer after which a slow upstream is explored, at least. An
+	 * upstream that has recovered is noticed after this time.
+	 */
+	private static final long MIN_EXPLORATION_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+	/**
+	 * That time in mean times between two answers of one upstream. With fewer a slow
+	 * upstream among many would be explored as often as others are chosen.
+	 */
+	private static final double EXPLORATION_GAPS = 3;
+
 	/** Pairs by which the initial noise counts. */
 	private static final double INITIAL_PAIRS = 8;
 
@@ -73,6 +105,8 @@
 
 	private double pairs = INITIAL_PAIRS;
 
+	private double gapNanos;
+
 	LatencyReference(int classes) {
 		this.expected = new double[classes];
 		this.answers = new int[classes];
@@ -129,6 +163,30 @@
 		this.common += deviation / this.commonMemory;
 	}
 
+	/**
+	 * Learns the time between two successive answers of one upstream.
+	 * @param nanos the time in nanoseconds
+	 */
+	void learnGap(long nanos) {
+		this.gapNanos += (Math.min(MAX_REVERSION_NANOS, nanos) - this.gapNanos) / GAP_MEMORY;
+	}
+
+	/**
+	 * Returns the time in which an estimate without answers falls to 1/e.
+	 * @return the time in nanoseconds
+	 */
+	double reversionNanos() {
+		return Math.max(MIN_REVERSION_NANOS, Math.min(MAX_REVERSION_NANOS, REVERSION_GAPS * this.gapNanos));
+	}
+
+	/**
+	 * Returns the time without an answer after which a slow upstream is explored.
+	 * @return the time in nanoseconds
+	 */
+	long explorationNanos() {
+		return (long) Math.max(MIN_EXPLORATION_NANOS, EXPLORATION_GAPS * this.gapNanos);
+	}
+
 	/**
 	 * Learns from two successive answers of one upstream. What they have in common is the
 	 * upstream's own; the rest is noise.
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/ServiceCapacity.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/ServiceCapacity.java
@@ -1,6 +1,8 @@
 package io.bulrushrouter.gateway.upstream;
 
-import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
 
 /**
  * What the upstreams of one service have in common, and the share of requests that
@@ -15,14 +17,23 @@
 	private static final int CHOICES_PER_EXPLORATION = 10;
 
 	/**
-	 * Ranks of a service that must have the same slow intervals for one of them to be
-	 * judged by its own. The ranks of a lock-step group all have the group's, and the
-	 * smallest groups have 24, of which an entry sees only some.
+	 * Ranks that must have the same slow intervals for one of them to be judged by its
+	 * own, at least. The ranks of a lock-step group all have the group's, so a difference
+	 * that only one or two ranks show is an error.
 	 */
-	private static final int RANKS_THAT_AGREE = 8;
+	private static final int MIN_RANKS_THAT_AGREE = 3;
 
-	/** Upstreams for each rank that must agree, in a service with few. */
-	private static final int UPSTREAMS_PER_RANK_THAT_AGREES = 4;
+	/** The same, at most; the smallest groups have 24 ranks. */
+	private static final int MAX_RANKS_THAT_AGREE = 8;
+
+	/** Upstreams with known intervals for each that must agree. */
+	private static final int KNOWN_PER_RANK_THAT_AGREES = 4;
+
+	/** Upstreams below which a service has no lock-step groups. */
+	private static final int MIN_UPSTREAMS_WITH_GROUPS = 8;
+
+	/** Upstreams as slow as the mean by which those of a data centre are supplemented. */
+	private static final double NEAR_PRIOR = 2;
 
 	private final LatencyReference answers = new LatencyReference(AttemptSize.CLASSES);
 
@@ -30,7 +41,9 @@
 
 	private int choicesSinceExploration;
 
-	private double intervalBound;
+	private double fastInterval;
+
+	private double slowInterval;
 
 	/**
 	 * Returns the latencies of whole answers and of first events.
@@ -58,22 +71,50 @@
 
 	/**
 	 * Compares the upstreams of the service.
-	 * @param estimates the estimates of the intervals of the service's upstreams
+	 * @param capacities what was learned of each of them
+	 * @param nowNanos the current monotonic time, in nanoseconds
 	 */
-	void compare(double[] estimates) {
-		this.answers.upstreams(estimates.length);
-		this.intervals.upstreams(estimates.length);
-		int agreeing = Math.max(1, Math.min(RANKS_THAT_AGREE, estimates.length / UPSTREAMS_PER_RANK_THAT_AGREES));
-		Arrays.sort(estimates);
-		this.intervalBound = (estimates.length > 0) ? Math.max(0, estimates[estimates.length - agreeing]) : 0;
+	void compare(List<UpstreamCapacity> capacities, long nowNanos) {
+		this.answers.upstreams(capacities.size());
+		this.intervals.upstreams(capacities.size());
+		double[] known = capacities.stream()
+			.filter((capacity) -> capacity.intervalKnown(nowNanos))
+			.mapToDouble((capacity) -> capacity.ownInterval(nowNanos))
+			.sorted()
+			.toArray();
+		int minimum = (capacities.size() < MIN_UPSTREAMS_WITH_GROUPS) ? 1 : MIN_RANKS_THAT_AGREE;
+		int agreeing = Math.max(minimum, Math.min(MAX_RANKS_THAT_AGREE, known.length / KNOWN_PER_RANK_THAT_AGREES));
+		boolean comparable = known.length >= 2 * agreeing;
+		this.fastInterval = comparable ? known[agreeing - 1] : 0;
+		this.slowInterval = comparable ? known[known.length - agreeing] : 0;
+		Map<String, List<UpstreamCapacity>> byDataCentre = capacities.stream()
+			.collect(Collectors.groupingBy((capacity) -> capacity.upstream().dataCentre()));
+		byDataCentre.values().forEach((near) -> assumeNearInterval(near, nowNanos));
+	}
+
+	// A group is in one data centre. An entry has streams at a part of its ranks only;
+	// the others are taken to be like these.
+	private void assumeNearInterval(List<UpstreamCapacity> near, long nowNanos) {
+		double sum = 0;
+		double weight = NEAR_PRIOR;
+		for (UpstreamCapacity capacity : near) {
+			if (capacity.intervalKnown(nowNanos)) {
+				sum += Math.min(this.slowInterval, capacity.ownInterval(nowNanos));
+				weight++;
+			}
+		}
+		double mean = sum / weight;
+		near.forEach((capacity) -> capacity.nearInterval(mean));
 	}
 
 	/**
-	 * Returns how much slow intervals count against an upstream at most.
-	 * @return the largest estimate that enough upstreams of the service have
+	 * Returns how slow the intervals of an upstream are.
+	 * @param estimate its estimate
+	 * @return by how much it is slower than the fast upstreams of the service, at most by
+	 * as much as enough upstreams are
 	 */
-	double intervalBound() {
-		return this.intervalBound;
+	double slowerThanFast(double estimate) {
+		return Math.min(estimate, this.slowInterval) - this.fastInterval;
 	}
 
 }
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/SlownessEstimate.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/SlownessEstimate.java
@@ -10,14 +10,8 @@
  */
 final class SlownessEstimate {
 
-	/** Time in which an estimate without answers falls to 1/e. */
-	private static final double REVERSION_NANOS = TimeUnit.SECONDS.toNanos(10);
-
 	/** Age at which an estimate without answers is dropped. */
-	private static final long MAX_AGE_NANOS = TimeUnit.SECONDS.toNanos(60);
-
-	/** Time between two answers up to which they are compared with each other. */
-	private static final long MAX_PAIR_NANOS = TimeUnit.SECONDS.toNanos(5);
+	private static final long MAX_AGE_NANOS = TimeUnit.MINUTES.toNanos(2);
 
 	/** Part of each deviation that is not counted toward a change, in deviations. */
 	private static final double CHANGE_SLACK = 1;
@@ -34,6 +28,8 @@
 	/** Variance of the estimate after a change, a factor of 5. */
 	private static final double CHANGE_VARIANCE = 2.6;
 
+	private double reversionNanos = Double.POSITIVE_INFINITY;
+
 	private double value;
 
 	private double variance;
@@ -90,6 +86,7 @@
 	 */
 	void add(double deviation, LatencyReference reference, long nowNanos) {
 		double noise = reference.noise();
+		this.reversionNanos = reference.reversionNanos();
 		double predicted = predictedVariance(reference, nowNanos);
 		this.value = value(nowNanos);
 		double surprise = surprise(deviation, this.value, noise);
@@ -114,7 +111,11 @@
 	 * @param nowNanos the current monotonic time, in nanoseconds
 	 */
 	void compare(double deviation, LatencyReference reference, long nowNanos) {
-		if (this.measured && nowNanos - this.measuredNanos <= MAX_PAIR_NANOS) {
+		long gapNanos = nowNanos - this.measuredNanos;
+		if (this.measured) {
+			reference.learnGap(gapNanos);
+		}
+		if (this.measured && gapNanos <= reference.reversionNanos() / 2) {
 			reference.learnPair(this.lastDeviation, deviation);
 		}
 		this.lastDeviation = deviation;
@@ -137,7 +138,7 @@
 
 	private double reversion(long nowNanos) {
 		long age = nowNanos - this.lastNanos;
-		return (age < MAX_AGE_NANOS) ? Math.exp(-age / REVERSION_NANOS) : 0;
+		return (age < MAX_AGE_NANOS) ? Math.exp(-age / this.reversionNanos) : 0;
 	}
 
 	/**
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamCapacity.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamCapacity.java
@@ -3,6 +3,8 @@
 import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
 
+import io.bulrushrouter.gateway.source.UpstreamRecord;
+
 /**
  * What this entry has learned of the speed of one upstream, compared with the others of
  * its service. Not thread-safe.
@@ -15,9 +17,6 @@
 	 */
 	private static final double INSIGNIFICANT = 0.18;
 
-	/** Time without an answer after which a slow upstream is explored. */
-	private static final long EXPLORATION_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(2);
-
 	/**
 	 * Time for which a factor is used again if nothing was learned in between. The
 	 * estimate reverts by a hundredth in it, and most of the time of a choice among many
@@ -25,8 +24,22 @@
 	 */
 	private static final long MAX_CACHED_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
-	/** Deviation that a refusal counts as, a factor of 4. */
-	private static final double REFUSAL_DEVIATION = Math.log(4);
+	/**
+	 * Time in which the weight of a refusal falls to 1/e. A place at a full upstream is
+	 * free again after about the duration of a request.
+	 */
+	private static final double REFUSAL_MEMORY_NANOS = TimeUnit.SECONDS.toNanos(3);
+
+	/** Recent refusals that may be chance: the last place was taken a moment before. */
+	private static final double INSIGNIFICANT_REFUSALS = 1;
+
+	/** Slowness that each further recent refusal adds. */
+	private static final double SLOWNESS_PER_REFUSAL = 2;
+
+	/**
+	 * Part of the refusals that remains after an answer, which shows that there is room.
+	 */
+	private static final double REFUSALS_AFTER_ANSWER = 0.5;
 
 	/**
 	 * Weight of the estimate of intervals. With the half of it an upstream takes part in
@@ -35,16 +48,28 @@
 	 */
 	private static final double INTERVAL_WEIGHT = 0.5;
 
+	/**
+	 * Age up to which an estimate of intervals is used instead of that of the data
+	 * centre. The speed of a group changes every few seconds.
+	 */
+	private static final long MAX_INTERVAL_AGE_NANOS = TimeUnit.SECONDS.toNanos(10);
+
 	private final SlownessEstimate answers = new SlownessEstimate();
 
 	private final SlownessEstimate intervals = new SlownessEstimate();
 
 	private final ArrayDeque<AttemptObservation> unanswered = new ArrayDeque<>(2);
 
-	private String serviceName;
+	private UpstreamRecord upstream;
 
 	private ServiceCapacity service;
 
+	private double nearInterval;
+
+	private double refusals;
+
+	private long refusedNanos;
+
 	private double cachedSlowness = Double.NaN;
 
 	private long cachedNanos;
@@ -53,15 +78,37 @@
 
 	private long loggedNanos;
 
+	/**
+	 * Sets what the estimates are compared with.
+	 * @param record the upstream
+	 * @param common what the upstreams of its service have in common
+	 */
+	void compareWith(UpstreamRecord record, ServiceCapacity common) {
+		this.upstream = record;
+		this.service = common;
+	}
+
+	/**
+	 * Returns whether there is something to compare the estimates with.
+	 * @return whether the service is known
+	 */
+	boolean comparable() {
+		return this.service != null;
+	}
+
+	/**
+	 * Returns the upstream.
+	 * @return the upstream, or {@code null} if there is nothing to compare it with
+	 */
+	UpstreamRecord upstream() {
+		return this.upstream;
+	}
+
 	/**
 	 * Adds an attempt that has no answer yet.
 	 * @param attempt the attempt
-	 * @param name the name of the upstream's service
-	 * @param common what the upstreams of the service have in common
 	 */
-	void sent(AttemptObservation attempt, String name, ServiceCapacity common) {
-		this.serviceName = name;
-		this.service = common;
+	void sent(AttemptObservation attempt) {
 		this.unanswered.add(attempt);
 	}
 
@@ -79,6 +126,7 @@
 	}
 
 	void answered(int requestClass, double nanos, long nowNanos) {
+		this.refusals *= REFUSALS_AFTER_ANSWER;
 		learn(this.answers, this.service.answers(), requestClass, nanos, nowNanos);
 	}
 
@@ -122,8 +170,18 @@
 	 */
 	void refused(long nowNanos) {
 		this.cachedSlowness = Double.NaN;
-		this.answers.add(REFUSAL_DEVIATION, this.service.answers(), nowNanos);
-		this.service.answers().learnCommon(REFUSAL_DEVIATION);
+		this.refusals = recentRefusals(nowNanos) + 1;
+		this.refusedNanos = nowNanos;
+	}
+
+	private double recentRefusals(long nowNanos) {
+		return (this.refusals > 0) ? this.refusals * Math.exp(-(nowNanos - this.refusedNanos) / REFUSAL_MEMORY_NANOS)
+				: 0;
+	}
+
+	private double refusalEstimate(long nowNanos) {
+		double recent = recentRefusals(nowNanos) - INSIGNIFICANT_REFUSALS;
+		return (recent > 0) ? Math.log1p(SLOWNESS_PER_REFUSAL * recent) : Double.NEGATIVE_INFINITY;
 	}
 
 	/**
@@ -148,7 +206,7 @@
 	}
 
 	private double slowness(double answerEstimate, long nowNanos) {
-		double estimate = Math.max(answerEstimate, intervalEstimate(nowNanos));
+		double estimate = Math.max(Math.max(answerEstimate, refusalEstimate(nowNanos)), intervalEstimate(nowNanos));
 		double size = Math.abs(estimate);
 		if (size <= INSIGNIFICANT) {
 			return 1;
@@ -158,22 +216,37 @@
 
 	// Fast intervals do not make up for late first events.
 	private double intervalEstimate(long nowNanos) {
-		if (this.service.intervalBound() <= INSIGNIFICANT) {
-			return Double.NEGATIVE_INFINITY;
-		}
-		double estimate = INTERVAL_WEIGHT * Math.min(this.intervals.value(nowNanos), this.service.intervalBound());
-		return (estimate > 0) ? estimate : Double.NEGATIVE_INFINITY;
+		double estimate = this.service
+			.slowerThanFast(intervalKnown(nowNanos) ? this.intervals.value(nowNanos) : this.nearInterval);
+		return (estimate > 0) ? INTERVAL_WEIGHT * estimate : Double.NEGATIVE_INFINITY;
 	}
 
 	/**
-	 * Returns the estimate of the intervals between events.
+	 * Returns whether a stream has shown the intervals of the upstream recently.
+	 * @param nowNanos the current monotonic time, in nanoseconds
+	 * @return whether the estimate is its own
+	 */
+	boolean intervalKnown(long nowNanos) {
+		return this.intervals.answeredWithin(MAX_INTERVAL_AGE_NANOS, nowNanos);
+	}
+
+	/**
+	 * Returns the estimate of the upstream's own intervals.
 	 * @param nowNanos the current monotonic time, in nanoseconds
 	 * @return the logarithm of the factor
 	 */
-	double ownIntervalEstimate(long nowNanos) {
+	double ownInterval(long nowNanos) {
 		return this.intervals.value(nowNanos);
 	}
 
+	/**
+	 * Sets the estimate that applies while the upstream's own intervals are unknown.
+	 * @param estimate that of the upstreams in its data centre
+	 */
+	void nearInterval(double estimate) {
+		this.nearInterval = estimate;
+	}
+
 	/**
 	 * Returns whether a request should check the estimate of a slow upstream.
 	 * @param nowNanos the current monotonic time, in nanoseconds
@@ -181,16 +254,8 @@
 	 * estimate
 	 */
 	boolean explorationDue(long nowNanos) {
-		return this.unanswered.isEmpty()
-				&& (this.answers.recovering() || !this.answers.answeredWithin(EXPLORATION_INTERVAL_NANOS, nowNanos));
-	}
-
-	/**
-	 * Returns the name of the upstream's service.
-	 * @return the name, or {@code null} if no attempt was sent
-	 */
-	String serviceName() {
-		return this.serviceName;
+		return this.unanswered.isEmpty() && (this.answers.recovering()
+				|| !this.answers.answeredWithin(this.service.answers().explorationNanos(), nowNanos));
 	}
 
 	double loggedSlowness() {
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamSelector.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamSelector.java
@@ -90,6 +90,9 @@
 			if (fixedCost >= bestCost || exclusion(candidate, upstreamHealth, tried, nowNanos) != Exclusion.NONE) {
 				continue;
 			}
+			if (service != null && !upstreamHealth.capacity().comparable()) {
+				upstreamHealth.capacity().compareWith(candidate, service);
+			}
 			double slowness = upstreamHealth.capacity().slowness(nowNanos);
 			boolean withheld = slowness > 1 && this.random.nextDouble() >= choiceShare(slowness);
 			boolean explores = withheld && mayExplore && upstreamHealth.capacity().explorationDue(nowNanos);
@@ -180,7 +183,8 @@
 		AttemptObservation observation = new AttemptObservation(upstreamHealth.capacity(),
 				() -> this.cold.test(upstream), size.stream(), requestClass,
 				service.answers().expectedNanos(requestClass), nowNanos);
-		upstreamHealth.capacity().sent(observation, upstream.service(), service);
+		upstreamHealth.capacity().compareWith(upstream, service);
+		upstreamHealth.capacity().sent(observation);
 		return observation;
 	}
 
@@ -231,23 +235,22 @@
 		Map<String, List<UpstreamCapacity>> byService = this.health.values()
 			.stream()
 			.map(UpstreamHealth::capacity)
-			.filter((capacity) -> capacity.serviceName() != null)
-			.collect(Collectors.groupingBy(UpstreamCapacity::serviceName));
+			.filter(UpstreamCapacity::comparable)
+			.collect(Collectors.groupingBy((capacity) -> capacity.upstream().service()));
 		this.services.keySet().retainAll(byService.keySet());
-		byService.forEach((name, capacities) -> this.services.get(name)
-			.compare(capacities.stream().mapToDouble((capacity) -> capacity.ownIntervalEstimate(nowNanos)).toArray()));
+		byService.forEach((name, capacities) -> this.services.get(name).compare(capacities, nowNanos));
 		this.health.forEach((id, upstreamHealth) -> this.capacityLog.review(id, upstreamHealth.capacity(), nowNanos));
 	}
 
 	/**
-	 * Returns the capacity of each upstream that this entry has sent to.
+	 * Returns the capacity of each upstream that this entry has considered.
 	 * @param nowNanos the current monotonic time, in nanoseconds
 	 * @return the capacities by identifier, relative to the mean of the service
 	 */
 	public Map<String, Double> capacities(long nowNanos) {
 		Map<String, Double> capacities = new HashMap<>();
 		this.health.forEach((id, upstreamHealth) -> {
-			if (upstreamHealth.capacity().serviceName() != null) {
+			if (upstreamHealth.capacity().comparable()) {
 				capacities.put(id, 1 / upstreamHealth.capacity().slowness(nowNanos));
 			}
 		});
