--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/SidecarNode.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/SidecarNode.java
@@ -261,9 +261,7 @@
 				return;
 			}
 		}
-		// The process may end at once, while the event loops have yet to write the ends
-		// of
-		// the last responses.
+		// The event loops may still have to write the ends of the last responses.
 		this.peers.awaitWritten(LAST_WRITES_TIMEOUT);
 	}
 
