Limit streams by the pauses that callers get, in priority classes

Cause: ConcurrencyLimit considers first events only, so streams were late by the pauses between events while nothing was refused, and priorities were not used.

routing.admission derives a limit from the interval between events of this entry's own streams (PaceLimit, a mean over 200 ms) and orders waiting streams by class, punctuality and organisation (AdmissionQueue, on FairQueue). gateway.admission.StreamAdmission applies it beside the limit on first events. AdmissionQueue of the gateway is gone. Routes without gap-goal-ms keep their limits, waiting times and order.

Ruled out: taking each free place at once for a late stream.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/admission/ConcurrencyLimit.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/admission/ConcurrencyLimit.java
@@ -10,8 +10,8 @@
  * grows while the latency of first events stays within its objective and shrinks while it
  * does not, as in congestion control. Entries thus converge to equal shares without
  * coordination, and the share of a failed entry goes to the others. Pauses between later
- * events are not taken into account, since they are long whenever the mix of topics
- * changes, whatever the load. Not thread-safe.
+ * events are the concern of {@link io.bulrushrouter.routing.admission.PaceLimit}. Not
+ * thread-safe.
  */
 public final class ConcurrencyLimit {
 
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/config/ActiveConfiguration.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/config/ActiveConfiguration.java
@@ -71,6 +71,26 @@
 		return Optional.empty();
 	}
 
+	/**
+	 * Returns the routes that stream from a service.
+	 * @param service the service's name
+	 * @return the routes
+	 */
+	public List<Route> streamRoutes(String service) {
+		return this.configuration.routes()
+			.stream()
+			.filter((route) -> route.kind() == RouteKind.STREAM && route.uses(service))
+			.toList();
+	}
+
+	/**
+	 * Returns the organisations.
+	 * @return the organisations
+	 */
+	public List<Organisation> organisations() {
+		return this.configuration.organisations();
+	}
+
 	/**
 	 * Finds a service.
 	 * @param name the service's name
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/config/EngineSpec.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/config/EngineSpec.java
@@ -18,4 +18,14 @@
  */
 public record EngineSpec(int slots, double stepMillis, double stepMillisPerSequence, double prefillTokensPerSecond,
 		int stepsPerPass, int meanPromptTokens, int meanAnswerTokens, Optional<ExpertSpec> experts) {
+
+	/**
+	 * Returns the length of a pass without any stream, which no decision on admission can
+	 * reduce.
+	 * @return the time in milliseconds
+	 */
+	public double fixedPassMillis() {
+		return this.stepsPerPass * this.stepMillis;
+	}
+
 }
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/config/Route.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/config/Route.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 
 /**
  * A route matches requests by host and path and defines how they are served.
@@ -18,9 +19,12 @@
  * @param maxAttempts the maximum number of upstreams that one request may be sent to
  * @param anonymous whether requests need no key
  * @param resumable whether a broken stream may resume at another upstream
+ * @param maxEventGap the longest pause between the events of a stream that is on time, or
+ * empty if pauses do not matter
  */
 public record Route(String name, String host, String pathPrefix, RouteKind kind, Duration timeout, Duration objective,
-		int priority, List<WeightedService> services, int maxAttempts, boolean anonymous, boolean resumable) {
+		int priority, List<WeightedService> services, int maxAttempts, boolean anonymous, boolean resumable,
+		Optional<Duration> maxEventGap) {
 
 	/**
 	 * Rejects missing components and makes a defensive copy of the services.
@@ -33,6 +37,35 @@
 		services = List.copyOf(services);
 	}
 
+	/**
+	 * Creates a route for which pauses between events do not matter.
+	 * @param name the route's name
+	 * @param host the host that requests must name
+	 * @param pathPrefix the prefix of the matching paths, with a slash at both ends
+	 * @param kind whether its requests may run more than once, and whether they stream
+	 * @param timeout the maximum time that a caller is kept waiting
+	 * @param objective the latency objective
+	 * @param priority the priority of its requests; 0 is the most urgent
+	 * @param services the services that take its requests
+	 * @param maxAttempts the maximum number of upstreams that one request may be sent to
+	 * @param anonymous whether requests need no key
+	 * @param resumable whether a broken stream may resume at another upstream
+	 */
+	public Route(String name, String host, String pathPrefix, RouteKind kind, Duration timeout, Duration objective,
+			int priority, List<WeightedService> services, int maxAttempts, boolean anonymous, boolean resumable) {
+		this(name, host, pathPrefix, kind, timeout, objective, priority, services, maxAttempts, anonymous, resumable,
+				Optional.empty());
+	}
+
+	/**
+	 * Returns whether a service takes requests of this route.
+	 * @param service the service's name
+	 * @return whether it does
+	 */
+	public boolean uses(String service) {
+		return this.services.stream().anyMatch((each) -> each.service().equals(service));
+	}
+
 	/**
 	 * Returns whether a request may run more than once.
 	 * @return whether it is idempotent or a resumable stream
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/AdmissionTicket.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/AdmissionTicket.java
@@ -1,28 +1,34 @@
 package io.bulrushrouter.gateway.forward;
 
 import java.util.Optional;
-import java.util.concurrent.Future;
+import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
 
-import io.bulrushrouter.gateway.admission.AdmissionQueue;
+import io.bulrushrouter.gateway.admission.AdmissionSettings;
+import io.bulrushrouter.gateway.admission.StreamAdmission;
+import io.bulrushrouter.gateway.config.Organisation;
 import io.bulrushrouter.gateway.config.Route;
+import io.bulrushrouter.kernel.OrganisationId;
+import io.bulrushrouter.routing.admission.AdmissionQueue;
+import io.bulrushrouter.routing.admission.StreamPace;
+import io.bulrushrouter.routing.admission.WaitingStream;
 
 /**
- * Admission of one request under the concurrency limit of its service: the request is
- * admitted at once, after a short wait in the queue, or refused. Only streams to model
- * engines are limited; all other requests are admitted at once.
+ * Admission of one request under the concurrency limits of its service: the request is
+ * admitted at once, after a wait in the queue, or refused. Only streams to model engines
+ * are limited; all other requests are admitted at once.
  */
 final class AdmissionTicket {
 
 	/**
-	 * Share of the route's objective that a new stream may wait, so that it can still
-	 * meet the objective.
+	 * Share of the route's objective that a new stream may wait where only the latency of
+	 * first events matters, so that it can still meet the objective.
 	 */
 	private static final double MAX_WAIT_RATIO = 0.4;
 
 	/**
-	 * Share of the remaining time that a stream may wait if its caller is retrying: it is
-	 * late already.
+	 * Share of the remaining time that a stream may wait there if its caller is retrying:
+	 * it is late already.
 	 */
 	private static final double MAX_WAIT_RATIO_AFTER_RETRY = 0.25;
 
@@ -32,22 +38,37 @@
 	 */
 	private static final long RETRY_DETECTION_MARGIN_MILLIS = 150;
 
+	/**
+	 * Bounds of the cost of a stream in mean costs. A factor of four between small and
+	 * large streams keeps both within a quarter of the mean share of requests served.
+	 */
+	private static final double MIN_COST = 0.5;
+
+	private static final double MAX_COST = 2;
+
+	/** The organisation of requests without a key. */
+	private static final OrganisationId ANONYMOUS = OrganisationId.of("anonymous");
+
 	private final GatewayContext context;
 
-	private final Optional<AdmissionQueue<AdmissionTicket>> queue;
+	private final Optional<StreamAdmission<AdmissionTicket>> admission;
 
 	private final Runnable onAdmitted;
 
 	private final Runnable onRefused;
 
-	private final boolean callerRetry;
+	private final WaitingStream<AdmissionTicket> stream;
+
+	private final StreamPace pace = new StreamPace();
 
-	private final long maxWaitMillis;
+	private long decidedNanos;
 
-	private Future<?> waitTimeout;
+	private boolean waiting;
 
 	private boolean holdsPermit;
 
+	private String decision = "";
+
 	/**
 	 * Creates a ticket.
 	 * @param context the state shared by all requests
@@ -59,14 +80,74 @@
 	AdmissionTicket(GatewayContext context, AdmittedRequest request, String service, Runnable onAdmitted,
 			Runnable onRefused) {
 		this.context = context;
-		this.queue = context.admissionQueue(service, request.route());
+		this.admission = context.admission(service, request.route());
 		this.onAdmitted = onAdmitted;
 		this.onRefused = onRefused;
-		long remainingMillis = TimeUnit.NANOSECONDS
-			.toMillis(request.deadlineNanos() - request.request().arrivedNanos());
-		this.callerRetry = isCallerRetry(context, request.request(), request.route(), remainingMillis);
-		this.maxWaitMillis = (long) (this.callerRetry ? MAX_WAIT_RATIO_AFTER_RETRY * remainingMillis
-				: MAX_WAIT_RATIO * request.route().objective().toMillis());
+		this.stream = this.admission.map((found) -> waitingStream(found, request)).orElse(null);
+	}
+
+	private WaitingStream<AdmissionTicket> waitingStream(StreamAdmission<AdmissionTicket> found,
+			AdmittedRequest request) {
+		AdmissionSettings settings = found.settings();
+		Route route = request.route();
+		long arrived = request.request().arrivedNanos();
+		long remainingMillis = TimeUnit.NANOSECONDS.toMillis(request.deadlineNanos() - arrived);
+		boolean returning = isCallerRetry(this.context, request.request(), route, remainingMillis);
+		double punctualMillis;
+		double startByMillis;
+		if (settings.maxEventGap().isPresent()) {
+			punctualMillis = route.objective().toMillis() - found.firstEventMillis();
+			startByMillis = Math.min(settings.patienceMillis(), remainingMillis) - found.firstEventMillis();
+		}
+		else {
+			startByMillis = returning ? MAX_WAIT_RATIO_AFTER_RETRY * remainingMillis
+					: MAX_WAIT_RATIO * route.objective().toMillis();
+			punctualMillis = startByMillis;
+		}
+		int priority = request.organisation()
+			.map(Organisation::priority)
+			.filter(OptionalInt::isPresent)
+			.map(OptionalInt::getAsInt)
+			.orElse(route.priority());
+		return new WaitingStream<>(this,
+				request.organisation().map((owner) -> organisationId(owner.name())).orElse(ANONYMOUS), priority,
+				cost(request.request(), settings), returning, arrived, arrived + nanos(punctualMillis),
+				arrived + nanos(startByMillis));
+	}
+
+	private static long nanos(double millis) {
+		return (long) (millis * TimeUnit.MILLISECONDS.toNanos(1));
+	}
+
+	// Names of organisations come from the configuration and may be none that an
+	// identifier allows.
+	private static OrganisationId organisationId(String name) {
+		return OrganisationId.isValid(name) ? OrganisationId.of(name)
+				: OrganisationId.of("hash-" + Integer.toHexString(name.hashCode()));
+	}
+
+	private long cost(CallerRequest request, AdmissionSettings settings) {
+		String counts = request.header(this.context.headers().tokenCounts());
+		if (counts == null || settings.meanTokens() <= 0) {
+			return AdmissionQueue.MEAN_COST;
+		}
+		double ratio = (double) sumOfNumbers(counts) / settings.meanTokens();
+		return Math.round(AdmissionQueue.MEAN_COST * Math.max(MIN_COST, Math.min(MAX_COST, ratio)));
+	}
+
+	// The header holds the tokens of the prompt and of the answer, whatever separates
+	// them.
+	private static long sumOfNumbers(String text) {
+		long sum = 0;
+		long number = 0;
+		for (int index = 0; index < text.length(); index++) {
+			char each = text.charAt(index);
+			boolean digit = each >= '0' && each <= '9';
+			number = digit ? Math.min(Integer.MAX_VALUE, number * 10 + each - '0') : 0;
+			boolean last = index + 1 == text.length() || text.charAt(index + 1) < '0' || text.charAt(index + 1) > '9';
+			sum += (digit && last) ? number : 0;
+		}
+		return sum;
 	}
 
 	private static boolean isCallerRetry(GatewayContext context, CallerRequest request, Route route,
@@ -76,33 +157,68 @@
 	}
 
 	void submit() {
-		if (this.queue.isEmpty()) {
+		if (this.admission.isEmpty()) {
 			this.onAdmitted.run();
 			return;
 		}
-		switch (this.queue.get().offer(this, this.callerRetry)) {
-			case ADMITTED -> admit();
-			case WAITING -> startWaitTimeout();
-			case REFUSED -> this.onRefused.run();
-		}
+		this.waiting = true;
+		this.admission.get().offer(this.stream, this.context.nowNanos());
 	}
 
-	private void admit() {
+	/**
+	 * Sends the request. Called by the admission of the service.
+	 */
+	void admitted() {
+		this.waiting = false;
 		this.holdsPermit = true;
-		if (this.waitTimeout != null) {
-			this.waitTimeout.cancel(false);
-		}
+		this.decidedNanos = this.context.nowNanos();
+		this.decision = describe();
 		this.onAdmitted.run();
 	}
 
-	private void startWaitTimeout() {
-		this.waitTimeout = this.context.loop().schedule(this::waitTimedOut, this.maxWaitMillis, TimeUnit.MILLISECONDS);
+	/**
+	 * Refuses the request. Called by the admission of the service.
+	 */
+	void refused() {
+		this.waiting = false;
+		this.decidedNanos = this.context.nowNanos();
+		this.decision = describe();
+		this.onRefused.run();
 	}
 
-	private void waitTimedOut() {
-		if (this.queue.orElseThrow().withdraw(this)) {
-			this.onRefused.run();
+	private String describe() {
+		StreamAdmission.State state = this.admission.orElseThrow().state(priorityClass());
+		return "class=" + priorityClass() + " waited-ms=" + TimeUnit.NANOSECONDS.toMillis(waitNanos()) + " limit="
+				+ state.limit() + " in-flight=" + state.inFlight() + " waiting=" + state.waiting()
+				+ " predicted-interval-ms=" + Math.round(state.predictedMillis());
+	}
+
+	/**
+	 * Returns the priority class of the stream.
+	 * @return the class
+	 */
+	int priorityClass() {
+		return this.admission.map((found) -> found.classOf(this.stream)).orElse(0);
+	}
+
+	/**
+	 * Returns how long the stream has waited, or waited until it was admitted or refused.
+	 * @return the time in nanoseconds
+	 */
+	long waitNanos() {
+		long end = (this.decidedNanos != 0) ? this.decidedNanos : this.context.nowNanos();
+		return Math.max(0, end - this.stream.arrivedNanos());
+	}
+
+	/**
+	 * Returns the priority of the stream in an engine's queue.
+	 * @return the priority, or empty if the service has one class only
+	 */
+	OptionalInt enginePriority() {
+		if (this.admission.isEmpty() || this.admission.get().settings().classes().count() == 1) {
+			return OptionalInt.empty();
 		}
+		return OptionalInt.of(this.admission.get().settings().classes().enginePriority(priorityClass()));
 	}
 
 	/**
@@ -110,7 +226,52 @@
 	 * @param millis the time since the request was sent, in milliseconds
 	 */
 	void recordFirstEvent(long millis) {
-		this.queue.ifPresent((admissionQueue) -> admissionQueue.limit().firstEvent(millis, this.context.nowNanos()));
+		this.admission.ifPresent((found) -> found.firstEvent(millis, this.context.nowNanos()));
+	}
+
+	/**
+	 * Records events that were read together.
+	 * @param count the number of events, may be 0
+	 */
+	void recordEvents(int count) {
+		if (count > 0 && this.holdsPermit) {
+			this.admission.orElseThrow().events(this.pace, count, this.context.nowNanos());
+		}
+	}
+
+	/**
+	 * Records that the time until the next event does not show the pace of the engine.
+	 */
+	void readingInterrupted() {
+		this.pace.interrupted();
+	}
+
+	/**
+	 * Chooses the delay after which the refused caller is asked to retry.
+	 * @param remainingMillis the time that the caller has left, in milliseconds
+	 * @return the delay in milliseconds
+	 */
+	long retryAfterMillis(long remainingMillis) {
+		return this.admission.filter((found) -> found.settings().maxEventGap().isPresent())
+			.map((found) -> found.retryAfterMillis(priorityClass(), remainingMillis, this.context.random()))
+			.orElseGet(() -> RetryAfter.millis(this.context.random()));
+	}
+
+	/**
+	 * Returns what the log says about the admission and the pauses of the stream.
+	 * @return the fields, empty if the request is not limited
+	 */
+	String logFields() {
+		if (this.admission.isEmpty()) {
+			return "";
+		}
+		String admissionFields = this.decision.isEmpty() ? describe() : this.decision;
+		if (this.pace.longestBefore() == 0) {
+			return admissionFields;
+		}
+		return admissionFields + " longest-pause-ms=" + TimeUnit.NANOSECONDS.toMillis(this.pace.longestNanos())
+				+ " longest-pause-event=" + this.pace.longestBefore() + " longest-pause-at-ms="
+				+ TimeUnit.NANOSECONDS.toMillis(this.pace.longestEndNanos() - this.stream.arrivedNanos());
 	}
 
 	/**
@@ -118,23 +279,13 @@
 	 * Called once for each request, whatever its outcome.
 	 */
 	void requestEnded() {
-		if (this.queue.isEmpty()) {
-			return;
-		}
-		AdmissionQueue<AdmissionTicket> admissionQueue = this.queue.get();
-		if (!this.holdsPermit) {
-			admissionQueue.withdraw(this);
-			if (this.waitTimeout != null) {
-				this.waitTimeout.cancel(false);
-			}
-			return;
+		if (this.waiting) {
+			this.waiting = false;
+			this.admission.orElseThrow().withdraw(this.stream);
 		}
-		this.holdsPermit = false;
-		admissionQueue.limit().ended();
-		Optional<AdmissionTicket> next = admissionQueue.admitNext();
-		while (next.isPresent()) {
-			next.get().admit();
-			next = admissionQueue.admitNext();
+		else if (this.holdsPermit) {
+			this.holdsPermit = false;
+			this.admission.orElseThrow().ended(this.pace, this.context.nowNanos());
 		}
 	}
 
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
@@ -128,7 +128,7 @@
 	}
 
 	private void refuseAsOverloaded() {
-		giveUp(Verdict.ofNotRun(ErrorCode.OVERLOADED), "the concurrency limit of the service is reached");
+		giveUp(Verdict.ofNotRun(ErrorCode.OVERLOADED), "no room under the concurrency limit of the service");
 	}
 
 	private void firstEvent() {
@@ -193,6 +193,7 @@
 		this.sentNanos = this.context.nowNanos();
 		this.heardNanos = this.sentNanos;
 		this.relay.startAttempt(ready);
+		this.ticket.readingInterrupted();
 		this.connectionReused = ready.used();
 		this.context.monitor().requestSent(this.upstream, this.onUnresponsive);
 		ready.send(upstreamRequest(), new AttemptResponseHandler(current));
@@ -208,6 +209,7 @@
 		this.organisation.ifPresent((owner) -> headers.set(names.organisation(), owner.name()));
 		headers.set(names.expectedUpstream(), this.upstream.id());
 		headers.set(names.deadlineMillis(), Long.toString(Math.max(1, remainingMillis())));
+		this.ticket.enginePriority().ifPresent((value) -> headers.set(names.priority(), Integer.toString(value)));
 		this.relay.lastEventId().ifPresent((id) -> headers.set(names.lastEventId(), id));
 		if (this.request.body().length > 0 || hasBodyFraming()) {
 			headers.set(HttpHeaderNames.CONTENT_LENGTH, this.request.body().length);
@@ -320,7 +322,7 @@
 	private long retryAfterMillis() {
 		long pausedMillis = this.context.pausedMillis(this.service);
 		long quarantinedMillis = this.fingerprints.quarantine().map(Quarantine::remainingMillis).orElse(0L);
-		return Math.max(pausedMillis, quarantinedMillis) + RetryAfter.millis(this.context.random());
+		return Math.max(pausedMillis, quarantinedMillis) + this.ticket.retryAfterMillis(remainingMillis());
 	}
 
 	private static int statusForUnknownOutcome(Verdict verdict) {
@@ -368,6 +370,7 @@
 	void callerWritabilityChanged(boolean writable) {
 		if (this.connection != null && !this.ended) {
 			this.connection.reading(writable);
+			this.ticket.readingInterrupted();
 		}
 	}
 
@@ -381,12 +384,12 @@
 		this.context.metrics().countResponse(status, code);
 		logger.info("event={} request={} route={} organisation={} service={} upstream={} attempts={} connects={} "
 				+ "status={} verdict={} code={} millis={} attempt-millis={} silent-millis={} connection={} framing={} "
-				+ "events={} unfinished-bytes={} configuration={} proof-age-ms={} detail=\"{}\"", event, attemptId(),
+				+ "events={} unfinished-bytes={} configuration={} proof-age-ms={} {} detail=\"{}\"", event, attemptId(),
 				this.route.name(), this.organisation.map(Organisation::name).orElse("-"), this.service,
 				(this.upstream != null) ? this.upstream.id() : "-", this.attempts, this.connects, status,
 				verdict.text(), code, millis, millisSince(this.sentNanos), millisSince(this.heardNanos),
 				connectionKind(), this.relay.framing().text(), this.relay.eventsSent(), this.relay.unfinishedBytes(),
-				this.configurationVersion, this.context.freshness().ageMillis(), detail);
+				this.configurationVersion, this.context.freshness().ageMillis(), this.ticket.logFields(), detail);
 		this.onComplete.run();
 	}
 
@@ -437,7 +440,12 @@
 			if (!stale()) {
 				heard();
 				boolean begun = responseBegun();
+				int eventsBefore = Exchange.this.relay.attemptEvents();
 				Optional<ResponseRelay.Rejection> rejected = Exchange.this.relay.relayContent(part);
+				Exchange.this.ticket.recordEvents(Exchange.this.relay.attemptEvents() - eventsBefore);
+				if (!Exchange.this.responseWriter.writable()) {
+					Exchange.this.ticket.readingInterrupted();
+				}
 				if (!begun && responseBegun()) {
 					Exchange.this.fingerprints.succeeded();
 				}
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ForwardMetrics.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ForwardMetrics.java
@@ -41,6 +41,15 @@
 		return Timer.builder(PREFIX + name).serviceLevelObjectives(LATENCY_BUCKETS).register(this.registry);
 	}
 
+	/**
+	 * Registers the meters for the admission to a service.
+	 * @param service the service
+	 * @return the meters
+	 */
+	AdmissionMetrics admission(String service) {
+		return new AdmissionMetrics(this.registry, PREFIX + "admission.", service);
+	}
+
 	Counter upstreamConnects() {
 		return this.upstreamConnects;
 	}
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/GatewayContext.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/GatewayContext.java
@@ -10,14 +10,12 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpResponse;
 
-import io.bulrushrouter.gateway.admission.AdmissionQueue;
-import io.bulrushrouter.gateway.admission.ConcurrencyLimit;
 import io.bulrushrouter.gateway.admission.RetryBudget;
+import io.bulrushrouter.gateway.admission.StreamAdmission;
 import io.bulrushrouter.gateway.config.ActiveConfiguration;
 import io.bulrushrouter.gateway.config.CallerLimits;
 import io.bulrushrouter.gateway.config.Route;
 import io.bulrushrouter.gateway.config.RouteKind;
-import io.bulrushrouter.gateway.config.ServiceSpec;
 import io.bulrushrouter.gateway.membership.EntryMembership;
 import io.bulrushrouter.gateway.quarantine.CrashEvidence;
 import io.bulrushrouter.gateway.quarantine.Fingerprint;
@@ -68,7 +66,7 @@
 
 	private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
 
-	private final Map<String, AdmissionQueue<AdmissionTicket>> admissionQueues = new HashMap<>();
+	private final ServiceAdmissions admissions = new ServiceAdmissions(this);
 
 	private ActiveConfiguration configuration;
 
@@ -232,24 +230,26 @@
 	}
 
 	/**
-	 * Returns the admission queue of a service, with its limit set to the current number
-	 * of slots.
+	 * Returns the admission of a service, with its limits set to the current number of
+	 * slots.
 	 * @param service the service
 	 * @param route the route of the request
-	 * @return the queue, or empty if the service has no model engines or the route is not
-	 * a stream
+	 * @return the admission, or empty if the service has no model engines or the route is
+	 * not a stream
 	 */
-	Optional<AdmissionQueue<AdmissionTicket>> admissionQueue(String service, Route route) {
-		boolean hasEngines = configuration().flatMap((current) -> current.service(service))
-			.flatMap(ServiceSpec::engine)
-			.isPresent();
-		if (!hasEngines || route.kind() != RouteKind.STREAM) {
+	Optional<StreamAdmission<AdmissionTicket>> admission(String service, Route route) {
+		if (route.kind() != RouteKind.STREAM) {
 			return Optional.empty();
 		}
-		AdmissionQueue<AdmissionTicket> queue = this.admissionQueues.computeIfAbsent(service,
-				(key) -> new AdmissionQueue<>(new ConcurrencyLimit(route.objective().toMillis())));
-		queue.limit().slots(this.directory.ready(service).stream().mapToInt(UpstreamRecord::slots).sum());
-		return Optional.of(queue);
+		return configuration().flatMap((current) -> this.admissions.find(service, current));
+	}
+
+	int slots(String service) {
+		return this.directory.ready(service).stream().mapToInt(UpstreamRecord::slots).sum();
+	}
+
+	int entries() {
+		return this.membership.size();
 	}
 
 	Optional<ActiveConfiguration> configuration() {
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/admission/ConcurrencyLimitTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/admission/ConcurrencyLimitTests.java
@@ -1,7 +1,11 @@
 package io.bulrushrouter.gateway.admission;
 
+import java.util.Optional;
+
 import org.junit.jupiter.api.Test;
 
+import io.bulrushrouter.routing.admission.PriorityClasses;
+
 import static com.google.common.truth.Truth.assertThat;
 
 /**
@@ -37,19 +41,21 @@
 
 	@Test
 	void admitsReturningCallersBeforeNewOnes() {
-		ConcurrencyLimit limit = new ConcurrencyLimit(400);
-		limit.slots(4);
-		AdmissionQueue<String> queue = new AdmissionQueue<>(limit);
-		assertThat(queue.offer("first", false)).isEqualTo(AdmissionQueue.Decision.ADMITTED);
-		assertThat(queue.offer("new", false)).isEqualTo(AdmissionQueue.Decision.WAITING);
-		assertThat(queue.offer("too many", false)).isEqualTo(AdmissionQueue.Decision.REFUSED);
-		assertThat(queue.offer("back", true)).isEqualTo(AdmissionQueue.Decision.WAITING);
-		limit.ended();
-		assertThat(queue.admitNext()).hasValue("back");
-		assertThat(queue.admitNext()).isEmpty();
-		assertThat(queue.withdraw("new")).isTrue();
-		limit.ended();
-		assertThat(queue.admitNext()).isEmpty();
+		AdmissionRecorder recorder = new AdmissionRecorder(Optional.empty(), PriorityClasses.SINGLE);
+		recorder.admission().slots(4, 1);
+		recorder.offer("first", 0, false);
+		assertThat(recorder.admitted()).containsExactly("first");
+		recorder.offer("new", 0, false);
+		assertThat(recorder.waiting()).isEqualTo(1);
+		recorder.offer("too many", 0, false);
+		assertThat(recorder.refused()).containsExactly("too many");
+		recorder.offer("back", 0, true);
+		assertThat(recorder.waiting()).isEqualTo(2);
+		recorder.end("first");
+		assertThat(recorder.admitted()).containsExactly("back");
+		assertThat(recorder.withdraw("new")).isTrue();
+		recorder.end("back");
+		assertThat(recorder.admitted()).isEmpty();
 	}
 
 	@Test
--- a/bulrushrouter-kernel/src/main/java/io/bulrushrouter/kernel/Names.java
+++ b/bulrushrouter-kernel/src/main/java/io/bulrushrouter/kernel/Names.java
@@ -17,7 +17,7 @@
 		}
 	}
 
-	private static boolean isValid(String value) {
+	static boolean isValid(String value) {
 		return value != null && !value.isEmpty() && value.length() <= MAX_LENGTH
 				&& value.chars().allMatch(Names::isAllowed);
 	}
--- a/bulrushrouter-kernel/src/main/java/io/bulrushrouter/kernel/OrganisationId.java
+++ b/bulrushrouter-kernel/src/main/java/io/bulrushrouter/kernel/OrganisationId.java
@@ -26,6 +26,15 @@
 		return new OrganisationId(value);
 	}
 
+	/**
+	 * Returns whether a name can be an identifier.
+	 * @param value the name
+	 * @return whether it is well-formed
+	 */
+	public static boolean isValid(String value) {
+		return Names.isValid(value);
+	}
+
 	@Override
 	public int compareTo(OrganisationId other) {
 		return this.value.compareTo(other.value);
--- a/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/FairQueue.java
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/FairQueue.java
@@ -92,15 +92,35 @@
 		if (waitNanos > 0 && nowNanos + waitNanos > deadlineNanos) {
 			return new OfferResult<>(false, List.of(new OfferResult.Shed<>(item, waitNanos)));
 		}
+		append(queue, dispatch);
+		List<OfferResult.Shed<T>> shed = shedExcess();
+		boolean accepted = shed.stream().noneMatch((one) -> one.item() == item);
+		return new OfferResult<>(accepted, shed);
+	}
+
+	/**
+	 * Queues a request of which the caller has decided that it may wait. Nothing is
+	 * rejected or shed.
+	 * @param item the request
+	 * @param organisation its organisation
+	 * @param costTokens its expected cost, in tokens
+	 * @param deadlineNanos its deadline, in nanoseconds
+	 * @param nowNanos the time, in nanoseconds
+	 */
+	public void add(T item, OrganisationId organisation, long costTokens, long deadlineNanos, long nowNanos) {
+		OrganisationQueue<T> queue = queueFor(organisation);
+		queue.lastActiveNanos = nowNanos;
+		this.serviceRate.advance(this.queued > 0, nowNanos);
+		append(queue, new Dispatch<>(item, organisation, Priority.NORMAL, costTokens, deadlineNanos, nowNanos, false));
+	}
+
+	private void append(OrganisationQueue<T> queue, Dispatch<T> dispatch) {
 		if (queue.isIdle()) {
-			double credit = this.settings.burstTokens() / activeWeight(nowNanos);
+			double credit = this.settings.burstTokens() / activeWeight(dispatch.offeredNanos());
 			queue.virtualTime = Math.max(queue.virtualTime, this.virtualTime - credit);
 		}
 		queue.add(dispatch);
 		count(dispatch, 1);
-		List<OfferResult.Shed<T>> shed = shedExcess();
-		boolean accepted = shed.stream().noneMatch((one) -> one.item() == item);
-		return new OfferResult<>(accepted, shed);
 	}
 
 	/**
@@ -215,6 +235,20 @@
 		return false;
 	}
 
+	/**
+	 * Removes the newest request of the lowest priority of the organisation with the most
+	 * queued tokens for its weight.
+	 * @return the request, or empty if none waits
+	 */
+	public Optional<T> removeMostOverShare() {
+		if (this.queued == 0) {
+			return Optional.empty();
+		}
+		Dispatch<T> dispatch = mostOverShare().takeLast();
+		count(dispatch, -1);
+		return Optional.of(dispatch.item());
+	}
+
 	/**
 	 * Removes the requests whose deadline passed while they waited. Call this often, so
 	 * that their callers are answered promptly.
@@ -236,6 +270,22 @@
 		return this.queued;
 	}
 
+	/**
+	 * Returns the number of waiting requests that go before a new one of an organisation
+	 * if all organisations with waiting requests are served in turn.
+	 * @param organisation the organisation
+	 * @return the count
+	 */
+	public int sizeAhead(OrganisationId organisation) {
+		OrganisationQueue<T> own = this.queues.get(organisation);
+		int ownSize = (own != null) ? own.size() : 0;
+		int ahead = 0;
+		for (OrganisationQueue<T> queue : this.queues.values()) {
+			ahead += (queue == own) ? ownSize : Math.min(queue.size(), ownSize + 1);
+		}
+		return ahead;
+	}
+
 	/**
 	 * Returns the expected cost of the waiting requests.
 	 * @return the cost, in tokens
--- a/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/FairQueueSettings.java
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/FairQueueSettings.java
@@ -63,6 +63,17 @@
 				weights);
 	}
 
+	/**
+	 * Returns the settings for a queue that only orders requests: whether another one may
+	 * start, and how many may wait, is decided elsewhere.
+	 * @param burstTokens the burst credit, in tokens
+	 * @param weights the organisations' weights
+	 * @return the settings
+	 */
+	public static FairQueueSettings ofOrder(long burstTokens, OrganisationWeights weights) {
+		return new FairQueueSettings(Integer.MAX_VALUE, 0, Integer.MAX_VALUE, burstTokens, Long.MAX_VALUE, 0, weights);
+	}
+
 	private static int defaultReservedSlots(int slots) {
 		return (slots > 1) ? Math.max(1, slots / 16) : 0;
 	}
--- a/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/OrganisationQueue.java
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/OrganisationQueue.java
@@ -38,6 +38,10 @@
 		}
 	}
 
+	int size() {
+		return this.size;
+	}
+
 	boolean isEmpty() {
 		return this.size == 0;
 	}
