Tell who uses the limit; test the limit, the queue and waiting

event=streams-waiting names the limit, the interval and who has streams in flight. A class counts as starving only if it lacks a whole stream or has waited for a second: the first stream of a class went before urgent ones. The predicted wait refuses nobody while the group stalls.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/admission/StreamAdmission.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/admission/StreamAdmission.java
@@ -70,6 +70,8 @@
 
 	private final AdmissionPacer pacer;
 
+	private final RoomHolders holders = new RoomHolders();
+
 	private AdmissionSettings settings;
 
 	private Optional<PaceLimit> paceLimit;
@@ -168,7 +170,9 @@
 		int index = classOf(stream);
 		if (this.settings.maxEventGap().isPresent()) {
 			long waitNanos = this.queue.predictWaitNanos(index, stream.organisation(), now);
-			if (!stream.returning() && now + waitNanos > stream.startByNanos()) {
+			// During a stall the rate of admissions is 0 and predicts nothing.
+			boolean stalled = this.paceLimit.map(PaceLimit::stalled).orElse(false);
+			if (!stalled && !stream.returning() && now + waitNanos > stream.startByNanos()) {
 				this.callbacks.refused(stream.item());
 				return;
 			}
@@ -221,6 +225,7 @@
 
 	private void admit(WaitingStream<T> stream) {
 		this.firstEventLimit.started();
+		this.holders.started(stream.priority(), stream.organisation());
 		this.pacer.take(this.nowNanos);
 		this.callbacks.admitted(stream.item());
 	}
@@ -247,10 +252,12 @@
 
 	/**
 	 * Records that an admitted stream ended, and admits waiting ones.
+	 * @param stream the stream
 	 * @param pace the times of the stream's events
 	 * @param now the current monotonic time, in nanoseconds
 	 */
-	public void ended(StreamPace pace, long now) {
+	public void ended(WaitingStream<T> stream, StreamPace pace, long now) {
+		this.holders.ended(stream.priority(), stream.organisation());
 		this.firstEventLimit.ended();
 		this.paceLimit.ifPresent((limit) -> limit.ended(pace));
 		pump(now);
@@ -333,6 +340,23 @@
 		return new State(limit(index), inFlight, this.queue.waiting(), predicted);
 	}
 
+	/**
+	 * Returns the observed interval between events.
+	 * @return the interval in milliseconds, 0 if nothing is known
+	 */
+	public double observedMillis() {
+		return this.paceLimit.map((limit) -> limit.observedMillis(this.nowNanos)).orElse(0.0);
+	}
+
+	/**
+	 * Describes which priorities and organisations have streams in flight.
+	 * @return fields for the log
+	 */
+	public String describeHolders() {
+		return "priorities=\"" + this.holders.priorities() + "\" organisations=\"" + this.holders.organisations()
+				+ "\"";
+	}
+
 	/**
 	 * Returns what the configuration says.
 	 * @return the settings
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/AdmissionTicket.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/AdmissionTicket.java
@@ -259,19 +259,19 @@
 
 	/**
 	 * Returns what the log says about the admission and the pauses of the stream.
-	 * @return the fields, empty if the request is not limited
+	 * @return the fields, each followed by a space; empty if the request is not limited
 	 */
 	String logFields() {
 		if (this.admission.isEmpty()) {
 			return "";
 		}
-		String admissionFields = this.decision.isEmpty() ? describe() : this.decision;
+		String admissionFields = (this.decision.isEmpty() ? describe() : this.decision) + " ";
 		if (this.pace.longestBefore() == 0) {
 			return admissionFields;
 		}
-		return admissionFields + " longest-pause-ms=" + TimeUnit.NANOSECONDS.toMillis(this.pace.longestNanos())
+		return admissionFields + "longest-pause-ms=" + TimeUnit.NANOSECONDS.toMillis(this.pace.longestNanos())
 				+ " longest-pause-event=" + this.pace.longestBefore() + " longest-pause-at-ms="
-				+ TimeUnit.NANOSECONDS.toMillis(this.pace.longestEndNanos() - this.stream.arrivedNanos());
+				+ TimeUnit.NANOSECONDS.toMillis(this.pace.longestEndNanos() - this.stream.arrivedNanos()) + " ";
 	}
 
 	/**
@@ -285,7 +285,7 @@
 		}
 		else if (this.holdsPermit) {
 			this.holdsPermit = false;
-			this.admission.orElseThrow().ended(this.pace, this.context.nowNanos());
+			this.admission.orElseThrow().ended(this.stream, this.pace, this.context.nowNanos());
 		}
 	}
 
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
@@ -384,7 +384,7 @@
 		this.context.metrics().countResponse(status, code);
 		logger.info("event={} request={} route={} organisation={} service={} upstream={} attempts={} connects={} "
 				+ "status={} verdict={} code={} millis={} attempt-millis={} silent-millis={} connection={} framing={} "
-				+ "events={} unfinished-bytes={} configuration={} proof-age-ms={} {} detail=\"{}\"", event, attemptId(),
+				+ "events={} unfinished-bytes={} configuration={} proof-age-ms={} {}detail=\"{}\"", event, attemptId(),
 				this.route.name(), this.organisation.map(Organisation::name).orElse("-"), this.service,
 				(this.upstream != null) ? this.upstream.id() : "-", this.attempts, this.connects, status,
 				verdict.text(), code, millis, millisSince(this.sentNanos), millisSince(this.heardNanos),
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ServiceAdmissions.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ServiceAdmissions.java
@@ -8,6 +8,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
 import io.bulrushrouter.gateway.admission.AdmissionSettings;
 import io.bulrushrouter.gateway.admission.StreamAdmission;
 import io.bulrushrouter.gateway.config.ActiveConfiguration;
@@ -23,6 +26,11 @@
  */
 final class ServiceAdmissions {
 
+	private static final Logger logger = LoggerFactory.getLogger(ServiceAdmissions.class);
+
+	/** Minimum interval between log lines about waiting streams. */
+	private static final long LOG_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(5);
+
 	private final GatewayContext context;
 
 	private final Map<String, Service> services = new HashMap<>();
@@ -98,7 +106,12 @@
 
 		private boolean sweepScheduled;
 
+		private final String name;
+
+		private long nextLogNanos = Long.MIN_VALUE;
+
 		private Service(String name, AdmissionSettings settings) {
+			this.name = name;
 			GatewayContext context = ServiceAdmissions.this.context;
 			this.metrics = context.metrics().admission(name);
 			this.admission = new StreamAdmission<>(settings, this, this.metrics::predictionRatio, context.nowNanos());
@@ -116,6 +129,17 @@
 			ticket.refused();
 		}
 
+		private void logWaiting(long nowNanos) {
+			StreamAdmission.State state = this.admission.state(0);
+			if (state.waiting() == 0 || nowNanos < this.nextLogNanos) {
+				return;
+			}
+			this.nextLogNanos = nowNanos + LOG_INTERVAL_NANOS;
+			logger.info("event=streams-waiting service={} waiting={} in-flight={} limit={} interval-ms={} {}",
+					this.name, state.waiting(), state.inFlight(), state.limit(),
+					Math.round(this.admission.observedMillis()), this.admission.describeHolders());
+		}
+
 		private void scheduleSweep() {
 			if (!this.sweepScheduled) {
 				this.sweepScheduled = true;
@@ -126,7 +150,9 @@
 
 		private void sweep() {
 			this.sweepScheduled = false;
-			this.admission.sweep(ServiceAdmissions.this.context.nowNanos());
+			long nowNanos = ServiceAdmissions.this.context.nowNanos();
+			this.admission.sweep(nowNanos);
+			logWaiting(nowNanos);
 			if (this.admission.active()) {
 				scheduleSweep();
 			}
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/GatewayFixture.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/GatewayFixture.java
@@ -126,6 +126,17 @@
 				List.of(new Organisation("bakers", List.of(KEY), OptionalInt.empty())));
 	}
 
+	/**
+	 * Applies a configuration.
+	 * @param configuration the configuration
+	 * @throws Exception if the event loop fails
+	 */
+	void configure(GatewayConfiguration configuration) throws Exception {
+		this.group.next()
+			.submit(() -> this.context.configuration(ActiveConfiguration.of(configuration)))
+			.get(10, TimeUnit.SECONDS);
+	}
+
 	private static Route route(String prefix, RouteKind kind, Duration timeout) {
 		return new Route(prefix, "test", prefix, kind, timeout, Duration.ofMillis(300), 1,
 				List.of(new WeightedService("service", 1)), 2, false, kind == RouteKind.STREAM);
--- a/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/admission/AdmissionQueue.java
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/admission/AdmissionQueue.java
@@ -32,6 +32,12 @@
 	 */
 	private static final long MIN_RATE_SAMPLE_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
 
+	/**
+	 * Time for which a class must have waited until its share counts if it lacks less
+	 * than one stream: shares of few streams say little.
+	 */
+	private static final long STARVING_NANOS = TimeUnit.SECONDS.toNanos(1);
+
 	/** Smallest assumed rate of admissions of a class, per second. */
 	private static final double MIN_RATE = 0.5;
 
@@ -131,6 +137,7 @@
 	 */
 	public Optional<WaitingStream<T>> next(long nowNanos) {
 		if (waiting() == 0 || this.room.places(0) <= 0) {
+			this.heldSinceNanos = Long.MAX_VALUE;
 			return Optional.empty();
 		}
 		boolean lateDue = this.lateCredit + this.lateShare >= 1;
@@ -157,8 +164,12 @@
 		if (punctual < 0 && !lateDue && held(late, nowNanos)) {
 			return Optional.empty();
 		}
-		boolean lateFirst = late >= 0 && (punctual < 0 || lateDue);
-		return take(lateFirst ? late : punctual, lateFirst, nowNanos);
+		if (late >= 0 && (punctual < 0 || lateDue)) {
+			return take(late, true, nowNanos);
+		}
+		// Streams that have become late since the last expiry are moved and not taken, so
+		// that they do not take a place that is held.
+		return this.queues.get(punctual).hasPunctual(nowNanos) ? take(punctual, false, nowNanos) : next(nowNanos);
 	}
 
 	private boolean held(int index, long nowNanos) {
@@ -171,7 +182,7 @@
 
 	private Optional<WaitingStream<T>> take(int index, boolean lateFirst, long nowNanos) {
 		this.heldSinceNanos = Long.MAX_VALUE;
-		if (this.queues.stream().anyMatch(ClassQueue::hasLate)) {
+		if (anyLate()) {
 			this.lateCredit = Math.min(MAX_LATE_CREDIT, this.lateCredit + this.lateShare);
 		}
 		Optional<WaitingStream<T>> taken = this.queues.get(index).take(lateFirst, nowNanos);
@@ -181,6 +192,15 @@
 		return taken;
 	}
 
+	private boolean anyLate() {
+		for (ClassQueue<T> queue : this.queues) {
+			if (queue.hasLate()) {
+				return true;
+			}
+		}
+		return false;
+	}
+
 	// Returns the waiting class that is served least, if it is served much less than the
 	// others, or -1.
 	private int mostStarved(long nowNanos) {
@@ -194,12 +214,15 @@
 			admitted += queue.admitted(nowNanos);
 		}
 		int starved = -1;
-		double leastServed = MIN_SERVED_RATIO * admitted / offered;
+		double required = MIN_SERVED_RATIO * admitted / offered;
+		double leastServed = required;
 		for (int index = 0; index < this.queues.size(); index++) {
 			ClassQueue<T> queue = this.queues.get(index);
 			if (queue.size() > 0) {
 				double served = queue.admitted(nowNanos) / queue.offered(nowNanos);
-				if (served < leastServed) {
+				double missing = required * queue.offered(nowNanos) - queue.admitted(nowNanos);
+				boolean significant = missing >= 1 || queue.waitingNanos(nowNanos) > STARVING_NANOS;
+				if (significant && served < leastServed) {
 					leastServed = served;
 					starved = index;
 				}
--- a/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/admission/ClassQueue.java
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/admission/ClassQueue.java
@@ -78,6 +78,17 @@
 		return this.punctual.size() > 0;
 	}
 
+	/**
+	 * Returns whether a stream waits that can still meet its objective. Streams that no
+	 * longer can are moved.
+	 * @param nowNanos the current monotonic time, in nanoseconds
+	 * @return whether one waits
+	 */
+	boolean hasPunctual(long nowNanos) {
+		this.punctual.removeExpired(nowNanos).forEach((dispatch) -> add(dispatch.item(), nowNanos));
+		return hasPunctual();
+	}
+
 	boolean hasLate() {
 		return this.returning.size() + this.late.size() > 0;
 	}
@@ -98,8 +109,8 @@
 	 * @return the stream, or empty if none waits
 	 */
 	Optional<WaitingStream<T>> take(boolean lateFirst, long nowNanos) {
-		Optional<WaitingStream<T>> taken = lateFirst ? takeLate(nowNanos).or(() -> takePunctual(nowNanos))
-				: takePunctual(nowNanos).or(() -> takeLate(nowNanos));
+		Optional<WaitingStream<T>> taken = lateFirst ? takeLate(nowNanos).or(() -> takeFrom(this.punctual, nowNanos))
+				: takeFrom(this.punctual, nowNanos).or(() -> takeLate(nowNanos));
 		if (taken.isPresent()) {
 			this.admitted.add(1, nowNanos);
 			this.admissionRate.add(1, nowNanos);
@@ -107,15 +118,6 @@
 		return taken;
 	}
 
-	private Optional<WaitingStream<T>> takePunctual(long nowNanos) {
-		Optional<WaitingStream<T>> taken = takeFrom(this.punctual, nowNanos);
-		while (taken.isPresent() && taken.get().punctualUntilNanos() <= nowNanos) {
-			add(taken.get(), nowNanos);
-			taken = takeFrom(this.punctual, nowNanos);
-		}
-		return taken;
-	}
-
 	private Optional<WaitingStream<T>> takeLate(long nowNanos) {
 		return takeFrom(this.returning, nowNanos).or(() -> takeFrom(this.late, nowNanos));
 	}
@@ -147,7 +149,7 @@
 		if (size() == 0) {
 			return expired;
 		}
-		this.punctual.removeExpired(nowNanos).forEach((dispatch) -> add(dispatch.item(), nowNanos));
+		hasPunctual(nowNanos);
 		this.returning.removeExpired(nowNanos).forEach((dispatch) -> expired.add(dispatch.item()));
 		this.late.removeExpired(nowNanos).forEach((dispatch) -> expired.add(dispatch.item()));
 		return expired;
