--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/admission/StreamAdmission.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/admission/StreamAdmission.java
@@ -26,7 +26,7 @@
 	 * Share of admissions of streams that have missed their objective, while any waits.
 	 * Each of them takes the place of a stream that can still be on time.
 	 */
-	private static final double LATE_SHARE = 0.3;
+	private static final double LATE_SHARE = 0.25;
 
 	/**
 	 * Maximum number of waiting streams as a ratio of the limit where streams are limited
@@ -56,6 +56,13 @@
 	/** Retry-After is spread by up to this ratio to either side. */
 	private static final double RETRY_JITTER = 0.35;
 
+	/**
+	 * Upper bound of the time before which a return counts as too early. A caller that
+	 * was refused when less waited must not be taken for one that ignored its
+	 * Retry-After.
+	 */
+	private static final double MAX_SHORTEST_RETURN_MILLIS = 500;
+
 	private static final double HALF = 0.5;
 
 	private final DoubleConsumer onPredictionRatio;
@@ -329,6 +336,18 @@
 		return Math.max(1, (long) (centre * (1 + RETRY_JITTER * (2 * random.nextDouble() - 1))));
 	}
 
+	/**
+	 * Returns the time after its arrival at which a refused caller returns at the
+	 * earliest if it follows its Retry-After, with a margin for changes of the
+	 * prediction.
+	 * @param index the class
+	 * @return the time in milliseconds
+	 */
+	public long shortestReturnMillis(int index) {
+		double predicted = TimeUnit.NANOSECONDS.toMillis(this.queue.predictRoomNanos(index, this.nowNanos));
+		return (long) Math.min(MAX_SHORTEST_RETURN_MILLIS, HALF * Math.max(MIN_RETRY_MILLIS, predicted));
+	}
+
 	/**
 	 * Returns the state for the log.
 	 * @param index the class
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/AdmissionTicket.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/AdmissionTicket.java
@@ -92,29 +92,40 @@
 		Route route = request.route();
 		long arrived = request.request().arrivedNanos();
 		long remainingMillis = TimeUnit.NANOSECONDS.toMillis(request.deadlineNanos() - arrived);
-		boolean returning = isCallerRetry(this.context, request.request(), route, remainingMillis);
+		long elapsedMillis = Math.max(0, route.timeout().toMillis() - remainingMillis);
+		int priority = priority(request);
+		boolean returning = request.request().header(this.context.headers().lastEventId()) != null;
 		double punctualMillis;
 		double startByMillis;
 		if (settings.maxEventGap().isPresent()) {
-			punctualMillis = route.objective().toMillis() - found.firstEventMillis();
+			// A caller that returns before it was asked to has missed its objective as
+			// well,
+			// but does not go before others.
+			returning |= elapsedMillis > Math.max(RETRY_DETECTION_MARGIN_MILLIS,
+					found.shortestReturnMillis(settings.classes().indexOf(priority)));
+			punctualMillis = route.objective().toMillis() - elapsedMillis - found.firstEventMillis();
 			startByMillis = Math.min(settings.patienceMillis(), remainingMillis) - found.firstEventMillis();
 		}
 		else {
+			returning |= elapsedMillis > RETRY_DETECTION_MARGIN_MILLIS;
 			startByMillis = returning ? MAX_WAIT_RATIO_AFTER_RETRY * remainingMillis
 					: MAX_WAIT_RATIO * route.objective().toMillis();
 			punctualMillis = startByMillis;
 		}
-		int priority = request.organisation()
-			.map(Organisation::priority)
-			.filter(OptionalInt::isPresent)
-			.map(OptionalInt::getAsInt)
-			.orElse(route.priority());
 		return new WaitingStream<>(this,
 				request.organisation().map((owner) -> organisationId(owner.name())).orElse(ANONYMOUS), priority,
 				cost(request.request(), settings), returning, arrived, arrived + nanos(punctualMillis),
 				arrived + nanos(startByMillis));
 	}
 
+	private static int priority(AdmittedRequest request) {
+		return request.organisation()
+			.map(Organisation::priority)
+			.filter(OptionalInt::isPresent)
+			.map(OptionalInt::getAsInt)
+			.orElse(request.route().priority());
+	}
+
 	private static long nanos(double millis) {
 		return (long) (millis * TimeUnit.MILLISECONDS.toNanos(1));
 	}
@@ -150,12 +161,6 @@
 		return sum;
 	}
 
-	private static boolean isCallerRetry(GatewayContext context, CallerRequest request, Route route,
-			long remainingMillis) {
-		return request.header(context.headers().lastEventId()) != null
-				|| remainingMillis < route.timeout().toMillis() - RETRY_DETECTION_MARGIN_MILLIS;
-	}
-
 	void submit() {
 		if (this.admission.isEmpty()) {
 			this.onAdmitted.run();
