--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/config/EngineSpec.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/config/EngineSpec.java
@@ -22,4 +22,14 @@
 public record EngineSpec(int slots, double stepMillis, double stepMillisPerSequence, double prefillTokensPerSecond,
 		int stepsPerPass, int meanPromptTokens, int meanAnswerTokens, OptionalLong kvCapacityTokens,
 		Optional<ExpertSpec> experts) {
+
+	/**
+	 * Returns the length of a pass without any stream, which no decision on admission can
+	 * reduce.
+	 * @return the time in milliseconds
+	 */
+	public double fixedPassMillis() {
+		return this.stepsPerPass * this.stepMillis;
+	}
+
 }
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
@@ -141,7 +141,7 @@
 	}
 
 	private void refuseAsOverloaded() {
-		giveUp(Verdict.ofNotRun(ErrorCode.OVERLOADED), "the concurrency limit of the service is reached");
+		giveUp(Verdict.ofNotRun(ErrorCode.OVERLOADED), "no room under the concurrency limit of the service");
 	}
 
 	private void firstEvent() {
@@ -214,7 +214,8 @@
 		this.sentNanos = this.context.nowNanos();
 		this.heardNanos = this.sentNanos;
 		this.relay.startAttempt(ready);
-		this.progress = new EventProgress(this.route.objective(), Optional.empty());
+		this.progress = new EventProgress(this.route.objective(), this.route.maxEventGap());
+		this.ticket.readingInterrupted();
 		this.connectionReused = ready.used();
 		this.observation = this.context.upstreamSelector().observe(this.upstream, this.size, this.sentNanos);
 		this.context.monitor().requestSent(this.upstream, this.onUnresponsive);
@@ -231,6 +232,7 @@
 		this.organisation.ifPresent((owner) -> headers.set(names.organisation(), owner.name()));
 		headers.set(names.expectedUpstream(), this.upstream.id());
 		headers.set(names.deadlineMillis(), Long.toString(Math.max(1, remainingMillis())));
+		this.ticket.enginePriority().ifPresent((value) -> headers.set(names.priority(), Integer.toString(value)));
 		this.relay.lastEventId().ifPresent((id) -> headers.set(names.lastEventId(), id));
 		if (this.request.body().length > 0 || hasBodyFraming()) {
 			headers.set(HttpHeaderNames.CONTENT_LENGTH, this.request.body().length);
@@ -356,7 +358,7 @@
 		long pausedMillis = this.context.pausedMillis(this.service);
 		long quarantinedMillis = this.fingerprints.quarantine().map(Quarantine::remainingMillis).orElse(0L);
 		ErrorCode reason = verdict.failure().orElse(ErrorCode.INTERNAL);
-		return Math.max(pausedMillis, quarantinedMillis) + RetryAfter.millis(reason, this.context.random());
+		return Math.max(pausedMillis, quarantinedMillis) + this.ticket.retryAfterMillis(reason, remainingMillis());
 	}
 
 	private static int statusForUnknownOutcome(Verdict verdict) {
@@ -412,6 +414,7 @@
 		if (this.connection != null && !this.ended) {
 			this.observation.discard();
 			this.connection.reading(writable);
+			this.ticket.readingInterrupted();
 		}
 	}
 
@@ -426,12 +429,12 @@
 		this.context.metrics().countResponse(status, code);
 		logger.info("event={} request={} route={} organisation={} service={} upstream={} attempts={} connects={} "
 				+ "status={} verdict={} code={} millis={} attempt-millis={} silent-millis={} connection={} framing={} "
-				+ "events={} unfinished-bytes={} configuration={} proof-age-ms={} detail=\"{}\"", event, attemptId(),
+				+ "events={} unfinished-bytes={} configuration={} proof-age-ms={} {}detail=\"{}\"", event, attemptId(),
 				this.route.name(), this.organisation.map(Organisation::name).orElse("-"), this.service,
 				(this.upstream != null) ? this.upstream.id() : "-", this.attempts, this.connects, status,
 				verdict.text(), code, millis, millisSince(this.sentNanos), millisSince(this.heardNanos),
 				connectionKind(), this.relay.framing().text(), this.relay.eventsSent(), this.relay.unfinishedBytes(),
-				this.configurationVersion, this.context.freshness().ageMillis(), detail);
+				this.configurationVersion, this.context.freshness().ageMillis(), this.ticket.logFields(), detail);
 		this.onComplete.run();
 	}
 
@@ -482,9 +485,14 @@
 			if (!stale()) {
 				heard();
 				boolean begun = responseBegun();
+				int eventsBefore = Exchange.this.relay.attemptEvents();
 				Optional<ResponseRelay.Rejection> rejected = Exchange.this.relay.relayContent(part);
 				Exchange.this.observation.progress(Exchange.this.relay.attemptEvents(), Exchange.this.relay.started(),
 						Exchange.this.context.nowNanos());
+				Exchange.this.ticket.recordEvents(Exchange.this.relay.attemptEvents() - eventsBefore);
+				if (!Exchange.this.responseWriter.writable()) {
+					Exchange.this.ticket.readingInterrupted();
+				}
 				if (!begun && responseBegun()) {
 					Exchange.this.fingerprints.succeeded();
 				}
