--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/GatewayContext.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/GatewayContext.java
@@ -18,6 +18,7 @@
 import io.bulrushrouter.gateway.config.EngineSpec;
 import io.bulrushrouter.gateway.config.Route;
 import io.bulrushrouter.gateway.config.RouteKind;
+import io.bulrushrouter.gateway.config.ServiceSpec;
 import io.bulrushrouter.gateway.membership.EntryMembership;
 import io.bulrushrouter.gateway.quarantine.CrashEvidence;
 import io.bulrushrouter.gateway.quarantine.Fingerprint;
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/EnginePriorityTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/EnginePriorityTests.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 
 import org.junit.jupiter.api.Test;
 
@@ -32,7 +33,7 @@
 
 	private static GatewayConfiguration configuration(Optional<Duration> maxEventGap, int leastUrgent) {
 		ServiceSpec service = new ServiceSpec("service", 8,
-				Optional.of(new EngineSpec(8, 5, 0.5, 70_000, 6, 800, 150, Optional.empty())));
+				Optional.of(new EngineSpec(8, 5, 0.5, 70_000, 6, 800, 150, OptionalLong.empty(), Optional.empty())));
 		return new GatewayConfiguration(2,
 				List.of(route("/urgent/", 0, maxEventGap), route("/batch/", leastUrgent, maxEventGap)),
 				Map.of("service", service), CallerLimits.DEFAULTS,
