--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/admission/ConcurrencyLimit.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/admission/ConcurrencyLimit.java
@@ -20,13 +20,13 @@
 
 	/**
 	 * Ratio of first-event latency to its objective above which the limit shrinks, since
-	 * streams then wait in the engines' queues. A change of topics lengthens forward
-	 * passes for some hundred milliseconds, which stays below this ratio.
+	 * streams then wait in the engines' queues. Latencies spread around their mean, so at
+	 * this ratio one stream in five or so misses the objective.
 	 */
-	private static final double SHRINK_THRESHOLD = 1.7;
+	private static final double SHRINK_THRESHOLD = 0.75;
 
 	/** Ratio of first-event latency to its objective below which the limit grows. */
-	private static final double GROWTH_THRESHOLD = 0.8;
+	private static final double GROWTH_THRESHOLD = 0.6;
 
 	private static final double SHRINK_FACTOR = 0.95;
 
@@ -40,9 +40,11 @@
 	private static final long MIN_SHRINK_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
 	/**
-	 * Minimum share of all slots that an entry may use, so that two dozen entries fit.
+	 * Share of its equal share of the slots that an entry uses whatever it observes:
+	 * fewer streams leave slots unused, as while one rank is slow, when no limit can
+	 * bring the latencies back.
 	 */
-	private static final double MIN_SHARE = 1.0 / 24;
+	private static final double MIN_SHARE = 0.5;
 
 	/** Share of all slots that an entry may use at first. */
 	private static final double INITIAL_SHARE = 1.0 / 4;
@@ -53,6 +55,8 @@
 
 	private int slots;
 
+	private int entries = 1;
+
 	private int inFlight;
 
 	private double meanFirstEventMillis;
@@ -72,8 +76,10 @@
 	 * Sets the total number of slots of all upstreams that accept requests. If there were
 	 * none before, the limit starts from its initial share of them.
 	 * @param slots the number of slots
+	 * @param entries the number of entries that share them
 	 */
-	public void slots(int slots) {
+	public void slots(int slots, int entries) {
+		this.entries = Math.max(1, entries);
 		if (this.slots == 0) {
 			this.limit = INITIAL_SHARE * slots;
 		}
@@ -89,7 +95,7 @@
 	}
 
 	private double minimum() {
-		return Math.max(1, MIN_SHARE * this.slots);
+		return Math.max(1, MIN_SHARE * this.slots / this.entries);
 	}
 
 	/**
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/admission/StreamAdmission.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/admission/StreamAdmission.java
@@ -144,7 +144,7 @@
 	public void slots(int allSlots, int liveEntries) {
 		this.slots = allSlots;
 		this.entries = liveEntries;
-		this.firstEventLimit.slots(allSlots);
+		this.firstEventLimit.slots(allSlots, liveEntries);
 		this.paceLimit.ifPresent((limit) -> limit.slots(allSlots, liveEntries));
 		this.pacer.rate((double) allSlots / Math.max(1, liveEntries));
 	}
--- a/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/admission/AdmissionQueue.java
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/admission/AdmissionQueue.java
@@ -39,7 +39,7 @@
 	private static final long STARVING_NANOS = TimeUnit.SECONDS.toNanos(1);
 
 	/** Smallest assumed rate of admissions of a class, per second. */
-	private static final double MIN_RATE = 0.5;
+	static final double MIN_RATE = 0.5;
 
 	/**
 	 * How long the last free place is held for a stream that can still meet its objective
@@ -80,10 +80,10 @@
 		this.queues = newQueues(classes, nowNanos);
 	}
 
-	private static <T> List<ClassQueue<T>> newQueues(PriorityClasses classes, long nowNanos) {
+	private List<ClassQueue<T>> newQueues(PriorityClasses classes, long nowNanos) {
 		List<ClassQueue<T>> created = new ArrayList<>();
 		for (int index = 0; index < classes.count(); index++) {
-			created.add(new ClassQueue<>(nowNanos));
+			created.add(new ClassQueue<>(this.lateShare, nowNanos));
 		}
 		return created;
 	}
--- a/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/admission/ClassQueue.java
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/admission/ClassQueue.java
@@ -41,9 +41,14 @@
 
 	private final DecayingCount admissionRate;
 
+	private final DecayingCount lateAdmissionRate;
+
+	private final double lateShare;
+
 	private long waitingSinceNanos;
 
-	ClassQueue(long nowNanos) {
+	ClassQueue(double lateShare, long nowNanos) {
+		this.lateShare = lateShare;
 		FairQueueSettings settings = FairQueueSettings.ofOrder(BURST_COST, OrganisationWeights.ofEqual());
 		this.punctual = FairQueue.of(settings, nowNanos);
 		this.returning = FairQueue.of(settings, nowNanos);
@@ -51,6 +56,7 @@
 		this.offered = new DecayingCount(SHARE_NANOS, nowNanos);
 		this.admitted = new DecayingCount(SHARE_NANOS, nowNanos);
 		this.admissionRate = new DecayingCount(RATE_NANOS, nowNanos);
+		this.lateAdmissionRate = new DecayingCount(RATE_NANOS, nowNanos);
 	}
 
 	void offer(WaitingStream<T> stream, long nowNanos) {
@@ -63,7 +69,7 @@
 			this.waitingSinceNanos = nowNanos;
 		}
 		stream.punctual = !stream.returning() && nowNanos < stream.punctualUntilNanos();
-		long deadline = stream.punctual ? stream.punctualUntilNanos() : stream.startByNanos();
+		long deadline = stream.punctual ? stream.punctualUntilNanos() : startByNanos(stream, nowNanos);
 		lane(stream).add(stream, stream.organisation(), stream.cost(), deadline, nowNanos);
 	}
 
@@ -114,6 +120,9 @@
 		if (taken.isPresent()) {
 			this.admitted.add(1, nowNanos);
 			this.admissionRate.add(1, nowNanos);
+			if (!taken.get().punctual) {
+				this.lateAdmissionRate.add(1, nowNanos);
+			}
 		}
 		return taken;
 	}
@@ -155,6 +164,22 @@
 		return expired;
 	}
 
+	// A stream that could not be started in time is refused with the next check: its
+	// caller would wait in vain.
+	private long startByNanos(WaitingStream<T> stream, long nowNanos) {
+		boolean inVain = !stream.returning() && nowNanos + lateWaitNanos(nowNanos) > stream.startByNanos();
+		return inVain ? nowNanos : stream.startByNanos();
+	}
+
+	// A stream that has missed its objective waits behind the other late ones, which get
+	// a share of the admissions only.
+	private long lateWaitNanos(long nowNanos) {
+		int ahead = this.returning.size() + this.late.size();
+		double rate = Math.max(this.lateAdmissionRate.perSecond(nowNanos),
+				this.lateShare * this.admissionRate.perSecond(nowNanos));
+		return (long) (ahead / Math.max(AdmissionQueue.MIN_RATE, rate) * TimeUnit.SECONDS.toNanos(1));
+	}
+
 	double offered(long nowNanos) {
 		return this.offered.value(nowNanos);
 	}
--- a/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/admission/PaceLimit.java
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/admission/PaceLimit.java
@@ -31,8 +31,26 @@
 	 */
 	private static final double INCREASE_SHARE = 0.05;
 
-	/** Share of its equal share of the slots that an entry uses whatever it observes. */
-	private static final double MIN_SHARE = 0.08;
+	/**
+	 * Share of its equal share of the slots that an entry uses whatever it observes. With
+	 * half of the slots in use the proportional part of a pass is halved already; fewer
+	 * streams shorten passes little more and leave slots unused, as while one rank is
+	 * slow, when no limit can bring the passes back to the target.
+	 */
+	private static final double MIN_SHARE = 0.5;
+
+	/**
+	 * How much the target of an entry without any stream exceeds that of an entry that
+	 * uses its equal share of the slots. All entries observe the same interval, so those
+	 * that wait for room with few streams in flight take over from those with many.
+	 */
+	private static final double BALANCE_GAIN = 0.25;
+
+	/** Share of the slots in use at which an entry's target is not changed. */
+	private static final double TYPICAL_SHARE = 0.75;
+
+	/** Largest deviation from the equal share that counts. */
+	private static final double MAX_IMBALANCE = 0.6;
 
 	/**
 	 * Share of its equal share of the slots that an entry uses before it observes any.
@@ -203,7 +221,7 @@
 		if (observed <= 0) {
 			return bounded(START_SHARE * this.equalShare, minimum);
 		}
-		double target = share * this.maxGapMillis;
+		double target = share * this.maxGapMillis * balanceFactor(nowNanos);
 		double variableTarget = Math.max(target - this.fixedMillis, MIN_VARIABLE_SHARE * target);
 		double variable = Math.max(observed - this.fixedMillis, variableTarget / MAX_GROWTH);
 		double ratio = variableTarget / variable;
@@ -214,6 +232,11 @@
 		return bounded(allowed, minimum);
 	}
 
+	private double balanceFactor(long nowNanos) {
+		double imbalance = this.estimate.meanInFlight(nowNanos) / this.equalShare - TYPICAL_SHARE;
+		return 1 - BALANCE_GAIN * Math.max(-MAX_IMBALANCE, Math.min(MAX_IMBALANCE, imbalance));
+	}
+
 	private int bounded(double allowed, double minimum) {
 		return (int) Math.max(minimum, Math.min(this.slots, allowed));
 	}
