--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/admission/ConcurrencyLimit.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/admission/ConcurrencyLimit.java
@@ -20,13 +20,30 @@
 
 	/**
 	 * Ratio of first-event latency to its objective above which the limit shrinks, since
-	 * streams then wait in the engines' queues. Latencies spread around their mean, so at
-	 * this ratio one stream in five or so misses the objective.
+	 * streams then wait in the engines' queues. A change of topics lengthens forward
+	 * passes for some hundred milliseconds, which stays below this ratio.
 	 */
-	private static final double SHRINK_THRESHOLD = 0.75;
+	private static final double SHRINK_THRESHOLD = 1.7;
 
 	/** Ratio of first-event latency to its objective below which the limit grows. */
-	private static final double GROWTH_THRESHOLD = 0.6;
+	private static final double GROWTH_THRESHOLD = 0.8;
+
+	/**
+	 * The ratio above which the limit shrinks where first events are to meet their
+	 * objective. Latencies spread around their mean, so at this ratio one stream in five
+	 * or so misses it.
+	 */
+	private static final double STRICT_SHRINK_THRESHOLD = 0.75;
+
+	/** The ratio below which such a limit grows. */
+	private static final double STRICT_GROWTH_THRESHOLD = 0.6;
+
+	/**
+	 * Share of its equal share of the slots that an entry uses under such a limit,
+	 * whatever it observes. While one rank is slow no limit brings the latencies back,
+	 * and fewer streams would only leave slots unused.
+	 */
+	private static final double STRICT_MIN_EQUAL_SHARE = 0.5;
 
 	private static final double SHRINK_FACTOR = 0.95;
 
@@ -40,23 +57,25 @@
 	private static final long MIN_SHRINK_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
 	/**
-	 * Share of its equal share of the slots that an entry uses whatever it observes:
-	 * fewer streams leave slots unused, as while one rank is slow, when no limit can
-	 * bring the latencies back.
+	 * Minimum share of all slots that an entry may use, so that two dozen entries fit.
 	 */
-	private static final double MIN_SHARE = 0.5;
+	private static final double MIN_SHARE = 1.0 / 24;
 
 	/** Share of all slots that an entry may use at first. */
 	private static final double INITIAL_SHARE = 1.0 / 4;
 
 	private final long objectiveMillis;
 
+	private final double shrinkThreshold;
+
+	private final double growthThreshold;
+
+	private double minimum = 1;
+
 	private double limit;
 
 	private int slots;
 
-	private int entries = 1;
-
 	private int inFlight;
 
 	private double meanFirstEventMillis;
@@ -69,17 +88,39 @@
 	 * milliseconds
 	 */
 	public ConcurrencyLimit(long objectiveMillis) {
+		this(objectiveMillis, SHRINK_THRESHOLD, GROWTH_THRESHOLD);
+	}
+
+	private ConcurrencyLimit(long objectiveMillis, double shrinkThreshold, double growthThreshold) {
 		this.objectiveMillis = objectiveMillis;
+		this.shrinkThreshold = shrinkThreshold;
+		this.growthThreshold = growthThreshold;
+	}
+
+	/**
+	 * Creates a limit under which most first events meet their objective.
+	 * @param objectiveMillis the objective for the latency of the first event, in
+	 * milliseconds
+	 * @return the limit
+	 */
+	public static ConcurrencyLimit ofStrict(long objectiveMillis) {
+		return new ConcurrencyLimit(objectiveMillis, STRICT_SHRINK_THRESHOLD, STRICT_GROWTH_THRESHOLD);
+	}
+
+	/**
+	 * Sets the minimum of a limit under which most first events meet their objective.
+	 * @param equalShare the equal share of the slots of one entry
+	 */
+	public void equalShare(double equalShare) {
+		this.minimum = Math.max(1, STRICT_MIN_EQUAL_SHARE * equalShare);
 	}
 
 	/**
 	 * Sets the total number of slots of all upstreams that accept requests. If there were
 	 * none before, the limit starts from its initial share of them.
 	 * @param slots the number of slots
-	 * @param entries the number of entries that share them
 	 */
-	public void slots(int slots, int entries) {
-		this.entries = Math.max(1, entries);
+	public void slots(int slots) {
 		if (this.slots == 0) {
 			this.limit = INITIAL_SHARE * slots;
 		}
@@ -95,7 +136,7 @@
 	}
 
 	private double minimum() {
-		return Math.max(1, MIN_SHARE * this.slots / this.entries);
+		return Math.max(this.minimum, MIN_SHARE * this.slots);
 	}
 
 	/**
@@ -136,10 +177,10 @@
 	public void firstEvent(double millis, long nowNanos) {
 		this.meanFirstEventMillis += FIRST_EVENT_WEIGHT * (millis - this.meanFirstEventMillis);
 		double ratio = this.meanFirstEventMillis / this.objectiveMillis;
-		if (ratio > SHRINK_THRESHOLD) {
+		if (ratio > this.shrinkThreshold) {
 			shrink(nowNanos);
 		}
-		else if (ratio < GROWTH_THRESHOLD && this.inFlight >= limit() - 2) {
+		else if (ratio < this.growthThreshold && this.inFlight >= limit() - 2) {
 			this.limit = Math.min(this.slots, Math.max(this.limit, minimum()) + GROWTH_INCREMENT / limit());
 		}
 	}
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/admission/StreamAdmission.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/admission/StreamAdmission.java
@@ -104,7 +104,9 @@
 		this.settings = settings;
 		this.callbacks = callbacks;
 		this.onPredictionRatio = onPredictionRatio;
-		this.firstEventLimit = new ConcurrencyLimit(settings.objective().toMillis());
+		long objectiveMillis = settings.objective().toMillis();
+		this.firstEventLimit = settings.maxEventGap().isPresent() ? ConcurrencyLimit.ofStrict(objectiveMillis)
+				: new ConcurrencyLimit(objectiveMillis);
 		// Without a limit by pauses, streams of returning callers go before all others.
 		double lateShare = settings.maxEventGap().isPresent() ? LATE_SHARE : 1;
 		this.queue = new AdmissionQueue<>(settings.classes(), lateShare, this::places, nowNanos);
@@ -143,8 +145,9 @@
 	 */
 	public void slots(int allSlots, int liveEntries) {
 		this.slots = allSlots;
-		this.entries = liveEntries;
-		this.firstEventLimit.slots(allSlots, liveEntries);
+		this.entries = Math.max(1, liveEntries);
+		this.firstEventLimit.slots(allSlots);
+		this.paceLimit.ifPresent((limit) -> this.firstEventLimit.equalShare((double) allSlots / this.entries));
 		this.paceLimit.ifPresent((limit) -> limit.slots(allSlots, liveEntries));
 		this.pacer.rate((double) allSlots / Math.max(1, liveEntries));
 	}
