--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/admission/ConcurrencyLimit.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/admission/ConcurrencyLimit.java
@@ -45,6 +45,19 @@
 	 */
 	private static final double STRICT_MIN_EQUAL_SHARE = 0.5;
 
+	/**
+	 * How much more latency an entry without any stream tolerates under such a limit than
+	 * one that uses its equal share of the slots, so that entries that started later take
+	 * over from the others.
+	 */
+	private static final double BALANCE_GAIN = 0.25;
+
+	/** Share of the equal share in use at which the thresholds are not changed. */
+	private static final double TYPICAL_SHARE = 0.75;
+
+	/** Largest deviation from it that counts. */
+	private static final double MAX_IMBALANCE = 0.6;
+
 	private static final double SHRINK_FACTOR = 0.95;
 
 	/** Added to the limit by a first event in time, divided by the limit. */
@@ -72,6 +85,9 @@
 
 	private double minimum = 1;
 
+	/** The equal share of the slots of one entry, 0 if it does not matter. */
+	private double equalShare;
+
 	private double limit;
 
 	private int slots;
@@ -108,11 +124,24 @@
 	}
 
 	/**
-	 * Sets the minimum of a limit under which most first events meet their objective.
-	 * @param equalShare the equal share of the slots of one entry
+	 * Sets the equal share of the slots of one entry, from which a limit starts under
+	 * which most first events meet their objective.
+	 * @param share the number of slots
 	 */
-	public void equalShare(double equalShare) {
-		this.minimum = Math.max(1, STRICT_MIN_EQUAL_SHARE * equalShare);
+	public void equalShare(double share) {
+		if (this.equalShare == 0) {
+			this.limit = share;
+		}
+		this.equalShare = share;
+		this.minimum = Math.max(1, STRICT_MIN_EQUAL_SHARE * share);
+	}
+
+	private double balanceFactor() {
+		if (this.equalShare == 0) {
+			return 1;
+		}
+		double imbalance = this.inFlight / this.equalShare - TYPICAL_SHARE;
+		return 1 - BALANCE_GAIN * Math.max(-MAX_IMBALANCE, Math.min(MAX_IMBALANCE, imbalance));
 	}
 
 	/**
@@ -177,10 +206,10 @@
 	public void firstEvent(double millis, long nowNanos) {
 		this.meanFirstEventMillis += FIRST_EVENT_WEIGHT * (millis - this.meanFirstEventMillis);
 		double ratio = this.meanFirstEventMillis / this.objectiveMillis;
-		if (ratio > this.shrinkThreshold) {
+		if (ratio > this.shrinkThreshold * balanceFactor()) {
 			shrink(nowNanos);
 		}
-		else if (ratio < this.growthThreshold && this.inFlight >= limit() - 2) {
+		else if (ratio < this.growthThreshold * balanceFactor() && this.inFlight >= limit() - 2) {
 			this.limit = Math.min(this.slots, Math.max(this.limit, minimum()) + GROWTH_INCREMENT / limit());
 		}
 	}
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/AdmissionTicket.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/AdmissionTicket.java
@@ -33,6 +33,13 @@
 	 */
 	private static final double MAX_WAIT_RATIO_AFTER_RETRY = 0.25;
 
+	/**
+	 * Share of the time for which a caller waits for its first event that a stream may
+	 * spend in the queue. A caller that is refused by then has time for a second try, and
+	 * one whose stream is started has its first event before it leaves.
+	 */
+	private static final double MAX_WAIT_RATIO_OF_PATIENCE = 0.5;
+
 	/**
 	 * A deadline that is shorter than the route's timeout by more than this marks a retry
 	 * of the caller.
@@ -105,7 +112,7 @@
 			returning |= elapsedMillis > Math.max(RETRY_DETECTION_MARGIN_MILLIS,
 					found.shortestReturnMillis(settings.classes().indexOf(priority)));
 			punctualMillis = route.objective().toMillis() - elapsedMillis - found.firstEventMillis();
-			startByMillis = Math.min(settings.patienceMillis(), remainingMillis) - found.firstEventMillis();
+			startByMillis = MAX_WAIT_RATIO_OF_PATIENCE * Math.min(settings.patienceMillis(), remainingMillis);
 		}
 		else {
 			returning |= elapsedMillis > RETRY_DETECTION_MARGIN_MILLIS;
--- a/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/admission/ClassQueue.java
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/admission/ClassQueue.java
@@ -167,14 +167,14 @@
 	// A stream that could not be started in time is refused with the next check: its
 	// caller would wait in vain.
 	private long startByNanos(WaitingStream<T> stream, long nowNanos) {
-		boolean inVain = !stream.returning() && nowNanos + lateWaitNanos(nowNanos) > stream.startByNanos();
+		boolean inVain = !stream.returning() && nowNanos + lateWaitNanos(stream.organisation(), nowNanos) > stream.startByNanos();
 		return inVain ? nowNanos : stream.startByNanos();
 	}
 
 	// A stream that has missed its objective waits behind the other late ones, which get
 	// a share of the admissions only.
-	private long lateWaitNanos(long nowNanos) {
-		int ahead = this.returning.size() + this.late.size();
+	private long lateWaitNanos(OrganisationId organisation, long nowNanos) {
+		int ahead = this.returning.sizeAhead(organisation) + this.late.sizeAhead(organisation);
 		double rate = Math.max(this.lateAdmissionRate.perSecond(nowNanos),
 				this.lateShare * this.admissionRate.perSecond(nowNanos));
 		return (long) (ahead / Math.max(AdmissionQueue.MIN_RATE, rate) * TimeUnit.SECONDS.toNanos(1));
--- a/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/admission/PaceLimit.java
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/admission/PaceLimit.java
@@ -34,11 +34,13 @@
 	/**
 	 * Share of its equal share of the slots that an entry uses whatever it observes. With
 	 * half of the slots in use the proportional part of a pass is halved already; fewer
-	 * streams shorten passes little more and leave slots unused, as while one rank is
-	 * slow, when no limit can bring the passes back to the target.
+	 * streams shorten passes little more and leave slots unused.
 	 */
 	private static final double MIN_SHARE = 0.5;
 
+	/** The same just after a stall, when the group is filled step by step. */
+	private static final double MIN_SHARE_AFTER_STALL = 0.08;
+
 	/**
 	 * How much the target of an entry without any stream exceeds that of an entry that
 	 * uses its equal share of the slots. All entries observe the same interval, so those
@@ -99,6 +101,10 @@
 
 	private boolean stalled;
 
+	private boolean wasStalled;
+
+	private long stalledNanos;
+
 	private double predictedMillis;
 
 	private long predictedForNanos = Long.MAX_VALUE;
@@ -172,6 +178,10 @@
 			}
 		}
 		this.stalled = shortest != Double.MAX_VALUE && shortest > STALL_GAPS * this.maxGapMillis;
+		if (this.stalled) {
+			this.wasStalled = true;
+			this.stalledNanos = nowNanos;
+		}
 		comparePrediction(inFlight, nowNanos);
 	}
 
@@ -216,7 +226,7 @@
 		if (this.stalled) {
 			return 0;
 		}
-		double minimum = Math.max(1, MIN_SHARE * this.equalShare);
+		double minimum = Math.max(1, minShare(nowNanos) * this.equalShare);
 		double observed = this.estimate.meanMillis(nowNanos);
 		if (observed <= 0) {
 			return bounded(START_SHARE * this.equalShare, minimum);
@@ -232,6 +242,12 @@
 		return bounded(allowed, minimum);
 	}
 
+	private double minShare(long nowNanos) {
+		boolean afterStall = nowNanos - this.stalledNanos < TimeUnit.MILLISECONDS
+			.toNanos(IntervalEstimate.WINDOW_MILLIS);
+		return (this.wasStalled && afterStall) ? MIN_SHARE_AFTER_STALL : MIN_SHARE;
+	}
+
 	private double balanceFactor(long nowNanos) {
 		double imbalance = this.estimate.meanInFlight(nowNanos) / this.equalShare - TYPICAL_SHARE;
 		return 1 - BALANCE_GAIN * Math.max(-MAX_IMBALANCE, Math.min(MAX_IMBALANCE, imbalance));
