--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/MemoryLedger.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/MemoryLedger.java
@@ -1,7 +1,8 @@
 package io.bulrushrouter.gateway.forward;
 
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.LinkedHashSet;
-import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongSupplier;
 
@@ -76,24 +77,16 @@
 	}
 
 	private void cutUnread(Account grown) {
-		Optional<Account> longest = longestUnread();
-		while (heldBytes() > this.limit.getAsLong() && longest.isPresent()) {
-			longest.get().cut();
-			longest = longestUnread();
+		while (heldBytes() > this.limit.getAsLong() && !this.waiting.isEmpty()) {
+			longestUnread().cut();
 		}
 		if (heldBytes() > this.limit.getAsLong() && !grown.closed) {
 			grown.cut();
 		}
 	}
 
-	private Optional<Account> longestUnread() {
-		Account longest = null;
-		for (Account account : this.waiting) {
-			if (longest == null || account.unreadSinceNanos < longest.unreadSinceNanos) {
-				longest = account;
-			}
-		}
-		return Optional.ofNullable(longest);
+	private Account longestUnread() {
+		return Collections.min(this.waiting, Comparator.comparingLong(Account::unreadSinceNanos));
 	}
 
 	/**
@@ -181,13 +174,13 @@
 			}
 			MemoryLedger.this.responseBytes += bytes - this.queuedBytes;
 			this.queuedBytes = bytes;
-			if (bytes == 0) {
-				MemoryLedger.this.waiting.remove(this);
-			}
-			else {
+			if (bytes > 0) {
 				MemoryLedger.this.waiting.add(this);
 				cutUnread(this);
 			}
+			else if (!MemoryLedger.this.waiting.isEmpty()) {
+				MemoryLedger.this.waiting.remove(this);
+			}
 		}
 
 		/**
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/SlowReaderTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/SlowReaderTests.java
@@ -111,6 +111,23 @@
 		}
 	}
 
+	// The end of the connection may be the upstream's cut, so it must not pass for the end
+	// of the response.
+	@Test
+	void neverCompletesAnUnframedResponseThatWasNotReadForLong() throws Exception {
+		try (ScriptedUpstream upstream = ScriptedUpstream
+			.start((number, request, reply) -> reply.write(HEAD + "\r\n" + FILL.repeat(400)).close());
+				GatewayFixture gateway = new GatewayFixture(upstream);
+				GatewayFixture.Caller caller = gateway.slowCaller()) {
+			caller.get("/read/x", "Connection: close\r\n");
+			while (gateway.read(GatewayContext::heldBytes) < 50_000) {
+				Thread.onSpinWait();
+			}
+			TimeUnit.MILLISECONDS.sleep(1_300);
+			assertThat(caller.readToEnd().endsWith("\r\n0\r\n\r\n")).isFalse();
+		}
+	}
+
 	@Test
 	void endsAStreamThatOnlyTricklesBytesAndResumesItElsewhere() throws Exception {
 		try (ScriptedUpstream trickling = ScriptedUpstream.start((number, request, reply) -> {
--- a/bulrushrouter-ranks/src/test/java/io/bulrushrouter/ranks/RankSidecarTests.java
+++ b/bulrushrouter-ranks/src/test/java/io/bulrushrouter/ranks/RankSidecarTests.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.OptionalLong;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
