Cut callers that have stopped reading when requests no longer fit

Cause: a cut needed a response that grows. Callers that read nothing more and fill the bound exactly had every later request refused until one of them left. Now a request that does not fit is refused and, if a caller has read nothing for 3 s, its response is cut.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/CallerConnection.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/CallerConnection.java
@@ -177,7 +177,7 @@
 
 	private void startRequest(HttpRequest request) {
 		this.head = request;
-		this.body = new RequestBody(this.account, this.context.limits().bodyBytes());
+		this.body = new RequestBody(this.account, this.context.limits().bodyBytes(), this.context::nowNanos);
 		this.arrivedNanos = this.context.nowNanos();
 		this.waitingSinceNanos = this.arrivedNanos;
 		this.keepAlive = HttpUtil.isKeepAlive(request);
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/MemoryLedger.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/MemoryLedger.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
 /**
@@ -32,6 +33,12 @@
 	/** Netty's default high-water mark; a deeper queue does not speed a caller up. */
 	private static final long MAX_ALLOWANCE_BYTES = 64 * 1024;
 
+	/**
+	 * Time without a read after which a response is cut in favour of later requests. A
+	 * caller that reads slowly takes something each second.
+	 */
+	private static final long STOPPED_NANOS = TimeUnit.SECONDS.toNanos(3);
+
 	private final LongSupplier limit;
 
 	private final Set<Account> waiting = new LinkedHashSet<>();
@@ -85,6 +92,13 @@
 		}
 	}
 
+	// Without this, callers that read nothing more could have all later requests refused.
+	private void cutStopped(long nowNanos) {
+		if (!this.waiting.isEmpty() && nowNanos - longestUnread().unreadSinceNanos >= STOPPED_NANOS) {
+			longestUnread().cut();
+		}
+	}
+
 	private Account longestUnread() {
 		return Collections.min(this.waiting, Comparator.comparingLong(Account::unreadSinceNanos));
 	}
@@ -115,12 +129,17 @@
 		/**
 		 * Reserves bytes for a request.
 		 * @param bytes the number of bytes
+		 * @param nowNanos the time on the monotonic clock, in nanoseconds
 		 * @return whether they fit; if not, nothing is reserved
 		 */
-		boolean reserveRequest(long bytes) {
+		boolean reserveRequest(long bytes, long nowNanos) {
 			MemoryLedger ledger = MemoryLedger.this;
 			long bound = ledger.limit.getAsLong();
-			if (this.closed || heldBytes() + bytes > bound || ledger.requestBytes + bytes > REQUEST_SHARE * bound) {
+			if (heldBytes() + bytes > bound) {
+				cutStopped(nowNanos);
+				return false;
+			}
+			if (this.closed || ledger.requestBytes + bytes > REQUEST_SHARE * bound) {
 				return false;
 			}
 			this.ownRequestBytes += bytes;
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/RequestBody.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/RequestBody.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.util.Optional;
+import java.util.function.LongSupplier;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -24,14 +25,18 @@
 
 	private final long maxBytes;
 
+	private final LongSupplier nanoClock;
+
 	private final ByteArrayOutputStream bytes = new ByteArrayOutputStream(0);
 
 	/**
 	 * Creates an empty body.
 	 * @param account the account of the connection
 	 * @param maxBytes the limit of one body
+	 * @param nanoClock the monotonic clock, in nanoseconds
 	 */
-	RequestBody(MemoryLedger.Account account, long maxBytes) {
+	RequestBody(MemoryLedger.Account account, long maxBytes, LongSupplier nanoClock) {
+		this.nanoClock = nanoClock;
 		this.account = account;
 		this.maxBytes = maxBytes;
 	}
@@ -45,7 +50,7 @@
 		if (contentLength > this.maxBytes) {
 			return Optional.of(ErrorCode.TOO_LARGE);
 		}
-		return this.account.reserveRequest(REQUEST_OVERHEAD_BYTES) ? Optional.empty()
+		return this.account.reserveRequest(REQUEST_OVERHEAD_BYTES, this.nanoClock.getAsLong()) ? Optional.empty()
 				: Optional.of(ErrorCode.OVERLOADED);
 	}
 
@@ -59,7 +64,7 @@
 		if (this.bytes.size() + length > this.maxBytes) {
 			return Optional.of(ErrorCode.TOO_LARGE);
 		}
-		if (!this.account.reserveRequest(length)) {
+		if (!this.account.reserveRequest(length, this.nanoClock.getAsLong())) {
 			return Optional.of(ErrorCode.OVERLOADED);
 		}
 		byte[] copy = ByteBufUtil.getBytes(part);
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/GatewayFixture.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/GatewayFixture.java
@@ -214,6 +214,17 @@
 		return new Caller(socket);
 	}
 
+	/**
+	 * Replaces the bound of what all connections hold.
+	 * @param bytes the bound
+	 * @throws Exception if the event loop fails
+	 */
+	void bound(long bytes) throws Exception {
+		ForwardSettings settings = new ForwardSettings(0.16, SPARE_RETRIES, Duration.ofSeconds(10),
+				Duration.ofMillis(4_300), Duration.ofMillis(3_500), bytes);
+		this.group.next().submit(() -> this.context.settings(settings)).get(10, TimeUnit.SECONDS);
+	}
+
 	/**
 	 * Returns what the gateway reports about its connections.
 	 * @param value reads the value
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/MemoryLedgerTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/MemoryLedgerTests.java
@@ -16,6 +16,8 @@
 
 	private static final long LIMIT = 18L << 20;
 
+	private static final long SECOND = 1_000_000_000;
+
 	private final MemoryLedger ledger = new MemoryLedger(() -> LIMIT);
 
 	private final List<String> cut = new ArrayList<>();
@@ -70,18 +72,22 @@
 	}
 
 	@Test
-	void refusesARequestOnceTheBoundIsReached() {
-		account("reader").queued(LIMIT, false, 0);
+	void refusesARequestOnceTheBoundIsReachedAndCutsWhoHasStoppedReading() {
+		account("reading").queued(LIMIT / 2, false, SECOND);
+		account("stopped").queued(LIMIT / 2, false, 0);
 		MemoryLedger.Account request = account("request");
-		assertThat(request.reserveRequest(1)).isFalse();
+		assertThat(request.reserveRequest(1, 2 * SECOND)).isFalse();
 		assertThat(this.cut).isEmpty();
+		assertThat(request.reserveRequest(1, 3 * SECOND)).isFalse();
+		assertThat(this.cut).containsExactly("stopped");
+		assertThat(request.reserveRequest(1, 3 * SECOND)).isTrue();
 	}
 
 	@Test
 	void leavesRoomForTheResponsesToRequests() {
 		MemoryLedger.Account request = account("request");
-		assertThat(request.reserveRequest(LIMIT * 3 / 4)).isTrue();
-		assertThat(request.reserveRequest(1)).isFalse();
+		assertThat(request.reserveRequest(LIMIT * 3 / 4, 0)).isTrue();
+		assertThat(request.reserveRequest(1, 0)).isFalse();
 		account("reader").queued(LIMIT / 4, false, 0);
 		assertThat(this.cut).isEmpty();
 		request.close();
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/SlowReaderTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/SlowReaderTests.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
+import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.api.Test;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -35,6 +36,12 @@
 		reply.write("0\r\n\r\n");
 	}
 
+	private static void awaitHeld(GatewayFixture gateway, long bytes) throws Exception {
+		while (gateway.read(GatewayContext::heldBytes) < bytes) {
+			Thread.onSpinWait();
+		}
+	}
+
 	private static void assertComplete(String response) {
 		assertThat(response.endsWith("\r\n0\r\n\r\n")).isTrue();
 		assertThat(response.split("\ndata: ", -1)).hasLength(EVENTS + 1);
@@ -69,9 +76,7 @@
 			for (int index = 0; index < 8; index++) {
 				callers.add(gateway.slowCaller().get("/stream/" + index, "Connection: close\r\n"));
 			}
-			while (gateway.read(GatewayContext::heldBytes) < 200_000) {
-				Thread.onSpinWait();
-			}
+			awaitHeld(gateway, 200_000);
 			for (GatewayFixture.Caller caller : callers) {
 				assertThat(gateway.read(GatewayContext::heldBytes)).isAtMost(1L << 20);
 				assertComplete(caller.readToEnd());
@@ -93,9 +98,7 @@
 			for (int index = 0; index < 4; index++) {
 				callers.add(gateway.slowCaller().get("/stream/" + index, "Connection: close\r\n"));
 			}
-			while (gateway.read(GatewayContext::heldBytes) < 200_000) {
-				Thread.onSpinWait();
-			}
+			awaitHeld(gateway, 200_000);
 			// Longer than the pause after which a loss counts as a cut.
 			TimeUnit.MILLISECONDS.sleep(1_300);
 			assertThat(cutting.requests().size()).isAtLeast(2);
@@ -111,7 +114,8 @@
 		}
 	}
 
-	// The end of the connection may be the upstream's cut, so it must not pass for the end
+	// The end of the connection may be the upstream's cut, so it must not pass for the
+	// end
 	// of the response.
 	@Test
 	void neverCompletesAnUnframedResponseThatWasNotReadForLong() throws Exception {
@@ -120,14 +124,32 @@
 				GatewayFixture gateway = new GatewayFixture(upstream);
 				GatewayFixture.Caller caller = gateway.slowCaller()) {
 			caller.get("/read/x", "Connection: close\r\n");
-			while (gateway.read(GatewayContext::heldBytes) < 50_000) {
-				Thread.onSpinWait();
-			}
+			awaitHeld(gateway, 50_000);
 			TimeUnit.MILLISECONDS.sleep(1_300);
 			assertThat(caller.readToEnd().endsWith("\r\n0\r\n\r\n")).isFalse();
 		}
 	}
 
+	@Test
+	void cutsTheCallerThatHasReadNothingForLongestAndRefusesRequestsAtTheBound() throws Exception {
+		try (ScriptedUpstream upstream = ScriptedUpstream.start((number, request, reply) -> stream(request, reply));
+				GatewayFixture gateway = new GatewayFixture(upstream);
+				GatewayFixture.Caller first = gateway.slowCaller();
+				GatewayFixture.Caller second = gateway.slowCaller();
+				GatewayFixture.Caller late = gateway.caller()) {
+			first.get("/stream/first", "Connection: close\r\n");
+			awaitHeld(gateway, 60_000);
+			second.get("/stream/second", "Connection: close\r\n");
+			awaitHeld(gateway, 120_000);
+			gateway.bound(100_000);
+			assertThat(late.get("/read/x").readResponse()).startsWith("HTTP/1.1 503");
+			assertThat(upstream.requests()).hasSize(2);
+			assertComplete(second.readToEnd());
+			assertThat(gateway.read(GatewayContext::cutReaders)).isEqualTo(1);
+			Assertions.assertThrows(IOException.class, first::readToEnd);
+		}
+	}
+
 	@Test
 	void endsAStreamThatOnlyTricklesBytesAndResumesItElsewhere() throws Exception {
 		try (ScriptedUpstream trickling = ScriptedUpstream.start((number, request, reply) -> {
