--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamConnection.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamConnection.java
@@ -278,6 +278,9 @@
 		}
 		this.responseHandler = null;
 		if (this.reusable && this.channel.isActive()) {
+			// Reading may have paused for the caller. Stray bytes and the end of an idle
+			// connection are noticed only if it is read.
+			reading(true);
 			this.onIdle.accept(this);
 		}
 		else {
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/UpstreamConnectionTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/UpstreamConnectionTests.java
@@ -29,13 +29,27 @@
 
 	private final List<String> reported = new ArrayList<>();
 
-	private void receiveUnframedResponse() {
+	private UpstreamConnection receive(String response) {
 		UpstreamConnection connection = new UpstreamConnection(this.channel, (idle) -> this.reported.add("idle"),
 				(closed) -> this.reported.add("closed"), System::nanoTime);
 		this.channel.pipeline().addLast(connection);
 		connection.send(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"), new Recorder());
-		this.channel
-			.writeInbound(Unpooled.copiedBuffer("HTTP/1.1 200 OK\r\n\r\nsome bytes", StandardCharsets.ISO_8859_1));
+		this.channel.writeInbound(Unpooled.copiedBuffer(response, StandardCharsets.ISO_8859_1));
+		return connection;
+	}
+
+	private void receiveUnframedResponse() {
+		receive("HTTP/1.1 200 OK\r\n\r\nsome bytes");
+	}
+
+	// A late copy of the response would otherwise stay unread until the next request.
+	@Test
+	void readsAnIdleConnectionThoughTheCallerOfTheLastResponseReadNothing() {
+		UpstreamConnection connection = receive("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\no");
+		connection.reading(false);
+		this.channel.writeInbound(Unpooled.copiedBuffer("k", StandardCharsets.ISO_8859_1));
+		assertThat(this.reported).containsExactly("head", "o", "k", "end", "idle").inOrder();
+		assertThat(this.channel.config().isAutoRead()).isTrue();
 	}
 
 	@Test
