--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/MemoryLedger.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/MemoryLedger.java
@@ -1,8 +1,10 @@
 package io.bulrushrouter.gateway.forward;
 
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.LinkedHashSet;
-import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
 /**
@@ -31,6 +33,12 @@
 	/** Netty's default high-water mark; a deeper queue does not speed a caller up. */
 	private static final long MAX_ALLOWANCE_BYTES = 64 * 1024;
 
+	/**
+	 * Time without a read after which a response is cut in favour of later requests. A
+	 * caller that reads slowly takes something each second.
+	 */
+	private static final long STOPPED_NANOS = TimeUnit.SECONDS.toNanos(3);
+
 	private final LongSupplier limit;
 
 	private final Set<Account> waiting = new LinkedHashSet<>();
@@ -76,24 +84,23 @@
 	}
 
 	private void cutUnread(Account grown) {
-		Optional<Account> longest = longestUnread();
-		while (heldBytes() > this.limit.getAsLong() && longest.isPresent()) {
-			longest.get().cut();
-			longest = longestUnread();
+		while (heldBytes() > this.limit.getAsLong() && !this.waiting.isEmpty()) {
+			longestUnread().cut();
 		}
 		if (heldBytes() > this.limit.getAsLong() && !grown.closed) {
 			grown.cut();
 		}
 	}
 
-	private Optional<Account> longestUnread() {
-		Account longest = null;
-		for (Account account : this.waiting) {
-			if (longest == null || account.unreadSinceNanos < longest.unreadSinceNanos) {
-				longest = account;
-			}
+	// Without this, callers that read nothing more could have all later requests refused.
+	private void cutStopped(long nowNanos) {
+		if (!this.waiting.isEmpty() && nowNanos - longestUnread().unreadSinceNanos >= STOPPED_NANOS) {
+			longestUnread().cut();
 		}
-		return Optional.ofNullable(longest);
+	}
+
+	private Account longestUnread() {
+		return Collections.min(this.waiting, Comparator.comparingLong(Account::unreadSinceNanos));
 	}
 
 	/**
@@ -122,12 +129,17 @@
 		/**
 		 * Reserves bytes for a request.
 		 * @param bytes the number of bytes
+		 * @param nowNanos the time on the monotonic clock, in nanoseconds
 		 * @return whether they fit; if not, nothing is reserved
 		 */
-		boolean reserveRequest(long bytes) {
+		boolean reserveRequest(long bytes, long nowNanos) {
 			MemoryLedger ledger = MemoryLedger.this;
 			long bound = ledger.limit.getAsLong();
-			if (this.closed || heldBytes() + bytes > bound || ledger.requestBytes + bytes > REQUEST_SHARE * bound) {
+			if (heldBytes() + bytes > bound) {
+				cutStopped(nowNanos);
+				return false;
+			}
+			if (this.closed || ledger.requestBytes + bytes > REQUEST_SHARE * bound) {
 				return false;
 			}
 			this.ownRequestBytes += bytes;
@@ -181,13 +193,13 @@
 			}
 			MemoryLedger.this.responseBytes += bytes - this.queuedBytes;
 			this.queuedBytes = bytes;
-			if (bytes == 0) {
-				MemoryLedger.this.waiting.remove(this);
-			}
-			else {
+			if (bytes > 0) {
 				MemoryLedger.this.waiting.add(this);
 				cutUnread(this);
 			}
+			else if (!MemoryLedger.this.waiting.isEmpty()) {
+				MemoryLedger.this.waiting.remove(this);
+			}
 		}
 
 		/**
