Explain where a request would go, without sending it

Operators could see what happened to a request, but not why a new one would go to an upstream now. GET /explain at the metrics address, and the launcher's command explain, answer it: route, organisation, priority, the decision of admission, and for each upstream its costs or why it is excluded.

The text is made of what the deciding code returns: AdmissionHandler.route and lacksKey, AdmissionQueue.decide, which offer uses, and the exclusion and cost functions of UpstreamSelector.pick.

Not run: the command against an entry with a store.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/admission/AdmissionQueue.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/admission/AdmissionQueue.java
@@ -41,15 +41,27 @@
 	 * @return the decision
 	 */
 	public Decision offer(T stream, boolean returning) {
+		Decision decision = decide(returning);
+		switch (decision) {
+			case ADMITTED -> this.limit.started();
+			case WAITING -> (returning ? this.returningStreams : this.newStreams).addLast(stream);
+			case REFUSED -> {
+			}
+		}
+		return decision;
+	}
+
+	/**
+	 * Returns what would be decided on a stream now.
+	 * @param returning whether its caller returned after a refusal or a broken stream
+	 * @return the decision, without effect
+	 */
+	public Decision decide(boolean returning) {
 		if (this.limit.hasCapacity() && (returning || waiting() == 0)) {
-			this.limit.started();
 			return Decision.ADMITTED;
 		}
-		if (!returning && this.newStreams.size() >= MAX_QUEUE_RATIO * this.limit.limit()) {
-			return Decision.REFUSED;
-		}
-		(returning ? this.returningStreams : this.newStreams).addLast(stream);
-		return Decision.WAITING;
+		boolean full = this.newStreams.size() >= MAX_QUEUE_RATIO * this.limit.limit();
+		return (full && !returning) ? Decision.REFUSED : Decision.WAITING;
 	}
 
 	/**
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/config/ActiveConfiguration.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/config/ActiveConfiguration.java
@@ -97,4 +97,16 @@
 		return Optional.ofNullable(key).map(this.organisationsByKey::get);
 	}
 
+	/**
+	 * Finds an organisation by its name.
+	 * @param name the organisation's name
+	 * @return the organisation, or empty if the configuration has none of that name
+	 */
+	public Optional<Organisation> organisationNamed(String name) {
+		return this.configuration.organisations()
+			.stream()
+			.filter((organisation) -> organisation.name().equals(name))
+			.findFirst();
+	}
+
 }
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/AdmissionHandler.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/AdmissionHandler.java
@@ -49,20 +49,41 @@
 		}
 		ActiveConfiguration configuration = this.context.configuration().orElseThrow();
 		String host = request.header("Host");
-		Optional<Route> route = configuration.route(withoutPort(host), request.path())
-			.or(() -> configuration.route(host, request.path()));
+		Optional<Route> route = route(configuration, host, request.path());
 		if (route.isEmpty()) {
 			return refuseUnknown(request, responseWriter, ErrorCode.NOT_FOUND,
 					"no route matches " + host + request.path());
 		}
 		Optional<Organisation> organisation = configuration.organisation(request.header(this.context.headers().key()));
-		if (organisation.isEmpty() && configuration.requiresKeys() && !route.get().anonymous()) {
+		if (lacksKey(configuration, route.get(), organisation)) {
 			return refuseUnknown(request, responseWriter, ErrorCode.UNAUTHORISED, "the key is missing or unknown");
 		}
 		return Optional.of(new AdmittedRequest(request, route.get(), organisation, configuration.version(),
 				deadline(request, route.get())));
 	}
 
+	/**
+	 * Finds the route of a request.
+	 * @param configuration the active configuration
+	 * @param host the host that the request names, with or without a port
+	 * @param path the path, without the query
+	 * @return the route, or empty if none matches
+	 */
+	static Optional<Route> route(ActiveConfiguration configuration, String host, String path) {
+		return configuration.route(withoutPort(host), path).or(() -> configuration.route(host, path));
+	}
+
+	/**
+	 * Returns whether a request is refused because it has no known key.
+	 * @param configuration the active configuration
+	 * @param route the request's route
+	 * @param organisation the organisation that owns its key
+	 * @return whether it needs a key and has none
+	 */
+	static boolean lacksKey(ActiveConfiguration configuration, Route route, Optional<Organisation> organisation) {
+		return organisation.isEmpty() && configuration.requiresKeys() && !route.anonymous();
+	}
+
 	private static String withoutPort(String host) {
 		int colon = host.lastIndexOf(':');
 		return (colon < 0) ? host : host.substring(0, colon);
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/GatewayContext.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/GatewayContext.java
@@ -211,6 +211,16 @@
 		return this.upstreamSelector.pick(allowed, tried, nowNanos);
 	}
 
+	/**
+	 * Explains for each upstream of a service how it would take part in a choice now.
+	 * @param service the service
+	 * @return a line for each upstream, without its end
+	 */
+	List<String> explainUpstreams(String service) {
+		return ChoiceExplainer.upstreams(this.directory.ready(service), this.notices, this.upstreamSelector,
+				nowNanos());
+	}
+
 	/**
 	 * Returns whether an upstream that was selected still takes the request.
 	 * @param upstream the upstream
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/Gateway.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/Gateway.java
@@ -19,6 +19,7 @@
 import io.bulrushrouter.gateway.config.ActiveConfiguration;
 import io.bulrushrouter.gateway.config.GatewayConfiguration;
 import io.bulrushrouter.gateway.forward.CallerServer;
+import io.bulrushrouter.gateway.forward.ChoiceExplainer;
 import io.bulrushrouter.gateway.forward.ForwardMetrics;
 import io.bulrushrouter.gateway.forward.GatewayContext;
 import io.bulrushrouter.gateway.membership.EntryMembership;
@@ -116,7 +117,9 @@
 		this.callers = new CallerServer(this.context, settings.maxConnections());
 		this.readiness = new StatusServer(this.loop, this::readinessPage);
 		MetricsPage metricsPage = new MetricsPage(this.registry, () -> selector.capacities(this.clock.nanos()));
-		this.metrics = new StatusServer(this.loop, (path) -> metricsPage.page());
+		ExplainPage explainPage = new ExplainPage((query) -> new ChoiceExplainer(this.context).explain(query));
+		this.metrics = new StatusServer(this.loop,
+				(uri) -> ExplainPage.matches(uri) ? explainPage.page(uri) : metricsPage.page());
 		this.source = factory.connect(settings.store().getHostString(), settings.store().getPort(), this.group);
 		this.configurations = FeedFollower
 			.builder("configuration", this.source.configuration(), new ConfigurationListener())
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamSelector.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamSelector.java
@@ -3,9 +3,12 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
@@ -90,13 +93,11 @@
 			if (fixedCost >= bestCost || exclusion(candidate, upstreamHealth, tried, nowNanos) != Exclusion.NONE) {
 				continue;
 			}
-			if (service != null && !upstreamHealth.capacity().comparable()) {
-				upstreamHealth.capacity().compareWith(candidate, service);
-			}
-			double slowness = upstreamHealth.capacity().slowness(nowNanos);
+			double slowness = slowness(candidate, upstreamHealth, service, nowNanos);
 			boolean withheld = slowness > 1 && this.random.nextDouble() >= choiceShare(slowness);
 			boolean explores = withheld && mayExplore && upstreamHealth.capacity().explorationDue(nowNanos);
-			double cost = fixedCost + loadCost(upstreamHealth, slowness) + ((withheld && !explores) ? slowness : 0);
+			double cost = fixedCost + loadCost(upstreamHealth, slowness)
+					+ ((withheld && !explores) ? withheldCost(slowness) : 0);
 			if (cost < bestCost) {
 				cost += TIE_COST * this.random.nextDouble();
 			}
@@ -109,7 +110,25 @@
 		if (service != null) {
 			service.chosen(bestExplores);
 		}
-		return (best != null) ? Optional.of(best) : earliestReadmitted(candidates, tried, nowNanos);
+		return (best != null) ? Optional.of(best) : lastResort(candidates, tried, nowNanos);
+	}
+
+	/**
+	 * Explains how each of several upstreams would take part in a choice now.
+	 * @param candidates the upstreams that accept requests
+	 * @param tried the identifiers of the upstreams that the request was sent to before
+	 * @param nowNanos the current monotonic time, in nanoseconds
+	 * @return the explanations in the order of the candidates
+	 */
+	public List<UpstreamExplanation> explain(List<UpstreamRecord> candidates, Set<String> tried, long nowNanos) {
+		return candidates.stream().map((candidate) -> {
+			UpstreamHealth upstreamHealth = healthOf(candidate.id());
+			double slowness = slowness(candidate, upstreamHealth, this.services.get(candidate.service()), nowNanos);
+			return new UpstreamExplanation(candidate.id(), candidate.dataCentre(),
+					exclusion(candidate, upstreamHealth, tried, nowNanos).name().toLowerCase(Locale.ROOT),
+					upstreamHealth.inFlight(), 1 / slowness, choiceShare(slowness), loadCost(upstreamHealth, slowness),
+					failureCost(upstreamHealth), distanceCost(candidate), withheldCost(slowness));
+		}).toList();
 	}
 
 	private static Exclusion exclusion(UpstreamRecord candidate, UpstreamHealth upstreamHealth, Set<String> tried,
@@ -123,10 +142,23 @@
 		return (upstreamHealth.inFlight() >= maxInFlight(candidate)) ? Exclusion.FULL : Exclusion.NONE;
 	}
 
+	private static double slowness(UpstreamRecord candidate, UpstreamHealth upstreamHealth, ServiceCapacity service,
+			long nowNanos) {
+		if (service != null && !upstreamHealth.capacity().comparable()) {
+			upstreamHealth.capacity().compareWith(candidate, service);
+		}
+		return upstreamHealth.capacity().slowness(nowNanos);
+	}
+
 	private static double choiceShare(double slowness) {
 		return Math.min(1, 1 / (slowness * slowness));
 	}
 
+	// An upstream that is withheld is chosen if all others have more in flight than this.
+	private static double withheldCost(double slowness) {
+		return (slowness > 1) ? slowness : 0;
+	}
+
 	private static double loadCost(UpstreamHealth upstreamHealth, double slowness) {
 		return slowness * upstreamHealth.inFlight();
 	}
@@ -139,11 +171,16 @@
 		return candidate.dataCentre().equals(this.dataCentre) ? 0 : REMOTE_COST;
 	}
 
-	// If no candidate is usable, the one whose ejection ends first gets the request, an
-	// unresponsive one last: never are all upstreams of a service unavailable because of
-	// what this entry has observed.
-	private Optional<UpstreamRecord> earliestReadmitted(List<UpstreamRecord> candidates, Set<String> tried,
-			long nowNanos) {
+	/**
+	 * Returns the upstream that gets a request although none is usable: the one whose
+	 * ejection ends first, an unresponsive one last. Never are all upstreams of a service
+	 * unavailable because of what this entry has observed.
+	 * @param candidates the upstreams that accept requests
+	 * @param tried the identifiers of the upstreams that the request was sent to before
+	 * @param nowNanos the current monotonic time, in nanoseconds
+	 * @return the upstream, or empty if any is usable or none is left
+	 */
+	public Optional<UpstreamRecord> lastResort(List<UpstreamRecord> candidates, Set<String> tried, long nowNanos) {
 		boolean anyUsable = candidates.stream().anyMatch((candidate) -> healthOf(candidate.id()).usable(nowNanos));
 		if (anyUsable) {
 			return Optional.empty();
@@ -227,6 +264,22 @@
 		return healthOf(id).responsive();
 	}
 
+	/**
+	 * Returns the latency that a request is expected to have at the mean upstream of a
+	 * service.
+	 * @param service the name of the service
+	 * @param size the size of the request
+	 * @return the time to the answer or its first event, in milliseconds, or empty if too
+	 * little is known of requests like it
+	 */
+	public OptionalDouble expectedMillis(String service, AttemptSize size) {
+		ServiceCapacity common = this.services.get(service);
+		double nanos = (common != null) ? common.answers().expectedNanos(size.requestClass(0))
+				: Double.POSITIVE_INFINITY;
+		return Double.isFinite(nanos) ? OptionalDouble.of(nanos / TimeUnit.MILLISECONDS.toNanos(1))
+				: OptionalDouble.empty();
+	}
+
 	/**
 	 * Compares the upstreams of each service and logs what was learned.
 	 * @param nowNanos the current monotonic time, in nanoseconds
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/GatewayFixture.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/GatewayFixture.java
@@ -154,6 +154,12 @@
 		return this.group.next().submit(() -> this.context.crashDetector().idle()).get(10, TimeUnit.SECONDS);
 	}
 
+	String explain(Map<String, String> query) throws Exception {
+		return this.group.next()
+			.submit(() -> String.join("\n", new ChoiceExplainer(this.context).explain(query)))
+			.get(10, TimeUnit.SECONDS);
+	}
+
 	/**
 	 * Returns the number of fingerprints in quarantine.
 	 * @return the number
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/upstream/AttemptObservationTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/upstream/AttemptObservationTests.java
@@ -170,4 +170,24 @@
 		assertThat(this.selector.capacities(this.nowNanos)).isEqualTo(Map.of());
 	}
 
+	// Guards against a flood of lines when all upstreams change at once.
+	@Test
+	void logsALargeChangeOnceAndFewInASecond() {
+		CapacityLog log = new CapacityLog();
+		ServiceCapacity service = new ServiceCapacity();
+		int lines = 0;
+		UpstreamCapacity first = new UpstreamCapacity();
+		for (UpstreamRecord rank : this.ranks) {
+			UpstreamCapacity capacity = (lines == 0) ? first : new UpstreamCapacity();
+			capacity.compareWith(rank, service);
+			assertThat(log.review(rank.id(), capacity, 0)).isFalse();
+			capacity.refused(0);
+			capacity.refused(0);
+			lines += log.review(rank.id(), capacity, 0) ? 1 : 0;
+			assertThat(log.review(rank.id(), capacity, 0)).isFalse();
+		}
+		assertThat(lines).isEqualTo(10);
+		assertThat(log.review("0", first, 60_000 * MILLI)).isTrue();
+	}
+
 }
--- a/bulrushrouter-launcher/src/main/java/io/bulrushrouter/launcher/Main.java
+++ b/bulrushrouter-launcher/src/main/java/io/bulrushrouter/launcher/Main.java
@@ -1,6 +1,7 @@
 package io.bulrushrouter.launcher;
 
 import java.nio.file.Path;
+import java.util.Arrays;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 
@@ -45,9 +46,13 @@
 	}
 
 	private static int run(String[] args) {
+		if (args.length > 0 && args[0].equals(ExplainCommand.NAME)) {
+			return ExplainCommand.run(Arrays.copyOfRange(args, 1, args.length), System.out);
+		}
 		ArgumentParser parser = ArgumentParsers.newFor("bulrushrouter-launcher")
 			.build()
-			.description("Runs a gateway, or the sidecar that balances the experts of a rank group.");
+			.description("Runs a gateway, or the sidecar that balances the experts of a rank group. The command "
+					+ ExplainCommand.NAME + " asks a gateway where a request would go.");
 		parser.addArgument("role").choices(GATEWAY, RANK, LOAD_CLASSES).help("the role to run");
 		parser.addArgument("--settings").metavar("FILE").help("the INI file with the settings");
 		parser.addArgument("--settings-from")
