--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamSelector.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamSelector.java
@@ -321,7 +321,8 @@
 	}
 
 	private UpstreamHealth healthOf(String id) {
-		return this.health.computeIfAbsent(id, (key) -> new UpstreamHealth());
+		UpstreamHealth known = this.health.get(id);
+		return (known != null) ? known : this.health.computeIfAbsent(id, (key) -> new UpstreamHealth());
 	}
 
 	/**
