Say in an explanation when no upstream is left

Run: a gateway with a stand-in store, one route with two services, three upstreams that refuse connections. The command named route, organisation, admission (limit 5) and the costs of all three upstreams, before and after three requests whose failures showed in failure-cost. For the service without upstreams it said only decision=admit, although the request would be refused with no-upstream; it now says so (ChoiceExplainerTests).

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ChoiceExplainer.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ChoiceExplainer.java
@@ -136,18 +136,24 @@
 	 * @param notices what the upstreams said about themselves
 	 * @param selector selects an upstream
 	 * @param nowNanos the current monotonic time, in nanoseconds
-	 * @return a line for each upstream, and one if only a last resort is left
+	 * @return a line for each upstream, and one if only a last resort is left or none
 	 */
 	static List<String> upstreams(List<UpstreamRecord> ready, UpstreamNotices notices, UpstreamSelector selector,
 			long nowNanos) {
 		List<UpstreamRecord> allowed = notices.allowed(ready, nowNanos);
 		Set<String> allowedIds = allowed.stream().map(UpstreamRecord::id).collect(Collectors.toSet());
 		List<String> lines = new ArrayList<>();
+		boolean choice = false;
 		for (UpstreamExplanation explanation : selector.explain(ready, Set.of(), nowNanos)) {
-			lines.add(explanation.text() + (allowedIds.contains(explanation.id()) ? "" : " not-allowed=by-its-notice"));
+			boolean allows = allowedIds.contains(explanation.id());
+			lines.add(explanation.text() + (allows ? "" : " not-allowed=by-its-notice"));
+			choice |= allows && !explanation.isExcluded();
+		}
+		if (!choice) {
+			lines.add(selector.lastResort(allowed, Set.of(), nowNanos)
+				.map((upstream) -> "last-resort=" + upstream.id())
+				.orElse("choice=none reason=no-upstream"));
 		}
-		selector.lastResort(allowed, Set.of(), nowNanos)
-			.ifPresent((upstream) -> lines.add("last-resort=" + upstream.id()));
 		return lines;
 	}
 
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamSelector.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamSelector.java
@@ -3,7 +3,6 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
@@ -125,9 +124,9 @@
 			UpstreamHealth upstreamHealth = healthOf(candidate.id());
 			double slowness = slowness(candidate, upstreamHealth, this.services.get(candidate.service()), nowNanos);
 			return new UpstreamExplanation(candidate.id(), candidate.dataCentre(),
-					exclusion(candidate, upstreamHealth, tried, nowNanos).name().toLowerCase(Locale.ROOT),
-					upstreamHealth.inFlight(), 1 / slowness, choiceShare(slowness), loadCost(upstreamHealth, slowness),
-					failureCost(upstreamHealth), distanceCost(candidate), withheldCost(slowness));
+					exclusion(candidate, upstreamHealth, tried, nowNanos), upstreamHealth.inFlight(), 1 / slowness,
+					choiceShare(slowness), loadCost(upstreamHealth, slowness), failureCost(upstreamHealth),
+					distanceCost(candidate), withheldCost(slowness));
 		}).toList();
 	}
 
@@ -328,7 +327,7 @@
 	/**
 	 * Why an upstream is not chosen for an attempt.
 	 */
-	enum Exclusion {
+	public enum Exclusion {
 
 		/** It may be chosen. */
 		NONE,
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/ChoiceExplainerTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/ChoiceExplainerTests.java
@@ -54,6 +54,7 @@
 		try (GatewayFixture gateway = new GatewayFixture()) {
 			assertThat(gateway.explain(Map.of("host", "test", "path", "/other/"))).contains("reason=no-route");
 			assertThat(gateway.explain(Map.of("host", "test", "path", "/read/"))).contains("reason=no-known-key");
+			assertThat(gateway.explain(READ)).contains("choice=none reason=no-upstream");
 			gateway.setProofAge(60_000);
 			assertThat(gateway.explain(READ)).contains("reason=keys-not-verified");
 			assertThrows(Exception.class, () -> gateway.explain(Map.of("host", "test")));
