--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/admission/StreamAdmission.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/admission/StreamAdmission.java
@@ -176,18 +176,7 @@
 	 * @param now the current monotonic time, in nanoseconds
 	 */
 	public void offer(WaitingStream<T> stream, long now) {
-		this.nowNanos = now;
-		int index = classOf(stream);
-		if (this.settings.maxEventGap().isPresent()) {
-			long waitNanos = this.queue.predictWaitNanos(index, stream.organisation(), now);
-			// During a stall the rate of admissions is 0 and predicts nothing.
-			boolean stalled = this.paceLimit.map(PaceLimit::stalled).orElse(false);
-			if (!stalled && !stream.returning() && now + waitNanos > stream.startByNanos()) {
-				this.callbacks.refused(stream.item());
-				return;
-			}
-		}
-		else if (!stream.returning() && this.queue.waiting() >= MAX_QUEUE_RATIO * limit(0) && places(0) <= 0) {
+		if (decide(stream, now) == Decision.REFUSED) {
 			this.callbacks.refused(stream.item());
 			return;
 		}
@@ -198,6 +187,24 @@
 		}
 	}
 
+	/**
+	 * Returns what would be decided on a stream now.
+	 * @param stream the stream
+	 * @param now the current monotonic time, in nanoseconds
+	 * @return the decision, without effect
+	 */
+	public Decision decide(WaitingStream<T> stream, long now) {
+		this.nowNanos = now;
+		int index = classOf(stream);
+		if (!stream.returning() && (this.settings.maxEventGap().isPresent()
+				? now + this.queue.predictWaitNanos(index, stream.organisation(), now) > stream.startByNanos()
+				: this.queue.waiting() >= MAX_QUEUE_RATIO * limit(0) && places(0) <= 0)) {
+			return Decision.REFUSED;
+		}
+		boolean free = places(index) > 0 && (this.queue.waiting() == 0 || stream.returning());
+		return free ? Decision.ADMITTED : Decision.WAITING;
+	}
+
 	private int maxWaiting() {
 		return (int) Math.max(MIN_QUEUE, MAX_QUEUE_SHARE * this.slots / Math.max(1, this.entries));
 	}
@@ -399,6 +406,22 @@
 	public record State(int limit, int inFlight, int waiting, double predictedMillis) {
 	}
 
+	/**
+	 * The decision on a stream that arrives.
+	 */
+	public enum Decision {
+
+		/** The stream may be started at once. */
+		ADMITTED,
+
+		/** The stream is queued. */
+		WAITING,
+
+		/** The stream could not be started in time. */
+		REFUSED
+
+	}
+
 	/**
 	 * Receives decisions.
 	 *
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/AdmissionTicket.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/AdmissionTicket.java
@@ -134,6 +134,24 @@
 			.orElse(request.route().priority());
 	}
 
+	/**
+	 * Creates a stream of mean length for an explanation, which is never offered.
+	 * @param admission the admission of the service
+	 * @param organisation the organisation, if known
+	 * @param priority the priority
+	 * @param returning whether the caller returns after a refusal
+	 * @param nowNanos the current monotonic time, in nanoseconds
+	 * @return the stream
+	 */
+	static WaitingStream<AdmissionTicket> explained(StreamAdmission<AdmissionTicket> admission,
+			Optional<Organisation> organisation, int priority, boolean returning, long nowNanos) {
+		AdmissionSettings settings = admission.settings();
+		return new WaitingStream<>(null, organisation.map((owner) -> organisationId(owner.name())).orElse(ANONYMOUS),
+				priority, AdmissionQueue.MEAN_COST, returning, nowNanos,
+				nowNanos + nanos(settings.objective().toMillis() - admission.firstEventMillis()),
+				nowNanos + nanos(MAX_WAIT_RATIO_OF_PATIENCE * settings.patienceMillis()));
+	}
+
 	private static long nanos(double millis) {
 		return (long) (millis * TimeUnit.MILLISECONDS.toNanos(1));
 	}
