--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/admission/RoomHolders.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/admission/RoomHolders.java
@@ -1,16 +1,16 @@
 package io.bulrushrouter.gateway.admission;
 
-import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
-import java.util.stream.Collectors;
 
 import io.bulrushrouter.kernel.OrganisationId;
 
 /**
- * Counts the streams in flight by class and by organisation, so that the log can say who
- * uses the limit. Not thread-safe.
+ * Counts the streams in flight by priority and by organisation, so that the log can say
+ * who uses the limit. Not thread-safe.
  */
 final class RoomHolders {
 
@@ -22,13 +22,23 @@
 	private final Map<OrganisationId, Integer> byOrganisation = new HashMap<>();
 
 	void started(int priority, OrganisationId organisation) {
-		this.byPriority.merge(priority, 1, Integer::sum);
-		this.byOrganisation.merge(organisation, 1, Integer::sum);
+		add(this.byPriority, priority, 1);
+		add(this.byOrganisation, organisation, 1);
 	}
 
 	void ended(int priority, OrganisationId organisation) {
-		this.byPriority.computeIfPresent(priority, (key, count) -> (count > 1) ? count - 1 : null);
-		this.byOrganisation.computeIfPresent(organisation, (key, count) -> (count > 1) ? count - 1 : null);
+		add(this.byPriority, priority, -1);
+		add(this.byOrganisation, organisation, -1);
+	}
+
+	private static <K> void add(Map<K, Integer> counts, K key, int change) {
+		int count = counts.getOrDefault(key, 0) + change;
+		if (count > 0) {
+			counts.put(key, count);
+		}
+		else {
+			counts.remove(key);
+		}
 	}
 
 	/**
@@ -36,10 +46,11 @@
 	 * @return a list of priority and count
 	 */
 	String priorities() {
-		return this.byPriority.entrySet()
-			.stream()
-			.map((entry) -> entry.getKey() + ":" + entry.getValue())
-			.collect(Collectors.joining(" "));
+		StringBuilder text = new StringBuilder();
+		for (Map.Entry<Integer, Integer> entry : this.byPriority.entrySet()) {
+			append(text, entry);
+		}
+		return text.toString();
 	}
 
 	/**
@@ -47,13 +58,24 @@
 	 * @return a list of organisation and count, the largest first
 	 */
 	String organisations() {
-		return this.byOrganisation.entrySet()
-			.stream()
-			.sorted(Map.Entry.<OrganisationId, Integer>comparingByValue(Comparator.reverseOrder())
-				.thenComparing(Map.Entry.comparingByKey()))
-			.limit(NAMED)
-			.map((entry) -> entry.getKey() + ":" + entry.getValue())
-			.collect(Collectors.joining(" "));
+		StringBuilder text = new StringBuilder();
+		Set<OrganisationId> named = new HashSet<>();
+		while (named.size() < Math.min(NAMED, this.byOrganisation.size())) {
+			Map.Entry<OrganisationId, Integer> largest = null;
+			for (Map.Entry<OrganisationId, Integer> entry : this.byOrganisation.entrySet()) {
+				boolean larger = largest == null || entry.getValue() > largest.getValue();
+				if (larger && !named.contains(entry.getKey())) {
+					largest = entry;
+				}
+			}
+			named.add(largest.getKey());
+			append(text, largest);
+		}
+		return text.toString();
+	}
+
+	private static void append(StringBuilder text, Map.Entry<?, Integer> entry) {
+		text.append(text.isEmpty() ? "" : " ").append(entry.getKey()).append(':').append(entry.getValue());
 	}
 
 }
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/admission/StreamAdmission.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/admission/StreamAdmission.java
@@ -145,7 +145,9 @@
 		this.slots = allSlots;
 		this.entries = liveEntries;
 		this.firstEventLimit.slots(allSlots);
-		this.paceLimit.ifPresent((limit) -> limit.slots(allSlots, liveEntries));
+		if (this.paceLimit.isPresent()) {
+			this.paceLimit.get().slots(allSlots, liveEntries);
+		}
 		this.pacer.rate((double) allSlots / Math.max(1, liveEntries));
 	}
 
@@ -161,9 +163,11 @@
 	 */
 	public int limit(int index) {
 		int firstEvents = this.firstEventLimit.limit();
-		return this.paceLimit
-			.map((limit) -> Math.min(firstEvents, limit.limit(this.queue.classes().share(index), this.nowNanos)))
-			.orElse(firstEvents);
+		if (this.paceLimit.isEmpty()) {
+			return firstEvents;
+		}
+		double share = this.queue.classes().share(index);
+		return Math.min(firstEvents, this.paceLimit.get().limit(share, this.nowNanos));
 	}
 
 	/**
@@ -178,7 +182,7 @@
 		if (this.settings.maxEventGap().isPresent()) {
 			long waitNanos = this.queue.predictWaitNanos(index, stream.organisation(), now);
 			// During a stall the rate of admissions is 0 and predicts nothing.
-			boolean stalled = this.paceLimit.map(PaceLimit::stalled).orElse(false);
+			boolean stalled = this.paceLimit.isPresent() && this.paceLimit.get().stalled();
 			if (!stalled && !stream.returning() && now + waitNanos > stream.startByNanos()) {
 				this.callbacks.refused(stream.item());
 				return;
@@ -244,7 +248,9 @@
 	 * @param now the current monotonic time, in nanoseconds
 	 */
 	public void events(StreamPace pace, int count, long now) {
-		this.paceLimit.ifPresent((limit) -> limit.event(pace, count, this.firstEventLimit.inFlight(), now));
+		if (this.paceLimit.isPresent()) {
+			this.paceLimit.get().event(pace, count, this.firstEventLimit.inFlight(), now);
+		}
 	}
 
 	/**
@@ -266,7 +272,9 @@
 	public void ended(WaitingStream<T> stream, StreamPace pace, long now) {
 		this.holders.ended(stream.priority(), stream.organisation());
 		this.firstEventLimit.ended();
-		this.paceLimit.ifPresent((limit) -> limit.ended(pace));
+		if (this.paceLimit.isPresent()) {
+			this.paceLimit.get().ended(pace);
+		}
 		pump(now);
 	}
 
@@ -286,7 +294,9 @@
 	 */
 	public void sweep(long now) {
 		this.nowNanos = now;
-		this.paceLimit.ifPresent((limit) -> limit.sweep(this.firstEventLimit.inFlight(), now));
+		if (this.paceLimit.isPresent()) {
+			this.paceLimit.get().sweep(this.firstEventLimit.inFlight(), now);
+		}
 		pump(now);
 		List<WaitingStream<T>> expired = this.queue.expire(now);
 		for (WaitingStream<T> stream : expired) {
@@ -355,7 +365,8 @@
 	 */
 	public State state(int index) {
 		int inFlight = this.firstEventLimit.inFlight();
-		double predicted = this.paceLimit.map((limit) -> limit.predictMillis(inFlight + 1, this.nowNanos)).orElse(0.0);
+		double predicted = this.paceLimit.isPresent() ? this.paceLimit.get().predictMillis(inFlight + 1, this.nowNanos)
+				: 0;
 		return new State(limit(index), inFlight, this.queue.waiting(), predicted);
 	}
 
--- a/bulrushrouter-kernel/src/main/java/io/bulrushrouter/kernel/Names.java
+++ b/bulrushrouter-kernel/src/main/java/io/bulrushrouter/kernel/Names.java
@@ -18,8 +18,18 @@
 	}
 
 	static boolean isValid(String value) {
-		return value != null && !value.isEmpty() && value.length() <= MAX_LENGTH
-				&& value.chars().allMatch(Names::isAllowed);
+		if (value == null || value.isEmpty() || value.length() > MAX_LENGTH) {
+			return false;
+		}
+		// A stream would load some 20 ms of classes into an entry that starts on 0.15 of
+		// a
+		// core.
+		for (int index = 0; index < value.length(); index++) {
+			if (!isAllowed(value.charAt(index))) {
+				return false;
+			}
+		}
+		return true;
 	}
 
 	private static boolean isAllowed(int character) {
--- a/bulrushrouter-launcher/src/main/java/io/bulrushrouter/launcher/CdsTrainingRun.java
+++ b/bulrushrouter-launcher/src/main/java/io/bulrushrouter/launcher/CdsTrainingRun.java
@@ -6,6 +6,7 @@
 
 import org.slf4j.LoggerFactory;
 
+import io.bulrushrouter.gateway.admission.AdmissionTrainingRun;
 import io.bulrushrouter.gateway.node.Gateway;
 import io.bulrushrouter.gateway.node.GatewaySettings;
 import io.bulrushrouter.kernel.plugin.PluginRegistry;
@@ -73,6 +74,7 @@
 		RankSettings rankSettings = RankSettings.of(Settings.ofReader("rank", new StringReader(RANK)));
 		try (Gateway gateway = Gateway.start(gatewaySettings, plugins, random);
 				RankSidecar sidecar = RankSidecar.start(rankSettings, plugins, random)) {
+			AdmissionTrainingRun.run();
 			LockSupport.parkNanos(RUN_NANOS);
 			LoggerFactory.getLogger(CdsTrainingRun.class)
 				.info("event=classes-loaded entry={} rank={}", gateway.callersAddress(), sidecar);
--- a/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/FairQueue.java
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/FairQueue.java
@@ -142,7 +142,7 @@
 				best = queue;
 			}
 		}
-		return Optional.ofNullable(best).map((queue) -> start(queue, queue.virtualTime > threshold, nowNanos));
+		return (best != null) ? Optional.of(start(best, best.virtualTime > threshold, nowNanos)) : Optional.empty();
 	}
 
 	private boolean mayStartOverShare(int freeSlots) {
@@ -351,8 +351,12 @@
 	}
 
 	private OrganisationQueue<T> queueFor(OrganisationId organisation) {
-		return this.queues.computeIfAbsent(organisation,
-				(id) -> new OrganisationQueue<>(this.settings.weights().weight(id), this.virtualTime));
+		OrganisationQueue<T> queue = this.queues.get(organisation);
+		if (queue == null) {
+			queue = new OrganisationQueue<>(this.settings.weights().weight(organisation), this.virtualTime);
+			this.queues.put(organisation, queue);
+		}
+		return queue;
 	}
 
 	private void count(Dispatch<T> dispatch, int sign) {
--- a/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/admission/ClassQueue.java
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/admission/ClassQueue.java
@@ -85,7 +85,9 @@
 	 * @return whether one waits
 	 */
 	boolean hasPunctual(long nowNanos) {
-		this.punctual.removeExpired(nowNanos).forEach((dispatch) -> add(dispatch.item(), nowNanos));
+		for (Dispatch<WaitingStream<T>> dispatch : removeExpired(this.punctual, nowNanos)) {
+			add(dispatch.item(), nowNanos);
+		}
 		return hasPunctual();
 	}
 
@@ -109,8 +111,10 @@
 	 * @return the stream, or empty if none waits
 	 */
 	Optional<WaitingStream<T>> take(boolean lateFirst, long nowNanos) {
-		Optional<WaitingStream<T>> taken = lateFirst ? takeLate(nowNanos).or(() -> takeFrom(this.punctual, nowNanos))
-				: takeFrom(this.punctual, nowNanos).or(() -> takeLate(nowNanos));
+		Optional<WaitingStream<T>> taken = lateFirst ? takeLate(nowNanos) : takeFrom(this.punctual, nowNanos);
+		if (taken.isEmpty()) {
+			taken = lateFirst ? takeFrom(this.punctual, nowNanos) : takeLate(nowNanos);
+		}
 		if (taken.isPresent()) {
 			this.admitted.add(1, nowNanos);
 			this.admissionRate.add(1, nowNanos);
@@ -119,13 +123,17 @@
 	}
 
 	private Optional<WaitingStream<T>> takeLate(long nowNanos) {
-		return takeFrom(this.returning, nowNanos).or(() -> takeFrom(this.late, nowNanos));
+		Optional<WaitingStream<T>> taken = takeFrom(this.returning, nowNanos);
+		return taken.isPresent() ? taken : takeFrom(this.late, nowNanos);
 	}
 
 	private Optional<WaitingStream<T>> takeFrom(FairQueue<WaitingStream<T>> lane, long nowNanos) {
-		Optional<Dispatch<WaitingStream<T>>> next = lane.next(nowNanos);
-		next.ifPresent((dispatch) -> lane.finished(dispatch, dispatch.costTokens(), nowNanos));
-		return next.map(Dispatch::item);
+		if (lane.size() == 0) {
+			return Optional.empty();
+		}
+		Dispatch<WaitingStream<T>> dispatch = lane.next(nowNanos).orElseThrow();
+		lane.finished(dispatch, dispatch.costTokens(), nowNanos);
+		return Optional.of(dispatch.item());
 	}
 
 	boolean remove(WaitingStream<T> stream) {
@@ -145,16 +153,24 @@
 	 * @return the removed streams
 	 */
 	List<WaitingStream<T>> expire(long nowNanos) {
-		List<WaitingStream<T>> expired = new ArrayList<>();
 		if (size() == 0) {
-			return expired;
+			return List.of();
 		}
+		List<WaitingStream<T>> expired = new ArrayList<>();
 		hasPunctual(nowNanos);
-		this.returning.removeExpired(nowNanos).forEach((dispatch) -> expired.add(dispatch.item()));
-		this.late.removeExpired(nowNanos).forEach((dispatch) -> expired.add(dispatch.item()));
+		for (Dispatch<WaitingStream<T>> dispatch : removeExpired(this.returning, nowNanos)) {
+			expired.add(dispatch.item());
+		}
+		for (Dispatch<WaitingStream<T>> dispatch : removeExpired(this.late, nowNanos)) {
+			expired.add(dispatch.item());
+		}
 		return expired;
 	}
 
+	private List<Dispatch<WaitingStream<T>>> removeExpired(FairQueue<WaitingStream<T>> lane, long nowNanos) {
+		return (lane.size() > 0) ? lane.removeExpired(nowNanos) : List.of();
+	}
+
 	double offered(long nowNanos) {
 		return this.offered.value(nowNanos);
 	}
