Never let a long estimate of first events keep streams from being started

The estimate is bounded by 0.8 of the objective, and nothing is refused on arrival unless a wait is predicted.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/admission/StreamAdmission.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/admission/StreamAdmission.java
@@ -47,6 +47,13 @@
 	 */
 	private static final double UNKNOWN_FIRST_EVENT_SHARE = 0.5;
 
+	/**
+	 * Largest share of the objective that a first event is assumed to take. The estimate
+	 * changes only if streams are started, so a long one must never keep them from being
+	 * started.
+	 */
+	private static final double MAX_FIRST_EVENT_SHARE = 0.8;
+
 	/** Shortest Retry-After, in milliseconds: about the length of a turn of the queue. */
 	private static final double MIN_RETRY_MILLIS = 250;
 
@@ -183,7 +190,7 @@
 			long waitNanos = this.queue.predictWaitNanos(index, stream.organisation(), now);
 			// During a stall the rate of admissions is 0 and predicts nothing.
 			boolean stalled = this.paceLimit.isPresent() && this.paceLimit.get().stalled();
-			if (!stalled && !stream.returning() && now + waitNanos > stream.startByNanos()) {
+			if (waitNanos > 0 && !stalled && !stream.returning() && now + waitNanos > stream.startByNanos()) {
 				this.callbacks.refused(stream.item());
 				return;
 			}
@@ -329,7 +336,9 @@
 	 * @return the time in milliseconds
 	 */
 	public double firstEventMillis() {
-		return this.firstEvents.safeMillis(UNKNOWN_FIRST_EVENT_SHARE * this.settings.objective().toMillis());
+		double objective = this.settings.objective().toMillis();
+		return Math.min(MAX_FIRST_EVENT_SHARE * objective,
+				this.firstEvents.safeMillis(UNKNOWN_FIRST_EVENT_SHARE * objective));
 	}
 
 	/**
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/admission/StreamAdmissionTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/admission/StreamAdmissionTests.java
@@ -77,6 +77,18 @@
 		assertThat(this.recorder.refused()).containsExactly("late");
 	}
 
+	@Test
+	void startsStreamsAfterFirstEventsThatTookLongerThanCallersWait() {
+		for (int event = 0; event < 20; event++) {
+			this.recorder.admission().firstEvent(5_000, 0);
+		}
+		// Streams are to be started this long before their callers leave, after 2 s at
+		// the earliest.
+		assertThat(this.recorder.admission().firstEventMillis()).isLessThan(500.0);
+		this.recorder.offer("next", 0, false);
+		assertThat(this.recorder.admitted()).containsExactly("next");
+	}
+
 	@Test
 	void spreadsRetryAfterWithinAThirdOfTheRemainingTime() {
 		startSlowStreams();
