--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/admission/StreamAdmission.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/admission/StreamAdmission.java
@@ -47,6 +47,13 @@
 	 */
 	private static final double UNKNOWN_FIRST_EVENT_SHARE = 0.5;
 
+	/**
+	 * Largest share of the objective that a first event is assumed to take. The estimate
+	 * changes only if streams are started, so a long one must never keep them from being
+	 * started.
+	 */
+	private static final double MAX_FIRST_EVENT_SHARE = 0.8;
+
 	/** Shortest Retry-After, in milliseconds: about the length of a turn of the queue. */
 	private static final double MIN_RETRY_MILLIS = 250;
 
@@ -147,8 +154,10 @@
 		this.slots = allSlots;
 		this.entries = Math.max(1, liveEntries);
 		this.firstEventLimit.slots(allSlots);
-		this.paceLimit.ifPresent((limit) -> this.firstEventLimit.equalShare((double) allSlots / this.entries));
-		this.paceLimit.ifPresent((limit) -> limit.slots(allSlots, liveEntries));
+		if (this.paceLimit.isPresent()) {
+			this.firstEventLimit.equalShare((double) allSlots / this.entries);
+			this.paceLimit.get().slots(allSlots, liveEntries);
+		}
 		this.pacer.rate((double) allSlots / Math.max(1, liveEntries));
 	}
 
@@ -164,9 +173,11 @@
 	 */
 	public int limit(int index) {
 		int firstEvents = this.firstEventLimit.limit();
-		return this.paceLimit
-			.map((limit) -> Math.min(firstEvents, limit.limit(this.queue.classes().share(index), this.nowNanos)))
-			.orElse(firstEvents);
+		if (this.paceLimit.isEmpty()) {
+			return firstEvents;
+		}
+		double share = this.queue.classes().share(index);
+		return Math.min(firstEvents, this.paceLimit.get().limit(share, this.nowNanos));
 	}
 
 	/**
@@ -196,8 +207,7 @@
 	public Decision decide(WaitingStream<T> stream, long now) {
 		this.nowNanos = now;
 		int index = classOf(stream);
-		if (!stream.returning() && (this.settings.maxEventGap().isPresent()
-				? now + this.queue.predictWaitNanos(index, stream.organisation(), now) > stream.startByNanos()
+		if (!stream.returning() && (this.settings.maxEventGap().isPresent() ? startsTooLate(stream, index, now)
 				: this.queue.waiting() >= MAX_QUEUE_RATIO * limit(0) && places(0) <= 0)) {
 			return Decision.REFUSED;
 		}
@@ -205,6 +215,13 @@
 		return free ? Decision.ADMITTED : Decision.WAITING;
 	}
 
+	private boolean startsTooLate(WaitingStream<T> stream, int index, long now) {
+		long waitNanos = this.queue.predictWaitNanos(index, stream.organisation(), now);
+		// During a stall the rate of admissions is 0 and predicts nothing.
+		boolean stalled = this.paceLimit.isPresent() && this.paceLimit.get().stalled();
+		return waitNanos > 0 && !stalled && now + waitNanos > stream.startByNanos();
+	}
+
 	private int maxWaiting() {
 		return (int) Math.max(MIN_QUEUE, MAX_QUEUE_SHARE * this.slots / Math.max(1, this.entries));
 	}
@@ -254,7 +271,9 @@
 	 * @param now the current monotonic time, in nanoseconds
 	 */
 	public void events(StreamPace pace, int count, long now) {
-		this.paceLimit.ifPresent((limit) -> limit.event(pace, count, this.firstEventLimit.inFlight(), now));
+		if (this.paceLimit.isPresent()) {
+			this.paceLimit.get().event(pace, count, this.firstEventLimit.inFlight(), now);
+		}
 	}
 
 	/**
@@ -276,7 +295,9 @@
 	public void ended(WaitingStream<T> stream, StreamPace pace, long now) {
 		this.holders.ended(stream.priority(), stream.organisation());
 		this.firstEventLimit.ended();
-		this.paceLimit.ifPresent((limit) -> limit.ended(pace));
+		if (this.paceLimit.isPresent()) {
+			this.paceLimit.get().ended(pace);
+		}
 		pump(now);
 	}
 
@@ -296,7 +317,9 @@
 	 */
 	public void sweep(long now) {
 		this.nowNanos = now;
-		this.paceLimit.ifPresent((limit) -> limit.sweep(this.firstEventLimit.inFlight(), now));
+		if (this.paceLimit.isPresent()) {
+			this.paceLimit.get().sweep(this.firstEventLimit.inFlight(), now);
+		}
 		pump(now);
 		List<WaitingStream<T>> expired = this.queue.expire(now);
 		for (WaitingStream<T> stream : expired) {
@@ -329,7 +352,9 @@
 	 * @return the time in milliseconds
 	 */
 	public double firstEventMillis() {
-		return this.firstEvents.safeMillis(UNKNOWN_FIRST_EVENT_SHARE * this.settings.objective().toMillis());
+		double objective = this.settings.objective().toMillis();
+		return Math.min(MAX_FIRST_EVENT_SHARE * objective,
+				this.firstEvents.safeMillis(UNKNOWN_FIRST_EVENT_SHARE * objective));
 	}
 
 	/**
@@ -365,7 +390,8 @@
 	 */
 	public State state(int index) {
 		int inFlight = this.firstEventLimit.inFlight();
-		double predicted = this.paceLimit.map((limit) -> limit.predictMillis(inFlight + 1, this.nowNanos)).orElse(0.0);
+		double predicted = this.paceLimit.isPresent() ? this.paceLimit.get().predictMillis(inFlight + 1, this.nowNanos)
+				: 0;
 		return new State(limit(index), inFlight, this.queue.waiting(), predicted);
 	}
 
