Evacuate data centres by an object in the store

The platform's operators order by an object of the kind evacuations that a data centre gets no new requests. Entries watch the kind where their settings state a bound, and leave out the upstreams of these data centres for new requests, retries and resumed streams; running streams go on.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/Gateway.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/Gateway.java
@@ -28,6 +28,7 @@
 import io.bulrushrouter.gateway.source.FleetSource;
 import io.bulrushrouter.gateway.source.FreshnessProof;
 import io.bulrushrouter.gateway.source.UpstreamRecord;
+import io.bulrushrouter.gateway.upstream.EvacuatedDataCentres;
 import io.bulrushrouter.gateway.upstream.UpstreamDirectory;
 import io.bulrushrouter.gateway.upstream.UpstreamSelector;
 import io.bulrushrouter.kernel.TimeSource;
@@ -65,7 +66,9 @@
 
 	private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
 
-	private final UpstreamDirectory directory = new UpstreamDirectory();
+	private final EvacuatedDataCentres evacuated;
+
+	private final UpstreamDirectory directory;
 
 	private final FreshnessProof freshness = new FreshnessProof(this.clock, System::currentTimeMillis);
 
@@ -85,6 +88,8 @@
 
 	private final FeedFollower<UpstreamRecord> upstreams;
 
+	private final EvacuationFollower evacuations;
+
 	private final MembershipDuty membershipDuty;
 
 	private final CrashReporter crashReporter;
@@ -106,6 +111,9 @@
 		this.group = new NioEventLoopGroup(1, new DefaultThreadFactory("gateway"));
 		this.loop = this.group.next();
 		this.membership = new EntryMembership(settings.instance());
+		this.evacuated = settings.evacuation().isPresent() ? EvacuatedDataCentres.ofUnknown()
+				: EvacuatedDataCentres.ofNone();
+		this.directory = new UpstreamDirectory(this.evacuated);
 		CrashEvidence crashEvidence = new CrashEvidence(settings.instance(), random.nextLong(),
 				this.membership::position);
 		FleetSource.Factory factory = plugins.require(FleetSource.Factory.class, settings.source());
@@ -129,6 +137,8 @@
 			.loop(this.loop)
 			.random(random)
 			.build();
+		this.evacuations = new EvacuationFollower(this.loop, random, this.source, this.evacuated,
+				settings.evacuation());
 		this.membershipDuty = new MembershipDuty(this.loop, settings.instance(), this.source.entries(), this.membership,
 				random);
 		this.crashReporter = new CrashReporter(this.loop, this.clock, random, settings.instance(),
@@ -141,6 +151,7 @@
 		this.registry.gauge("bulrush.gateway.crash.suspects", crashEvidence, CrashEvidence::suspects);
 		this.registry.gauge("bulrush.gateway.crash.quarantines", crashEvidence, CrashEvidence::quarantines);
 		this.registry.gauge("bulrush.gateway.crash.cleared", crashEvidence, CrashEvidence::clearedFingerprints);
+		this.registry.gauge("bulrush.gateway.evacuated.data.centres", this.evacuated, EvacuatedDataCentres::size);
 		this.registry.gauge("bulrush.gateway.callers", this.callers, CallerServer::connections);
 	}
 
@@ -159,6 +170,7 @@
 		gateway.loop.execute(() -> {
 			gateway.configurations.start();
 			gateway.upstreams.start();
+			gateway.evacuations.start();
 			gateway.membershipDuty.start();
 			gateway.crashReporter.start();
 		});
@@ -222,6 +234,7 @@
 	public void close() {
 		this.configurations.close();
 		this.upstreams.close();
+		this.evacuations.close();
 		this.membershipDuty.close();
 		this.crashReporter.close();
 		this.callers.close();
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/GatewaySettings.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/GatewaySettings.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 import io.bulrushrouter.gateway.forward.ForwardSettings;
@@ -21,16 +22,18 @@
  * @param forward the limits of forwarding requests
  * @param grace the time from the termination signal until the process is killed
  * @param maxConnections the maximum number of concurrent connections of callers
+ * @param evacuation the time within which no request may reach an evacuated data centre
+ * any more, or empty where data centres are not evacuated
  */
 public record GatewaySettings(String instance, String dataCentre, InetSocketAddress callers,
 		InetSocketAddress readiness, InetSocketAddress metrics, String source, InetSocketAddress store,
-		ForwardSettings forward, Duration grace, int maxConnections) {
+		ForwardSettings forward, Duration grace, int maxConnections, Optional<Duration> evacuation) {
 
 	private static final Map<String, Set<String>> KNOWN_SETTINGS = Map.of("instance",
 			Set.of("name", "data-centre", "memory-mb", "descriptors"), "listen",
 			Set.of("callers", "readiness", "metrics"), "source", Set.of("kind", "store"), "retry",
 			Set.of("ratio", "spare", "window"), "keys", Set.of("freshness", "fail-closed"), "configuration",
-			Set.of("apply"), "stop", Set.of("grace"));
+			Set.of("apply"), "stop", Set.of("grace"), "evacuation", Set.of("within"));
 
 	/**
 	 * Share of the configured retry budget that is used. The rest is a margin for uneven
@@ -81,7 +84,8 @@
 				settings.address("listen", "callers"), settings.address("listen", "readiness"),
 				settings.address("listen", "metrics"), settings.text("source", "kind"),
 				settings.address("source", "store"), forward, settings.duration("stop", "grace", Duration.ofSeconds(8)),
-				(int) (CALLER_DESCRIPTOR_SHARE * descriptors));
+				(int) (CALLER_DESCRIPTOR_SHARE * descriptors), settings.find("evacuation", "within")
+					.map((text) -> settings.duration("evacuation", "within", Duration.ZERO)));
 	}
 
 }
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/FleetSource.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/FleetSource.java
@@ -22,6 +22,12 @@
 	 */
 	Feed<UpstreamRecord> upstreams();
 
+	/**
+	 * Returns the feed of evacuations, whose objects have the names of data centres.
+	 * @return the feed
+	 */
+	Feed<Evacuation> evacuations();
+
 	/**
 	 * Returns the registry of entries.
 	 * @return the registry
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamDirectory.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamDirectory.java
@@ -57,6 +57,10 @@
 
 	private final Map<String, Long> unconfirmedUntilNanos = new HashMap<>();
 
+	private final EvacuatedDataCentres evacuated;
+
+	private long evacuatedVersion;
+
 	private boolean restored;
 
 	private boolean known;
@@ -66,11 +70,26 @@
 	private long reregistrationEndNanos = Long.MIN_VALUE;
 
 	/**
-	 * Returns whether the list has been read at least once.
-	 * @return whether the list is known
+	 * Creates an empty directory.
+	 * @param evacuated the data centres whose upstreams get no new requests
+	 */
+	public UpstreamDirectory(EvacuatedDataCentres evacuated) {
+		this.evacuated = evacuated;
+	}
+
+	/**
+	 * Creates an empty directory for a deployment without evacuations.
+	 */
+	public UpstreamDirectory() {
+		this(EvacuatedDataCentres.ofNone());
+	}
+
+	/**
+	 * Returns whether the list and the evacuations have been read at least once.
+	 * @return whether both are known
 	 */
 	public boolean known() {
-		return this.known;
+		return this.known && this.evacuated.known();
 	}
 
 	/**
@@ -183,6 +202,7 @@
 	 * @param nowNanos the current monotonic time, in nanoseconds
 	 */
 	public void expire(long nowNanos) {
+		this.evacuated.expire(nowNanos);
 		if (this.lapsed.values().removeIf((entry) -> nowNanos >= entry.keptUntilNanos())) {
 			this.readyByService.clear();
 		}
@@ -207,6 +227,10 @@
 	 * @return the upstreams, sorted by identifier
 	 */
 	public List<UpstreamRecord> ready(String service) {
+		if (this.evacuatedVersion != this.evacuated.version()) {
+			this.evacuatedVersion = this.evacuated.version();
+			this.readyByService.clear();
+		}
 		return this.readyByService.computeIfAbsent(service, this::collect);
 	}
 
@@ -220,7 +244,8 @@
 	/**
 	 * Returns whether an upstream may get requests.
 	 * @param id the upstream's identifier
-	 * @return whether it is listed, or kept although its entry lapsed, and not leaving
+	 * @return whether it is listed, or kept although its entry lapsed, not leaving, and
+	 * not in an evacuated data centre
 	 */
 	public boolean accepts(String id) {
 		return Optional.ofNullable(this.listed.get(id))
@@ -230,11 +255,13 @@
 	}
 
 	private boolean usable(UpstreamRecord upstream) {
-		return !upstream.leaving() && !this.unconfirmedUntilNanos.containsKey(upstream.id());
+		return !upstream.leaving() && !this.unconfirmedUntilNanos.containsKey(upstream.id())
+				&& !this.evacuated.contains(upstream.dataCentre());
 	}
 
 	/**
-	 * Returns the identifiers of all known upstreams, including leaving and lapsed ones.
+	 * Returns the identifiers of all known upstreams, including leaving and lapsed ones
+	 * and those in evacuated data centres.
 	 * @return the identifiers
 	 */
 	public Set<String> identifiers() {
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/GatewayFixture.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/GatewayFixture.java
@@ -28,10 +28,12 @@
 import io.bulrushrouter.gateway.membership.EntryMembership;
 import io.bulrushrouter.gateway.node.CrashReporter;
 import io.bulrushrouter.gateway.quarantine.CrashEvidence;
+import io.bulrushrouter.gateway.source.Evacuation;
 import io.bulrushrouter.gateway.source.FeedResult.Item;
 import io.bulrushrouter.gateway.source.FreshnessProof;
 import io.bulrushrouter.gateway.source.HeaderNames;
 import io.bulrushrouter.gateway.source.UpstreamRecord;
+import io.bulrushrouter.gateway.upstream.EvacuatedDataCentres;
 import io.bulrushrouter.gateway.upstream.UpstreamDirectory;
 import io.bulrushrouter.gateway.upstream.UpstreamSelector;
 import io.bulrushrouter.kernel.TimeSource;
@@ -57,7 +59,9 @@
 
 	private final NioEventLoopGroup group = new NioEventLoopGroup(1);
 
-	private final UpstreamDirectory directory = new UpstreamDirectory();
+	private final EvacuatedDataCentres evacuated = EvacuatedDataCentres.ofNone();
+
+	private final UpstreamDirectory directory = new UpstreamDirectory(this.evacuated);
 
 	private final GatewayContext context;
 
@@ -145,6 +149,18 @@
 		this.group.next().submit(() -> this.directory.replace(items, 0)).get(10, TimeUnit.SECONDS);
 	}
 
+	/**
+	 * Begins or ends the evacuation of a data centre.
+	 * @param dataCentre the data centre
+	 * @param begin whether it begins
+	 * @throws Exception if the event loop fails
+	 */
+	void evacuate(String dataCentre, boolean begin) throws Exception {
+		Item<Evacuation> change = new Item<>(dataCentre,
+				begin ? Optional.of(new Evacuation(dataCentre)) : Optional.empty());
+		this.group.next().submit(() -> this.evacuated.change(List.of(change), 0)).get(10, TimeUnit.SECONDS);
+	}
+
 	/**
 	 * Returns whether every lost connection has been checked.
 	 * @return whether no check is in progress
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/node/GatewayStopTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/node/GatewayStopTests.java
@@ -29,6 +29,7 @@
 import io.bulrushrouter.gateway.source.CrashReportStore;
 import io.bulrushrouter.gateway.source.EntryHeartbeat;
 import io.bulrushrouter.gateway.source.EntryRegistry;
+import io.bulrushrouter.gateway.source.Evacuation;
 import io.bulrushrouter.gateway.source.Feed;
 import io.bulrushrouter.gateway.source.FeedResult;
 import io.bulrushrouter.gateway.source.FleetSource;
@@ -218,6 +219,11 @@
 			return fixed("u", new UpstreamRecord("u", "s", address, "a", 8, false, 0));
 		}
 
+		@Override
+		public Feed<Evacuation> evacuations() {
+			return fixed("elsewhere", new Evacuation("elsewhere"));
+		}
+
 		private static <T> Feed<T> fixed(String name, T value) {
 			return new Feed<>() {
 				@Override
