Limit requests to cold upstreams over all entries

An upstream that has just started takes few requests per second from all entries together and crashes well above that rate. Entries learn of cold upstreams from registrations and health responses, and assume the same of those that are new, restarted, unreachable or unresponsive until a health response says more. An entry that does not know the others sends nothing; one that is cut off from the store keeps a quarter of its upstreams. Silence of a cold upstream is no sign of illness for 2 s.

Ruled out: a random first request of entries that do not send regularly, which brought 10 and 11 requests in a second where 9.5 are allowed (60 and 400 entries, bursts); spaced requests of all disconnected entries, which brought 14 where 11 are allowed when half of 20 entries were cut off.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
@@ -76,6 +76,8 @@
 
 	private UpstreamConnection connection;
 
+	private long coldDelayEndNanos;
+
 	private long sentNanos;
 
 	private long heardNanos;
@@ -145,6 +147,14 @@
 		}
 		Optional<UpstreamRecord> choice = this.context.selectUpstream(this.service, this.triedUpstreams);
 		if (choice.isEmpty()) {
+			// A retry is not delayed: its caller has already waited for an attempt.
+			if (this.upstream == null && this.context.warmup().delay(this.service, coldDelayEndNanos(), () -> {
+				if (!this.ended) {
+					dispatch();
+				}
+			})) {
+				return;
+			}
 			giveUp(Verdict.ofNotRun(ErrorCode.NO_UPSTREAM), "no upstream accepts the request");
 			return;
 		}
@@ -161,6 +171,13 @@
 		});
 	}
 
+	private long coldDelayEndNanos() {
+		if (this.coldDelayEndNanos == 0) {
+			this.coldDelayEndNanos = this.context.nowNanos() + WarmupCoordinator.MAX_DELAY_NANOS;
+		}
+		return this.coldDelayEndNanos;
+	}
+
 	private boolean keyStillValid() {
 		return this.organisation.isEmpty() || this.context.keysVerified();
 	}
@@ -234,6 +251,7 @@
 		String code = verdict.failure().map(ErrorCode::text).orElse("none");
 		this.context.metrics().countAttempt(code);
 		this.context.upstreamSelector().ended(this.upstream.id(), outcome, this.context.nowNanos());
+		this.context.warmup().attemptFailed(this.upstream, verdict);
 		this.mayHaveRun |= verdict.mayHaveRun();
 		logger.info("event=attempt-failed request={} upstream={} attempt={} verdict={} code={} detail=\"{}\" "
 				+ "millis-left={} events-sent={} attempt-events={} prompt-parts={} request-digest={} retrying={}",
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ForwardMetrics.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ForwardMetrics.java
@@ -57,6 +57,10 @@
 		this.registry.counter(PREFIX + "answers", "status", Integer.toString(status), "reason", reason).increment();
 	}
 
+	void countColdWait(String outcome) {
+		this.registry.counter(PREFIX + "cold.waits", "outcome", outcome).increment();
+	}
+
 	void countAttempt(String outcome) {
 		this.registry.counter(PREFIX + "attempts", "outcome", outcome).increment();
 	}
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/GatewayContext.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/GatewayContext.java
@@ -18,6 +18,7 @@
 import io.bulrushrouter.gateway.config.Route;
 import io.bulrushrouter.gateway.config.RouteKind;
 import io.bulrushrouter.gateway.config.ServiceSpec;
+import io.bulrushrouter.gateway.config.WarmupSpec;
 import io.bulrushrouter.gateway.membership.EntryMembership;
 import io.bulrushrouter.gateway.quarantine.CrashEvidence;
 import io.bulrushrouter.gateway.quarantine.Fingerprint;
@@ -27,6 +28,7 @@
 import io.bulrushrouter.gateway.upstream.UpstreamDirectory;
 import io.bulrushrouter.gateway.upstream.UpstreamNotices;
 import io.bulrushrouter.gateway.upstream.UpstreamSelector;
+import io.bulrushrouter.gateway.upstream.WarmFirst;
 import io.bulrushrouter.kernel.TimeSource;
 
 /**
@@ -54,6 +56,10 @@
 
 	private final UpstreamMonitor monitor;
 
+	private final WarmupCoordinator warmup;
+
+	private final WarmFirst warmFirst;
+
 	private final UpstreamNotices notices;
 
 	private final UpstreamNoticeDecoder noticeDecoder;
@@ -110,13 +116,22 @@
 		this.metrics = metrics;
 		this.membership = membership;
 		this.crashEvidence = crashEvidence;
-		this.notices = new UpstreamNotices(membership, random);
+		this.notices = new UpstreamNotices(membership, random, this::warmupSpec);
 		this.noticeDecoder = new UpstreamNoticeDecoder(headers);
 		this.pool = new UpstreamConnectionPool(loop, clock, metrics.upstreamConnects());
-		this.monitor = new UpstreamMonitor(loop, clock, this.pool, upstreamSelector, probePath, this::recordNotice);
+		this.warmup = new WarmupCoordinator(loop, clock, directory, this.notices.warmup(), this.pool, this::warmupSpec,
+				this.noticeDecoder, metrics);
+		this.warmFirst = new WarmFirst(upstreamSelector, this.notices.warmup(), membership::size);
+		this.monitor = new UpstreamMonitor(loop, clock, this.pool, upstreamSelector,
+				(upstream) -> this.warmup.probePath(upstream, probePath), this::recordNotice, this.warmup::cold,
+				this.warmup::interrupted);
 		this.crashDetector = new CrashDetector(loop, clock, this.pool, crashEvidence);
 	}
 
+	private Optional<WarmupSpec> warmupSpec(String service) {
+		return configuration().flatMap((current) -> current.service(service)).flatMap(ServiceSpec::warmup);
+	}
+
 	EventLoop loop() {
 		return this.loop;
 	}
@@ -157,6 +172,18 @@
 		return this.notices;
 	}
 
+	WarmupCoordinator warmup() {
+		return this.warmup;
+	}
+
+	/**
+	 * Returns the number of upstreams that are cold or assumed to be.
+	 * @return the number
+	 */
+	public int coldUpstreams() {
+		return this.notices.warmup().size();
+	}
+
 	CrashDetector crashDetector() {
 		return this.crashDetector;
 	}
@@ -208,7 +235,7 @@
 		long nowNanos = nowNanos();
 		this.directory.expire(nowNanos);
 		List<UpstreamRecord> allowed = this.notices.allowed(this.directory.ready(service), nowNanos);
-		return this.upstreamSelector.pick(allowed, tried, nowNanos);
+		return this.warmFirst.pick(allowed, tried, nowNanos);
 	}
 
 	/**
@@ -314,6 +341,7 @@
 		this.monitor.retain(listed);
 		this.upstreamSelector.retain(listed);
 		this.notices.retain(listed, nowNanos());
+		this.warmup.sweep(listed);
 		this.crashEvidence.expire(nowNanos());
 	}
 
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamConnectionPool.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamConnectionPool.java
@@ -47,6 +47,9 @@
 
 	private final Counter connects;
 
+	private Consumer<String> onIdleClosed = (id) -> {
+	};
+
 	private final Map<String, Deque<UpstreamConnection>> idle = new HashMap<>();
 
 	UpstreamConnectionPool(EventLoop loop, TimeSource clock, Counter connects) {
@@ -69,6 +72,15 @@
 			});
 	}
 
+	/**
+	 * Sets the receiver of the upstreams that close an idle connection, as a process that
+	 * ends does.
+	 * @param receiver receives the upstream's identifier
+	 */
+	void onIdleClosed(Consumer<String> receiver) {
+		this.onIdleClosed = receiver;
+	}
+
 	/**
 	 * Acquires an idle connection, or opens a new one.
 	 * @param upstream the upstream
@@ -143,8 +155,8 @@
 
 	private void removeIdle(String id, UpstreamConnection connection) {
 		Deque<UpstreamConnection> connections = this.idle.get(id);
-		if (connections != null) {
-			connections.remove(connection);
+		if (connections != null && connections.remove(connection)) {
+			this.onIdleClosed.accept(id);
 		}
 	}
 
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamMonitor.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamMonitor.java
@@ -7,6 +7,9 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.Predicate;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
@@ -50,7 +53,17 @@
 
 	private final UpstreamSelector selector;
 
-	private final String probePath;
+	/**
+	 * Silence of a cold upstream after which it is probed. It is slow, and its silence is
+	 * not yet a sign that it stopped.
+	 */
+	private static final long COLD_SILENCE_MILLIS = 2_000;
+
+	private final Function<UpstreamRecord, String> probePath;
+
+	private final Predicate<UpstreamRecord> cold;
+
+	private final Consumer<UpstreamRecord> onInterrupted;
 
 	private final BiConsumer<UpstreamRecord, HttpResponse> onProbeResponse;
 
@@ -61,12 +74,15 @@
 	private long lastTickNanos;
 
 	UpstreamMonitor(EventLoop loop, TimeSource clock, UpstreamConnectionPool pool, UpstreamSelector selector,
-			String probePath, BiConsumer<UpstreamRecord, HttpResponse> onProbeResponse) {
+			Function<UpstreamRecord, String> probePath, BiConsumer<UpstreamRecord, HttpResponse> onProbeResponse,
+			Predicate<UpstreamRecord> cold, Consumer<UpstreamRecord> onInterrupted) {
 		this.loop = loop;
 		this.clock = clock;
 		this.pool = pool;
 		this.selector = selector;
 		this.probePath = probePath;
+		this.cold = cold;
+		this.onInterrupted = onInterrupted;
 		this.onProbeResponse = onProbeResponse;
 	}
 
@@ -167,6 +183,10 @@
 		}
 
 		private void poll(long nowNanos) {
+			if (!this.detector.unresponsive() && this.detector.silentMillis(nowNanos) < COLD_SILENCE_MILLIS
+					&& UpstreamMonitor.this.cold.test(this.upstream)) {
+				return;
+			}
 			switch (this.detector.poll(nowNanos)) {
 				case PROBE -> sendProbe();
 				case DECLARE_UNRESPONSIVE -> declareUnresponsive(nowNanos);
@@ -179,6 +199,7 @@
 			logger.warn("event=upstream-unresponsive upstream={} silent-ms={} waiting-requests={}", this.upstream.id(),
 					this.detector.silentMillis(nowNanos), this.waiting.size());
 			UpstreamMonitor.this.selector.responsive(this.upstream.id(), false);
+			UpstreamMonitor.this.onInterrupted.accept(this.upstream);
 			List.copyOf(this.waiting).forEach(Runnable::run);
 		}
 
@@ -188,6 +209,7 @@
 				logger.info("event=upstream-responsive upstream={} silent-ms={}", this.upstream.id(),
 						this.detector.silentMillis(nowNanos));
 				UpstreamMonitor.this.selector.responsive(this.upstream.id(), true);
+				UpstreamMonitor.this.onInterrupted.accept(this.upstream);
 			}
 			this.detector.heard(nowNanos);
 		}
@@ -207,7 +229,7 @@
 
 		private FullHttpRequest probeRequest() {
 			FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
-					UpstreamMonitor.this.probePath);
+					UpstreamMonitor.this.probePath.apply(this.upstream));
 			request.headers()
 				.set(HttpHeaderNames.HOST, this.upstream.address().getHostString())
 				.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamNoticeDecoder.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamNoticeDecoder.java
@@ -26,6 +26,9 @@
 	/** A longer time is taken for an error of the upstream. */
 	private static final double MAX_RETRY_AFTER_SECONDS = 600;
 
+	/** A longer time is taken for an error of the upstream. */
+	private static final double MAX_COLD_MILLIS = 600_000;
+
 	private final HeaderNames names;
 
 	UpstreamNoticeDecoder(HeaderNames names) {
@@ -34,7 +37,16 @@
 
 	UpstreamNotice decode(HttpResponse head) {
 		return new UpstreamNotice(LEAVING.equals(head.headers().get(this.names.leaving())),
-				number(head, this.names.limit()), retryAfter(head));
+				number(head, this.names.limit()), retryAfter(head), coldTime(head));
+	}
+
+	private Optional<Duration> coldTime(HttpResponse head) {
+		OptionalDouble millis = number(head, this.names.warmup());
+		if (millis.isEmpty()) {
+			return Optional.empty();
+		}
+		double bounded = Math.min(millis.getAsDouble(), MAX_COLD_MILLIS);
+		return Optional.of(Duration.ofMillis((long) Math.ceil(bounded)));
 	}
 
 	private static Optional<Duration> retryAfter(HttpResponse head) {
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/membership/EntryMembership.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/membership/EntryMembership.java
@@ -35,14 +35,33 @@
 	 */
 	private static final double PROBE_INTERVAL_SECONDS = 4;
 
+	/**
+	 * Failed listings in a row after which this entry counts as disconnected from the
+	 * store. It is below {@link #MAX_MISSED_HEARTBEATS}, after which the other entries
+	 * divide its shares among themselves.
+	 */
+	private static final int LISTINGS_UNTIL_DISCONNECTED = 3;
+
+	/**
+	 * Part of the sending entries that still send when they are disconnected. If half of
+	 * the entries are disconnected and the other half has divided their shares, both
+	 * together stay below one and a half times the limit, also when all send at the same
+	 * moment. If all are disconnected, a quarter of the limit is used.
+	 */
+	private static final double DISCONNECTED_SENDERS = 0.25;
+
 	private final String self;
 
 	private final Map<String, Sighting> sightings = new HashMap<>();
 
+	private final Map<String, Integer> positions = new HashMap<>();
+
 	private Set<String> live;
 
 	private boolean listed;
 
+	private int failedListings;
+
 	/**
 	 * Creates the membership.
 	 * @param self the name of this entry, which always counts as alive
@@ -58,6 +77,7 @@
 	 */
 	public void listed(Collection<EntryHeartbeat> heartbeats) {
 		this.listed = true;
+		this.failedListings = 0;
 		this.sightings.replaceAll((instance, sighting) -> sighting.missed());
 		heartbeats
 			.forEach((heartbeat) -> this.sightings.merge(heartbeat.instance(), new Sighting(heartbeat.revision(), 0),
@@ -65,6 +85,14 @@
 		this.sightings.values().removeIf((sighting) -> sighting.missedHeartbeats() >= MAX_MISSED_HEARTBEATS);
 		this.live = new TreeSet<>(this.sightings.keySet());
 		this.live.add(this.self);
+		this.positions.clear();
+	}
+
+	/**
+	 * Records that the heartbeats could not be listed.
+	 */
+	public void listingFailed() {
+		this.failedListings++;
 	}
 
 	/**
@@ -90,19 +118,35 @@
 	/**
 	 * Returns this entry's share of the limit of an upstream. A few entries share the
 	 * limit, so that even if each of them sends at the same moment the sum stays near it;
-	 * which ones depends on the upstream.
+	 * which ones depends on the upstream. An entry that does not know the others yet is
+	 * not among them.
 	 * @param upstream the upstream's identifier
 	 * @param requestsPerSecond the limit over all entries
 	 * @return the share in requests per second, above 0
 	 */
 	@Override
 	public double share(String upstream, double requestsPerSecond) {
-		int position = position(upstream);
-		int senders = Math.min(size(), EXTRA_SENDERS + (int) requestsPerSecond);
 		// Each position has an interval of its own, so that entries which learned of the
 		// limit together do not probe together.
-		double probing = 1 / (PROBE_INTERVAL_SECONDS * (size() + position));
-		return (position < senders) ? Math.max(probing, requestsPerSecond / senders) : probing;
+		double probing = 1 / (PROBE_INTERVAL_SECONDS * (size() + sharePosition(upstream)));
+		return sends(upstream, requestsPerSecond) ? Math.max(probing, requestsPerSecond / senders(requestsPerSecond))
+				: probing;
+	}
+
+	@Override
+	public boolean sends(String upstream, double requestsPerSecond) {
+		int senders = senders(requestsPerSecond);
+		boolean disconnected = this.failedListings >= LISTINGS_UNTIL_DISCONNECTED;
+		int sending = disconnected ? (int) Math.max(1, DISCONNECTED_SENDERS * senders) : senders;
+		return this.listed && sharePosition(upstream) < sending;
+	}
+
+	private int senders(double requestsPerSecond) {
+		return Math.min(size(), EXTRA_SENDERS + (int) requestsPerSecond);
+	}
+
+	private int sharePosition(String upstream) {
+		return this.positions.computeIfAbsent(upstream, this::position);
 	}
 
 	/**
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/Gateway.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/Gateway.java
@@ -152,6 +152,7 @@
 		this.registry.gauge("bulrush.gateway.crash.quarantines", crashEvidence, CrashEvidence::quarantines);
 		this.registry.gauge("bulrush.gateway.crash.cleared", crashEvidence, CrashEvidence::clearedFingerprints);
 		this.registry.gauge("bulrush.gateway.evacuated.data.centres", this.evacuated, EvacuatedDataCentres::size);
+		this.registry.gauge("bulrush.gateway.cold.upstreams", this.context, GatewayContext::coldUpstreams);
 		this.registry.gauge("bulrush.gateway.callers", this.callers, CallerServer::connections);
 	}
 
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/MembershipDuty.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/MembershipDuty.java
@@ -81,7 +81,7 @@
 			heartbeat();
 		}
 		this.registry.list().thenAccept((heartbeats) -> {
-			heartbeats.ifPresent(this.membership::listed);
+			heartbeats.ifPresentOrElse(this.membership::listed, this.membership::listingFailed);
 			logSize();
 			this.loop.schedule(this::list, listingIntervalMillis(), TimeUnit.MILLISECONDS);
 		});
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/HeaderNames.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/HeaderNames.java
@@ -23,8 +23,10 @@
  * @param leaving the header in which an upstream says that it is about to stop
  * @param promptParts the header with the parts of the prompt in their order, each as its
  * identifier and its number of tokens; the last part is the request's own
+ * @param warmup the header of a health response in which an upstream says how long it
+ * stays cold, in milliseconds
  */
 public record HeaderNames(String attemptId, String deadlineMillis, String key, String organisation,
 		String expectedUpstream, String notRun, String stamp, String lastEventId, String priority, String tokenCounts,
-		String faultyUpstream, String limit, String leaving, String promptParts) {
+		String faultyUpstream, String limit, String leaving, String promptParts, String warmup) {
 }
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/LimitShare.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/LimitShare.java
@@ -14,4 +14,15 @@
 	 */
 	double share(String upstream, double requestsPerSecond);
 
+	/**
+	 * Returns whether this entry is among those that divide the limit of an upstream. The
+	 * others only send rare requests, by which they notice that the limit is lifted.
+	 * @param upstream the upstream's identifier
+	 * @param requestsPerSecond the limit over all entries
+	 * @return whether it is among them
+	 */
+	default boolean sends(String upstream, double requestsPerSecond) {
+		return true;
+	}
+
 }
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamDirectory.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamDirectory.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.stream.Stream;
 
 import io.bulrushrouter.gateway.source.FeedResult.Item;
@@ -59,6 +60,9 @@
 
 	private final EvacuatedDataCentres evacuated;
 
+	private BiConsumer<UpstreamRecord, Origin> onRegistration = (upstream, origin) -> {
+	};
+
 	private long evacuatedVersion;
 
 	private boolean restored;
@@ -84,6 +88,14 @@
 		this(EvacuatedDataCentres.ofNone());
 	}
 
+	/**
+	 * Sets the receiver of all registrations that are read from now on.
+	 * @param receiver receives the upstream and where its registration was read
+	 */
+	public void onRegistration(BiConsumer<UpstreamRecord, Origin> receiver) {
+		this.onRegistration = receiver;
+	}
+
 	/**
 	 * Returns whether the list and the evacuations have been read at least once.
 	 * @return whether both are known
@@ -135,6 +147,14 @@
 		this.storeLost = true;
 	}
 
+	/**
+	 * Returns whether the last call to the store failed.
+	 * @return whether registrations do not arrive
+	 */
+	public boolean storeUnavailable() {
+		return this.storeLost;
+	}
+
 	/**
 	 * Records that the store was restored from a copy, which may lack entries that live
 	 * upstreams write again, and may hold entries as they were before a departure.
@@ -162,6 +182,7 @@
 		}
 		this.lapsed.remove(item.name());
 		UpstreamRecord upstream = value.get();
+		this.onRegistration.accept(upstream, origin());
 		Departure departure = this.departures.get(item.name());
 		if (departure != null && departure.incarnation() == upstream.incarnation()) {
 			upstream = afterDeparture(upstream, departure, nowNanos);
@@ -172,6 +193,13 @@
 		this.listed.put(item.name(), upstream);
 	}
 
+	private Origin origin() {
+		if (this.restored) {
+			return Origin.COPY;
+		}
+		return this.known ? Origin.CURRENT : Origin.FIRST_LIST;
+	}
+
 	private UpstreamRecord afterDeparture(UpstreamRecord upstream, Departure departure, long nowNanos) {
 		boolean sameIncarnation = this.restored || upstream.incarnation() != UpstreamRecord.UNKNOWN_INCARNATION;
 		if (!departure.removed() && sameIncarnation) {
@@ -234,6 +262,14 @@
 		return this.readyByService.computeIfAbsent(service, this::collect);
 	}
 
+	/**
+	 * Returns the upstreams of all services that may get requests.
+	 * @return the upstreams
+	 */
+	public List<UpstreamRecord> ready() {
+		return this.listed.values().stream().filter(this::usable).toList();
+	}
+
 	private List<UpstreamRecord> collect(String service) {
 		return Stream.concat(this.listed.values().stream(), this.lapsed.values().stream().map(Lapsed::upstream))
 			.filter((upstream) -> usable(upstream) && upstream.service().equals(service))
@@ -254,6 +290,15 @@
 			.isPresent();
 	}
 
+	/**
+	 * Finds a listed upstream, which may be leaving.
+	 * @param id the upstream's identifier
+	 * @return the upstream, or empty if it is not listed
+	 */
+	public Optional<UpstreamRecord> find(String id) {
+		return Optional.ofNullable(this.listed.get(id));
+	}
+
 	private boolean usable(UpstreamRecord upstream) {
 		return !upstream.leaving() && !this.unconfirmedUntilNanos.containsKey(upstream.id())
 				&& !this.evacuated.contains(upstream.dataCentre());
@@ -270,6 +315,22 @@
 		return all;
 	}
 
+	/**
+	 * Where a registration was read.
+	 */
+	public enum Origin {
+
+		/** The first list that this entry has read. */
+		FIRST_LIST,
+
+		/** The list of a store that was restored from a copy. */
+		COPY,
+
+		/** A later list, or a change. */
+		CURRENT
+
+	}
+
 	/**
 	 * An upstream that is kept although its entry is missing.
 	 *
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamNotices.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamNotices.java
@@ -4,13 +4,16 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.random.RandomGenerator;
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import io.bulrushrouter.gateway.config.WarmupSpec;
 import io.bulrushrouter.gateway.source.UpstreamRecord;
 
 /**
@@ -42,8 +45,16 @@
 	/** Upper bound of that spread. */
 	private static final long MAX_RETURN_SPREAD_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
+	/**
+	 * Longest time after which a caller may try again because of cold upstreams: another
+	 * entry may have room sooner than this one.
+	 */
+	private static final long MAX_WARMUP_WAIT_NANOS = TimeUnit.SECONDS.toNanos(1);
+
 	private final UpstreamLimits limits;
 
+	private final WarmupLimits warmup;
+
 	private final RandomGenerator random;
 
 	private final Map<String, Long> returnNanos = new HashMap<>();
@@ -56,10 +67,29 @@
 	 * @param random spreads the return to upstreams that refused requests for a time
 	 */
 	public UpstreamNotices(LimitShare share, RandomGenerator random) {
+		this(share, random, (service) -> Optional.empty());
+	}
+
+	/**
+	 * Creates an instance without notices.
+	 * @param share divides a limit among the entries
+	 * @param random spreads the return to upstreams that refused requests for a time
+	 * @param warmups returns how the upstreams of a service warm up
+	 */
+	public UpstreamNotices(LimitShare share, RandomGenerator random, Function<String, Optional<WarmupSpec>> warmups) {
 		this.limits = new UpstreamLimits(share);
+		this.warmup = new WarmupLimits(share, warmups, random);
 		this.random = random;
 	}
 
+	/**
+	 * Returns the limits of cold upstreams.
+	 * @return the limits
+	 */
+	public WarmupLimits warmup() {
+		return this.warmup;
+	}
+
 	/**
 	 * Records the notice of a response.
 	 * @param upstream the upstream that sent the response
@@ -72,6 +102,7 @@
 			logger.info("event=upstream-leaving upstream={} source=response", upstream.id());
 			this.departures.put(upstream.id(), new Departure(upstream.incarnation(), nowNanos));
 		}
+		notice.coldTime().ifPresent((coldTime) -> this.warmup.stated(upstream, coldTime, nowNanos));
 		notice.retryAfter().ifPresent((pause) -> pause(upstream.id(), pause, nowNanos));
 	}
 
@@ -109,7 +140,8 @@
 	 */
 	public long pausedMillis(List<UpstreamRecord> candidates, long nowNanos) {
 		long nanos = candidates.stream()
-			.mapToLong((candidate) -> pausedNanos(candidate.id(), nowNanos))
+			.mapToLong((candidate) -> Math.max(pausedNanos(candidate.id(), nowNanos),
+					Math.min(MAX_WARMUP_WAIT_NANOS, this.warmup.waitNanos(candidate, nowNanos))))
 			.min()
 			.orElse(0);
 		return TimeUnit.NANOSECONDS.toMillis(nanos);
@@ -135,7 +167,7 @@
 		boolean noNotices = this.departures.isEmpty() && this.returnNanos.isEmpty();
 		List<UpstreamRecord> accepting = noNotices ? candidates
 				: candidates.stream().filter((candidate) -> accepts(candidate, nowNanos)).toList();
-		return this.limits.allowed(accepting, nowNanos);
+		return this.warmup.allowed(this.limits.allowed(accepting, nowNanos), nowNanos);
 	}
 
 	/**
@@ -143,10 +175,10 @@
 	 * @param upstream the upstream
 	 * @param nowNanos the current monotonic time, in nanoseconds
 	 * @return whether it has neither announced to leave in its present incarnation nor
-	 * refused requests for a time that is not over
+	 * refused requests for a time that is not over, nor has become cold meanwhile
 	 */
 	public boolean accepts(UpstreamRecord upstream, long nowNanos) {
-		return !leaving(upstream) && !paused(upstream.id(), nowNanos);
+		return !leaving(upstream) && !paused(upstream.id(), nowNanos) && this.warmup.accepts(upstream, nowNanos);
 	}
 
 	/**
@@ -156,6 +188,7 @@
 	 */
 	public void sent(String id, long nowNanos) {
 		this.limits.sent(id, nowNanos);
+		this.warmup.sent(id, nowNanos);
 	}
 
 	/**
@@ -165,6 +198,7 @@
 	 */
 	public void retain(Set<String> listed, long nowNanos) {
 		this.limits.retain(listed);
+		this.warmup.retain(listed, nowNanos);
 		this.returnNanos.values().removeIf((returns) -> nowNanos - returns >= 0);
 		this.departures.replaceAll((id, departure) -> listed.contains(id) ? departure.seen(nowNanos) : departure);
 		this.departures.values().removeIf((departure) -> departure.expired(nowNanos));
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamSelector.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamSelector.java
@@ -137,6 +137,25 @@
 		return healthOf(id).responsive();
 	}
 
+	/**
+	 * Returns whether an upstream is neither ejected nor unresponsive.
+	 * @param id the upstream's identifier
+	 * @param nowNanos the current monotonic time, in nanoseconds
+	 * @return whether it is usable
+	 */
+	boolean usable(String id, long nowNanos) {
+		return healthOf(id).usable(nowNanos);
+	}
+
+	/**
+	 * Returns the number of requests that this entry has in flight at an upstream.
+	 * @param id the upstream's identifier
+	 * @return the number
+	 */
+	int inFlight(String id) {
+		return healthOf(id).inFlight();
+	}
+
 	/**
 	 * Discards the health of upstreams that are no longer listed and have no requests in
 	 * flight.
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/GatewayFixture.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/GatewayFixture.java
@@ -24,6 +24,8 @@
 import io.bulrushrouter.gateway.config.Organisation;
 import io.bulrushrouter.gateway.config.Route;
 import io.bulrushrouter.gateway.config.RouteKind;
+import io.bulrushrouter.gateway.config.ServiceSpec;
+import io.bulrushrouter.gateway.config.WarmupSpec;
 import io.bulrushrouter.gateway.config.WeightedService;
 import io.bulrushrouter.gateway.membership.EntryMembership;
 import io.bulrushrouter.gateway.node.CrashReporter;
@@ -46,7 +48,7 @@
 
 	static final HeaderNames HEADERS = new HeaderNames("X-Attempt", "X-Deadline", "X-Key", "X-Organisation",
 			"X-Expected", "X-Not-Run", "X-Stamp", "Last-Event-Id", "X-Priority", "X-Tokens", "X-Faulty", "X-Limit",
-			"X-Leaving", "X-Parts");
+			"X-Leaving", "X-Parts", "X-Warmup");
 
 	static final String KEY = "secret";
 
@@ -69,6 +71,8 @@
 
 	private final InetSocketAddress address;
 
+	private final EntryMembership membership;
+
 	private final CrashReporter crashReporter;
 
 	private long proofAgeMillis;
@@ -95,8 +99,8 @@
 
 	private GatewayFixture(String name, SharedCrashReports crashReports, Duration timeout, ScriptedUpstream... scripted)
 			throws Exception {
-		EntryMembership membership = new EntryMembership(name);
-		CrashEvidence evidence = new CrashEvidence(name, name.hashCode(), membership::position);
+		this.membership = new EntryMembership(name);
+		CrashEvidence evidence = new CrashEvidence(name, name.hashCode(), this.membership::position);
 		this.crashReporter = new CrashReporter(this.group.next(), TimeSource.ofSystem(), new Random(1), name,
 				crashReports.storeFor(this.group.next()), evidence);
 		FreshnessProof freshness = new FreshnessProof(() -> this.proofAgeMillis * 1_000_000, () -> this.proofAgeMillis);
@@ -105,7 +109,7 @@
 				Duration.ofMillis(4_300), Duration.ofMillis(3_500), 1 << 20);
 		this.context = new GatewayContext(this.group.next(), TimeSource.ofSystem(), new Random(1), HEADERS, settings,
 				this.directory, new UpstreamSelector("a", new Random(1)), freshness,
-				new ForwardMetrics(new SimpleMeterRegistry()), membership, evidence, PROBE_PATH);
+				new ForwardMetrics(new SimpleMeterRegistry()), this.membership, evidence, PROBE_PATH);
 		char id = 'a';
 		for (ScriptedUpstream each : scripted) {
 			// Only the first is in the gateway's data centre, so that it is selected
@@ -118,15 +122,15 @@
 		this.group.next().submit(() -> {
 			this.crashReporter.start();
 			this.directory.replace(this.upstreams, 0);
-			this.context.configuration(ActiveConfiguration.of(configuration(timeout)));
+			this.context.configuration(ActiveConfiguration.of(configuration(timeout, Map.of())));
 		}).get(10, TimeUnit.SECONDS);
 		this.address = this.server.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
 	}
 
-	private static GatewayConfiguration configuration(Duration timeout) {
+	private static GatewayConfiguration configuration(Duration timeout, Map<String, ServiceSpec> services) {
 		return new GatewayConfiguration(1, List.of(route("/read/", RouteKind.IDEMPOTENT, timeout),
 				route("/write/", RouteKind.NON_IDEMPOTENT, timeout), route("/stream/", RouteKind.STREAM, timeout)),
-				Map.of(), new CallerLimits(4_096, 10_000, Duration.ofSeconds(3), Duration.ofSeconds(15)),
+				services, new CallerLimits(4_096, 10_000, Duration.ofSeconds(3), Duration.ofSeconds(15)),
 				List.of(new Organisation("bakers", List.of(KEY), OptionalInt.empty())));
 	}
 
@@ -149,6 +153,28 @@
 		this.group.next().submit(() -> this.directory.replace(items, 0)).get(10, TimeUnit.SECONDS);
 	}
 
+	/**
+	 * Lets the upstreams be cold for 20 s after their start and then take 2 requests per
+	 * second.
+	 * @throws Exception if the event loop fails
+	 */
+	void coldAfterStart() throws Exception {
+		ServiceSpec service = new ServiceSpec("service", 100, Optional.empty(),
+				Optional.of(new WarmupSpec(Duration.ofSeconds(20), 2, PROBE_PATH)));
+		GatewayConfiguration changed = configuration(Duration.ofSeconds(15), Map.of("service", service));
+		this.group.next()
+			.submit(() -> this.context.configuration(ActiveConfiguration.of(changed)))
+			.get(10, TimeUnit.SECONDS);
+	}
+
+	/**
+	 * Lets the entry know that there are no others.
+	 * @throws Exception if the event loop fails
+	 */
+	void alone() throws Exception {
+		this.group.next().submit(() -> this.membership.listed(List.of())).get(10, TimeUnit.SECONDS);
+	}
+
 	/**
 	 * Begins or ends the evacuation of a data centre.
 	 * @param dataCentre the data centre
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/ScriptedUpstream.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/ScriptedUpstream.java
@@ -39,6 +39,8 @@
 
 	private final List<Socket> connections = new CopyOnWriteArrayList<>();
 
+	private volatile String probeHeader = "";
+
 	private ScriptedUpstream(Script script) throws IOException {
 		this.script = script;
 		this.serverSocket = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
@@ -68,6 +70,16 @@
 		this.threads.execute(this::accept);
 	}
 
+	/**
+	 * Sets a header of the responses to probes.
+	 * @param header the header with its line end
+	 * @return this upstream
+	 */
+	ScriptedUpstream probeHeader(String header) {
+		this.probeHeader = header;
+		return this;
+	}
+
 	InetSocketAddress address() {
 		return (InetSocketAddress) this.serverSocket.getLocalSocketAddress();
 	}
@@ -165,7 +177,7 @@
 			while (!request.isEmpty()) {
 				Reply reply = new Reply(connection);
 				if (request.startsWith("GET " + GatewayFixture.PROBE_PATH + " ")) {
-					reply.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+					reply.write("HTTP/1.1 200 OK\r\n" + this.probeHeader + "Content-Length: 0\r\n\r\n");
 				}
 				else {
 					this.requests.add(request);
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/node/GatewayStopTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/node/GatewayStopTests.java
@@ -48,7 +48,7 @@
 
 	private static final HeaderNames HEADERS = new HeaderNames("X-Attempt", "X-Deadline", "X-Key", "X-Organisation",
 			"X-Expected", "X-Not-Run", "X-Stamp", "Last-Event-Id", "X-Priority", "X-Tokens", "X-Faulty", "X-Limit",
-			"X-Leaving", "X-Parts");
+			"X-Leaving", "X-Parts", "X-Warmup");
 
 	private static int freePort() throws IOException {
 		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
