--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/GatewayContext.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/GatewayContext.java
@@ -19,6 +19,7 @@
 import io.bulrushrouter.gateway.config.Route;
 import io.bulrushrouter.gateway.config.RouteKind;
 import io.bulrushrouter.gateway.config.ServiceSpec;
+import io.bulrushrouter.gateway.config.WarmupSpec;
 import io.bulrushrouter.gateway.membership.EntryMembership;
 import io.bulrushrouter.gateway.quarantine.CrashEvidence;
 import io.bulrushrouter.gateway.quarantine.Fingerprint;
@@ -29,6 +30,7 @@
 import io.bulrushrouter.gateway.upstream.UpstreamDirectory;
 import io.bulrushrouter.gateway.upstream.UpstreamNotices;
 import io.bulrushrouter.gateway.upstream.UpstreamSelector;
+import io.bulrushrouter.gateway.upstream.WarmFirst;
 import io.bulrushrouter.kernel.TimeSource;
 
 /**
@@ -56,6 +58,10 @@
 
 	private final UpstreamMonitor monitor;
 
+	private final WarmupCoordinator warmup;
+
+	private final WarmFirst warmFirst;
+
 	private final UpstreamNotices notices;
 
 	private final UpstreamNoticeDecoder noticeDecoder;
@@ -114,13 +120,22 @@
 		this.metrics = metrics;
 		this.membership = membership;
 		this.crashEvidence = crashEvidence;
-		this.notices = new UpstreamNotices(membership, random);
+		this.notices = new UpstreamNotices(membership, random, this::warmupSpec);
 		this.noticeDecoder = new UpstreamNoticeDecoder(headers);
 		this.pool = new UpstreamConnectionPool(loop, clock, metrics.upstreamConnects());
-		this.monitor = new UpstreamMonitor(loop, clock, this.pool, upstreamSelector, probePath, this::recordNotice);
+		this.warmup = new WarmupCoordinator(loop, clock, directory, this.notices.warmup(), this.pool, this::warmupSpec,
+				this.noticeDecoder, metrics);
+		this.warmFirst = new WarmFirst(upstreamSelector, this.notices.warmup(), membership::size);
+		this.monitor = new UpstreamMonitor(loop, clock, this.pool, upstreamSelector,
+				(upstream) -> this.warmup.probePath(upstream, probePath), this::recordNotice, this.warmup::cold,
+				this.warmup::interrupted);
 		this.crashDetector = new CrashDetector(loop, clock, this.pool, crashEvidence);
 	}
 
+	private Optional<WarmupSpec> warmupSpec(String service) {
+		return configuration().flatMap((current) -> current.service(service)).flatMap(ServiceSpec::warmup);
+	}
+
 	EventLoop loop() {
 		return this.loop;
 	}
@@ -161,6 +176,27 @@
 		return this.notices;
 	}
 
+	/**
+	 * Returns whether an upstream has started so recently that it is slow.
+	 * @param upstream the upstream
+	 * @return whether it is cold, or assumed to be
+	 */
+	public boolean cold(UpstreamRecord upstream) {
+		return this.notices.warmup().cold(upstream, nowNanos());
+	}
+
+	WarmupCoordinator warmup() {
+		return this.warmup;
+	}
+
+	/**
+	 * Returns the number of upstreams that are cold or assumed to be.
+	 * @return the number
+	 */
+	public int coldUpstreams() {
+		return this.notices.warmup().size();
+	}
+
 	CrashDetector crashDetector() {
 		return this.crashDetector;
 	}
@@ -213,7 +249,7 @@
 		long nowNanos = nowNanos();
 		this.directory.expire(nowNanos);
 		List<UpstreamRecord> allowed = this.notices.allowed(this.directory.ready(service), nowNanos);
-		return this.upstreamSelector.pick(allowed.stream().filter(tokens::fits).toList(), tried, nowNanos);
+		return this.warmFirst.pick(allowed.stream().filter(tokens::fits).toList(), tried, nowNanos);
 	}
 
 	/**
@@ -332,6 +368,7 @@
 		this.upstreamSelector.retain(listed);
 		this.upstreamSelector.review(nowNanos());
 		this.notices.retain(listed, nowNanos());
+		this.warmup.sweep(listed);
 		this.crashEvidence.expire(nowNanos());
 	}
 
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/Gateway.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/Gateway.java
@@ -29,6 +29,7 @@
 import io.bulrushrouter.gateway.source.FleetSource;
 import io.bulrushrouter.gateway.source.FreshnessProof;
 import io.bulrushrouter.gateway.source.UpstreamRecord;
+import io.bulrushrouter.gateway.upstream.EvacuatedDataCentres;
 import io.bulrushrouter.gateway.upstream.UpstreamDirectory;
 import io.bulrushrouter.gateway.upstream.UpstreamSelector;
 import io.bulrushrouter.kernel.TimeSource;
@@ -66,7 +67,9 @@
 
 	private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
 
-	private final UpstreamDirectory directory = new UpstreamDirectory();
+	private final EvacuatedDataCentres evacuated;
+
+	private final UpstreamDirectory directory;
 
 	private final FreshnessProof freshness = new FreshnessProof(this.clock, System::currentTimeMillis);
 
@@ -86,6 +89,8 @@
 
 	private final FeedFollower<UpstreamRecord> upstreams;
 
+	private final EvacuationFollower evacuations;
+
 	private final MembershipDuty membershipDuty;
 
 	private final CrashReporter crashReporter;
@@ -107,10 +112,13 @@
 		this.group = new NioEventLoopGroup(1, new DefaultThreadFactory("gateway"));
 		this.loop = this.group.next();
 		this.membership = new EntryMembership(settings.instance());
+		this.evacuated = settings.evacuation().isPresent() ? EvacuatedDataCentres.ofUnknown()
+				: EvacuatedDataCentres.ofNone();
+		this.directory = new UpstreamDirectory(this.evacuated);
 		CrashEvidence crashEvidence = new CrashEvidence(settings.instance(), random.nextLong(),
 				this.membership::position);
 		FleetSource.Factory factory = plugins.require(FleetSource.Factory.class, settings.source());
-		UpstreamSelector selector = new UpstreamSelector(settings.dataCentre(), random);
+		UpstreamSelector selector = new UpstreamSelector(settings.dataCentre(), random, this::cold);
 		this.context = new GatewayContext(this.loop, this.clock, random, factory.headers(), settings.forward(),
 				this.directory, selector, this.freshness, new ForwardMetrics(this.registry), this.membership,
 				crashEvidence, factory.probePath());
@@ -134,6 +142,8 @@
 			.loop(this.loop)
 			.random(random)
 			.build();
+		this.evacuations = new EvacuationFollower(this.loop, random, this.source.evacuations(), this.evacuated,
+				settings.evacuation());
 		this.membershipDuty = new MembershipDuty(this.loop, settings.instance(), this.source.entries(), this.membership,
 				random);
 		this.crashReporter = new CrashReporter(this.loop, this.clock, random, settings.instance(),
@@ -148,6 +158,8 @@
 		this.registry.gauge("bulrush.gateway.crash.cleared", crashEvidence, CrashEvidence::clearedFingerprints);
 		this.registry.gauge("bulrush.gateway.held.bytes", this.context, GatewayContext::heldBytes);
 		this.registry.gauge("bulrush.gateway.readers.cut", this.context, GatewayContext::cutReaders);
+		this.registry.gauge("bulrush.gateway.evacuated.data.centres", this.evacuated, EvacuatedDataCentres::size);
+		this.registry.gauge("bulrush.gateway.cold.upstreams", this.context, GatewayContext::coldUpstreams);
 		this.registry.gauge("bulrush.gateway.callers", this.callers, CallerServer::connections);
 	}
 
@@ -166,6 +178,7 @@
 		gateway.loop.execute(() -> {
 			gateway.configurations.start();
 			gateway.upstreams.start();
+			gateway.evacuations.start();
 			gateway.membershipDuty.start();
 			gateway.crashReporter.start();
 		});
@@ -176,6 +189,10 @@
 		return gateway;
 	}
 
+	private boolean cold(UpstreamRecord upstream) {
+		return this.context.cold(upstream);
+	}
+
 	private StatusServer.Page readinessPage(String path) {
 		boolean ready = this.context.ready() && !this.shutdown.requested();
 		if (ready != this.wasReady) {
@@ -229,6 +246,7 @@
 	public void close() {
 		this.configurations.close();
 		this.upstreams.close();
+		this.evacuations.close();
 		this.membershipDuty.close();
 		this.crashReporter.close();
 		this.callers.close();
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamDirectory.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamDirectory.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.stream.Stream;
 
 import io.bulrushrouter.gateway.source.FeedResult.Item;
@@ -57,6 +58,13 @@
 
 	private final Map<String, Long> unconfirmedUntilNanos = new HashMap<>();
 
+	private final EvacuatedDataCentres evacuated;
+
+	private BiConsumer<UpstreamRecord, Origin> onRegistration = (upstream, origin) -> {
+	};
+
+	private long evacuatedVersion;
+
 	private boolean restored;
 
 	private boolean known;
@@ -66,11 +74,34 @@
 	private long reregistrationEndNanos = Long.MIN_VALUE;
 
 	/**
-	 * Returns whether the list has been read at least once.
-	 * @return whether the list is known
+	 * Creates an empty directory.
+	 * @param evacuated the data centres whose upstreams get no new requests
+	 */
+	public UpstreamDirectory(EvacuatedDataCentres evacuated) {
+		this.evacuated = evacuated;
+	}
+
+	/**
+	 * Creates an empty directory for a deployment without evacuations.
+	 */
+	public UpstreamDirectory() {
+		this(EvacuatedDataCentres.ofNone());
+	}
+
+	/**
+	 * Sets the receiver of all registrations that are read from now on.
+	 * @param receiver receives the upstream and where its registration was read
+	 */
+	public void onRegistration(BiConsumer<UpstreamRecord, Origin> receiver) {
+		this.onRegistration = receiver;
+	}
+
+	/**
+	 * Returns whether the list and the evacuations have been read at least once.
+	 * @return whether both are known
 	 */
 	public boolean known() {
-		return this.known;
+		return this.known && this.evacuated.known();
 	}
 
 	/**
@@ -116,6 +147,14 @@
 		this.storeLost = true;
 	}
 
+	/**
+	 * Returns whether the last call to the store failed.
+	 * @return whether registrations do not arrive
+	 */
+	public boolean storeUnavailable() {
+		return this.storeLost;
+	}
+
 	/**
 	 * Records that the store was restored from a copy, which may lack entries that live
 	 * upstreams write again, and may hold entries as they were before a departure.
@@ -143,6 +182,7 @@
 		}
 		this.lapsed.remove(item.name());
 		UpstreamRecord upstream = value.get();
+		this.onRegistration.accept(upstream, origin());
 		Departure departure = this.departures.get(item.name());
 		if (departure != null && departure.incarnation() == upstream.incarnation()) {
 			upstream = afterDeparture(upstream, departure, nowNanos);
@@ -153,6 +193,13 @@
 		this.listed.put(item.name(), upstream);
 	}
 
+	private Origin origin() {
+		if (this.restored) {
+			return Origin.COPY;
+		}
+		return this.known ? Origin.CURRENT : Origin.FIRST_LIST;
+	}
+
 	private UpstreamRecord afterDeparture(UpstreamRecord upstream, Departure departure, long nowNanos) {
 		boolean sameIncarnation = this.restored || upstream.incarnation() != UpstreamRecord.UNKNOWN_INCARNATION;
 		if (!departure.removed() && sameIncarnation) {
@@ -183,6 +230,7 @@
 	 * @param nowNanos the current monotonic time, in nanoseconds
 	 */
 	public void expire(long nowNanos) {
+		this.evacuated.expire(nowNanos);
 		if (this.lapsed.values().removeIf((entry) -> nowNanos >= entry.keptUntilNanos())) {
 			this.readyByService.clear();
 		}
@@ -207,9 +255,21 @@
 	 * @return the upstreams, sorted by identifier
 	 */
 	public List<UpstreamRecord> ready(String service) {
+		if (this.evacuatedVersion != this.evacuated.version()) {
+			this.evacuatedVersion = this.evacuated.version();
+			this.readyByService.clear();
+		}
 		return this.readyByService.computeIfAbsent(service, this::collect);
 	}
 
+	/**
+	 * Returns the upstreams of all services that may get requests.
+	 * @return the upstreams
+	 */
+	public List<UpstreamRecord> ready() {
+		return this.listed.values().stream().filter(this::usable).toList();
+	}
+
 	private List<UpstreamRecord> collect(String service) {
 		return Stream.concat(this.listed.values().stream(), this.lapsed.values().stream().map(Lapsed::upstream))
 			.filter((upstream) -> usable(upstream) && upstream.service().equals(service))
@@ -220,7 +280,8 @@
 	/**
 	 * Returns whether an upstream may get requests.
 	 * @param id the upstream's identifier
-	 * @return whether it is listed, or kept although its entry lapsed, and not leaving
+	 * @return whether it is listed, or kept although its entry lapsed, not leaving, and
+	 * not in an evacuated data centre
 	 */
 	public boolean accepts(String id) {
 		return Optional.ofNullable(this.listed.get(id))
@@ -229,12 +290,23 @@
 			.isPresent();
 	}
 
+	/**
+	 * Finds a listed upstream, which may be leaving.
+	 * @param id the upstream's identifier
+	 * @return the upstream, or empty if it is not listed
+	 */
+	public Optional<UpstreamRecord> find(String id) {
+		return Optional.ofNullable(this.listed.get(id));
+	}
+
 	private boolean usable(UpstreamRecord upstream) {
-		return !upstream.leaving() && !this.unconfirmedUntilNanos.containsKey(upstream.id());
+		return !upstream.leaving() && !this.unconfirmedUntilNanos.containsKey(upstream.id())
+				&& !this.evacuated.contains(upstream.dataCentre());
 	}
 
 	/**
-	 * Returns the identifiers of all known upstreams, including leaving and lapsed ones.
+	 * Returns the identifiers of all known upstreams, including leaving and lapsed ones
+	 * and those in evacuated data centres.
 	 * @return the identifiers
 	 */
 	public Set<String> identifiers() {
@@ -243,6 +315,22 @@
 		return all;
 	}
 
+	/**
+	 * Where a registration was read.
+	 */
+	public enum Origin {
+
+		/** The first list that this entry has read. */
+		FIRST_LIST,
+
+		/** The list of a store that was restored from a copy. */
+		COPY,
+
+		/** A later list, or a change. */
+		CURRENT
+
+	}
+
 	/**
 	 * An upstream that is kept although its entry is missing.
 	 *
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/GatewayFixture.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/GatewayFixture.java
@@ -25,14 +25,18 @@
 import io.bulrushrouter.gateway.config.Organisation;
 import io.bulrushrouter.gateway.config.Route;
 import io.bulrushrouter.gateway.config.RouteKind;
+import io.bulrushrouter.gateway.config.ServiceSpec;
+import io.bulrushrouter.gateway.config.WarmupSpec;
 import io.bulrushrouter.gateway.config.WeightedService;
 import io.bulrushrouter.gateway.membership.EntryMembership;
 import io.bulrushrouter.gateway.node.CrashReporter;
 import io.bulrushrouter.gateway.quarantine.CrashEvidence;
+import io.bulrushrouter.gateway.source.Evacuation;
 import io.bulrushrouter.gateway.source.FeedResult.Item;
 import io.bulrushrouter.gateway.source.FreshnessProof;
 import io.bulrushrouter.gateway.source.HeaderNames;
 import io.bulrushrouter.gateway.source.UpstreamRecord;
+import io.bulrushrouter.gateway.upstream.EvacuatedDataCentres;
 import io.bulrushrouter.gateway.upstream.UpstreamDirectory;
 import io.bulrushrouter.gateway.upstream.UpstreamSelector;
 import io.bulrushrouter.kernel.TimeSource;
@@ -45,7 +49,7 @@
 
 	static final HeaderNames HEADERS = new HeaderNames("X-Attempt", "X-Deadline", "X-Key", "X-Organisation",
 			"X-Expected", "X-Not-Run", "X-Stamp", "Last-Event-Id", "X-Priority", "X-Tokens", "X-Faulty", "X-Limit",
-			"X-Leaving", "X-Parts");
+			"X-Leaving", "X-Parts", "X-Warmup");
 
 	static final String KEY = "secret";
 
@@ -58,7 +62,9 @@
 
 	private final NioEventLoopGroup group = new NioEventLoopGroup(1);
 
-	private final UpstreamDirectory directory = new UpstreamDirectory();
+	private final EvacuatedDataCentres evacuated = EvacuatedDataCentres.ofNone();
+
+	private final UpstreamDirectory directory = new UpstreamDirectory(this.evacuated);
 
 	private final GatewayContext context;
 
@@ -66,6 +72,8 @@
 
 	private final InetSocketAddress address;
 
+	private final EntryMembership membership;
+
 	private final CrashReporter crashReporter;
 
 	private long proofAgeMillis;
@@ -92,8 +100,8 @@
 
 	private GatewayFixture(String name, SharedCrashReports crashReports, Duration timeout, ScriptedUpstream... scripted)
 			throws Exception {
-		EntryMembership membership = new EntryMembership(name);
-		CrashEvidence evidence = new CrashEvidence(name, name.hashCode(), membership::position);
+		this.membership = new EntryMembership(name);
+		CrashEvidence evidence = new CrashEvidence(name, name.hashCode(), this.membership::position);
 		this.crashReporter = new CrashReporter(this.group.next(), TimeSource.ofSystem(), new Random(1), name,
 				crashReports.storeFor(this.group.next()), evidence);
 		FreshnessProof freshness = new FreshnessProof(() -> this.proofAgeMillis * 1_000_000, () -> this.proofAgeMillis);
@@ -102,7 +110,7 @@
 				Duration.ofMillis(4_300), Duration.ofMillis(3_500), 1 << 20);
 		this.context = new GatewayContext(this.group.next(), TimeSource.ofSystem(), new Random(1), HEADERS, settings,
 				this.directory, new UpstreamSelector("a", new Random(1)), freshness,
-				new ForwardMetrics(new SimpleMeterRegistry()), membership, evidence, PROBE_PATH);
+				new ForwardMetrics(new SimpleMeterRegistry()), this.membership, evidence, PROBE_PATH);
 		char id = 'a';
 		for (ScriptedUpstream each : scripted) {
 			// Only the first is in the gateway's data centre, so that it is selected
@@ -115,15 +123,15 @@
 		this.group.next().submit(() -> {
 			this.crashReporter.start();
 			this.directory.replace(this.upstreams, 0);
-			this.context.configuration(ActiveConfiguration.of(configuration(timeout)));
+			this.context.configuration(ActiveConfiguration.of(configuration(timeout, Map.of())));
 		}).get(10, TimeUnit.SECONDS);
 		this.address = this.server.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
 	}
 
-	private static GatewayConfiguration configuration(Duration timeout) {
+	private static GatewayConfiguration configuration(Duration timeout, Map<String, ServiceSpec> services) {
 		return new GatewayConfiguration(1, List.of(route("/read/", RouteKind.IDEMPOTENT, timeout),
 				route("/write/", RouteKind.NON_IDEMPOTENT, timeout), route("/stream/", RouteKind.STREAM, timeout)),
-				Map.of(), new CallerLimits(4_096, 10_000, Duration.ofSeconds(3), Duration.ofSeconds(15)),
+				services, new CallerLimits(4_096, 10_000, Duration.ofSeconds(3), Duration.ofSeconds(15)),
 				List.of(new Organisation("bakers", List.of(KEY), OptionalInt.empty())));
 	}
 
@@ -157,6 +165,53 @@
 		this.group.next().submit(() -> this.directory.replace(items, 0)).get(10, TimeUnit.SECONDS);
 	}
 
+	/**
+	 * Lets the upstreams be cold for 20 s after their start and then take 2 requests per
+	 * second.
+	 * @throws Exception if the event loop fails
+	 */
+	void coldAfterStart() throws Exception {
+		ServiceSpec service = new ServiceSpec("service", 100, Optional.empty(),
+				Optional.of(new WarmupSpec(Duration.ofSeconds(20), 2, PROBE_PATH)));
+		GatewayConfiguration changed = configuration(Duration.ofSeconds(15), Map.of("service", service));
+		this.group.next()
+			.submit(() -> this.context.configuration(ActiveConfiguration.of(changed)))
+			.get(10, TimeUnit.SECONDS);
+	}
+
+	/**
+	 * Lets the store be unavailable and does what is due at intervals.
+	 * @return the number of upstreams that are cold or assumed to be
+	 * @throws Exception if the event loop fails
+	 */
+	int sweepWithoutStore() throws Exception {
+		return this.group.next().submit(() -> {
+			this.directory.storeLost();
+			this.context.sweep();
+			return this.context.coldUpstreams();
+		}).get(10, TimeUnit.SECONDS);
+	}
+
+	/**
+	 * Lets the entry know that there are no others.
+	 * @throws Exception if the event loop fails
+	 */
+	void alone() throws Exception {
+		this.group.next().submit(() -> this.membership.listed(List.of())).get(10, TimeUnit.SECONDS);
+	}
+
+	/**
+	 * Begins or ends the evacuation of a data centre.
+	 * @param dataCentre the data centre
+	 * @param begin whether it begins
+	 * @throws Exception if the event loop fails
+	 */
+	void evacuate(String dataCentre, boolean begin) throws Exception {
+		Item<Evacuation> change = new Item<>(dataCentre,
+				begin ? Optional.of(new Evacuation(dataCentre)) : Optional.empty());
+		this.group.next().submit(() -> this.evacuated.change(List.of(change), 0)).get(10, TimeUnit.SECONDS);
+	}
+
 	/**
 	 * Returns whether every lost connection has been checked.
 	 * @return whether no check is in progress
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/node/GatewayStopTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/node/GatewayStopTests.java
@@ -29,6 +29,7 @@
 import io.bulrushrouter.gateway.source.CrashReportStore;
 import io.bulrushrouter.gateway.source.EntryHeartbeat;
 import io.bulrushrouter.gateway.source.EntryRegistry;
+import io.bulrushrouter.gateway.source.Evacuation;
 import io.bulrushrouter.gateway.source.Feed;
 import io.bulrushrouter.gateway.source.FeedResult;
 import io.bulrushrouter.gateway.source.FleetSource;
@@ -47,7 +48,7 @@
 
 	private static final HeaderNames HEADERS = new HeaderNames("X-Attempt", "X-Deadline", "X-Key", "X-Organisation",
 			"X-Expected", "X-Not-Run", "X-Stamp", "Last-Event-Id", "X-Priority", "X-Tokens", "X-Faulty", "X-Limit",
-			"X-Leaving", "X-Parts");
+			"X-Leaving", "X-Parts", "X-Warmup");
 
 	private static int freePort() throws IOException {
 		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
@@ -250,6 +251,11 @@
 			return fixed("u", new UpstreamRecord("u", "s", address, "a", 8, false, 0));
 		}
 
+		@Override
+		public Feed<Evacuation> evacuations() {
+			return fixed("elsewhere", new Evacuation("elsewhere"));
+		}
+
 		private static <T> Feed<T> fixed(String name, T value) {
 			return new Feed<>() {
 				@Override
