Refuse streams at once if no upstream accepts requests

While all data centres of a service are evacuated, streams that run there still count under the concurrency limit, so a new stream waited in the queue and was then refused as overloaded. It no longer enters the queue. Without the change the new test got no 'no-upstream'.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/GatewayContext.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/GatewayContext.java
@@ -263,14 +263,14 @@
 	 * of slots.
 	 * @param service the service
 	 * @param route the route of the request
-	 * @return the queue, or empty if the service has no model engines or the route is not
-	 * a stream
+	 * @return the queue, or empty if the service has no model engines, the route is not a
+	 * stream, or no upstream accepts requests, for which waiting would be in vain
 	 */
 	Optional<AdmissionQueue<AdmissionTicket>> admissionQueue(String service, Route route) {
 		boolean hasEngines = configuration().flatMap((current) -> current.service(service))
 			.flatMap(ServiceSpec::engine)
 			.isPresent();
-		if (!hasEngines || route.kind() != RouteKind.STREAM) {
+		if (!hasEngines || route.kind() != RouteKind.STREAM || this.directory.ready(service).isEmpty()) {
 			return Optional.empty();
 		}
 		AdmissionQueue<AdmissionTicket> queue = this.admissionQueues.computeIfAbsent(service,
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/ColdUpstreamTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/ColdUpstreamTests.java
@@ -2,10 +2,13 @@
 
 import java.net.InetSocketAddress;
 import java.net.SocketTimeoutException;
+import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 
 import org.junit.jupiter.api.Test;
 
+import io.bulrushrouter.gateway.config.WarmupSpec;
 import io.bulrushrouter.gateway.source.UpstreamRecord;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -18,6 +21,9 @@
 
 	private static final String OK = "HTTP/1.1 200 OK\r\nX-Attempt: id-1\r\nX-Stamp: s\r\nContent-Length: 5\r\n\r\nhello";
 
+	private static final Optional<WarmupSpec> WARMUP = Optional
+		.of(new WarmupSpec(Duration.ofSeconds(20), 2, GatewayFixture.PROBE_PATH));
+
 	private static ScriptedUpstream start(String probeHeader) throws Exception {
 		return ScriptedUpstream.start((number, request, reply) -> reply.write(OK)).probeHeader(probeHeader);
 	}
@@ -37,7 +43,7 @@
 		try (ScriptedUpstream cold = start("");
 				ScriptedUpstream warm = start("");
 				GatewayFixture gateway = new GatewayFixture(cold, warm)) {
-			gateway.coldAfterStart();
+			gateway.service(Optional.empty(), WARMUP);
 			gateway.list(List.of(record("up-a", cold.address(), 0, 9_000), record("up-b", warm.address(), 0, 0)));
 			for (int request = 0; request < 5; request++) {
 				assertThat(read(gateway)).contains("hello");
@@ -50,7 +56,7 @@
 	@Test
 	void refusesAsNotRunWhatFindsOnlyColdUpstreamsWithoutRoom() throws Exception {
 		try (ScriptedUpstream cold = start(""); GatewayFixture gateway = new GatewayFixture(cold)) {
-			gateway.coldAfterStart();
+			gateway.service(Optional.empty(), WARMUP);
 			gateway.alone();
 			gateway.list(List.of(record("up-a", cold.address(), 0, 9_000)));
 			int refused = 0;
@@ -70,7 +76,7 @@
 	@Test
 	void asksAnUpstreamThatRestartedWhetherItIsWarm() throws Exception {
 		try (ScriptedUpstream warm = start("X-Warmup: 0\r\n"); GatewayFixture gateway = new GatewayFixture(warm)) {
-			gateway.coldAfterStart();
+			gateway.service(Optional.empty(), WARMUP);
 			gateway.list(List.of(record("up-a", warm.address(), 7, 0)));
 			String first = read(gateway);
 			while (first.startsWith("HTTP/1.1 503")) {
@@ -88,7 +94,7 @@
 		try (ScriptedUpstream cold = start("X-Warmup: 9000\r\n");
 				ScriptedUpstream warm = start("X-Warmup: 0\r\n");
 				GatewayFixture gateway = new GatewayFixture(cold, warm)) {
-			gateway.coldAfterStart();
+			gateway.service(Optional.empty(), WARMUP);
 			int coldUpstreams = gateway.sweepWithoutStore();
 			while (coldUpstreams == 0) {
 				coldUpstreams = gateway.sweepWithoutStore();
@@ -103,7 +109,7 @@
 		try (ScriptedUpstream crashing = start("X-Warmup: 9000\r\n");
 				ScriptedUpstream warm = start("");
 				GatewayFixture gateway = new GatewayFixture(crashing, warm)) {
-			gateway.coldAfterStart();
+			gateway.service(Optional.empty(), WARMUP);
 			crashing.crash();
 			assertThat(read(gateway)).contains("hello");
 			crashing.restart();
@@ -117,7 +123,7 @@
 	@Test
 	void limitsRequestsToADataCentreThatIsColdAtTheEndOfItsEvacuation() throws Exception {
 		try (ScriptedUpstream cold = start(""); GatewayFixture gateway = new GatewayFixture(cold)) {
-			gateway.coldAfterStart();
+			gateway.service(Optional.empty(), WARMUP);
 			gateway.alone();
 			gateway.evacuate("a", true);
 			gateway.list(List.of(record("up-a", cold.address(), 5, 9_000)));
@@ -136,7 +142,7 @@
 				ScriptedUpstream warm = start("");
 				GatewayFixture gateway = new GatewayFixture(cold);
 				GatewayFixture.Caller caller = gateway.caller()) {
-			gateway.coldAfterStart();
+			gateway.service(Optional.empty(), WARMUP);
 			UpstreamRecord coldRecord = record("up-a", cold.address(), 5, 60_000);
 			gateway.list(List.of(coldRecord));
 			gateway.alone();
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/EvacuatedDataCentreTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/EvacuatedDataCentreTests.java
@@ -1,10 +1,13 @@
 package io.bulrushrouter.gateway.forward;
 
+import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.Test;
 
+import io.bulrushrouter.gateway.config.EngineSpec;
+
 import static com.google.common.truth.Truth.assertThat;
 
 /**
@@ -61,6 +64,24 @@
 		}
 	}
 
+	@Test
+	void refusesAStreamAtOnceThoughItsQueueIsFullOfRunningOnesThere() throws Exception {
+		EngineSpec engine = new EngineSpec(8, 5, 0.5, 70_000, 1, 800, 100, Optional.empty());
+		try (ScriptedUpstream here = ScriptedUpstream.start((number, request,
+				reply) -> reply.write(HEAD + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+						+ StreamText.chunk(StreamText.event(1))));
+				GatewayFixture gateway = new GatewayFixture(here);
+				GatewayFixture.Caller first = gateway.caller();
+				GatewayFixture.Caller second = gateway.caller();
+				GatewayFixture.Caller third = gateway.caller()) {
+			gateway.service(Optional.of(engine), Optional.empty());
+			first.post("/stream/x", "b").readUntil("data: e1");
+			second.post("/stream/x", "b").readUntil("data: e1");
+			gateway.evacuate("a", true);
+			assertThat(third.post("/stream/x", "b").readResponse()).contains("no-upstream");
+		}
+	}
+
 	private static void await(CountDownLatch latch) {
 		try {
 			latch.await(10, TimeUnit.SECONDS);
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/GatewayFixture.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/GatewayFixture.java
@@ -20,6 +20,7 @@
 
 import io.bulrushrouter.gateway.config.ActiveConfiguration;
 import io.bulrushrouter.gateway.config.CallerLimits;
+import io.bulrushrouter.gateway.config.EngineSpec;
 import io.bulrushrouter.gateway.config.GatewayConfiguration;
 import io.bulrushrouter.gateway.config.Organisation;
 import io.bulrushrouter.gateway.config.Route;
@@ -154,13 +155,13 @@
 	}
 
 	/**
-	 * Lets the upstreams be cold for 20 s after their start and then take 2 requests per
-	 * second.
+	 * Changes the configuration of the service.
+	 * @param engine the characteristics of its engines, or empty
+	 * @param warmup how its upstreams warm up, or empty
 	 * @throws Exception if the event loop fails
 	 */
-	void coldAfterStart() throws Exception {
-		ServiceSpec service = new ServiceSpec("service", 100, Optional.empty(),
-				Optional.of(new WarmupSpec(Duration.ofSeconds(20), 2, PROBE_PATH)));
+	void service(Optional<EngineSpec> engine, Optional<WarmupSpec> warmup) throws Exception {
+		ServiceSpec service = new ServiceSpec("service", 100, engine, warmup);
 		GatewayConfiguration changed = configuration(Duration.ofSeconds(15), Map.of("service", service));
 		this.group.next()
 			.submit(() -> this.context.configuration(ActiveConfiguration.of(changed)))
