Wait until a crashed upstream of a test refuses connections

In a run of all tests of the gateway the upstream of sparesAnUpstreamThatCameBackColdAfterACrash served all requests, the first one too: the kernel accepts connections until the accepting thread has woken up, so the crash went unnoticed. The test now waits for the first refusal; what it demands is unchanged. 11 runs of the class on their own passed.

--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/ColdUpstreamTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/ColdUpstreamTests.java
@@ -1,6 +1,8 @@
 package io.bulrushrouter.gateway.forward;
 
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.time.Duration;
 import java.util.List;
@@ -111,6 +113,7 @@
 				GatewayFixture gateway = new GatewayFixture(crashing, warm)) {
 			gateway.service(Optional.empty(), WARMUP);
 			crashing.crash();
+			awaitRefusal(crashing.address());
 			assertThat(read(gateway)).contains("hello");
 			crashing.restart();
 			for (int request = 0; request < 10; request++) {
@@ -156,6 +159,19 @@
 		}
 	}
 
+	// The kernel accepts connections until the accepting thread has woken up.
+	private static void awaitRefusal(InetSocketAddress address) throws Exception {
+		boolean refused = false;
+		while (!refused) {
+			try (Socket accepted = new Socket(address.getAddress(), address.getPort())) {
+				refused = !accepted.isConnected();
+			}
+			catch (ConnectException ex) {
+				refused = true;
+			}
+		}
+	}
+
 	// A request that is not refused waits longer than the 550 ms of silence after which
 	// it would leave a warm upstream.
 	private static boolean refused(GatewayFixture.Caller caller) throws Exception {
