--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/GatewayContext.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/GatewayContext.java
@@ -287,11 +287,11 @@
 	 * slots.
 	 * @param service the service
 	 * @param route the route of the request
-	 * @return the admission, or empty if the service has no model engines or the route is
-	 * not a stream
+	 * @return the admission, or empty if the service has no model engines, the route is
+	 * not a stream, or no upstream accepts requests, for which waiting would be in vain
 	 */
 	Optional<StreamAdmission<AdmissionTicket>> admission(String service, Route route) {
-		if (route.kind() != RouteKind.STREAM) {
+		if (route.kind() != RouteKind.STREAM || this.directory.ready(service).isEmpty()) {
 			return Optional.empty();
 		}
 		return configuration().flatMap((current) -> this.admissions.find(service, current));
