--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/admission/ConcurrencyLimit.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/admission/ConcurrencyLimit.java
@@ -28,36 +28,6 @@
 	/** Ratio of first-event latency to its objective below which the limit grows. */
 	private static final double GROWTH_THRESHOLD = 0.8;
 
-	/**
-	 * The ratio above which the limit shrinks where first events are to meet their
-	 * objective. Latencies spread around their mean, so at this ratio one stream in five
-	 * or so misses it.
-	 */
-	private static final double STRICT_SHRINK_THRESHOLD = 0.75;
-
-	/** The ratio below which such a limit grows. */
-	private static final double STRICT_GROWTH_THRESHOLD = 0.6;
-
-	/**
-	 * Share of its equal share of the slots that an entry uses under such a limit,
-	 * whatever it observes. While one rank is slow no limit brings the latencies back,
-	 * and fewer streams would only leave slots unused.
-	 */
-	private static final double STRICT_MIN_EQUAL_SHARE = 0.5;
-
-	/**
-	 * How much more latency an entry without any stream tolerates under such a limit than
-	 * one that uses its equal share of the slots, so that entries that started later take
-	 * over from the others.
-	 */
-	private static final double BALANCE_GAIN = 0.25;
-
-	/** Share of the equal share in use at which the thresholds are not changed. */
-	private static final double TYPICAL_SHARE = 0.75;
-
-	/** Largest deviation from it that counts. */
-	private static final double MAX_IMBALANCE = 0.6;
-
 	private static final double SHRINK_FACTOR = 0.95;
 
 	/** Added to the limit by a first event in time, divided by the limit. */
@@ -79,15 +49,6 @@
 
 	private final long objectiveMillis;
 
-	private final double shrinkThreshold;
-
-	private final double growthThreshold;
-
-	private double minimum = 1;
-
-	/** The equal share of the slots of one entry, 0 if it does not matter. */
-	private double equalShare;
-
 	private double limit;
 
 	private int slots;
@@ -104,44 +65,7 @@
 	 * milliseconds
 	 */
 	public ConcurrencyLimit(long objectiveMillis) {
-		this(objectiveMillis, SHRINK_THRESHOLD, GROWTH_THRESHOLD);
-	}
-
-	private ConcurrencyLimit(long objectiveMillis, double shrinkThreshold, double growthThreshold) {
 		this.objectiveMillis = objectiveMillis;
-		this.shrinkThreshold = shrinkThreshold;
-		this.growthThreshold = growthThreshold;
-	}
-
-	/**
-	 * Creates a limit under which most first events meet their objective.
-	 * @param objectiveMillis the objective for the latency of the first event, in
-	 * milliseconds
-	 * @return the limit
-	 */
-	public static ConcurrencyLimit ofStrict(long objectiveMillis) {
-		return new ConcurrencyLimit(objectiveMillis, STRICT_SHRINK_THRESHOLD, STRICT_GROWTH_THRESHOLD);
-	}
-
-	/**
-	 * Sets the equal share of the slots of one entry, from which a limit starts under
-	 * which most first events meet their objective.
-	 * @param share the number of slots
-	 */
-	public void equalShare(double share) {
-		if (this.equalShare == 0) {
-			this.limit = share;
-		}
-		this.equalShare = share;
-		this.minimum = Math.max(1, STRICT_MIN_EQUAL_SHARE * share);
-	}
-
-	private double balanceFactor() {
-		if (this.equalShare == 0) {
-			return 1;
-		}
-		double imbalance = this.inFlight / this.equalShare - TYPICAL_SHARE;
-		return 1 - BALANCE_GAIN * Math.max(-MAX_IMBALANCE, Math.min(MAX_IMBALANCE, imbalance));
 	}
 
 	/**
@@ -165,7 +89,7 @@
 	}
 
 	private double minimum() {
-		return Math.max(this.minimum, MIN_SHARE * this.slots);
+		return Math.max(1, MIN_SHARE * this.slots);
 	}
 
 	/**
@@ -206,10 +130,10 @@
 	public void firstEvent(double millis, long nowNanos) {
 		this.meanFirstEventMillis += FIRST_EVENT_WEIGHT * (millis - this.meanFirstEventMillis);
 		double ratio = this.meanFirstEventMillis / this.objectiveMillis;
-		if (ratio > this.shrinkThreshold * balanceFactor()) {
+		if (ratio > SHRINK_THRESHOLD) {
 			shrink(nowNanos);
 		}
-		else if (ratio < this.growthThreshold * balanceFactor() && this.inFlight >= limit() - 2) {
+		else if (ratio < GROWTH_THRESHOLD && this.inFlight >= limit() - 2) {
 			this.limit = Math.min(this.slots, Math.max(this.limit, minimum()) + GROWTH_INCREMENT / limit());
 		}
 	}
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/admission/StreamAdmission.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/admission/StreamAdmission.java
@@ -111,9 +111,7 @@
 		this.settings = settings;
 		this.callbacks = callbacks;
 		this.onPredictionRatio = onPredictionRatio;
-		long objectiveMillis = settings.objective().toMillis();
-		this.firstEventLimit = settings.maxEventGap().isPresent() ? ConcurrencyLimit.ofStrict(objectiveMillis)
-				: new ConcurrencyLimit(objectiveMillis);
+		this.firstEventLimit = new ConcurrencyLimit(settings.objective().toMillis());
 		// Without a limit by pauses, streams of returning callers go before all others.
 		double lateShare = settings.maxEventGap().isPresent() ? LATE_SHARE : 1;
 		this.queue = new AdmissionQueue<>(settings.classes(), lateShare, this::places, nowNanos);
@@ -155,7 +153,6 @@
 		this.entries = Math.max(1, liveEntries);
 		this.firstEventLimit.slots(allSlots);
 		if (this.paceLimit.isPresent()) {
-			this.firstEventLimit.equalShare((double) allSlots / this.entries);
 			this.paceLimit.get().slots(allSlots, liveEntries);
 		}
 		this.pacer.rate((double) allSlots / Math.max(1, liveEntries));
@@ -188,6 +185,7 @@
 	 */
 	public void offer(WaitingStream<T> stream, long now) {
 		if (decide(stream, now) == Decision.REFUSED) {
+			this.queue.refused(stream, now);
 			this.callbacks.refused(stream.item());
 			return;
 		}
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/AdmissionTicket.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/AdmissionTicket.java
@@ -33,13 +33,6 @@
 	 */
 	private static final double MAX_WAIT_RATIO_AFTER_RETRY = 0.25;
 
-	/**
-	 * Share of the time for which a caller waits for its first event that a stream may
-	 * spend in the queue. A caller that is refused by then has time for a second try, and
-	 * one whose stream is started has its first event before it leaves.
-	 */
-	private static final double MAX_WAIT_RATIO_OF_PATIENCE = 0.5;
-
 	/**
 	 * A deadline that is shorter than the route's timeout by more than this marks a retry
 	 * of the caller.
@@ -106,13 +99,12 @@
 		double punctualMillis;
 		double startByMillis;
 		if (settings.maxEventGap().isPresent()) {
-			// A caller that returns before it was asked to has missed its objective as
-			// well,
+			// A caller that returns before it was asked to has missed its objective too,
 			// but does not go before others.
 			returning |= elapsedMillis > Math.max(RETRY_DETECTION_MARGIN_MILLIS,
 					found.shortestReturnMillis(settings.classes().indexOf(priority)));
 			punctualMillis = route.objective().toMillis() - elapsedMillis - found.firstEventMillis();
-			startByMillis = MAX_WAIT_RATIO_OF_PATIENCE * Math.min(settings.patienceMillis(), remainingMillis);
+			startByMillis = startByMillis(found, remainingMillis);
 		}
 		else {
 			returning |= elapsedMillis > RETRY_DETECTION_MARGIN_MILLIS;
@@ -126,6 +118,11 @@
 				arrived + nanos(startByMillis));
 	}
 
+	// A stream that is started later has no event before its caller leaves.
+	private static double startByMillis(StreamAdmission<AdmissionTicket> found, long remainingMillis) {
+		return Math.min(found.settings().patienceMillis(), remainingMillis) - found.firstEventMillis();
+	}
+
 	private static int priority(AdmittedRequest request) {
 		return request.organisation()
 			.map(Organisation::priority)
@@ -149,7 +146,7 @@
 		return new WaitingStream<>(null, organisation.map((owner) -> organisationId(owner.name())).orElse(ANONYMOUS),
 				priority, AdmissionQueue.MEAN_COST, returning, nowNanos,
 				nowNanos + nanos(settings.objective().toMillis() - admission.firstEventMillis()),
-				nowNanos + nanos(MAX_WAIT_RATIO_OF_PATIENCE * settings.patienceMillis()));
+				nowNanos + nanos(startByMillis(admission, settings.patienceMillis())));
 	}
 
 	private static long nanos(double millis) {
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/CallerConnection.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/CallerConnection.java
@@ -51,6 +51,12 @@
 	/** Bytes counted for the head of a response, more than usual ones have. */
 	private static final int RESPONSE_HEAD_BYTES = 512;
 
+	/**
+	 * How long a connection without a request stays open while requests are refused: a
+	 * request takes some milliseconds from its caller.
+	 */
+	private static final long MAX_IDLE_WHILE_REFUSING_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+
 	private final GatewayContext context;
 
 	private final AdmissionHandler admissionHandler;
@@ -133,12 +139,18 @@
 				refuse(408, ErrorCode.TIMED_OUT_READING, "the request head did not arrive in time");
 			}
 		}
-		else if (waited > this.context.limits().idleTimeout().toNanos() || this.context.refusingRequests()) {
+		else if (waited > maxIdleNanos()) {
 			this.closing = true;
 			this.channel.close();
 		}
 	}
 
+	// A request may be on its way on a connection that was accepted just before a stop.
+	private long maxIdleNanos() {
+		return this.context.refusingRequests() ? MAX_IDLE_WHILE_REFUSING_NANOS
+				: this.context.limits().idleTimeout().toNanos();
+	}
+
 	@Override
 	public void channelRead(ChannelHandlerContext handlerContext, Object message) {
 		if (this.closing) {
@@ -299,6 +311,7 @@
 
 	private void responseFinished() {
 		this.account.releaseRequest();
+		this.account.buffered(0);
 		this.head = null;
 		if (!this.keepAlive) {
 			closeAfterLinger();
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/CallerQueue.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/CallerQueue.java
@@ -89,7 +89,9 @@
 	 * @return whether the queue is within its allowance
 	 */
 	boolean writable() {
-		this.full = this.bytes > this.account.allowance();
+		// Once full, it stays so until the callback runs: the allowance may grow
+		// meanwhile.
+		this.full |= this.bytes > this.account.allowance();
 		return !this.full;
 	}
 
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ReadPause.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ReadPause.java
@@ -15,10 +15,20 @@
 	 */
 	private static final long MIN_CUT_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+	/**
+	 * Time after a pause within which a loss of the connection may still be its
+	 * consequence: the end of the connection arrives after what was sent before it.
+	 */
+	private static final long MAX_AGE_NANOS = TimeUnit.SECONDS.toNanos(5);
+
 	private boolean paused;
 
 	private long sinceNanos;
 
+	private boolean cutPauseEnded;
+
+	private long cutPauseEndNanos;
+
 	private long longestNanos;
 
 	private long totalNanos;
@@ -33,6 +43,10 @@
 			long nanos = nowNanos - this.sinceNanos;
 			this.longestNanos = Math.max(this.longestNanos, nanos);
 			this.totalNanos += nanos;
+			if (nanos >= MIN_CUT_NANOS) {
+				this.cutPauseEnded = true;
+				this.cutPauseEndNanos = nowNanos;
+			}
 		}
 		else if (!reading && !this.paused) {
 			this.sinceNanos = nowNanos;
@@ -47,7 +61,8 @@
 	 * @return whether reading paused long enough
 	 */
 	boolean explainsLoss(long nowNanos) {
-		return longestNanos(nowNanos) >= MIN_CUT_NANOS;
+		boolean justEnded = this.cutPauseEnded && nowNanos - this.cutPauseEndNanos < MAX_AGE_NANOS;
+		return justEnded || (this.paused && nowNanos - this.sinceNanos >= MIN_CUT_NANOS);
 	}
 
 	/**
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ServiceAdmissions.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ServiceAdmissions.java
@@ -73,13 +73,17 @@
 
 	private static AdmissionSettings settings(EngineSpec engine, List<Route> routes,
 			ActiveConfiguration configuration) {
+		PriorityClasses classes = classes(routes, configuration);
+		// Among streams of one priority the limit by pauses makes some of them late in
+		// place of others; it pays where it leaves room for urgent ones.
 		Optional<Duration> maxEventGap = routes.stream()
 			.flatMap((route) -> route.maxEventGap().stream())
-			.min(Duration::compareTo);
+			.min(Duration::compareTo)
+			.filter((gap) -> classes.count() > 1);
 		Duration objective = routes.stream().map(Route::objective).min(Duration::compareTo).orElseThrow();
-		PriorityClasses classes = maxEventGap.isPresent() ? classes(routes, configuration) : PriorityClasses.SINGLE;
 		return new AdmissionSettings(objective, maxEventGap, engine.fixedPassMillis(),
-				engine.meanPromptTokens() + engine.meanAnswerTokens(), classes);
+				engine.meanPromptTokens() + engine.meanAnswerTokens(),
+				maxEventGap.isPresent() ? classes : PriorityClasses.SINGLE);
 	}
 
 	private static PriorityClasses classes(List<Route> routes, ActiveConfiguration configuration) {
@@ -151,6 +155,8 @@
 		private void sweep() {
 			this.sweepScheduled = false;
 			long nowNanos = ServiceAdmissions.this.context.nowNanos();
+			GatewayContext context = ServiceAdmissions.this.context;
+			this.admission.slots(context.slots(this.name), context.entries());
 			this.admission.sweep(nowNanos);
 			logWaiting(nowNanos);
 			if (this.admission.active()) {
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamConnection.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamConnection.java
@@ -39,6 +39,11 @@
 	 */
 	private static final long MAX_BODY_BYTES = 16 * 1024 * 1024;
 
+	/**
+	 * How long the rest of a request may take to be written after its response has ended.
+	 */
+	private static final long MAX_WRITE_AFTER_END_MILLIS = 10_000;
+
 	private final Channel channel;
 
 	private final Consumer<UpstreamConnection> onIdle;
@@ -260,6 +265,19 @@
 			ResponseHandler done = this.responseHandler;
 			this.ended = true;
 			done.onEnd();
+			scheduleCloseIfUnwritten();
+		}
+	}
+
+	// An upstream that has answered before it read the request may never read on.
+	private void scheduleCloseIfUnwritten() {
+		int request = this.requests;
+		if (!this.written) {
+			this.channel.eventLoop().schedule(() -> {
+				if (!this.written && this.requests == request) {
+					this.channel.close();
+				}
+			}, MAX_WRITE_AFTER_END_MILLIS, TimeUnit.MILLISECONDS);
 		}
 	}
 
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/WarmupCoordinator.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/WarmupCoordinator.java
@@ -1,5 +1,6 @@
 package io.bulrushrouter.gateway.forward;
 
+import java.time.Duration;
 import java.util.EnumSet;
 import java.util.List;
 import java.util.Optional;
@@ -78,9 +79,9 @@
 	}
 
 	private void answered(UpstreamNoticeDecoder decoder, UpstreamRecord upstream, HttpResponse head) {
-		decoder.decode(head)
-			.coldTime()
-			.ifPresent((coldTime) -> this.limits.stated(upstream, coldTime, this.clock.nanos()));
+		// A health response that names no time comes from a warm upstream.
+		Duration coldTime = decoder.decode(head).coldTime().orElse(Duration.ZERO);
+		this.limits.stated(upstream, coldTime, this.clock.nanos());
 	}
 
 	// The time for which an upstream stays cold counts from when it is back.
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/WarmupProbes.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/WarmupProbes.java
@@ -45,10 +45,10 @@
 
 	/**
 	 * Upstreams asked in each sweep while the store is unavailable and registrations do
-	 * not arrive. Eight probes per second, of about 0.7 KB each with packet headers, stay
-	 * below 10 KB/s.
+	 * not arrive. Two probes per second cost little beside requests, since each of them
+	 * counts against the deployment.
 	 */
-	private static final int PROBES_PER_SWEEP_WITHOUT_STORE = 4;
+	private static final int PROBES_PER_SWEEP_WITHOUT_STORE = 1;
 
 	private final EventLoop loop;
 
@@ -92,7 +92,10 @@
 	 */
 	void probe(List<UpstreamRecord> assumed) {
 		long nowNanos = this.clock.nanos();
-		for (UpstreamRecord upstream : assumed) {
+		// The one that was not asked for the longest time goes first, so that upstreams
+		// that
+		// are down do not keep others from being asked.
+		for (UpstreamRecord upstream : assumed.stream().sorted(Comparator.comparingLong(this::sentNanos)).toList()) {
 			if (this.inFlight >= MAX_IN_FLIGHT) {
 				return;
 			}
@@ -111,15 +114,18 @@
 	void probeOldest(List<UpstreamRecord> upstreams) {
 		probe(upstreams.stream()
 			.filter((upstream) -> this.specs.apply(upstream.service()).isPresent())
-			.sorted(Comparator
-				.comparingLong((UpstreamRecord upstream) -> Optional.ofNullable(this.probes.get(upstream.id()))
-					.filter((known) -> known.sent)
-					.map((known) -> known.sentNanos)
-					.orElse(Long.MIN_VALUE)))
+			.sorted(Comparator.comparingLong(this::sentNanos))
 			.limit(PROBES_PER_SWEEP_WITHOUT_STORE)
 			.toList());
 	}
 
+	private long sentNanos(UpstreamRecord upstream) {
+		return Optional.ofNullable(this.probes.get(upstream.id()))
+			.filter((known) -> known.sent)
+			.map((known) -> known.sentNanos)
+			.orElse(Long.MIN_VALUE);
+	}
+
 	/**
 	 * Forgets upstreams that are no longer listed.
 	 * @param listed the identifiers of the listed upstreams
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/WarmupLimits.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/WarmupLimits.java
@@ -78,8 +78,9 @@
 		if (upstream.coldMillis() > 0) {
 			// What an upstream said itself, and what this entry saw, may be newer than a
 			// registration of the same incarnation.
-			if (started || known == null || known.source() == Source.REGISTRATION) {
-				become(upstream, Source.REGISTRATION, statedEnd(upstream.coldMillis(), nowNanos), nowNanos);
+			long endNanos = statedEnd(upstream.coldMillis(), nowNanos);
+			if (started || known == null || known.source() == Source.REGISTRATION || endsBefore(known, endNanos)) {
+				become(upstream, Source.REGISTRATION, endNanos, nowNanos);
 			}
 		}
 		else if (started && origin != Origin.FIRST_LIST) {
@@ -90,6 +91,11 @@
 		}
 	}
 
+	// An upstream may become cold again before the time that it stated first is over.
+	private boolean endsBefore(Cold known, long endNanos) {
+		return spec(known.upstream()).filter((spec) -> endNanos(known, spec) < endNanos).isPresent();
+	}
+
 	/**
 	 * Records what an upstream said in a response about the time for which it is cold.
 	 * @param upstream the upstream
--- a/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/admission/AdmissionQueue.java
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/admission/AdmissionQueue.java
@@ -39,7 +39,7 @@
 	private static final long STARVING_NANOS = TimeUnit.SECONDS.toNanos(1);
 
 	/** Smallest assumed rate of admissions of a class, per second. */
-	static final double MIN_RATE = 0.5;
+	private static final double MIN_RATE = 0.5;
 
 	/**
 	 * How long the last free place is held for a stream that can still meet its objective
@@ -80,10 +80,10 @@
 		this.queues = newQueues(classes, nowNanos);
 	}
 
-	private List<ClassQueue<T>> newQueues(PriorityClasses classes, long nowNanos) {
+	private static <T> List<ClassQueue<T>> newQueues(PriorityClasses classes, long nowNanos) {
 		List<ClassQueue<T>> created = new ArrayList<>();
 		for (int index = 0; index < classes.count(); index++) {
-			created.add(new ClassQueue<>(this.lateShare, nowNanos));
+			created.add(new ClassQueue<>(nowNanos));
 		}
 		return created;
 	}
@@ -121,6 +121,16 @@
 		return this.queues.get(this.classes.indexOf(stream.priority()));
 	}
 
+	/**
+	 * Counts a stream that was refused on arrival, so that its class counts as served
+	 * less.
+	 * @param stream the stream
+	 * @param nowNanos the current monotonic time, in nanoseconds
+	 */
+	public void refused(WaitingStream<T> stream, long nowNanos) {
+		queueOf(stream).refused(nowNanos);
+	}
+
 	/**
 	 * Queues a stream.
 	 * @param stream the stream
--- a/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/admission/ClassQueue.java
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/admission/ClassQueue.java
@@ -41,14 +41,9 @@
 
 	private final DecayingCount admissionRate;
 
-	private final DecayingCount lateAdmissionRate;
-
-	private final double lateShare;
-
 	private long waitingSinceNanos;
 
-	ClassQueue(double lateShare, long nowNanos) {
-		this.lateShare = lateShare;
+	ClassQueue(long nowNanos) {
 		FairQueueSettings settings = FairQueueSettings.ofOrder(BURST_COST, OrganisationWeights.ofEqual());
 		this.punctual = FairQueue.of(settings, nowNanos);
 		this.returning = FairQueue.of(settings, nowNanos);
@@ -56,7 +51,15 @@
 		this.offered = new DecayingCount(SHARE_NANOS, nowNanos);
 		this.admitted = new DecayingCount(SHARE_NANOS, nowNanos);
 		this.admissionRate = new DecayingCount(RATE_NANOS, nowNanos);
-		this.lateAdmissionRate = new DecayingCount(RATE_NANOS, nowNanos);
+	}
+
+	/**
+	 * Counts a stream that was refused on arrival, so that the class counts as served
+	 * less.
+	 * @param nowNanos the current monotonic time, in nanoseconds
+	 */
+	void refused(long nowNanos) {
+		this.offered.add(1, nowNanos);
 	}
 
 	void offer(WaitingStream<T> stream, long nowNanos) {
@@ -69,7 +72,7 @@
 			this.waitingSinceNanos = nowNanos;
 		}
 		stream.punctual = !stream.returning() && nowNanos < stream.punctualUntilNanos();
-		long deadline = stream.punctual ? stream.punctualUntilNanos() : startByNanos(stream, nowNanos);
+		long deadline = stream.punctual ? stream.punctualUntilNanos() : stream.startByNanos();
 		lane(stream).add(stream, stream.organisation(), stream.cost(), deadline, nowNanos);
 	}
 
@@ -124,9 +127,6 @@
 		if (taken.isPresent()) {
 			this.admitted.add(1, nowNanos);
 			this.admissionRate.add(1, nowNanos);
-			if (!taken.get().punctual) {
-				this.lateAdmissionRate.add(1, nowNanos);
-			}
 		}
 		return taken;
 	}
@@ -176,23 +176,6 @@
 		return expired;
 	}
 
-	// A stream that could not be started in time is refused with the next check: its
-	// caller would wait in vain.
-	private long startByNanos(WaitingStream<T> stream, long nowNanos) {
-		boolean inVain = !stream.returning()
-				&& nowNanos + lateWaitNanos(stream.organisation(), nowNanos) > stream.startByNanos();
-		return inVain ? nowNanos : stream.startByNanos();
-	}
-
-	// A stream that has missed its objective waits behind the other late ones, which get
-	// a share of the admissions only.
-	private long lateWaitNanos(OrganisationId organisation, long nowNanos) {
-		int ahead = this.returning.sizeAhead(organisation) + this.late.sizeAhead(organisation);
-		double rate = Math.max(this.lateAdmissionRate.perSecond(nowNanos),
-				this.lateShare * this.admissionRate.perSecond(nowNanos));
-		return (long) (ahead / Math.max(AdmissionQueue.MIN_RATE, rate) * TimeUnit.SECONDS.toNanos(1));
-	}
-
 	private List<Dispatch<WaitingStream<T>>> removeExpired(FairQueue<WaitingStream<T>> lane, long nowNanos) {
 		return (lane.size() > 0) ? lane.removeExpired(nowNanos) : List.of();
 	}
--- a/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/admission/PaceLimit.java
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/admission/PaceLimit.java
@@ -48,6 +48,12 @@
 	 */
 	private static final double BALANCE_GAIN = 0.25;
 
+	/**
+	 * Number of running streams that must all have paused for a stall; fewer may hang at
+	 * one upstream.
+	 */
+	private static final int MIN_STALLED_STREAMS = 3;
+
 	/** Share of the slots in use at which an entry's target is not changed. */
 	private static final double TYPICAL_SHARE = 0.75;
 
@@ -168,16 +174,18 @@
 		this.estimate.clearOpen();
 		double closedMillis = this.estimate.meanMillis(nowNanos);
 		double shortest = Double.MAX_VALUE;
+		int running = 0;
 		for (StreamPace stream : this.running) {
 			double millis = (nowNanos - stream.passStartNanos) / NANOS_PER_MILLI;
 			if (stream.running() && millis < MAX_STALL_MILLIS) {
 				shortest = Math.min(shortest, millis);
+				running++;
 				if (millis > closedMillis) {
 					this.estimate.addOpen(Math.min(millis, MAX_SAMPLE_GAPS * this.maxGapMillis), stream.inFlightThen);
 				}
 			}
 		}
-		this.stalled = shortest != Double.MAX_VALUE && shortest > STALL_GAPS * this.maxGapMillis;
+		this.stalled = running >= MIN_STALLED_STREAMS && shortest > STALL_GAPS * this.maxGapMillis;
 		if (this.stalled) {
 			this.wasStalled = true;
 			this.stalledNanos = nowNanos;
@@ -226,7 +234,7 @@
 		if (this.stalled) {
 			return 0;
 		}
-		double minimum = Math.max(1, minShare(nowNanos) * this.equalShare);
+		double minimum = Math.max(1, minShare(nowNanos) * this.equalShare * share / PriorityClasses.MOST_URGENT_SHARE);
 		double observed = this.estimate.meanMillis(nowNanos);
 		if (observed <= 0) {
 			return bounded(START_SHARE * this.equalShare, minimum);
@@ -242,6 +250,7 @@
 		return bounded(allowed, minimum);
 	}
 
+	// The minimum is lower for less urgent classes, which leaves room for urgent ones.
 	private double minShare(long nowNanos) {
 		boolean afterStall = nowNanos - this.stalledNanos < TimeUnit.MILLISECONDS
 			.toNanos(IntervalEstimate.WINDOW_MILLIS);
--- a/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/admission/PriorityClasses.java
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/admission/PriorityClasses.java
@@ -18,13 +18,13 @@
 	/**
 	 * Share of the longest allowed pause up to which the most urgent class is admitted.
 	 */
-	private static final double MOST_URGENT_SHARE = 0.85;
+	static final double MOST_URGENT_SHARE = 0.85;
 
 	/**
 	 * Share for the least urgent class. The difference is room that urgent streams find
 	 * at every entry without messages between entries.
 	 */
-	private static final double LEAST_URGENT_SHARE = 0.6;
+	private static final double LEAST_URGENT_SHARE = 0.7;
 
 	/** The priority of an engine's queue that means the least urgent. */
 	private static final int MAX_ENGINE_PRIORITY = 9;
