--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/CallerQueue.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/CallerQueue.java
@@ -84,8 +84,8 @@
 	}
 
 	/**
-	 * Returns whether more may be queued. After the answer {@code false} the callback
-	 * runs when it has changed.
+	 * Returns whether more may be queued. Once it has returned {@code false} it does so
+	 * until the callback has run.
 	 * @return whether the queue is within its allowance
 	 */
 	boolean writable() {
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
@@ -327,7 +327,7 @@
 		}
 	}
 
-	// An upstream that refuses requests for a time is overloaded, not ill.
+	// An upstream that refuses requests for a time is overloaded but works.
 	private Outcome outcomeOf(Verdict verdict) {
 		if (this.context.notices().paused(this.upstream.id(), this.context.nowNanos())) {
 			return Outcome.NEUTRAL;
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamLimits.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/UpstreamLimits.java
@@ -10,9 +10,9 @@
 import io.bulrushrouter.gateway.source.UpstreamRecord;
 
 /**
- * The request rates that upstreams in need have asked for. An upstream names its limit in
- * its responses for as long as the limit applies. This entry spaces its requests by its
- * share of the limit. Not thread-safe.
+ * The request rates that overloaded upstreams have asked for. An upstream names its limit
+ * in its responses for as long as the limit applies. This entry spaces its requests by
+ * its share of the limit. Not thread-safe.
  */
 public final class UpstreamLimits {
 
--- a/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/admission/AdmissionQueue.java
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/admission/AdmissionQueue.java
@@ -179,7 +179,8 @@
 		}
 		// Streams that have become late since the last expiry are moved and not taken, so
 		// that they do not take a place that is held.
-		return this.queues.get(punctual).hasPunctual(nowNanos) ? take(punctual, false, nowNanos) : next(nowNanos);
+		return this.queues.get(punctual).moveLateAndCheckPunctual(nowNanos) ? take(punctual, false, nowNanos)
+				: next(nowNanos);
 	}
 
 	private boolean held(int index, long nowNanos) {
--- a/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/admission/ClassQueue.java
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/admission/ClassQueue.java
@@ -93,7 +93,7 @@
 	 * @param nowNanos the current monotonic time, in nanoseconds
 	 * @return whether one waits
 	 */
-	boolean hasPunctual(long nowNanos) {
+	boolean moveLateAndCheckPunctual(long nowNanos) {
 		for (Dispatch<WaitingStream<T>> dispatch : removeExpired(this.punctual, nowNanos)) {
 			add(dispatch.item(), nowNanos);
 		}
@@ -166,7 +166,7 @@
 			return List.of();
 		}
 		List<WaitingStream<T>> expired = new ArrayList<>();
-		hasPunctual(nowNanos);
+		moveLateAndCheckPunctual(nowNanos);
 		for (Dispatch<WaitingStream<T>> dispatch : removeExpired(this.returning, nowNanos)) {
 			expired.add(dispatch.item());
 		}
