Keep one copy of a priority's precedence and of probe requests

The precedence of an organisation's priority stood in the ticket of admission and in the explanation (now Route.priorityFor), the request of a probe in two monitors (now ProbeRequest). The tokens of a request were added up again for each candidate of each choice, and the candidates copied also where no service publishes a capacity. StreamAdmission kept a callback that only its constructor needs.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/admission/StreamAdmission.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/admission/StreamAdmission.java
@@ -72,8 +72,6 @@
 
 	private static final double HALF = 0.5;
 
-	private final DoubleConsumer onPredictionRatio;
-
 	private final Callbacks<T> callbacks;
 
 	private final ConcurrencyLimit firstEventLimit;
@@ -88,7 +86,7 @@
 
 	private AdmissionSettings settings;
 
-	private Optional<PaceLimit> paceLimit;
+	private final Optional<PaceLimit> paceLimit;
 
 	private int slots;
 
@@ -110,21 +108,16 @@
 			long nowNanos) {
 		this.settings = settings;
 		this.callbacks = callbacks;
-		this.onPredictionRatio = onPredictionRatio;
 		this.firstEventLimit = new ConcurrencyLimit(settings.objective().toMillis());
 		// Without a limit by pauses, streams of returning callers go before all others.
 		double lateShare = settings.maxEventGap().isPresent() ? LATE_SHARE : 1;
 		this.queue = new AdmissionQueue<>(settings.classes(), lateShare, this::places, nowNanos);
 		this.pacer = new AdmissionPacer(nowNanos);
-		this.paceLimit = newPaceLimit();
+		this.paceLimit = settings.maxEventGap()
+			.map((gap) -> new PaceLimit(settings.fixedPassMillis(), gap.toMillis(), onPredictionRatio));
 		this.nowNanos = nowNanos;
 	}
 
-	private Optional<PaceLimit> newPaceLimit() {
-		return this.settings.maxEventGap()
-			.map((gap) -> new PaceLimit(this.settings.fixedPassMillis(), gap.toMillis(), this.onPredictionRatio));
-	}
-
 	/**
 	 * Applies a changed configuration.
 	 * @param replacement what the configuration says now
@@ -153,9 +146,9 @@
 		this.entries = Math.max(1, liveEntries);
 		this.firstEventLimit.slots(allSlots);
 		if (this.paceLimit.isPresent()) {
-			this.paceLimit.get().slots(allSlots, liveEntries);
+			this.paceLimit.get().slots(allSlots, this.entries);
 		}
-		this.pacer.rate((double) allSlots / Math.max(1, liveEntries));
+		this.pacer.rate((double) allSlots / this.entries);
 	}
 
 	private int places(int index) {
@@ -221,7 +214,7 @@
 	}
 
 	private int maxWaiting() {
-		return (int) Math.max(MIN_QUEUE, MAX_QUEUE_SHARE * this.slots / Math.max(1, this.entries));
+		return (int) Math.max(MIN_QUEUE, MAX_QUEUE_SHARE * this.slots / this.entries);
 	}
 
 	/**
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/config/Route.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/config/Route.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalInt;
 
 /**
  * A route matches requests by host and path and defines how they are served.
@@ -57,6 +58,19 @@
 				Optional.empty());
 	}
 
+	/**
+	 * Returns the priority of a request of this route. That of its organisation goes
+	 * before that of the route.
+	 * @param organisation the organisation that sends it, if known
+	 * @return the priority; 0 is the most urgent
+	 */
+	public int priorityFor(Optional<Organisation> organisation) {
+		return organisation.map(Organisation::priority)
+			.filter(OptionalInt::isPresent)
+			.map(OptionalInt::getAsInt)
+			.orElse(this.priority);
+	}
+
 	/**
 	 * Returns whether a service takes requests of this route.
 	 * @param service the service's name
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/AdmissionTicket.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/AdmissionTicket.java
@@ -94,7 +94,7 @@
 		long arrived = request.request().arrivedNanos();
 		long remainingMillis = TimeUnit.NANOSECONDS.toMillis(request.deadlineNanos() - arrived);
 		long elapsedMillis = Math.max(0, route.timeout().toMillis() - remainingMillis);
-		int priority = priority(request);
+		int priority = route.priorityFor(request.organisation());
 		boolean returning = request.request().header(this.context.headers().lastEventId()) != null;
 		double punctualMillis;
 		double startByMillis;
@@ -123,14 +123,6 @@
 		return Math.min(found.settings().patienceMillis(), remainingMillis) - found.firstEventMillis();
 	}
 
-	private static int priority(AdmittedRequest request) {
-		return request.organisation()
-			.map(Organisation::priority)
-			.filter(OptionalInt::isPresent)
-			.map(OptionalInt::getAsInt)
-			.orElse(request.route().priority());
-	}
-
 	/**
 	 * Creates a stream of mean length for an explanation, which is never offered.
 	 * @param admission the admission of the service
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ChoiceExplainer.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ChoiceExplainer.java
@@ -5,7 +5,6 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.Set;
 import java.util.stream.Collectors;
 
@@ -76,7 +75,7 @@
 		for (WeightedService service : route.get().services()) {
 			lines.add("service=" + service.service() + " weight=" + service.weight() + " "
 					+ admission(service.service(), route.get(), organisation,
-							priority(route.get(), organisation, priority), returning)
+							priority.orElseGet(() -> route.get().priorityFor(organisation)), returning)
 					+ expected(service.service(), route.get(), promptTokens));
 			lines.addAll(this.context.explainUpstreams(service.service()));
 		}
@@ -99,17 +98,9 @@
 		});
 	}
 
-	private static int priority(Route route, Optional<Organisation> organisation, Optional<Integer> stated) {
-		return stated
-			.or(() -> organisation.map(Organisation::priority)
-				.filter(OptionalInt::isPresent)
-				.map(OptionalInt::getAsInt))
-			.orElse(route.priority());
-	}
-
 	private static String describe(ActiveConfiguration configuration, Route route, Optional<Organisation> organisation,
 			Optional<Integer> priority) {
-		int effective = priority(route, organisation, priority);
+		int effective = priority.orElseGet(() -> route.priorityFor(organisation));
 		return "route=" + route.name() + " kind=" + route.kind().name().toLowerCase(Locale.ROOT) + " organisation="
 				+ organisation.map(Organisation::name).orElse("-") + " priority=" + effective + " objective-ms="
 				+ route.objective().toMillis() + " timeout-ms=" + route.timeout().toMillis() + " max-attempts="
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/EngineTokens.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/EngineTokens.java
@@ -1,5 +1,6 @@
 package io.bulrushrouter.gateway.forward;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -19,6 +20,9 @@
 
 	private final Optional<Counts> counts;
 
+	/** What the request takes; an answer is cut to what fits beside its prompt. */
+	private final long total;
+
 	private Optional<String> reservedAt = Optional.empty();
 
 	/**
@@ -32,6 +36,8 @@
 		this.inFlight = inFlight;
 		this.capacity = capacity;
 		this.counts = Counts.parse(header);
+		long stated = this.counts.map((known) -> known.prompt() + known.answer()).orElse(0L);
+		this.total = Math.min(stated, capacity.orElse(0));
 	}
 
 	/**
@@ -44,19 +50,22 @@
 					+ this.capacity.getAsLong());
 	}
 
-	// An answer is cut to what fits beside its prompt: the engine would hold no more.
-	private long total() {
-		long stated = this.counts.map((known) -> known.prompt() + known.answer()).orElse(0L);
-		return Math.min(stated, this.capacity.orElse(0));
-	}
-
 	/**
 	 * Returns whether an upstream has room beside the requests of this entry.
 	 * @param upstream the upstream
 	 * @return whether the request fits
 	 */
 	boolean fits(UpstreamRecord upstream) {
-		return this.capacity.isEmpty() || this.inFlight.fits(upstream.id(), total(), this.capacity.getAsLong());
+		return this.capacity.isEmpty() || this.inFlight.fits(upstream.id(), this.total, this.capacity.getAsLong());
+	}
+
+	/**
+	 * Returns the upstreams that have room beside the requests of this entry.
+	 * @param candidates the upstreams to choose from
+	 * @return those that the request fits
+	 */
+	List<UpstreamRecord> fitting(List<UpstreamRecord> candidates) {
+		return this.capacity.isEmpty() ? candidates : candidates.stream().filter(this::fits).toList();
 	}
 
 	/**
@@ -65,9 +74,9 @@
 	 */
 	void reserve(UpstreamRecord upstream) {
 		release();
-		if (total() > 0) {
+		if (this.total > 0) {
 			this.reservedAt = Optional.of(upstream.id());
-			this.inFlight.started(upstream.id(), total());
+			this.inFlight.started(upstream.id(), this.total);
 		}
 	}
 
@@ -75,7 +84,7 @@
 	 * Releases the room that is reserved, if any.
 	 */
 	void release() {
-		this.reservedAt.ifPresent((id) -> this.inFlight.ended(id, total()));
+		this.reservedAt.ifPresent((id) -> this.inFlight.ended(id, this.total));
 		this.reservedAt = Optional.empty();
 	}
 
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/GatewayContext.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/GatewayContext.java
@@ -249,7 +249,7 @@
 		long nowNanos = nowNanos();
 		this.directory.expire(nowNanos);
 		List<UpstreamRecord> allowed = this.notices.allowed(this.directory.ready(service), nowNanos);
-		return this.warmFirst.pick(allowed.stream().filter(tokens::fits).toList(), tried, nowNanos);
+		return this.warmFirst.pick(tokens.fitting(allowed), tried, nowNanos);
 	}
 
 	/**
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ServiceAdmissions.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ServiceAdmissions.java
@@ -102,6 +102,8 @@
 	 */
 	private final class Service implements StreamAdmission.Callbacks<AdmissionTicket> {
 
+		private final String name;
+
 		private final StreamAdmission<AdmissionTicket> admission;
 
 		private final AdmissionMetrics metrics;
@@ -110,8 +112,6 @@
 
 		private boolean sweepScheduled;
 
-		private final String name;
-
 		private long nextLogNanos = Long.MIN_VALUE;
 
 		private Service(String name, AdmissionSettings settings) {
@@ -154,8 +154,8 @@
 
 		private void sweep() {
 			this.sweepScheduled = false;
-			long nowNanos = ServiceAdmissions.this.context.nowNanos();
 			GatewayContext context = ServiceAdmissions.this.context;
+			long nowNanos = context.nowNanos();
 			this.admission.slots(context.slots(this.name), context.entries());
 			this.admission.sweep(nowNanos);
 			logWaiting(nowNanos);
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamMonitor.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamMonitor.java
@@ -13,13 +13,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpVersion;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -223,19 +217,12 @@
 					return;
 				}
 				this.probe = connection;
-				connection.send(probeRequest(), new ProbeResponseHandler(this, UpstreamMonitor.this.onProbeResponse));
+				String path = UpstreamMonitor.this.probePath.apply(this.upstream);
+				connection.send(ProbeRequest.of(this.upstream, path),
+						new ProbeResponseHandler(this, UpstreamMonitor.this.onProbeResponse));
 			}, (reason) -> logger.info("event=probe-failed upstream={} reason=\"{}\"", this.upstream.id(), reason));
 		}
 
-		private FullHttpRequest probeRequest() {
-			FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
-					UpstreamMonitor.this.probePath.apply(this.upstream));
-			request.headers()
-				.set(HttpHeaderNames.HOST, this.upstream.address().getHostString())
-				.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-			return request;
-		}
-
 		private void closeProbe() {
 			if (this.probe != null) {
 				this.probe.abandon();
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/WarmupProbes.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/WarmupProbes.java
@@ -12,13 +12,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpVersion;
 
 import io.bulrushrouter.gateway.config.WarmupSpec;
 import io.bulrushrouter.gateway.source.UpstreamRecord;
@@ -92,9 +86,8 @@
 	 */
 	void probe(List<UpstreamRecord> assumed) {
 		long nowNanos = this.clock.nanos();
-		// The one that was not asked for the longest time goes first, so that upstreams
-		// that
-		// are down do not keep others from being asked.
+		// The longest unasked one goes first, so that upstreams that are down do not keep
+		// others from being asked.
 		for (UpstreamRecord upstream : assumed.stream().sorted(Comparator.comparingLong(this::sentNanos)).toList()) {
 			if (this.inFlight >= MAX_IN_FLIGHT) {
 				return;
@@ -148,7 +141,8 @@
 		this.pool.acquire(upstream, true, (connection) -> {
 			probe.connecting = false;
 			probe.connection = connection;
-			connection.send(request(upstream, spec.get().healthPath()), new ProbeResponseHandler(upstream, probe));
+			connection.send(ProbeRequest.of(upstream, spec.get().healthPath()),
+					new ProbeResponseHandler(upstream, probe));
 			this.loop.schedule(() -> {
 				if (probe.connection == connection) {
 					ended(upstream, probe, false);
@@ -157,14 +151,6 @@
 		}, (reason) -> ended(upstream, probe, false));
 	}
 
-	private static FullHttpRequest request(UpstreamRecord upstream, String path) {
-		FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
-		request.headers()
-			.set(HttpHeaderNames.HOST, upstream.address().getHostString())
-			.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-		return request;
-	}
-
 	private void ended(UpstreamRecord upstream, Probe probe, boolean answered) {
 		this.inFlight--;
 		probe.connecting = false;
--- a/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/admission/PaceLimit.java
+++ b/bulrushrouter-routing/src/main/java/io/bulrushrouter/routing/admission/PaceLimit.java
@@ -234,6 +234,8 @@
 		if (this.stalled) {
 			return 0;
 		}
+		// The minimum is lower for less urgent classes, which leaves room for urgent
+		// ones.
 		double minimum = Math.max(1, minShare(nowNanos) * this.equalShare * share / PriorityClasses.MOST_URGENT_SHARE);
 		double observed = this.estimate.meanMillis(nowNanos);
 		if (observed <= 0) {
@@ -250,7 +252,6 @@
 		return bounded(allowed, minimum);
 	}
 
-	// The minimum is lower for less urgent classes, which leaves room for urgent ones.
 	private double minShare(long nowNanos) {
 		boolean afterStall = nowNanos - this.stalledNanos < TimeUnit.MILLISECONDS
 			.toNanos(IntervalEstimate.WINDOW_MILLIS);
