--- a/review/lab/src/lab/Lab.java
+++ b/review/lab/src/lab/Lab.java
@@ -100,7 +100,7 @@
 	record Gateway(Process process, int port, int readyPort, Path log) {
 
 		void signal(String name) throws Exception {
-			Process kill = new ProcessBuilder("kill", "-" + name, Long.toString(process().pid())).start();
+			Process kill = new ProcessBuilder("sh", "-c", "kill -" + name + " " + process().pid()).start();
 			if (kill.waitFor() != 0) {
 				throw new IOException("kill -" + name + " failed");
 			}
