Follow the upstreams on when an entry cannot be decoded

What callers saw: an entry of another writer whose slots do not fit 32 bits ended the list of upstreams at every gateway. An upstream that drained 4 s later got 48 or 49 reservations beyond the 2 s that are allowed, and took about 2 with it (502). Nothing was logged.

Cause: Fields.intValue threw an ArithmeticException, and KindFeed left an object out on an IllegalArgumentException only. The stage of the call ended exceptionally; FeedFollower continued from successful stages only, so it neither went on nor retried.

FeedFollower continues after any error of the feed or of the listener, with a log line, a counter (store.feed.errors) and a new list, since a listener that failed may have taken only some changes. Each call schedules one next call in one place.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/CrashReporter.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/CrashReporter.java
@@ -14,6 +14,7 @@
 import io.bulrushrouter.gateway.quarantine.CrashEvidence;
 import io.bulrushrouter.gateway.quarantine.CrashReport;
 import io.bulrushrouter.gateway.source.CrashReportStore;
+import io.bulrushrouter.gateway.source.FeedCounters;
 import io.bulrushrouter.gateway.source.FeedFollower;
 import io.bulrushrouter.gateway.source.FeedResult.Item;
 import io.bulrushrouter.gateway.source.JitteredBackoff;
@@ -81,9 +82,10 @@
 	 * @param instance the name of this entry
 	 * @param store the store
 	 * @param evidence what this entry knows of crashes
+	 * @param counters counts what the follower of the reports meets
 	 */
 	public CrashReporter(ScheduledExecutorService loop, TimeSource clock, RandomGenerator random, String instance,
-			CrashReportStore store, CrashEvidence evidence) {
+			CrashReportStore store, CrashEvidence evidence, FeedCounters counters) {
 		this.loop = loop;
 		this.clock = clock;
 		this.random = random;
@@ -96,6 +98,7 @@
 			.loop(loop)
 			.clock(clock)
 			.random(random)
+			.counters(counters)
 			.build();
 		evidence.onChange(this::evidenceChanged);
 	}
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/EvacuationFollower.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/EvacuationFollower.java
@@ -8,6 +8,7 @@
 
 import io.bulrushrouter.gateway.source.Evacuation;
 import io.bulrushrouter.gateway.source.Feed;
+import io.bulrushrouter.gateway.source.FeedCounters;
 import io.bulrushrouter.gateway.source.FeedFollower;
 import io.bulrushrouter.gateway.source.FeedResult.Item;
 import io.bulrushrouter.gateway.upstream.EvacuatedDataCentres;
@@ -38,7 +39,7 @@
 	private final Optional<FeedFollower<Evacuation>> follower;
 
 	EvacuationFollower(ScheduledExecutorService loop, RandomGenerator random, Feed<Evacuation> feed,
-			EvacuatedDataCentres evacuated, Optional<Duration> within) {
+			EvacuatedDataCentres evacuated, Optional<Duration> within, FeedCounters counters) {
 		TimeSource clock = TimeSource.ofSystem();
 		this.follower = within
 			.map((bound) -> FeedFollower.builder("evacuations", feed, new EvacuationListener(evacuated, clock))
@@ -46,6 +47,7 @@
 				.loop(loop)
 				.clock(clock)
 				.random(random)
+				.counters(counters)
 				.build());
 	}
 
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/Gateway.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/Gateway.java
@@ -24,6 +24,7 @@
 import io.bulrushrouter.gateway.forward.GatewayContext;
 import io.bulrushrouter.gateway.membership.EntryMembership;
 import io.bulrushrouter.gateway.quarantine.CrashEvidence;
+import io.bulrushrouter.gateway.source.FeedCounters;
 import io.bulrushrouter.gateway.source.FeedFollower;
 import io.bulrushrouter.gateway.source.FeedResult.Item;
 import io.bulrushrouter.gateway.source.FleetSource;
@@ -95,6 +96,8 @@
 
 	private final CrashReporter crashReporter;
 
+	private final FeedCounters feedCounters = new FeedCounters();
+
 	private final Counter restorations;
 
 	private final CompletableFuture<Void> stopped = new CompletableFuture<>();
@@ -135,23 +138,27 @@
 			.minWatchInterval(MIN_WATCH_INTERVAL)
 			.loop(this.loop)
 			.random(random)
+			.counters(this.feedCounters)
 			.build();
 		this.upstreams = FeedFollower.builder("upstreams", this.source.upstreams(), new UpstreamListener())
 			.watchTimeout(WATCH_TIMEOUT)
 			.minWatchInterval(MIN_WATCH_INTERVAL)
 			.loop(this.loop)
 			.random(random)
+			.counters(this.feedCounters)
 			.build();
 		this.evacuations = new EvacuationFollower(this.loop, random, this.source.evacuations(), this.evacuated,
-				settings.evacuation());
+				settings.evacuation(), this.feedCounters);
 		this.membershipDuty = new MembershipDuty(this.loop, settings.instance(), this.source.entries(), this.membership,
 				random);
 		this.crashReporter = new CrashReporter(this.loop, this.clock, random, settings.instance(),
-				this.source.crashReports(), crashEvidence);
+				this.source.crashReports(), crashEvidence, this.feedCounters);
 		this.shutdown = new GracefulShutdown(this.loop, this.context, this.callers, settings.grace(), this.stopped);
 		this.restorations = this.registry.counter("bulrush.gateway.store.restorations");
 		this.registry.gauge("bulrush.gateway.open", this.context, GatewayContext::inFlight);
 		this.registry.gauge("bulrush.gateway.store.calls", this.source, FleetSource::calls);
+		this.registry.gauge("bulrush.gateway.store.ignored.objects", this.source, FleetSource::ignoredObjects);
+		this.registry.gauge("bulrush.gateway.store.feed.errors", this.feedCounters, FeedCounters::errors);
 		this.registry.gauge("bulrush.gateway.configuration", this, (gateway) -> gateway.configurationVersion);
 		this.registry.gauge("bulrush.gateway.crash.suspects", crashEvidence, CrashEvidence::suspects);
 		this.registry.gauge("bulrush.gateway.crash.quarantines", crashEvidence, CrashEvidence::quarantines);
@@ -203,9 +210,15 @@
 		return new StatusServer.Page(ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
 	}
 
+	// A periodic task that throws is not run again.
 	private void sweep() {
-		this.context.sweep();
-		this.callers.sweep(this.clock.nanos());
+		try {
+			this.context.sweep();
+			this.callers.sweep(this.clock.nanos());
+		}
+		catch (RuntimeException ex) {
+			logger.error("event=sweep-failed detail=\"{}\"", ex.toString(), ex);
+		}
 	}
 
 	/**
@@ -283,8 +296,8 @@
 			if (configuration.version() <= Gateway.this.configurationVersion) {
 				return;
 			}
-			Gateway.this.configurationVersion = configuration.version();
 			Gateway.this.context.configuration(ActiveConfiguration.of(configuration));
+			Gateway.this.configurationVersion = configuration.version();
 			logger.info("event=configuration-adopted version={} routes={} services={} organisations={}",
 					configuration.version(), configuration.routes().size(), configuration.services().size(),
 					configuration.organisations().size());
@@ -315,10 +328,12 @@
 		}
 
 		private void log(List<Item<UpstreamRecord>> items) {
-			items.forEach((item) -> logger.info("event=upstream id={} state={} service={} address={}", item.name(),
-					item.value().map((record) -> record.leaving() ? "leaving" : "ready").orElse("gone"),
-					item.value().map(UpstreamRecord::service).orElse("-"),
-					item.value().map((record) -> record.address().toString()).orElse("-")));
+			items.stream()
+				.filter((item) -> item.value().isPresent() || Gateway.this.directory.find(item.name()).isPresent())
+				.forEach((item) -> logger.info("event=upstream id={} state={} service={} address={}", item.name(),
+						item.value().map((record) -> record.leaving() ? "leaving" : "ready").orElse("gone"),
+						item.value().map(UpstreamRecord::service).orElse("-"),
+						item.value().map((record) -> record.address().toString()).orElse("-")));
 		}
 
 		@Override
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/FeedFollower.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/FeedFollower.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -15,7 +17,8 @@
 /**
  * Keeps a listener up to date with a {@link Feed}: lists it once, then watches it, and
  * lists it again when the store no longer has the history or was restored from a copy.
- * Failed calls are retried with exponential backoff and jitter. Runs on a single thread,
+ * Failed calls are retried with exponential backoff and jitter. Whatever the feed or the
+ * listener throws, the objects are listed again after a delay. Runs on a single thread,
  * on which the stages of the feed must complete too.
  *
  * @param <T> the type that objects are decoded into
@@ -27,6 +30,9 @@
 	/** Backoff after failed calls, short so that a recovered store is noticed soon. */
 	private static final JitteredBackoff BACKOFF = new JitteredBackoff(60, 500);
 
+	/** Backoff after errors of this process, which a recovered store does not end. */
+	private static final JitteredBackoff ERROR_BACKOFF = new JitteredBackoff(100, 5_000);
+
 	private static final long UNKNOWN_ERA = -1;
 
 	private final String name;
@@ -45,12 +51,16 @@
 
 	private final RandomGenerator random;
 
+	private final FeedCounters counters;
+
 	private long revision = -1;
 
 	private long era = UNKNOWN_ERA;
 
 	private int failures;
 
+	private int errors;
+
 	private boolean closed;
 
 	private FeedFollower(Builder<T> builder) {
@@ -62,6 +72,7 @@
 		this.loop = builder.loop;
 		this.clock = builder.clock;
 		this.random = builder.random;
+		this.counters = builder.counters;
 	}
 
 	/**
@@ -83,68 +94,88 @@
 		requestNext();
 	}
 
+	// Each call schedules exactly one next call, also after an error.
 	private void requestNext() {
 		if (this.closed) {
 			return;
 		}
 		long requestedNanos = this.clock.nanos();
-		var stage = (this.revision < 0) ? this.feed.list() : this.feed.watch(this.revision, this.watchTimeout.get());
-		stage.thenAccept((result) -> accept(result, requestedNanos));
+		CompletableFuture.completedStage(null)
+			.thenCompose((start) -> listOrWatch())
+			.thenApply((result) -> accept(result, requestedNanos))
+			.whenComplete((delayNanos, error) -> requestAfter((error != null) ? failed(error) : delayNanos));
 	}
 
-	private void accept(FeedResult<T> result, long requestedNanos) {
+	private CompletionStage<FeedResult<T>> listOrWatch() {
+		return (this.revision < 0) ? this.feed.list() : this.feed.watch(this.revision, this.watchTimeout.get());
+	}
+
+	private void requestAfter(long delayNanos) {
+		if (delayNanos <= 0) {
+			requestNext();
+		}
+		else {
+			this.loop.schedule(this::requestNext, delayNanos, TimeUnit.NANOSECONDS);
+		}
+	}
+
+	// Returns the delay of the next call.
+	private long accept(FeedResult<T> result, long requestedNanos) {
 		if (this.closed) {
-			return;
+			return 0;
 		}
 		if (result instanceof FeedResult.Unavailable<T> unavailable) {
-			failed(unavailable.reason());
-			return;
+			return failed(unavailable.reason());
 		}
 		if (result instanceof FeedResult.HistoryLost<T>) {
 			logger.info("event=store-history-lost feed={} revision={}", this.name, this.revision);
 			this.revision = -1;
-			requestNext();
-			return;
+			return 0;
 		}
 		if (this.failures > 0) {
 			logger.info("event=store-regained feed={} failed-calls={}", this.name, this.failures);
 			this.failures = 0;
 		}
-		if (result instanceof FeedResult.Listed<T> listed) {
-			if (fromOlderEra(listed.era())) {
-				return;
-			}
-			enter(listed.era(), listed.revision());
-			this.revision = listed.revision();
-			this.listener.listed(listed.items(), requestedNanos);
+		long delayNanos = (result instanceof FeedResult.Changed<T> changed) ? acceptChanges(changed, requestedNanos)
+				: acceptList((FeedResult.Listed<T>) result, requestedNanos);
+		this.errors = 0;
+		return delayNanos;
+	}
+
+	private long acceptList(FeedResult.Listed<T> listed, long requestedNanos) {
+		if (fromOlderEra(listed.era())) {
+			return olderEra(listed.era());
 		}
-		else if (result instanceof FeedResult.Changed<T> changed) {
-			if (fromOlderEra(changed.era())) {
-				return;
-			}
-			if (enter(changed.era(), changed.revision())) {
-				// Revisions were given out again, so the changes do not follow what is
-				// known.
-				this.revision = -1;
-				requestNext();
-				return;
-			}
-			this.revision = Math.max(this.revision, changed.revision());
-			this.listener.changed(changed.changes(), requestedNanos);
-			requestAfterInterval(requestedNanos);
-			return;
+		enter(listed.era(), listed.revision());
+		this.revision = listed.revision();
+		this.listener.listed(listed.items(), requestedNanos);
+		return 0;
+	}
+
+	private long acceptChanges(FeedResult.Changed<T> changed, long requestedNanos) {
+		if (fromOlderEra(changed.era())) {
+			return olderEra(changed.era());
 		}
-		requestNext();
+		if (enter(changed.era(), changed.revision())) {
+			// Revisions were given out again, so the changes do not follow what is known.
+			this.revision = -1;
+			return 0;
+		}
+		this.revision = Math.max(this.revision, changed.revision());
+		this.listener.changed(changed.changes(), requestedNanos);
+		// When the whole fleet starts, each object changes by itself: the next call then
+		// returns many changes at once.
+		return this.minWatchInterval.toNanos() - (this.clock.nanos() - requestedNanos);
 	}
 
 	// An answer that was sent before the store was restored describes objects that may no
 	// longer exist.
 	private boolean fromOlderEra(long answerEra) {
-		if (answerEra == Feed.ERA_NOT_STATED || answerEra >= this.era) {
-			return false;
-		}
-		failed("an answer of era " + answerEra + " arrived in era " + this.era);
-		return true;
+		return answerEra != Feed.ERA_NOT_STATED && answerEra < this.era;
+	}
+
+	private long olderEra(long answerEra) {
+		return failed("an answer of era " + answerEra + " arrived in era " + this.era);
 	}
 
 	// Returns whether the store was restored from a copy since the last answer.
@@ -159,24 +190,21 @@
 		return restored;
 	}
 
-	// When the whole fleet starts, each object changes by itself: the next call then
-	// returns many changes at once.
-	private void requestAfterInterval(long requestedNanos) {
-		long delayNanos = this.minWatchInterval.toNanos() - (this.clock.nanos() - requestedNanos);
-		if (delayNanos <= 0) {
-			requestNext();
-		}
-		else {
-			this.loop.schedule(this::requestNext, delayNanos, TimeUnit.NANOSECONDS);
-		}
-	}
-
-	private void failed(String reason) {
+	private long failed(String reason) {
 		if (this.failures++ == 0) {
 			logger.warn("event=store-lost feed={} reason=\"{}\"", this.name, reason);
 		}
 		this.listener.unavailable();
-		this.loop.schedule(this::requestNext, BACKOFF.delayMillis(this.failures, this.random), TimeUnit.MILLISECONDS);
+		return TimeUnit.MILLISECONDS.toNanos(BACKOFF.delayMillis(this.failures, this.random));
+	}
+
+	// A listener that failed may have taken only some of the changes, so all objects are
+	// listed.
+	private long failed(Throwable error) {
+		logger.error("event=feed-failed feed={} detail=\"{}\"", this.name, error.toString(), error);
+		this.counters.recordError();
+		this.revision = -1;
+		return TimeUnit.MILLISECONDS.toNanos(ERROR_BACKOFF.delayMillis(this.errors++, this.random));
 	}
 
 	@Override
@@ -248,6 +276,8 @@
 
 		private RandomGenerator random;
 
+		private FeedCounters counters = new FeedCounters();
+
 		private Builder(String name, Feed<T> feed, Listener<T> listener) {
 			this.name = name;
 			this.feed = feed;
@@ -314,6 +344,16 @@
 			return this;
 		}
 
+		/**
+		 * Sets the counters of what the follower met, which several followers may share.
+		 * @param counters the counters
+		 * @return this builder
+		 */
+		public Builder<T> counters(FeedCounters counters) {
+			this.counters = counters;
+			return this;
+		}
+
 		/**
 		 * Builds the follower.
 		 * @return the follower, not yet started
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/FleetSource.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/FleetSource.java
@@ -46,6 +46,13 @@
 	 */
 	long calls();
 
+	/**
+	 * Returns the number of configurations, upstreams and evacuations in the store that
+	 * cannot be decoded.
+	 * @return the number of objects
+	 */
+	int ignoredObjects();
+
 	@Override
 	void close();
 
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/GatewayFixture.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/GatewayFixture.java
@@ -33,6 +33,7 @@
 import io.bulrushrouter.gateway.node.CrashReporter;
 import io.bulrushrouter.gateway.quarantine.CrashEvidence;
 import io.bulrushrouter.gateway.source.Evacuation;
+import io.bulrushrouter.gateway.source.FeedCounters;
 import io.bulrushrouter.gateway.source.FeedResult.Item;
 import io.bulrushrouter.gateway.source.FreshnessProof;
 import io.bulrushrouter.gateway.source.HeaderNames;
@@ -104,7 +105,7 @@
 		this.membership = new EntryMembership(name);
 		CrashEvidence evidence = new CrashEvidence(name, name.hashCode(), this.membership::position);
 		this.crashReporter = new CrashReporter(this.group.next(), TimeSource.ofSystem(), new Random(1), name,
-				crashReports.storeFor(this.group.next()), evidence);
+				crashReports.storeFor(this.group.next()), evidence, new FeedCounters());
 		FreshnessProof freshness = new FreshnessProof(() -> this.proofAgeMillis * 1_000_000, () -> this.proofAgeMillis);
 		freshness.prove(0);
 		ForwardSettings settings = new ForwardSettings(0.16, SPARE_RETRIES, Duration.ofSeconds(10),
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/node/EvacuationFollowerTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/node/EvacuationFollowerTests.java
@@ -16,6 +16,7 @@
 
 import io.bulrushrouter.gateway.source.Evacuation;
 import io.bulrushrouter.gateway.source.Feed;
+import io.bulrushrouter.gateway.source.FeedCounters;
 import io.bulrushrouter.gateway.source.FeedResult;
 import io.bulrushrouter.gateway.source.FeedResult.Item;
 import io.bulrushrouter.gateway.source.UpstreamRecord;
@@ -148,7 +149,8 @@
 		channel.freezeTime();
 		EvacuatedDataCentres learned = EvacuatedDataCentres.ofUnknown();
 		try (EvacuationFollower follower = new EvacuationFollower(channel.eventLoop(), new Random(1),
-				new LostThenSlowFeed(channel.eventLoop()), learned, Optional.of(Duration.ofSeconds(5)))) {
+				new LostThenSlowFeed(channel.eventLoop()), learned, Optional.of(Duration.ofSeconds(5)),
+				new FeedCounters())) {
 			follower.start();
 			int millis = 0;
 			while (!learned.contains("b")) {
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/node/GatewayStopTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/node/GatewayStopTests.java
@@ -276,6 +276,11 @@
 			return 0;
 		}
 
+		@Override
+		public int ignoredObjects() {
+			return 0;
+		}
+
 		@Override
 		public void close() {
 			// There is nothing to close.
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/source/FeedFollowerTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/source/FeedFollowerTests.java
@@ -13,6 +13,8 @@
 
 import io.netty.channel.embedded.EmbeddedChannel;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 import io.bulrushrouter.gateway.source.FeedResult.Item;
 
@@ -41,6 +43,8 @@
 
 	private long elapsedNanos;
 
+	private Seam failingSeam;
+
 	private void complete(FeedResult<String> answer) {
 		this.pending.poll().complete(answer);
 	}
@@ -152,6 +156,52 @@
 		assertThat(this.notifications).containsExactly("listed []", "changed [a]").inOrder();
 	}
 
+	// Guards against a follower that ends, without a line in the log, when something
+	// throws.
+	@ParameterizedTest
+	@EnumSource
+	void listsAgainWhateverThrows(Seam seam) {
+		this.failingSeam = seam;
+		FeedCounters counters = new FeedCounters();
+		FeedFollower.builder("test", new RecordingFeed(), new RecordingListener())
+			.loop(this.channel.eventLoop())
+			.random(new Random(1))
+			.counters(counters)
+			.build()
+			.start();
+		while (counters.errors() == 0) {
+			List<Item<String>> items = List.of(new Item<>("a", Optional.of("1")));
+			boolean listed = this.calls.get(this.calls.size() - 1).equals("list");
+			complete(listed ? new FeedResult.Listed<>(items, 40, 1)
+					: (seam == Seam.UNAVAILABLE) ? new FeedResult.Unavailable<>("reset")
+							: new FeedResult.Changed<>(items, 44, (seam == Seam.RESTORED) ? 2 : 1));
+		}
+		this.failingSeam = null;
+		this.calls.clear();
+		this.pending.clear();
+		this.notifications.clear();
+		this.channel.advanceTimeBy(1, TimeUnit.SECONDS);
+		this.channel.runScheduledPendingTasks();
+		complete(new FeedResult.Listed<>(List.of(new Item<>("b", Optional.of("1"))), 50, 2));
+		assertThat(this.calls).containsExactly("list", "watch 50").inOrder();
+		assertThat(this.notifications).contains("listed [b]");
+		assertThat(counters.errors()).isEqualTo(1);
+	}
+
+	@Test
+	void listsEverLessOftenWhileTheListenerFails() {
+		this.failingSeam = Seam.LISTED;
+		startWithMinWatchInterval();
+		for (int second = 0; second < 60; second++) {
+			advance(1_000);
+			while (!this.pending.isEmpty()) {
+				complete(new FeedResult.Listed<>(List.of(), 40, 0));
+			}
+		}
+		assertThat(this.calls.size()).isAtLeast(10);
+		assertThat(this.calls.size()).isAtMost(40);
+	}
+
 	private void startWithMinWatchInterval() {
 		this.channel.freezeTime();
 		FeedFollower.builder("test", new RecordingFeed(), new RecordingListener())
@@ -169,6 +219,18 @@
 		this.channel.runScheduledPendingTasks();
 	}
 
+	private void failAt(Seam seam) {
+		if (this.failingSeam == seam) {
+			throw new IllegalStateException(seam.name());
+		}
+	}
+
+	private enum Seam {
+
+		LIST, WATCH, STAGE, LISTED, CHANGED, RESTORED, UNAVAILABLE
+
+	}
+
 	private final class RecordingFeed implements Feed<String> {
 
 		@Override
@@ -183,6 +245,10 @@
 
 		private CompletionStage<FeedResult<String>> recordCall(String call) {
 			FeedFollowerTests.this.calls.add(call);
+			failAt(call.equals("list") ? Seam.LIST : Seam.WATCH);
+			if (FeedFollowerTests.this.failingSeam == Seam.STAGE) {
+				return CompletableFuture.failedStage(new IllegalStateException("stage"));
+			}
 			CompletableFuture<FeedResult<String>> answer = new CompletableFuture<>();
 			FeedFollowerTests.this.pending.add(answer);
 			return answer;
@@ -194,21 +260,25 @@
 
 		@Override
 		public void listed(List<Item<String>> items, long requestedNanos) {
+			failAt(Seam.LISTED);
 			FeedFollowerTests.this.notifications.add("listed " + items.stream().map(Item::name).toList());
 		}
 
 		@Override
 		public void changed(List<Item<String>> changes, long requestedNanos) {
+			failAt(Seam.CHANGED);
 			FeedFollowerTests.this.notifications.add("changed " + changes.stream().map(Item::name).toList());
 		}
 
 		@Override
 		public void restored() {
+			failAt(Seam.RESTORED);
 			FeedFollowerTests.this.notifications.add("restored");
 		}
 
 		@Override
 		public void unavailable() {
+			failAt(Seam.UNAVAILABLE);
 			FeedFollowerTests.this.notifications.add("unavailable");
 		}
 
--- a/bulrushrouter-ranks/src/test/java/io/bulrushrouter/ranks/RankSidecarTests.java
+++ b/bulrushrouter-ranks/src/test/java/io/bulrushrouter/ranks/RankSidecarTests.java
@@ -260,6 +260,11 @@
 			return 0;
 		}
 
+		@Override
+		public int ignoredObjects() {
+			return 0;
+		}
+
 		@Override
 		public void close() {
 			// Nothing to close.
