Continue loops after a call that ends with an error

Cause: like the followers of feeds, further loops continued only from stages that completed normally: the heartbeats and the list of entries, the writes of crash reports, orders to the engine of a rank and the collection of demand. An order whose attempt ended exceptionally never completed, and its leader waited for it without end while its group may have been held.

Change: each of them treats an error as a failed call, logs it and goes on.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/CrashReporter.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/CrashReporter.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
@@ -130,19 +131,27 @@
 		}
 		this.writing = true;
 		CrashReport report = this.evidence.nextReport();
-		this.store.write(this.instance, report).thenAccept((accepted) -> {
-			logger.info("event=crash-report sequence={} suspected-crashes={} cleared-crashes={} accepted={}",
-					report.sequence(), report.suspected().size(), report.cleared().size(), accepted);
-			if (accepted) {
-				this.failures = 0;
-				this.writing = false;
-				writeDueReport();
-			}
-			else {
-				this.loop.schedule(this::retry, BACKOFF.delayMillis(this.failures++, this.random),
-						TimeUnit.MILLISECONDS);
-			}
-		});
+		CompletableFuture.completedStage(null)
+			.thenCompose((start) -> this.store.write(this.instance, report))
+			.exceptionally((error) -> {
+				logger.error("event=crash-report-failed sequence={} detail=\"{}\"", report.sequence(), error.toString(),
+						error);
+				return false;
+			})
+			.thenAccept((accepted) -> written(report, accepted));
+	}
+
+	private void written(CrashReport report, boolean accepted) {
+		logger.info("event=crash-report sequence={} suspected-crashes={} cleared-crashes={} accepted={}",
+				report.sequence(), report.suspected().size(), report.cleared().size(), accepted);
+		if (accepted) {
+			this.failures = 0;
+			this.writing = false;
+			writeDueReport();
+		}
+		else {
+			this.loop.schedule(this::retry, BACKOFF.delayMillis(this.failures++, this.random), TimeUnit.MILLISECONDS);
+		}
 	}
 
 	private void retry() {
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/MembershipDuty.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/MembershipDuty.java
@@ -1,5 +1,8 @@
 package io.bulrushrouter.gateway.node;
 
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
@@ -8,6 +11,7 @@
 import org.slf4j.LoggerFactory;
 
 import io.bulrushrouter.gateway.membership.EntryMembership;
+import io.bulrushrouter.gateway.source.EntryHeartbeat;
 import io.bulrushrouter.gateway.source.EntryRegistry;
 
 /**
@@ -66,11 +70,18 @@
 	}
 
 	private void heartbeat() {
-		this.registry.heartbeat(this.instance, ++this.sequence).thenAccept((accepted) -> {
-			if (!accepted) {
-				logger.info("event=heartbeat-failed instance={} sequence={}", this.instance, this.sequence);
-			}
-		});
+		long written = ++this.sequence;
+		CompletableFuture.completedStage(null)
+			.thenCompose((start) -> this.registry.heartbeat(this.instance, written))
+			.whenComplete((accepted, error) -> {
+				if (error != null) {
+					logger.error("event=heartbeat-failed instance={} sequence={} detail=\"{}\"", this.instance, written,
+							error.toString(), error);
+				}
+				else if (!accepted) {
+					logger.info("event=heartbeat-failed instance={} sequence={}", this.instance, written);
+				}
+			});
 	}
 
 	private void list() {
@@ -80,11 +91,22 @@
 		if (++this.listings % LISTINGS_PER_HEARTBEAT == 0) {
 			heartbeat();
 		}
-		this.registry.list().thenAccept((heartbeats) -> {
-			heartbeats.ifPresentOrElse(this.membership::listed, this.membership::listingFailed);
-			logSize();
-			this.loop.schedule(this::list, listingIntervalMillis(), TimeUnit.MILLISECONDS);
-		});
+		CompletableFuture.completedStage(null)
+			.thenCompose((start) -> this.registry.list())
+			.thenAccept(this::listed)
+			.whenComplete((done, error) -> {
+				if (error != null) {
+					logger.error("event=listing-failed instance={} detail=\"{}\"", this.instance, error.toString(),
+							error);
+					this.membership.listingFailed();
+				}
+				this.loop.schedule(this::list, listingIntervalMillis(), TimeUnit.MILLISECONDS);
+			});
+	}
+
+	private void listed(Optional<List<EntryHeartbeat>> heartbeats) {
+		heartbeats.ifPresentOrElse(this.membership::listed, this.membership::listingFailed);
+		logSize();
 	}
 
 	private long listingIntervalMillis() {
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/node/MembershipDutyTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/node/MembershipDutyTests.java
@@ -73,6 +73,17 @@
 		assertThat(this.registry.listings).isAtLeast(SECONDS / 25);
 	}
 
+	// Guards against an entry that never lists the others again after a call that threw.
+	@ParameterizedTest
+	@ValueSource(booleans = { true, false })
+	void goesOnWhenCallsEndWithAnError(boolean thrown) {
+		this.registry.error = Optional.of(new IllegalStateException("a defect"));
+		this.registry.thrown = thrown;
+		run();
+		assertThat(this.registry.listings).isAtLeast(SECONDS / 25);
+		assertThat(this.registry.sequences.size()).isWithin(2).of(this.registry.listings / 2);
+	}
+
 	private static final class RecordingRegistry implements EntryRegistry {
 
 		private final List<Long> sequences = new ArrayList<>();
@@ -83,21 +94,31 @@
 
 		private boolean available = true;
 
+		private Optional<RuntimeException> error = Optional.empty();
+
+		private boolean thrown;
+
+		private <T> CompletionStage<T> answer(T value) {
+			if (this.thrown) {
+				throw this.error.orElseThrow();
+			}
+			return this.error.<CompletionStage<T>>map(CompletableFuture::failedStage)
+				.orElseGet(() -> CompletableFuture.completedFuture(value));
+		}
+
 		@Override
 		public CompletionStage<Boolean> heartbeat(String instance, long sequence) {
 			this.sequences.add(sequence);
-			return CompletableFuture.completedFuture(this.available);
+			return answer(this.available);
 		}
 
 		@Override
 		public CompletionStage<Optional<List<EntryHeartbeat>>> list() {
 			int listing = this.listings++;
-			return CompletableFuture.completedFuture(
-					Optional
-						.of(IntStream.range(0, this.entries)
-							.mapToObj((index) -> new EntryHeartbeat("entry-" + index, listing))
-							.toList())
-						.filter((heartbeats) -> this.available));
+			List<EntryHeartbeat> heartbeats = IntStream.range(0, this.entries)
+				.mapToObj((index) -> new EntryHeartbeat("entry-" + index, listing))
+				.toList();
+			return answer(Optional.of(heartbeats).filter((listed) -> this.available));
 		}
 
 	}
--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/DemandCollector.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/DemandCollector.java
@@ -97,22 +97,25 @@
 		}
 		long startNanos = this.clock.nanos();
 		this.bytesReceived = 0;
+		CompletableFuture.completedStage(null).thenCompose((start) -> requestAll()).whenComplete((all, failure) -> {
+			if (failure != null) {
+				logger.error("event=demand-collection-failed detail=\"{}\"", failure.toString(), failure);
+			}
+			long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(this.clock.nanos() - startNanos);
+			long delayMillis = intervalMillis(this.bytesReceived, this.ranks.size(), this.linkBytesPerSecond)
+					- elapsedMillis;
+			this.loop.schedule(this::collect, Math.max(1, delayMillis), TimeUnit.MILLISECONDS);
+		});
+	}
+
+	private CompletionStage<Void> requestAll() {
 		List<CompletableFuture<Optional<ChoiceSample>>> answers = new ArrayList<>();
 		answers.add(this.ownReporter.choices().toCompletableFuture());
 		for (List<RankConnection> part : RelayPlan.parts(this.ranks, this.rotation)) {
 			answers.add(request(part).toCompletableFuture());
 		}
-		CompletableFuture.allOf(answers.toArray(CompletableFuture[]::new))
-			.thenAccept((all) -> collected(answers))
-			.whenComplete((all, failure) -> {
-				if (failure != null) {
-					logger.error("event=demand-collection-failed detail=\"{}\"", failure.toString(), failure);
-				}
-				long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(this.clock.nanos() - startNanos);
-				long delayMillis = intervalMillis(this.bytesReceived, this.ranks.size(), this.linkBytesPerSecond)
-						- elapsedMillis;
-				this.loop.schedule(this::collect, Math.max(1, delayMillis), TimeUnit.MILLISECONDS);
-			});
+		return CompletableFuture.allOf(answers.toArray(CompletableFuture[]::new))
+			.thenAccept((all) -> collected(answers));
 	}
 
 	private void collected(List<CompletableFuture<Optional<ChoiceSample>>> answers) {
--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/RetryingOrderSender.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/RetryingOrderSender.java
@@ -5,6 +5,9 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
 import io.bulrushrouter.experts.live.OrderResult;
 import io.bulrushrouter.experts.live.RankOrder;
 
@@ -16,6 +19,8 @@
  */
 final class RetryingOrderSender {
 
+	private static final Logger logger = LoggerFactory.getLogger(RetryingOrderSender.class);
+
 	/** Several times the response time of an engine on the same instance. */
 	static final long RETRY_INTERVAL_MILLIS = 40;
 
@@ -73,10 +78,19 @@
 				return;
 			}
 			this.attempts++;
-			RetryingOrderSender.this.engine.order(this.order, this.epoch, this.fence).thenAccept(this::handleResult);
+			CompletableFuture.completedStage(null)
+				.thenCompose((start) -> RetryingOrderSender.this.engine.order(this.order, this.epoch, this.fence))
+				.exceptionally(this::unknown)
+				.thenAccept(this::handleResult);
 			RetryingOrderSender.this.loop.schedule(this::sendAttempt, RETRY_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
 		}
 
+		private OrderResult unknown(Throwable error) {
+			logger.error("event=order-failed epoch={} fence={} detail=\"{}\"", this.epoch, this.fence, error.toString(),
+					error);
+			return OrderResult.UNKNOWN;
+		}
+
 		private void handleResult(OrderResult attemptResult) {
 			if (attemptResult == OrderResult.UNKNOWN) {
 				this.unanswered++;
--- a/bulrushrouter-ranks/src/test/java/io/bulrushrouter/ranks/RetryingOrderSenderTests.java
+++ b/bulrushrouter-ranks/src/test/java/io/bulrushrouter/ranks/RetryingOrderSenderTests.java
@@ -30,6 +30,8 @@
 		.send(new RankOrder.Go(7), 1, 2)
 		.toCompletableFuture();
 
+	private boolean failing;
+
 	private void advance(long millis) {
 		this.loop.advanceTimeBy(millis, TimeUnit.MILLISECONDS);
 		this.loop.runScheduledPendingTasks();
@@ -78,6 +80,17 @@
 		assertThat(this.result.join()).isEqualTo(OrderResult.UNKNOWN);
 	}
 
+	// Guards against an order without an end, for which its leader would wait forever.
+	@Test
+	void returnsUnknownIfAttemptsEndWithAnError() {
+		this.failing = true;
+		for (int interval = 0; interval < 10; interval++) {
+			advance(RetryingOrderSender.RETRY_INTERVAL_MILLIS);
+		}
+		this.attempts.get(0).completeExceptionally(new IllegalStateException("a defect"));
+		assertThat(this.result.getNow(null)).isEqualTo(OrderResult.UNKNOWN);
+	}
+
 	/**
 	 * Leaves each order pending until the test completes it.
 	 */
@@ -87,6 +100,9 @@
 		public CompletionStage<OrderResult> order(RankOrder order, long epoch, long fence) {
 			CompletableFuture<OrderResult> attempt = new CompletableFuture<>();
 			RetryingOrderSenderTests.this.attempts.add(attempt);
+			if (RetryingOrderSenderTests.this.failing) {
+				throw new IllegalStateException("a defect");
+			}
 			return attempt;
 		}
 
