Tell a lost connection to the store from a lost store

What callers saw: connections of an entry to the store went silent while new ones worked, and an upstream was removed 0.5 s later. It got 36 reservations more than 2 s after the acknowledged removal, at an entry in touch, up to its exit (502 for the last ones). A configuration could be in force 2.7 s after its acknowledgement after such a silence.

Cause: a call without an answer was taken for a store that is away. Its time-out, 2.7 s for a watch, was the only sign of a silent connection; the pool handed out connections that had gone silent with it, for 2.7 s more; and the first answer after a failed call opened the time in which upstreams register again, so that the removal was held back for another 2.2 s.

Change: a watch whose answer is 0.3 s overdue, or whose connection is cut, is repeated at once on a new connection (FeedCall). If that is answered, only the connection was lost: removals take effect. If not, the store is lost as before. A silence of more than 2.2 s may hide an outage in which entries lapsed, and counts as one. While the store is slow, answers are overdue later (twice the last delay, up to 1.2 s), so that it costs one call and not one for each watch. The log and two counters tell connection and store apart.

Why it works: entries lapse after three missing heartbeats of 1.2 s, so a store that answers on a new connection within 2.2 s of its last answer has dropped no live upstream meanwhile.

Tests of platform, gateway, ranks and the modules that they need pass.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/Gateway.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/Gateway.java
@@ -159,6 +159,8 @@
 		this.registry.gauge("bulrush.gateway.store.calls", this.source, FleetSource::calls);
 		this.registry.gauge("bulrush.gateway.store.ignored.objects", this.source, FleetSource::ignoredObjects);
 		this.registry.gauge("bulrush.gateway.store.feed.errors", this.feedCounters, FeedCounters::errors);
+		this.registry.gauge("bulrush.gateway.store.lost.connections", this.feedCounters, FeedCounters::lostConnections);
+		this.registry.gauge("bulrush.gateway.store.outages", this.feedCounters, FeedCounters::outages);
 		this.registry.gauge("bulrush.gateway.configuration", this, (gateway) -> gateway.configurationVersion);
 		this.registry.gauge("bulrush.gateway.crash.suspects", crashEvidence, CrashEvidence::suspects);
 		this.registry.gauge("bulrush.gateway.crash.quarantines", crashEvidence, CrashEvidence::quarantines);
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/Feed.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/Feed.java
@@ -29,4 +29,12 @@
 	 */
 	CompletionStage<FeedResult<T>> watch(long revision, Duration timeout);
 
+	/**
+	 * Makes the next calls use new connections, as those that are idle may have been lost
+	 * without being closed. Does nothing by default, which suits a feed without
+	 * connections.
+	 */
+	default void renewConnections() {
+	}
+
 }
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/FeedCounters.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/FeedCounters.java
@@ -7,10 +7,22 @@
 
 	private long errors;
 
+	private long lostConnections;
+
+	private long outages;
+
 	void recordError() {
 		this.errors++;
 	}
 
+	void recordLostConnection() {
+		this.lostConnections++;
+	}
+
+	void recordOutage() {
+		this.outages++;
+	}
+
 	/**
 	 * Returns the number of errors of this process, after each of which a feed was listed
 	 * again.
@@ -20,4 +32,21 @@
 		return this.errors;
 	}
 
+	/**
+	 * Returns the number of connections that were silent or lost while the store answered
+	 * on a new one.
+	 * @return the number of connections
+	 */
+	public long lostConnections() {
+		return this.lostConnections;
+	}
+
+	/**
+	 * Returns the number of times that a feed lost the store.
+	 * @return the number of outages, over all feeds
+	 */
+	public long outages() {
+		return this.outages;
+	}
+
 }
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/FeedFollower.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/FeedFollower.java
@@ -20,6 +20,9 @@
  * Failed calls are retried with exponential backoff and jitter. Whatever the feed or the
  * listener throws, the objects are listed again after a delay. Runs on a single thread,
  * on which the stages of the feed must complete too.
+ * <p>
+ * A call that is not answered says nothing about the store. It is repeated at once on a
+ * new connection: if that is answered, only a connection was lost.
  *
  * @param <T> the type that objects are decoded into
  */
@@ -33,6 +36,18 @@
 	/** Backoff after errors of this process, which a recovered store does not end. */
 	private static final JitteredBackoff ERROR_BACKOFF = new JitteredBackoff(100, 5_000);
 
+	/** The least time for which an answer is overdue before the call is repeated. */
+	private static final Duration MIN_OVERDUE = Duration.ofMillis(300);
+
+	/** The same while the store is slow. */
+	private static final Duration MAX_OVERDUE = Duration.ofMillis(1_200);
+
+	/**
+	 * An entry lapses after three heartbeats of 1.2 s are missing, of which one may have
+	 * been due when the store last answered.
+	 */
+	private static final Duration DEFAULT_MAX_SILENCE = Duration.ofMillis(2_200);
+
 	private static final long UNKNOWN_ERA = -1;
 
 	private final String name;
@@ -43,6 +58,8 @@
 
 	private final Duration minWatchInterval;
 
+	private final Duration maxSilence;
+
 	private final Listener<T> listener;
 
 	private final ScheduledExecutorService loop;
@@ -61,6 +78,10 @@
 
 	private int errors;
 
+	private long answeredNanos;
+
+	private long overdueNanos = MIN_OVERDUE.toNanos();
+
 	private boolean closed;
 
 	private FeedFollower(Builder<T> builder) {
@@ -68,6 +89,7 @@
 		this.feed = builder.feed;
 		this.watchTimeout = builder.watchTimeout;
 		this.minWatchInterval = builder.minWatchInterval;
+		this.maxSilence = builder.maxSilence;
 		this.listener = builder.listener;
 		this.loop = builder.loop;
 		this.clock = builder.clock;
@@ -91,6 +113,7 @@
 	 * Starts following the feed by listing it.
 	 */
 	public void start() {
+		this.answeredNanos = this.clock.nanos();
 		requestNext();
 	}
 
@@ -99,15 +122,20 @@
 		if (this.closed) {
 			return;
 		}
-		long requestedNanos = this.clock.nanos();
 		CompletableFuture.completedStage(null)
 			.thenCompose((start) -> listOrWatch())
-			.thenApply((result) -> accept(result, requestedNanos))
+			.thenApply(this::accept)
 			.whenComplete((delayNanos, error) -> requestAfter((error != null) ? failed(error) : delayNanos));
 	}
 
-	private CompletionStage<FeedResult<T>> listOrWatch() {
-		return (this.revision < 0) ? this.feed.list() : this.feed.watch(this.revision, this.watchTimeout.get());
+	private CompletionStage<FeedCall.Outcome<T>> listOrWatch() {
+		boolean list = this.revision < 0;
+		FeedCall<T> call = list ? FeedCall.ofList(this.feed, this.loop, this.clock)
+				: FeedCall.ofWatch(this.feed, this.revision, this.loop, this.clock);
+		Duration wait = list ? Duration.ZERO : this.watchTimeout.get();
+		// While the store is unavailable a repetition would only double the calls.
+		return (this.failures > 0) ? call.send(wait)
+				: call.sendRepeatable(wait, list ? MAX_OVERDUE : Duration.ofNanos(this.overdueNanos));
 	}
 
 	private void requestAfter(long delayNanos) {
@@ -120,13 +148,18 @@
 	}
 
 	// Returns the delay of the next call.
-	private long accept(FeedResult<T> result, long requestedNanos) {
+	private long accept(FeedCall.Outcome<T> outcome) {
 		if (this.closed) {
 			return 0;
 		}
+		FeedResult<T> result = outcome.result();
 		if (result instanceof FeedResult.Unavailable<T> unavailable) {
 			return failed(unavailable.reason());
 		}
+		if (result instanceof FeedResult.Unanswered<T> unanswered) {
+			return failed(unanswered.reason());
+		}
+		recordAnswer(outcome);
 		if (result instanceof FeedResult.HistoryLost<T>) {
 			logger.info("event=store-history-lost feed={} revision={}", this.name, this.revision);
 			this.revision = -1;
@@ -136,12 +169,36 @@
 			logger.info("event=store-regained feed={} failed-calls={}", this.name, this.failures);
 			this.failures = 0;
 		}
-		long delayNanos = (result instanceof FeedResult.Changed<T> changed) ? acceptChanges(changed, requestedNanos)
-				: acceptList((FeedResult.Listed<T>) result, requestedNanos);
+		long delayNanos = (result instanceof FeedResult.Changed<T> changed)
+				? acceptChanges(changed, outcome.requestedNanos())
+				: acceptList((FeedResult.Listed<T>) result, outcome.requestedNanos());
 		this.errors = 0;
 		return delayNanos;
 	}
 
+	private void recordAnswer(FeedCall.Outcome<T> outcome) {
+		long nowNanos = this.clock.nanos();
+		if (outcome.repeated()) {
+			connectionLost(nowNanos - this.answeredNanos, nowNanos - outcome.requestedNanos());
+		}
+		this.answeredNanos = nowNanos;
+		// A store that answers late is slow for a while.
+		this.overdueNanos = Math.min(MAX_OVERDUE.toNanos(), Math.max(MIN_OVERDUE.toNanos(), 2 * outcome.lateNanos()));
+	}
+
+	private void connectionLost(long silentNanos, long answerNanos) {
+		boolean outagePossible = silentNanos > this.maxSilence.toNanos();
+		logger.warn(
+				"event=store-connection-lost feed={} silent-ms={} answered-on-new-connection-after-ms={} "
+						+ "outage-possible={}",
+				this.name, TimeUnit.NANOSECONDS.toMillis(silentNanos), TimeUnit.NANOSECONDS.toMillis(answerNanos),
+				outagePossible);
+		this.counters.recordLostConnection();
+		if (outagePossible) {
+			this.listener.unavailable();
+		}
+	}
+
 	private long acceptList(FeedResult.Listed<T> listed, long requestedNanos) {
 		if (fromOlderEra(listed.era())) {
 			return olderEra(listed.era());
@@ -193,6 +250,7 @@
 	private long failed(String reason) {
 		if (this.failures++ == 0) {
 			logger.warn("event=store-lost feed={} reason=\"{}\"", this.name, reason);
+			this.counters.recordOutage();
 		}
 		this.listener.unavailable();
 		return TimeUnit.MILLISECONDS.toNanos(BACKOFF.delayMillis(this.failures, this.random));
@@ -247,7 +305,10 @@
 		}
 
 		/**
-		 * Called after each failed call to the store.
+		 * Called when the store was or may have been unavailable: it refused a call, did
+		 * not answer on a new connection either, or was silent for longer than
+		 * {@link Builder#maxSilence(Duration)}. It is not called when only a connection
+		 * was lost.
 		 */
 		void unavailable();
 
@@ -270,6 +331,8 @@
 
 		private Duration minWatchInterval = Duration.ZERO;
 
+		private Duration maxSilence = DEFAULT_MAX_SILENCE;
+
 		private ScheduledExecutorService loop;
 
 		private TimeSource clock = TimeSource.ofSystem();
@@ -314,6 +377,17 @@
 			return this;
 		}
 
+		/**
+		 * Sets the time without an answer up to which no object can have lapsed, so that
+		 * a connection that was lost meanwhile hides no outage that matters.
+		 * @param maxSilence the time
+		 * @return this builder
+		 */
+		public Builder<T> maxSilence(Duration maxSilence) {
+			this.maxSilence = maxSilence;
+			return this;
+		}
+
 		/**
 		 * Sets the single-threaded executor that runs the follower and its timers.
 		 * @param loop the executor
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/FeedResult.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/FeedResult.java
@@ -42,7 +42,17 @@
 	}
 
 	/**
-	 * The store did not answer, or refused the call.
+	 * The connection was lost after the call was sent, or silent until it timed out. That
+	 * says nothing about the store.
+	 *
+	 * @param reason the reason, for logs
+	 * @param <T> the type that objects are decoded into
+	 */
+	record Unanswered<T>(String reason) implements FeedResult<T> {
+	}
+
+	/**
+	 * The store could not be reached, or refused the call.
 	 *
 	 * @param reason the reason, for logs
 	 * @param <T> the type that objects are decoded into
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/source/FeedFollowerTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/source/FeedFollowerTests.java
@@ -202,6 +202,91 @@
 		assertThat(this.calls.size()).isAtMost(40);
 	}
 
+	private void startWatching(FeedCounters counters) {
+		this.channel.freezeTime();
+		FeedFollower.builder("test", new RecordingFeed(), new RecordingListener())
+			.watchTimeout(Duration.ofSeconds(1))
+			.maxSilence(Duration.ofSeconds(2))
+			.loop(this.channel.eventLoop())
+			.clock(() -> this.elapsedNanos)
+			.random(new Random(1))
+			.counters(counters)
+			.build()
+			.start();
+		complete(new FeedResult.Listed<>(List.of(), 40, 0));
+	}
+
+	// Guards against taking a silent connection for a store that was away.
+	@Test
+	void repeatsAWatchOnANewConnectionOnceItsAnswerIsOverdue() {
+		FeedCounters counters = new FeedCounters();
+		startWatching(counters);
+		advance(1_299);
+		assertThat(this.calls).containsExactly("list", "watch 40").inOrder();
+		advance(1);
+		assertThat(this.calls).containsExactly("list", "watch 40", "renew", "watch 40").inOrder();
+		this.pending.removeLast().complete(new FeedResult.Changed<>(List.of(new Item<>("a", Optional.empty())), 44, 0));
+		assertThat(this.notifications).containsExactly("listed []", "changed [a]").inOrder();
+		assertThat(this.calls).hasSize(5);
+		assertThat(counters.lostConnections()).isEqualTo(1);
+		complete(new FeedResult.Unanswered<>("timed out"));
+		assertThat(this.calls).hasSize(5);
+		assertThat(this.notifications).hasSize(2);
+	}
+
+	@Test
+	void repeatsAWatchAtOnceIfItsConnectionIsCut() {
+		FeedCounters counters = new FeedCounters();
+		startWatching(counters);
+		advance(200);
+		complete(new FeedResult.Unanswered<>("closed"));
+		assertThat(this.calls).containsExactly("list", "watch 40", "renew", "watch 40").inOrder();
+		complete(new FeedResult.Changed<>(List.of(), 40, 0));
+		assertThat(this.notifications).containsExactly("listed []", "changed []").inOrder();
+		assertThat(counters.lostConnections()).isEqualTo(1);
+		assertThat(counters.outages()).isEqualTo(0);
+	}
+
+	@Test
+	void takesTheStoreForLostIfANewConnectionIsNotAnsweredEither() {
+		FeedCounters counters = new FeedCounters();
+		startWatching(counters);
+		advance(1_300);
+		complete(new FeedResult.Unanswered<>("timed out"));
+		assertThat(this.notifications).containsExactly("listed []");
+		complete(new FeedResult.Unanswered<>("timed out"));
+		assertThat(this.notifications).containsExactly("listed []", "unavailable").inOrder();
+		assertThat(counters.outages()).isEqualTo(1);
+		advance(500);
+		complete(new FeedResult.Unanswered<>("timed out"));
+		assertThat(this.calls).containsExactly("list", "watch 40", "renew", "watch 40", "watch 40").inOrder();
+	}
+
+	@Test
+	void takesTheStoreForPossiblyLostAfterALongSilence() {
+		startWatching(new FeedCounters());
+		advance(2_001);
+		this.pending.removeLast().complete(new FeedResult.Changed<>(List.of(), 40, 0));
+		assertThat(this.notifications).containsExactly("listed []", "unavailable", "changed []").inOrder();
+	}
+
+	@Test
+	void repeatsNoFurtherWatchesWhileTheStoreIsSlow() {
+		FeedCounters counters = new FeedCounters();
+		startWatching(counters);
+		for (int watch = 0; watch < 20; watch++) {
+			advance(1_000);
+			advance(600);
+			complete(new FeedResult.Changed<>(List.of(), 40, 0));
+			while (this.pending.size() > 1) {
+				this.pending.removeFirst();
+			}
+		}
+		assertThat(this.calls.stream().filter("renew"::equals).count()).isEqualTo(1);
+		assertThat(counters.lostConnections()).isEqualTo(0);
+		assertThat(this.notifications).doesNotContain("unavailable");
+	}
+
 	private void startWithMinWatchInterval() {
 		this.channel.freezeTime();
 		FeedFollower.builder("test", new RecordingFeed(), new RecordingListener())
@@ -243,6 +328,11 @@
 			return recordCall("watch " + revision);
 		}
 
+		@Override
+		public void renewConnections() {
+			FeedFollowerTests.this.calls.add("renew");
+		}
+
 		private CompletionStage<FeedResult<String>> recordCall(String call) {
 			FeedFollowerTests.this.calls.add(call);
 			failAt(call.equals("list") ? Seam.LIST : Seam.WATCH);
