--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/FeedFollower.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/FeedFollower.java
@@ -160,8 +160,9 @@
 			return failed(unanswered.reason());
 		}
 		recordAnswer(outcome);
-		if (result instanceof FeedResult.HistoryLost<T>) {
-			logger.info("event=store-history-lost feed={} revision={}", this.name, this.revision);
+		if (result instanceof FeedResult.HistoryLost<T> lost) {
+			logger.info("event=store-history-lost feed={} revision={} reason=\"{}\"", this.name, this.revision,
+					lost.reason());
 			this.revision = -1;
 			return 0;
 		}
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/FeedResult.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/FeedResult.java
@@ -34,11 +34,13 @@
 	}
 
 	/**
-	 * The store no longer retains the changes since the requested revision.
+	 * The changes since the requested revision cannot be had, so all objects are to be
+	 * listed.
 	 *
+	 * @param reason the reason, for logs
 	 * @param <T> the type that objects are decoded into
 	 */
-	record HistoryLost<T>() implements FeedResult<T> {
+	record HistoryLost<T>(String reason) implements FeedResult<T> {
 	}
 
 	/**
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/source/FeedFollowerTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/source/FeedFollowerTests.java
@@ -62,7 +62,7 @@
 	void listsAgainWhenTheHistoryIsLost() {
 		this.follower.start();
 		complete(new FeedResult.Listed<>(List.of(), 40, 0));
-		complete(new FeedResult.HistoryLost<>());
+		complete(new FeedResult.HistoryLost<>("gone"));
 		assertThat(this.calls).containsExactly("list", "watch 40", "list").inOrder();
 	}
 
@@ -131,7 +131,7 @@
 	void announcesARestoredStoreAlsoWhenItsHistoryIsLost() {
 		this.follower.start();
 		complete(new FeedResult.Listed<>(List.of(), 40, 1));
-		complete(new FeedResult.HistoryLost<>());
+		complete(new FeedResult.HistoryLost<>("gone"));
 		complete(new FeedResult.Listed<>(List.of(), 30, 2));
 		assertThat(this.calls).containsExactly("list", "watch 40", "list", "watch 30").inOrder();
 		assertThat(this.notifications).containsExactly("listed []", "restored", "listed []").inOrder();
