--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/EvacuationFollower.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/EvacuationFollower.java
@@ -30,10 +30,9 @@
 	private static final Duration MIN_WATCH_TIMEOUT = Duration.ofMillis(300);
 
 	/**
-	 * Time that is needed beyond the wait of a watch whose connection was lost: up to 1.2
-	 * s until the call is repeated or times out, up to 0.18 s of backoff, 1.2 s of a slow
-	 * store for the call that follows, and 0.2 s for connecting and the transit of
-	 * requests.
+	 * Time that is needed beyond the wait of a watch whose connection was lost: 1.2 s
+	 * until the call is repeated or times out, 0.18 s of backoff, 1.2 s of a slow store
+	 * for the call that follows, and 0.2 s for connecting and the transit of requests.
 	 */
 	private static final Duration RECOVERY_TIME = Duration.ofMillis(2_800);
 
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/FeedCall.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/FeedCall.java
@@ -137,16 +137,6 @@
 	 * @param <T> the type that objects are decoded into
 	 */
 	record Outcome<T>(FeedResult<T> result, long requestedNanos, long lateNanos, boolean repeated) {
-
-		/**
-		 * Returns whether the store answered, and did not refuse the call.
-		 * @return whether it answered
-		 */
-		boolean answered() {
-			return !(this.result instanceof FeedResult.Unanswered<T>)
-					&& !(this.result instanceof FeedResult.Unavailable<T>);
-		}
-
 	}
 
 }
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/source/FeedFollowerTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/source/FeedFollowerTests.java
@@ -156,8 +156,7 @@
 		assertThat(this.notifications).containsExactly("listed []", "changed [a]").inOrder();
 	}
 
-	// Guards against a follower that ends, without a line in the log, when something
-	// throws.
+	// Guards against a follower that ends without a line in the log.
 	@ParameterizedTest
 	@EnumSource
 	void listsAgainWhateverThrows(Seam seam) {
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/upstream/LostConnectionTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/upstream/LostConnectionTests.java
@@ -78,9 +78,7 @@
 		}
 	}
 
-	// Guards against keeping an upstream that left, since its leaving became known late
-	// or
-	// counted as a lapse.
+	// Guards against requests to an upstream that left while connections were lost.
 	@ParameterizedTest
 	@ValueSource(strings = { "silent removed", "silent draining", "cut removed", "cut draining" })
 	void sendsNothingToAnUpstreamThatLeftOnceInTouchAgain(String disruption) {
@@ -109,8 +107,7 @@
 		}
 	}
 
-	// Guards against dropping live upstreams whose entries lapsed while the store was
-	// away.
+	// Guards against dropping live upstreams whose entries lapsed in an outage.
 	@ParameterizedTest
 	@ValueSource(strings = { "refusing", "silent", "cut" })
 	void keepsUpstreamsWhoseEntriesLapseInAnOutage(String outage) {
