Log which response arrived on which request of a connection

Cause: a line about a request named the status that was sent, not the status line that had arrived, and not which request of its connection it was. A connection on which bytes arrived while no response was due was closed without a line. So a second answer of an upstream could not be traced.

No logic changes.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
@@ -92,7 +92,7 @@
 
 	private long heardNanos;
 
-	private boolean connectionReused;
+	private int connectionRequests;
 
 	private int attempts;
 
@@ -233,7 +233,7 @@
 		this.relay.startAttempt(ready);
 		this.progress = new EventProgress(this.route.objective(), this.route.maxEventGap());
 		this.ticket.readingInterrupted();
-		this.connectionReused = ready.used();
+		this.connectionRequests = ready.requests() + 1;
 		this.observation = this.context.upstreamSelector().observe(this.upstream, this.size, this.sentNanos);
 		this.context.monitor().requestSent(this.upstream, this.onUnresponsive);
 		ready.send(upstreamRequest(), new AttemptResponseHandler(current));
@@ -281,11 +281,12 @@
 		this.context.warmup().attemptFailed(this.upstream, verdict);
 		this.mayHaveRun |= verdict.mayHaveRun();
 		logger.info("event=attempt-failed request={} upstream={} attempt={} verdict={} code={} detail=\"{}\" "
-				+ "millis-left={} events-sent={} attempt-events={} prompt-parts={} request-digest={} retrying={}",
+				+ "millis-left={} events-sent={} attempt-events={} prompt-parts={} request-digest={} connection-requests={} upstream-status=\"{}\" retrying={}",
 				attemptId(), this.upstream.id(), this.attempts, verdict.text(), code, detail, remainingMillis(),
 				this.relay.eventsSent(), this.relay.attemptEvents(),
 				verdict.mayHaveRun() ? this.fingerprints.loggedParts() : "-",
-				verdict.mayHaveRun() ? this.fingerprints.digest() : "-", retry);
+				verdict.mayHaveRun() ? this.fingerprints.digest() : "-", this.connectionRequests, receivedStatus(),
+				retry);
 		this.triedUpstreams.add(this.upstream.id());
 		if (retry) {
 			dispatch();
@@ -446,13 +447,14 @@
 		String code = verdict.failure().map(ErrorCode::text).orElse("none");
 		this.context.metrics().countResponse(status, code);
 		logger.info("event={} request={} route={} organisation={} service={} upstream={} attempts={} connects={} "
-				+ "status={} verdict={} code={} millis={} attempt-millis={} silent-millis={} connection={} framing={} "
-				+ "events={} unfinished-bytes={} configuration={} proof-age-ms={} {}detail=\"{}\"", event, attemptId(),
-				this.route.name(), this.organisation.map(Organisation::name).orElse("-"), this.service,
-				(this.upstream != null) ? this.upstream.id() : "-", this.attempts, this.connects, status,
+				+ "status={} verdict={} code={} millis={} attempt-millis={} silent-millis={} connection={} "
+				+ "connection-requests={} upstream-status=\"{}\" framing={} events={} unfinished-bytes={} configuration={} proof-age-ms={} {}detail=\"{}\"",
+				event, attemptId(), this.route.name(), this.organisation.map(Organisation::name).orElse("-"),
+				this.service, (this.upstream != null) ? this.upstream.id() : "-", this.attempts, this.connects, status,
 				verdict.text(), code, millis, millisSince(this.sentNanos), millisSince(this.heardNanos),
-				connectionKind(), this.relay.framing().text(), this.relay.eventsSent(), this.relay.unfinishedBytes(),
-				this.configurationVersion, this.context.freshness().ageMillis(), this.ticket.logFields(), detail);
+				connectionKind(), this.connectionRequests, receivedStatus(), this.relay.framing().text(),
+				this.relay.eventsSent(), this.relay.unfinishedBytes(), this.configurationVersion,
+				this.context.freshness().ageMillis(), this.ticket.logFields(), detail);
 		this.onComplete.run();
 	}
 
@@ -460,11 +462,15 @@
 		return (this.attempts > 0) ? TimeUnit.NANOSECONDS.toMillis(this.context.nowNanos() - nanos) : 0;
 	}
 
+	private String receivedStatus() {
+		return this.relay.receivedStatus().map(Object::toString).orElse("-").replace('"', '.');
+	}
+
 	private String connectionKind() {
 		if (this.attempts == 0) {
 			return "none";
 		}
-		return this.connectionReused ? "reused" : "new";
+		return (this.connectionRequests > 1) ? "reused" : "new";
 	}
 
 	private String attemptId() {
@@ -494,7 +500,8 @@
 				heard();
 				Exchange.this.context.recordNotice(Exchange.this.upstream, head);
 				boolean retryPossible = attemptsLeft() && Exchange.this.route.repeatable();
-				failIfRejected(Exchange.this.relay.relayHead(head, Exchange.this.connectionReused, retryPossible));
+				failIfRejected(
+						Exchange.this.relay.relayHead(head, Exchange.this.connectionRequests > 1, retryPossible));
 			}
 		}
 
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ResponseRelay.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ResponseRelay.java
@@ -46,6 +46,8 @@
 
 	private HttpResponse responseHead;
 
+	private Optional<HttpResponseStatus> receivedStatus = Optional.empty();
+
 	private UpstreamConnection connection;
 
 	private ResponseFraming framing = ResponseFraming.NONE;
@@ -78,6 +80,7 @@
 	void startAttempt(UpstreamConnection connection) {
 		this.connection = connection;
 		this.framing = ResponseFraming.NONE;
+		this.receivedStatus = Optional.empty();
 		this.splitter = null;
 		this.bufferedParts = new ArrayList<>();
 		this.bufferedBytes = 0;
@@ -108,6 +111,14 @@
 		return this.responseHead.status().code();
 	}
 
+	/**
+	 * Returns the status line that arrived for the last attempt, used or not.
+	 * @return the status and the reason phrase as received, or empty
+	 */
+	Optional<HttpResponseStatus> receivedStatus() {
+		return this.receivedStatus;
+	}
+
 	int eventsSent() {
 		return this.eventsSent;
 	}
@@ -154,6 +165,7 @@
 	 */
 	Optional<Rejection> relayHead(HttpResponse received, boolean reusedConnection, boolean retryPossible) {
 		this.framing = ResponseFraming.of(received);
+		this.receivedStatus = Optional.of(received.status());
 		Optional<Rejection> rejected = validate(received, reusedConnection, retryPossible);
 		if (rejected.isPresent()) {
 			return rejected;
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamConnection.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamConnection.java
@@ -1,5 +1,6 @@
 package io.bulrushrouter.gateway.forward;
 
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -17,6 +18,8 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 import io.bulrushrouter.kernel.ErrorCode;
 import io.bulrushrouter.kernel.TimeSource;
@@ -28,6 +31,11 @@
  */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
 
+	private static final Logger logger = LoggerFactory.getLogger(UpstreamConnection.class);
+
+	/** Logged bytes of what arrives while no response is due: a status line. */
+	private static final int LOGGED_STRAY_BYTES = 32;
+
 	/**
 	 * Limit of what may arrive before the head of a response is complete, informational
 	 * responses included.
@@ -44,6 +52,8 @@
 	 */
 	private static final long MAX_WRITE_AFTER_END_MILLIS = 10_000;
 
+	private final String upstreamId;
+
 	private final Channel channel;
 
 	private final Consumer<UpstreamConnection> onIdle;
@@ -76,13 +86,15 @@
 
 	/**
 	 * Creates a connection on an open channel.
+	 * @param upstreamId the identifier of the upstream
 	 * @param channel the channel
 	 * @param onIdle called when the connection can carry the next request
 	 * @param onClosed called when the connection has closed
 	 * @param clock the monotonic clock
 	 */
-	UpstreamConnection(Channel channel, Consumer<UpstreamConnection> onIdle, Consumer<UpstreamConnection> onClosed,
-			TimeSource clock) {
+	UpstreamConnection(String upstreamId, Channel channel, Consumer<UpstreamConnection> onIdle,
+			Consumer<UpstreamConnection> onClosed, TimeSource clock) {
+		this.upstreamId = upstreamId;
 		this.channel = channel;
 		this.clock = clock;
 		this.onIdle = onIdle;
@@ -165,11 +177,11 @@
 	}
 
 	/**
-	 * Returns whether the connection has carried a request.
-	 * @return whether a request was sent on it
+	 * Returns how many requests the connection has carried.
+	 * @return the number, with the one in flight
 	 */
-	boolean used() {
-		return this.requests > 0;
+	int requests() {
+		return this.requests;
 	}
 
 	void idleSince(long nanos) {
@@ -349,6 +361,7 @@
 		public void channelRead(ChannelHandlerContext context, Object bytes) {
 			UpstreamConnection connection = UpstreamConnection.this;
 			if (connection.responseHandler == null || connection.ended) {
+				logStrayBytes((ByteBuf) bytes);
 				ReferenceCountUtil.release(bytes);
 				connection.channel.close();
 				return;
@@ -363,6 +376,18 @@
 			}
 		}
 
+		private void logStrayBytes(ByteBuf bytes) {
+			UpstreamConnection connection = UpstreamConnection.this;
+			// Nothing is due on a connection that is closed here, either.
+			if (connection.channel.isActive()) {
+				String beginning = bytes.toString(bytes.readerIndex(),
+						Math.min(LOGGED_STRAY_BYTES, bytes.readableBytes()), StandardCharsets.ISO_8859_1);
+				logger.info("event=stray-bytes upstream={} connection-requests={} bytes={} detail=\"{}\"",
+						connection.upstreamId, connection.requests, bytes.readableBytes(),
+						beginning.replaceAll("[^ !#-~]", "."));
+			}
+		}
+
 	}
 
 }
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamConnectionPool.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamConnectionPool.java
@@ -134,7 +134,7 @@
 				return;
 			}
 			Channel channel = connecting.channel();
-			UpstreamConnection connection = new UpstreamConnection(channel,
+			UpstreamConnection connection = new UpstreamConnection(upstream.id(), channel,
 					(released) -> addIdle(upstream.id(), released), (closed) -> removeIdle(upstream.id(), closed),
 					this.clock);
 			channel.pipeline()
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/UpstreamConnectionTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/UpstreamConnectionTests.java
@@ -30,8 +30,8 @@
 	private final List<String> reported = new ArrayList<>();
 
 	private UpstreamConnection receive(String response) {
-		UpstreamConnection connection = new UpstreamConnection(this.channel, (idle) -> this.reported.add("idle"),
-				(closed) -> this.reported.add("closed"), System::nanoTime);
+		UpstreamConnection connection = new UpstreamConnection("up-a", this.channel,
+				(idle) -> this.reported.add("idle"), (closed) -> this.reported.add("closed"), System::nanoTime);
 		this.channel.pipeline().addLast(connection);
 		connection.send(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"), new Recorder());
 		this.channel.writeInbound(Unpooled.copiedBuffer(response, StandardCharsets.ISO_8859_1));
