Reproduce a success in place of a failure (known red)

Hypothesis 1: an upstream ends a second answer early, inside its status line or the value of a header, when the connection carries the next request. The true answer to that request follows. The decoder reads both as one head: the status is that of the second answer, identifier, stamp and body are the request's own, so every check of the relay holds.

--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/LateResponseTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/LateResponseTests.java
@@ -1,6 +1,9 @@
 package io.bulrushrouter.gateway.forward;
 
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -58,4 +61,22 @@
 		}
 	}
 
+	// Guards against a success that is put together from the beginning of a second answer
+	// and a failure.
+	@Tag("known-red")
+	@ParameterizedTest
+	@ValueSource(strings = { "HTTP/1.1 200 ", "HTTP/1.1 200 OK", "HTTP/1.1 200 OK\r\nContent-Type: text" })
+	void neverReadsTheBeginningOfASecondAnswerAsThatOfTheNext(String beginning) throws Exception {
+		String failure = SECOND.replace("200 OK", "500 Internal Server Error");
+		try (ScriptedUpstream repeating = ScriptedUpstream
+			.start((number, request, reply) -> reply.write((number == 1) ? FIRST : beginning + failure));
+				ScriptedUpstream other = ScriptedUpstream.start((number, request, reply) -> reply.write(failure));
+				GatewayFixture gateway = new GatewayFixture(repeating, other);
+				GatewayFixture.Caller caller = gateway.caller()) {
+			assertThat(caller.send(request("X-Attempt: id-1\r\n")).readResponse()).endsWith("first");
+			assertThat(caller.send(request("X-Attempt: id-2\r\n")).readResponse()).startsWith("HTTP/1.1 500 ");
+			assertThat(repeating.connections()).isEqualTo(1);
+		}
+	}
+
 }
