Send no identifier twice on a connection

Cause: an identifier is what tells a late response from the request's own, and nothing made it unique on a connection. A relayed failure leaves its connection in the pool, and the repetition could take it.

Change: a connection knows the identifiers that it has carried, and the pool gives it to no request with one of them. It carries 128 requests at most, so that it keeps no more. A request without an identifier opens a connection, as before.

Evidence: LateResponseTests got "again" for a 404 before.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
@@ -182,10 +182,8 @@
 		this.context.upstreamSelector().started(this.upstream.id());
 		this.tokens.reserve(this.upstream);
 		this.context.notices().sent(this.upstream.id(), this.context.nowNanos());
-		// A response cannot be told from a late one to an earlier request if the request
-		// has no identifier to be echoed.
-		boolean fresh = !this.route.repeatable() || this.request.header(this.context.headers().attemptId()) == null;
-		this.context.pool().acquire(this.upstream, fresh, (ready) -> connected(ready, current), (cause) -> {
+		Optional<String> reuseFor = this.route.repeatable() ? identifier() : Optional.empty();
+		this.context.pool().acquire(this.upstream, reuseFor, (ready) -> connected(ready, current), (cause) -> {
 			if (current == this.generation && !this.ended) {
 				attemptFailed(Verdict.ofNotRun(ErrorCode.ENGINE_UNREACHABLE), cause);
 			}
@@ -236,7 +234,7 @@
 		this.connectionRequests = ready.requests() + 1;
 		this.observation = this.context.upstreamSelector().observe(this.upstream, this.size, this.sentNanos);
 		this.context.monitor().requestSent(this.upstream, this.onUnresponsive);
-		ready.send(upstreamRequest(), new AttemptResponseHandler(current));
+		ready.send(upstreamRequest(), identifier(), new AttemptResponseHandler(current));
 	}
 
 	private FullHttpRequest upstreamRequest() {
@@ -473,9 +471,12 @@
 		return (this.connectionRequests > 1) ? "reused" : "new";
 	}
 
+	private Optional<String> identifier() {
+		return Optional.ofNullable(this.request.header(this.context.headers().attemptId()));
+	}
+
 	private String attemptId() {
-		String id = this.request.header(this.context.headers().attemptId());
-		return (id != null) ? id : "-";
+		return identifier().orElse("-");
 	}
 
 	/**
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamConnection.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamConnection.java
@@ -1,7 +1,9 @@
 package io.bulrushrouter.gateway.forward;
 
 import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -34,6 +36,12 @@
 
 	private static final Logger logger = LoggerFactory.getLogger(UpstreamConnection.class);
 
+	/**
+	 * Number of requests after which a connection is not reused, so that it need not keep
+	 * more of their identifiers.
+	 */
+	static final int MAX_REQUESTS = 128;
+
 	/** Logged bytes of what arrives while no response is due: a status line. */
 	private static final int LOGGED_STRAY_BYTES = 32;
 
@@ -55,6 +63,8 @@
 
 	private final String upstreamId;
 
+	private final Set<String> carriedIdentifiers = new HashSet<>();
+
 	private final Channel channel;
 
 	private final Consumer<UpstreamConnection> onIdle;
@@ -105,9 +115,11 @@
 	/**
 	 * Sends a request.
 	 * @param request the request
+	 * @param identifier the identifier that its response repeats, or empty
 	 * @param responseHandler receives the response
 	 */
-	void send(FullHttpRequest request, ResponseHandler responseHandler) {
+	void send(FullHttpRequest request, Optional<String> identifier, ResponseHandler responseHandler) {
+		identifier.ifPresent(this.carriedIdentifiers::add);
 		this.responseHandler = responseHandler;
 		this.headSeen = false;
 		this.bytesBeforeBody = 0;
@@ -177,6 +189,16 @@
 		return this.channel.isActive();
 	}
 
+	/**
+	 * Returns whether the connection has carried a request with an identifier. Another
+	 * response to that request may still arrive.
+	 * @param identifier the identifier
+	 * @return whether a request with it was sent on this connection
+	 */
+	boolean hasCarried(String identifier) {
+		return this.carriedIdentifiers.contains(identifier);
+	}
+
 	/**
 	 * Returns how many requests the connection has carried.
 	 * @return the number, with the one in flight
@@ -313,7 +335,7 @@
 			return;
 		}
 		this.responseHandler = null;
-		if (this.reusable && this.channel.isActive()) {
+		if (this.reusable && this.requests < MAX_REQUESTS && this.channel.isActive()) {
 			// Reading may have paused for the caller. Stray bytes and the end of an idle
 			// connection are noticed only if it is read.
 			reading(true);
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamConnectionPool.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamConnectionPool.java
@@ -4,7 +4,9 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 
@@ -98,28 +100,32 @@
 	/**
 	 * Acquires an idle connection, or opens a new one.
 	 * @param upstream the upstream
-	 * @param fresh whether idle connections are not to be used
+	 * @param identifier the identifier by which the response is told from a late one to
+	 * an earlier request on the connection; if empty, a new connection is opened
 	 * @param onReady called with the connection
 	 * @param onFailure called with the reason if no connection can be opened
 	 */
-	void acquire(UpstreamRecord upstream, boolean fresh, Consumer<UpstreamConnection> onReady,
+	void acquire(UpstreamRecord upstream, Optional<String> identifier, Consumer<UpstreamConnection> onReady,
 			Consumer<String> onFailure) {
-		UpstreamConnection reusable = fresh ? null : takeIdle(upstream.id());
-		if (reusable != null) {
-			onReady.accept(reusable);
-			return;
-		}
-		connect(upstream, onReady, onFailure);
+		identifier.flatMap((value) -> takeIdle(upstream.id(), value))
+			.ifPresentOrElse(onReady, () -> connect(upstream, onReady, onFailure));
 	}
 
-	private UpstreamConnection takeIdle(String id) {
-		Deque<UpstreamConnection> connections = this.idle.get(id);
-		UpstreamConnection reusable = (connections != null) ? connections.pollLast() : null;
-		while (reusable != null && expired(reusable)) {
-			reusable.abandon();
-			reusable = connections.pollLast();
+	private Optional<UpstreamConnection> takeIdle(String upstreamId, String identifier) {
+		Deque<UpstreamConnection> connections = this.idle.getOrDefault(upstreamId, new ArrayDeque<>());
+		Iterator<UpstreamConnection> latestFirst = connections.descendingIterator();
+		while (latestFirst.hasNext()) {
+			UpstreamConnection connection = latestFirst.next();
+			if (expired(connection)) {
+				latestFirst.remove();
+				connection.abandon();
+			}
+			else if (!connection.hasCarried(identifier)) {
+				latestFirst.remove();
+				return Optional.of(connection);
+			}
 		}
-		return reusable;
+		return Optional.empty();
 	}
 
 	private boolean expired(UpstreamConnection connection) {
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamMonitor.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamMonitor.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
@@ -211,14 +212,14 @@
 		private void sendProbe() {
 			closeProbe();
 			int number = ++this.probes;
-			UpstreamMonitor.this.pool.acquire(this.upstream, true, (connection) -> {
+			UpstreamMonitor.this.pool.acquire(this.upstream, Optional.empty(), (connection) -> {
 				if (number != this.probes) {
 					connection.abandon();
 					return;
 				}
 				this.probe = connection;
 				String path = UpstreamMonitor.this.probePath.apply(this.upstream);
-				connection.send(ProbeRequest.of(this.upstream, path),
+				connection.send(ProbeRequest.of(this.upstream, path), Optional.empty(),
 						new ProbeResponseHandler(this, UpstreamMonitor.this.onProbeResponse));
 			}, (reason) -> logger.info("event=probe-failed upstream={} reason=\"{}\"", this.upstream.id(), reason));
 		}
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/WarmupProbes.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/WarmupProbes.java
@@ -138,10 +138,10 @@
 		probe.sentNanos = nowNanos;
 		probe.connecting = true;
 		this.inFlight++;
-		this.pool.acquire(upstream, true, (connection) -> {
+		this.pool.acquire(upstream, Optional.empty(), (connection) -> {
 			probe.connecting = false;
 			probe.connection = connection;
-			connection.send(ProbeRequest.of(upstream, spec.get().healthPath()),
+			connection.send(ProbeRequest.of(upstream, spec.get().healthPath()), Optional.empty(),
 					new ProbeResponseHandler(upstream, probe));
 			this.loop.schedule(() -> {
 				if (probe.connection == connection) {
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/LateResponseTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/LateResponseTests.java
@@ -1,5 +1,7 @@
 package io.bulrushrouter.gateway.forward;
 
+import java.util.concurrent.atomic.AtomicReference;
+
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -77,4 +79,33 @@
 		}
 	}
 
+	// Guards against a second answer that is taken for the one to a repetition with the
+	// same identifier.
+	@Test
+	void neverGivesARepeatedRequestALateAnswerToItsFirstTry() throws Exception {
+		String failure = FIRST.replace("200 OK", "404 Not Found");
+		AtomicReference<ScriptedUpstream> self = new AtomicReference<>();
+		try (ScriptedUpstream repeating = ScriptedUpstream.start((number, request, reply) -> reply.write(
+				(number == 2 && self.get().connections() == 1) ? FIRST.replace("first", "again") + failure : failure));
+				GatewayFixture gateway = new GatewayFixture(repeating);
+				GatewayFixture.Caller caller = gateway.caller()) {
+			self.set(repeating);
+			assertThat(caller.send(request("X-Attempt: id-1\r\n")).readResponse()).endsWith("first");
+			assertThat(caller.send(request("X-Attempt: id-1\r\n")).readResponse()).startsWith("HTTP/1.1 404 ");
+		}
+	}
+
+	@Test
+	void retiresAConnectionBeforeItCarriesMoreIdentifiersThanItKeeps() throws Exception {
+		try (ScriptedUpstream upstream = ScriptedUpstream
+			.start((number, request, reply) -> reply.write(FIRST.replace("id-1", "id-" + number)));
+				GatewayFixture gateway = new GatewayFixture(upstream);
+				GatewayFixture.Caller caller = gateway.caller()) {
+			for (int number = 1; number <= 2 * UpstreamConnection.MAX_REQUESTS; number++) {
+				caller.send(request("X-Attempt: id-" + number + "\r\n")).readResponse();
+			}
+			assertThat(upstream.connections()).isEqualTo(2);
+		}
+	}
+
 }
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/ScriptedUpstream.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/ScriptedUpstream.java
@@ -173,9 +173,9 @@
 	private void serve(Socket connection) {
 		try (connection) {
 			InputStream in = connection.getInputStream();
+			Reply reply = new Reply(connection);
 			String request = Messages.readMessage(in);
 			while (!request.isEmpty()) {
-				Reply reply = new Reply(connection);
 				if (request.startsWith("GET " + GatewayFixture.PROBE_PATH + " ")) {
 					reply.write("HTTP/1.1 200 OK\r\n" + this.probeHeader + "Content-Length: 0\r\n\r\n");
 				}
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/UpstreamConnectionTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/UpstreamConnectionTests.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -34,7 +35,8 @@
 		UpstreamConnection connection = new UpstreamConnection("up-a", this.channel,
 				(idle) -> this.reported.add("idle"), (closed) -> this.reported.add("closed"), System::nanoTime);
 		this.channel.pipeline().addLast(connection);
-		connection.send(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"), new Recorder());
+		connection.send(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"), Optional.empty(),
+				new Recorder());
 		this.channel.writeInbound(Unpooled.copiedBuffer(response, StandardCharsets.ISO_8859_1));
 		return connection;
 	}
