Let a test of reused connections send two identifiers

The second request has an identifier of its own now, and the test also checks that the connection was reused. What it asks is unchanged.

--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/ForwardingTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/ForwardingTests.java
@@ -148,7 +148,11 @@
 				GatewayFixture gateway = new GatewayFixture(upstream);
 				GatewayFixture.Caller caller = gateway.caller()) {
 			assertThat(caller.get("/read/1").readResponse()).contains("hello");
-			assertThat(caller.get("/read/2").readResponse()).startsWith("HTTP/1.1 502");
+			assertThat(caller
+				.send("GET /read/2 HTTP/1.1\r\nHost: test\r\nX-Key: " + GatewayFixture.KEY
+						+ "\r\nX-Attempt: id-2\r\n\r\n")
+				.readResponse()).startsWith("HTTP/1.1 502");
+			assertThat(upstream.connections()).isEqualTo(1);
 		}
 	}
 
