Reuse no connection whose decoder still holds bytes

What callers saw: a success where the upstream had answered with a failure, as with the head that is put together from two, or a 502 at a sound upstream.

Cause: the beginning of a second answer in the segment of the first one stayed in the decoder. An incomplete head is no message, so nothing marked the connection, and it went back to the pool. Whether a connection is at the end of a response was known to the codec alone.

Change: the decoder of a connection is our own subclass that shows what it has not decoded. If there is anything at the end of a response, the connection is closed, with a line stray-bytes. The handlers of a connection are made in one place, so the tests use the same ones.

Evidence: UpstreamConnectionTests: after "H", "HTTP/1.1", "HTTP/1.1 200 OK" behind a response the connection was idle in the pool before; closed now. Two tests of ForwardingTests sent one identifier twice, which opens a connection by itself since; they send two now, and the one about non-idempotent requests was seen to fail when such requests reuse connections.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamConnection.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamConnection.java
@@ -17,6 +17,7 @@
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -65,6 +66,8 @@
 
 	private final Set<String> carriedIdentifiers = new HashSet<>();
 
+	private final ResponseDecoder decoder = new ResponseDecoder();
+
 	private final Channel channel;
 
 	private final Consumer<UpstreamConnection> onIdle;
@@ -129,6 +132,7 @@
 		this.reusable = true;
 		this.pause = new ReadPause();
 		this.requests++;
+		this.decoder.expectResponseTo(request.method());
 		this.channel.config().setAutoRead(true);
 		this.channel.writeAndFlush(request).addListener((ChannelFutureListener) (future) -> {
 			this.written = future.isSuccess();
@@ -224,11 +228,11 @@
 	}
 
 	/**
-	 * Returns the handler that reads the bytes before they are decoded.
-	 * @return the handler, to be added to the pipeline before the decoder
+	 * Returns the handlers of the connection.
+	 * @return the handlers, to be added to the pipeline in this order
 	 */
-	ChannelHandler byteLimiter() {
-		return new ByteLimiter();
+	ChannelHandler[] handlers() {
+		return new ChannelHandler[] { new ByteLimiter(), this.decoder, new HttpRequestEncoder(), this };
 	}
 
 	@Override
@@ -304,11 +308,28 @@
 		else if (last && this.responseHandler != null) {
 			ResponseHandler done = this.responseHandler;
 			this.ended = true;
+			rejectUndecodedBytes();
 			done.onEnd();
 			scheduleCloseIfUnwritten();
 		}
 	}
 
+	// The decoder would read them as the beginning of the next response.
+	private void rejectUndecodedBytes() {
+		ByteBuf undecoded = this.decoder.undecoded();
+		if (undecoded.isReadable()) {
+			logStrayBytes(undecoded);
+			this.reusable = false;
+		}
+	}
+
+	private void logStrayBytes(ByteBuf bytes) {
+		String beginning = bytes.toString(bytes.readerIndex(), Math.min(LOGGED_STRAY_BYTES, bytes.readableBytes()),
+				StandardCharsets.ISO_8859_1);
+		logger.info("event=stray-bytes upstream={} connection-requests={} bytes={} detail=\"{}\"", this.upstreamId,
+				this.requests, bytes.readableBytes(), beginning.replaceAll("[^ !#-~]", "."));
+	}
+
 	// An upstream that has answered before it read the request may never read on.
 	private void scheduleCloseIfUnwritten() {
 		int request = this.requests;
@@ -389,7 +410,10 @@
 		public void channelRead(ChannelHandlerContext context, Object bytes) {
 			UpstreamConnection connection = UpstreamConnection.this;
 			if (connection.responseHandler == null || connection.ended) {
-				logStrayBytes((ByteBuf) bytes);
+				// Nothing is due on a connection that is closed here, either.
+				if (connection.channel.isActive()) {
+					logStrayBytes((ByteBuf) bytes);
+				}
 				ReferenceCountUtil.release(bytes);
 				connection.channel.close();
 				return;
@@ -404,18 +428,6 @@
 			}
 		}
 
-		private void logStrayBytes(ByteBuf bytes) {
-			UpstreamConnection connection = UpstreamConnection.this;
-			// Nothing is due on a connection that is closed here, either.
-			if (connection.channel.isActive()) {
-				String beginning = bytes.toString(bytes.readerIndex(),
-						Math.min(LOGGED_STRAY_BYTES, bytes.readableBytes()), StandardCharsets.ISO_8859_1);
-				logger.info("event=stray-bytes upstream={} connection-requests={} bytes={} detail=\"{}\"",
-						connection.upstreamId, connection.requests, bytes.readableBytes(),
-						beginning.replaceAll("[^ !#-~]", "."));
-			}
-		}
-
 	}
 
 }
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamConnectionPool.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamConnectionPool.java
@@ -21,7 +21,6 @@
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
 
 import io.bulrushrouter.gateway.source.UpstreamRecord;
 import io.bulrushrouter.kernel.TimeSource;
@@ -41,12 +40,6 @@
 	/** Some events of a stream. Each read adapts to the length of those before it. */
 	private static final int MIN_READ_BYTES = 512;
 
-	private static final int MAX_INITIAL_LINE_BYTES = 4_096;
-
-	private static final int MAX_HEADER_BYTES = 32_768;
-
-	private static final int MAX_CHUNK_BYTES = 16_384;
-
 	/**
 	 * Largest buffer for one read. It is how far a response may exceed its allowance
 	 * before reading pauses: 8 MB for 2,000 callers that read nothing.
@@ -143,10 +136,7 @@
 			UpstreamConnection connection = new UpstreamConnection(upstream.id(), channel,
 					(released) -> addIdle(upstream.id(), released), (closed) -> removeIdle(upstream.id(), closed),
 					this.clock);
-			channel.pipeline()
-				.addLast(connection.byteLimiter(),
-						new HttpClientCodec(MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES, false, true),
-						connection);
+			channel.pipeline().addLast(connection.handlers());
 			onReady.accept(connection);
 		});
 	}
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/ForwardingTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/ForwardingTests.java
@@ -18,6 +18,9 @@
 
 	private static final String OK = "HTTP/1.1 200 OK\r\nX-Attempt: id-1\r\nX-Stamp: s\r\nContent-Length: 5\r\n\r\nhello";
 
+	private static final String READ_2 = "GET /read/2 HTTP/1.1\r\nHost: test\r\nX-Key: " + GatewayFixture.KEY
+			+ "\r\nX-Attempt: id-2\r\n\r\n";
+
 	private static final String OVERLOADED = "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
 
 	private static ScriptedUpstream respondingWith(String response) throws IOException {
@@ -132,11 +135,11 @@
 	void neverUsesAnExtraResponseForTheNextRequest() throws Exception {
 		String extra = OK.replace("hello", "extra");
 		try (ScriptedUpstream upstream = ScriptedUpstream
-			.start((number, request, reply) -> reply.write((number == 1) ? OK + extra : OK));
+			.start((number, request, reply) -> reply.write((number == 1) ? OK + extra : OK.replace("id-1", "id-2")));
 				GatewayFixture gateway = new GatewayFixture(upstream);
 				GatewayFixture.Caller caller = gateway.caller()) {
 			assertThat(caller.get("/read/1").readResponse()).contains("hello");
-			assertThat(caller.get("/read/2").readResponse()).contains("hello");
+			assertThat(caller.send(READ_2).readResponse()).contains("hello");
 			assertThat(upstream.connections()).isEqualTo(2);
 		}
 	}
@@ -148,20 +151,18 @@
 				GatewayFixture gateway = new GatewayFixture(upstream);
 				GatewayFixture.Caller caller = gateway.caller()) {
 			assertThat(caller.get("/read/1").readResponse()).contains("hello");
-			assertThat(caller
-				.send("GET /read/2 HTTP/1.1\r\nHost: test\r\nX-Key: " + GatewayFixture.KEY
-						+ "\r\nX-Attempt: id-2\r\n\r\n")
-				.readResponse()).startsWith("HTTP/1.1 502");
+			assertThat(caller.send(READ_2).readResponse()).startsWith("HTTP/1.1 502");
 			assertThat(upstream.connections()).isEqualTo(1);
 		}
 	}
 
 	@Test
 	void sendsANonIdempotentRequestOnANewConnection() throws Exception {
-		try (ScriptedUpstream upstream = respondingWith(OK);
+		try (ScriptedUpstream upstream = ScriptedUpstream
+			.start((number, request, reply) -> reply.write((number == 1) ? OK.replace("id-1", "id-2") : OK));
 				GatewayFixture gateway = new GatewayFixture(upstream);
 				GatewayFixture.Caller caller = gateway.caller()) {
-			assertThat(caller.get("/read/1").readResponse()).contains("hello");
+			assertThat(caller.send(READ_2).readResponse()).contains("hello");
 			assertThat(caller.post("/write/2", "b").readResponse()).contains("hello");
 			assertThat(upstream.connections()).isEqualTo(2);
 		}
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/UpstreamConnectionTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/UpstreamConnectionTests.java
@@ -10,7 +10,6 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
@@ -27,14 +26,14 @@
  */
 class UpstreamConnectionTests {
 
-	private final EmbeddedChannel channel = new EmbeddedChannel(new HttpClientCodec());
+	private final EmbeddedChannel channel = new EmbeddedChannel();
 
 	private final List<String> reported = new ArrayList<>();
 
 	private UpstreamConnection receive(String response) {
 		UpstreamConnection connection = new UpstreamConnection("up-a", this.channel,
 				(idle) -> this.reported.add("idle"), (closed) -> this.reported.add("closed"), System::nanoTime);
-		this.channel.pipeline().addLast(connection);
+		this.channel.pipeline().addLast(connection.handlers());
 		connection.send(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"), Optional.empty(),
 				new Recorder());
 		this.channel.writeInbound(Unpooled.copiedBuffer(response, StandardCharsets.ISO_8859_1));
@@ -70,6 +69,18 @@
 		assertThat(this.channel.isOpen()).isFalse();
 	}
 
+	// Guards against a second answer whose beginning stays in the decoder of a reused
+	// connection.
+	@Test
+	void neverReusesAConnectionOnWhichBytesFollowAResponse() {
+		String response = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+		for (String stray : List.of("H", "HTTP/1.1", "HTTP/1.1 200 OK", response)) {
+			UpstreamConnectionTests each = new UpstreamConnectionTests();
+			each.receive(response + stray);
+			assertWithMessage(stray).that(each.reported).containsExactly("head", "ok", "end", "closed").inOrder();
+		}
+	}
+
 	// Guards against a head whose status is that of a second answer to an earlier
 	// request.
 	@Test
