Keep the order of requests on a connection by one queue

Cause: whether a message waited depended on when a task of the event loop ran. The end of a response made the connection free at once and left what was queued to a task; a message that was read before the task overtook it. A request that cannot be decoded did not pass the queue either: behind another it ended the connection, without an answer to the one that was being served.

Ruled out: an upstream that answers another request than it was sent, and responses that are written in another order than their requests were served. The upstream ran a, c, b and its answers name them.

Change: each message passes the queue, whether it waits or not, and only its head is processed. The connection stays taken until the task runs that processes the next message. What cannot be decoded takes its place in the queue, and nothing behind it is read. CallerConnection opens its exchanges through an interface, so that it can be tested without a network.

Why it works: there is one way in and one way out of the queue, and no state in which a message is processed while another one waits.

Evidence: CallerConnectionTests plays 2,000 seeds of reads of any length, ends of exchanges, tasks of the event loop and closes against a model, with the event loop's tasks run apart from the reads.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/CallerConnection.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/CallerConnection.java
@@ -13,8 +13,10 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.DecoderException;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -59,7 +61,7 @@
 
 	private final GatewayContext context;
 
-	private final AdmissionHandler admissionHandler;
+	private final ExchangeFactory exchanges;
 
 	private final StrictRequestDecoder decoder;
 
@@ -79,7 +81,7 @@
 
 	private long waitingSinceNanos;
 
-	private Exchange exchange;
+	private CallerExchange exchange;
 
 	private boolean responding;
 
@@ -91,9 +93,9 @@
 
 	private String closeReason = "the caller closed the connection";
 
-	CallerConnection(GatewayContext context, AdmissionHandler admissionHandler, StrictRequestDecoder decoder) {
+	CallerConnection(GatewayContext context, ExchangeFactory exchanges, StrictRequestDecoder decoder) {
 		this.context = context;
-		this.admissionHandler = admissionHandler;
+		this.exchanges = exchanges;
 		this.decoder = decoder;
 		this.account = context.memory().open(() -> context.loop().execute(this::cutForMemory));
 		this.pipelinedMessages = new PipelinedMessages(this.account,
@@ -157,11 +159,18 @@
 			ReferenceCountUtil.release(message);
 			return;
 		}
-		if (this.responding) {
-			this.pipelinedMessages.add((HttpObject) message);
-			return;
+		enqueue((HttpObject) message);
+	}
+
+	private void enqueue(HttpObject message) {
+		this.pipelinedMessages.add(message);
+		processMessages();
+	}
+
+	private void processMessages() {
+		while (!this.responding && !this.closing && !this.pipelinedMessages.isEmpty()) {
+			process(this.pipelinedMessages.poll());
 		}
-		process((HttpObject) message);
 	}
 
 	private void process(HttpObject message) {
@@ -236,9 +245,9 @@
 		this.responding = true;
 		CallerRequest request = new CallerRequest(this.head, this.body.toByteArray(), this.arrivedNanos);
 		this.body = null;
-		this.admissionHandler.admit(request, this).ifPresent((admitted) -> {
-			this.exchange = new Exchange(this.context, this, admitted, () -> this.exchange = null);
-			this.exchange.start();
+		this.exchanges.open(request, this, () -> this.exchange = null).ifPresent((opened) -> {
+			this.exchange = opened;
+			opened.start();
 		});
 	}
 
@@ -324,10 +333,13 @@
 		}
 	}
 
+	// In a task, since the exchange of the request ends after its response.
 	private void awaitRequest() {
-		this.responding = false;
-		this.waitingSinceNanos = this.context.nowNanos();
-		this.context.loop().execute(this::processPipelinedMessages);
+		this.context.loop().execute(() -> {
+			this.responding = false;
+			this.waitingSinceNanos = this.context.nowNanos();
+			processMessages();
+		});
 	}
 
 	// The linger time begins when the caller has been sent everything, however slowly it
@@ -343,12 +355,6 @@
 		});
 	}
 
-	private void processPipelinedMessages() {
-		while (!this.responding && !this.closing && !this.pipelinedMessages.isEmpty()) {
-			process(this.pipelinedMessages.poll());
-		}
-	}
-
 	private void callerHasRead() {
 		if (this.exchange != null) {
 			this.exchange.callerWritabilityChanged(true);
@@ -401,8 +407,10 @@
 		if (this.closing) {
 			return;
 		}
-		if (cause instanceof DecoderException && !this.responding) {
-			refuseMalformed((cause.getCause() != null) ? cause.getCause() : cause);
+		if (cause instanceof DecoderException) {
+			HttpContent malformed = new DefaultLastHttpContent();
+			malformed.setDecoderResult(DecoderResult.failure((cause.getCause() != null) ? cause.getCause() : cause));
+			enqueue(malformed);
 			return;
 		}
 		if (!(cause instanceof IOException)) {
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/CallerServer.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/CallerServer.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 
 import io.netty.bootstrap.ServerBootstrap;
@@ -100,12 +101,17 @@
 			return;
 		}
 		StrictRequestDecoder decoder = new StrictRequestDecoder(this.context.limits().headerBytes());
-		CallerConnection connection = new CallerConnection(this.context, this.admissionHandler, decoder);
+		CallerConnection connection = new CallerConnection(this.context, this::open, decoder);
 		this.connections.add(connection);
 		channel.closeFuture().addListener((closed) -> this.connections.remove(connection));
 		channel.pipeline().addLast(decoder, new HttpResponseEncoder(), connection);
 	}
 
+	private Optional<CallerExchange> open(CallerRequest request, ResponseWriter responseWriter, Runnable onComplete) {
+		return this.admissionHandler.admit(request, responseWriter)
+			.map((admitted) -> new Exchange(this.context, responseWriter, admitted, onComplete));
+	}
+
 	/**
 	 * Applies the timeouts of callers to all connections.
 	 * @param nowNanos the time on the monotonic clock, in nanoseconds
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
@@ -34,7 +34,7 @@
  * Serves one admitted request up to its final response, with as many attempts as its
  * route and the retry budget permit.
  */
-final class Exchange {
+final class Exchange implements CallerExchange {
 
 	private static final Logger logger = LoggerFactory.getLogger(Exchange.class);
 
@@ -122,7 +122,8 @@
 		this.relay = new ResponseRelay(context, responseWriter, this.route, this.request, this::firstEvent);
 	}
 
-	void start() {
+	@Override
+	public void start() {
 		this.context.requestStarted();
 		this.context.retryBudget(this.service).recordRequest(this.context.nowNanos());
 		this.timeout = this.context.loop()
@@ -398,11 +399,8 @@
 				"deadline or route timeout reached");
 	}
 
-	/**
-	 * Cancels the request after the connection of its caller has closed.
-	 * @param detail why it closed, for the log
-	 */
-	void callerDisconnected(String detail) {
+	@Override
+	public void callerDisconnected(String detail) {
 		if (this.ended) {
 			return;
 		}
@@ -424,11 +422,8 @@
 		}
 	}
 
-	/**
-	 * Pauses or resumes reading from the upstream, as the caller's connection requires.
-	 * @param writable whether more can be written to the caller
-	 */
-	void callerWritabilityChanged(boolean writable) {
+	@Override
+	public void callerWritabilityChanged(boolean writable) {
 		if (this.connection != null && !this.ended) {
 			this.observation.discard();
 			this.connection.reading(writable);
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/PipelinedMessages.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/PipelinedMessages.java
@@ -9,8 +9,10 @@
 import io.netty.util.ReferenceCountUtil;
 
 /**
- * Messages of pipelined requests that wait while a request is served. Reading pauses at a
- * limit, so that a caller is held up while its upstream does not read.
+ * The messages of a caller in the order in which they were read. Each one passes this
+ * queue, also if no request is being served, so that none overtakes those that wait.
+ * Reading pauses at a limit, so that a caller is held up while its upstream does not
+ * read, and after a malformed message, since nothing behind it can be understood.
  */
 final class PipelinedMessages {
 
@@ -30,6 +32,8 @@
 
 	private long bytes;
 
+	private boolean malformed;
+
 	/**
 	 * Creates an empty queue.
 	 * @param account the account of the connection
@@ -40,7 +44,16 @@
 		this.reading = reading;
 	}
 
+	/**
+	 * Adds a message, or discards one that comes after a malformed one.
+	 * @param message the message
+	 */
 	void add(HttpObject message) {
+		if (this.malformed) {
+			ReferenceCountUtil.release(message);
+			return;
+		}
+		this.malformed = message.decoderResult().isFailure();
 		this.messages.add(message);
 		count(sizeOf(message));
 	}
@@ -71,7 +84,7 @@
 	private void count(long change) {
 		this.bytes += change;
 		this.account.pipelined(this.bytes);
-		this.reading.accept(this.messages.size() < MAX_MESSAGES && this.bytes < MAX_BYTES);
+		this.reading.accept(!this.malformed && this.messages.size() < MAX_MESSAGES && this.bytes < MAX_BYTES);
 	}
 
 }
--- /dev/null
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/CallerConnectionTests.java
@@ -0,0 +1,115 @@
+package io.bulrushrouter.gateway.forward;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * The model of a connection: the n-th answer is to the n-th request, with the bytes of
+ * its own body.
+ */
+class CallerConnectionTests {
+
+	private static final int SEEDS = 2_000;
+
+	private static final String FOLDED = "GET /folded HTTP/1.1\r\nHost: test\r\nX-Key: a\r\n b\r\n\r\n";
+
+	private static String request(String target, String body, boolean chunked) {
+		String head = "POST " + target + " HTTP/1.1\r\nHost: test\r\n";
+		if (!chunked || body.isEmpty()) {
+			return head + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+		}
+		return head + "Transfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(body.length()) + "\r\n" + body
+				+ "\r\n0\r\n\r\n";
+	}
+
+	/**
+	 * Sends requests with bodies of any length.
+	 * @param caller the caller
+	 * @param random the random source
+	 * @return the answers that are due
+	 */
+	private static List<String> sendRequests(PipeliningCaller caller, Random random) {
+		List<String> due = new ArrayList<>();
+		for (int number = random.nextInt(40); number >= 0; number--) {
+			int length = (random.nextInt(8) == 0) ? 4_000 : 40;
+			String body = random.ints(random.nextInt(length), 'a', 'z' + 1)
+				.collect(StringBuilder::new, StringBuilder::appendCodePoint, StringBuilder::append)
+				.toString();
+			caller.send(request("/" + number, body, random.nextBoolean()));
+			due.add("200 /" + number + body);
+		}
+		return due;
+	}
+
+	private static void act(PipeliningCaller caller, Random random) {
+		switch (random.nextInt(3)) {
+			case 0 -> caller.read(1 + random.nextInt((random.nextInt(4) == 0) ? 8_000 : 80));
+			case 1 -> caller.complete(random.nextBoolean());
+			default -> caller.runTasks();
+		}
+	}
+
+	// Guards against answers that change places and bodies that lose a part when bytes
+	// are read before a task of the event loop runs.
+	@Test
+	void answersPipelinedRequestsInTheirOrderWithTheirOwnBodies() {
+		List<Integer> mixed = new ArrayList<>();
+		List<Integer> holding = new ArrayList<>();
+		for (int seed = 0; seed < SEEDS; seed++) {
+			Random random = new Random(seed);
+			PipeliningCaller caller = new PipeliningCaller();
+			List<String> due = sendRequests(caller, random);
+			boolean closes = random.nextInt(4) == 0;
+			for (int steps = random.nextInt(400); steps > 0; steps--) {
+				act(caller, random);
+			}
+			if (closes) {
+				caller.close();
+			}
+			caller.finish();
+			List<String> answers = caller.answers();
+			if (!answers.equals(closes ? due.subList(0, Math.min(answers.size(), due.size())) : due)) {
+				mixed.add(seed);
+			}
+			if (caller.gateway().heldBytes() != 0) {
+				holding.add(seed);
+			}
+		}
+		assertThat(mixed).isEmpty();
+		assertThat(holding).isEmpty();
+	}
+
+	// Guards against a malformed request that ends the connection before the answers to
+	// those ahead of it.
+	@Test
+	void refusesAMalformedRequestInItsTurn() {
+		PipeliningCaller caller = new PipeliningCaller();
+		caller.send(request("/1", "a", false) + request("/2", "b", false) + FOLDED + FOLDED).finish();
+		assertThat(caller.answers()).containsExactly("200 /1a", "200 /2b", "400 close ").inOrder();
+		assertThat(caller.connected()).isFalse();
+		assertThat(caller.gateway().heldBytes()).isEqualTo(0);
+	}
+
+	// Guards against memory without bound for a caller that sends on while its first
+	// request is served.
+	@Test
+	void pausesReadingWhileTooMuchWaitsAndThenResumes() {
+		PipeliningCaller caller = new PipeliningCaller();
+		for (int number = 0; number < 10; number++) {
+			caller.send(request("/" + number, "x".repeat(4_000), false));
+			caller.read(5_000);
+		}
+		assertThat(caller.reading()).isFalse();
+		assertThat(caller.gateway().heldBytes()).isLessThan(40_000L);
+		caller.finish();
+		assertThat(caller.reading()).isTrue();
+		assertThat(caller.answers()).hasSize(10);
+		assertThat(caller.gateway().heldBytes()).isEqualTo(0);
+	}
+
+}
