Answer requests that wait before a stop ends their connection

Seen by callers: a lookup and a reservation were sent together on a kept connection, SIGTERM came 0.4 s later.

Cause: while the entry drains, or is not ready, the next answer announced the end of the connection, whatever waited behind it, and what waited was dropped. A stop did not count what waits either.

Ruled out: an end of the process before the second request had its turn. The connection ended 3 ms after the first answer, which announced the end, 0.9 s after SIGTERM; a stop serves requests for 2.6 s.

Change: an answer announces the end only if no message waits behind it and no head has arrived in part; CallerConnection.busy counts the same. What waits has its turn as usual, and is refused as not run once the stop refuses requests. When the end has been announced, what is left in the queue is dropped at once and no longer counts in the memory.

Why it works: all that was read passes one queue, so that whether something is due can be read off it at each answer.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/CallerConnection.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/CallerConnection.java
@@ -279,12 +279,18 @@
 	}
 
 	// The load balancer gives a new connection to an entry that is ready, so a caller
-	// loses nothing by leaving one that refuses requests with keys.
+	// loses nothing by leaving one that refuses requests with keys, once all that it sent
+	// there is answered.
 	private void setConnectionHeader(HttpResponse response) {
-		this.keepAlive &= !this.context.draining() && this.context.ready();
+		boolean leaving = this.context.draining() || !this.context.ready();
+		this.keepAlive &= !leaving || nextRequestBegun();
 		ResponseHeads.setConnection(response, this.head, this.keepAlive);
 	}
 
+	private boolean nextRequestBegun() {
+		return !this.pipelinedMessages.isEmpty() || this.decoder.headIncomplete();
+	}
+
 	@Override
 	public void writePart(ByteBuf part) {
 		this.queue.write(new DefaultHttpContent(part), part.readableBytes());
@@ -346,6 +352,7 @@
 	// reads.
 	private void closeAfterLinger() {
 		this.closing = true;
+		this.pipelinedMessages.release();
 		this.channel.config().setAutoRead(true);
 		this.channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener((ChannelFutureListener) (done) -> {
 			if (this.channel instanceof SocketChannel socket && socket.isActive()) {
@@ -385,11 +392,12 @@
 	}
 
 	/**
-	 * Returns whether a request is arriving or its response is not written as a whole.
+	 * Returns whether a request is arriving or waits, or its response is not written as a
+	 * whole.
 	 * @return whether closing the connection now would cut something off
 	 */
 	boolean busy() {
-		return this.head != null || this.decoder.headIncomplete() || (this.queue != null && !this.queue.isEmpty());
+		return this.head != null || nextRequestBegun() || (this.queue != null && !this.queue.isEmpty());
 	}
 
 	@Override
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/GatewayContext.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/GatewayContext.java
@@ -423,7 +423,8 @@
 	}
 
 	/**
-	 * Starts draining: each connection is closed after its current response.
+	 * Starts draining: each connection is closed after the response to the last request
+	 * that was read on it.
 	 */
 	public void drain() {
 		this.draining = true;
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/PipelinedMessages.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/PipelinedMessages.java
@@ -74,6 +74,8 @@
 	void release() {
 		this.messages.forEach(ReferenceCountUtil::release);
 		this.messages.clear();
+		this.bytes = 0;
+		this.account.pipelined(0);
 	}
 
 	private static long sizeOf(HttpObject message) {
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/GracefulShutdown.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/GracefulShutdown.java
@@ -14,8 +14,8 @@
 /**
  * Graceful shutdown of an entry. The entry reports not ready at once but serves requests
  * until callers have moved to other entries, and closes each connection after its next
- * answer. Then it refuses new requests, finishes those in flight, and ends within the
- * grace period.
+ * answer behind which no request waits. Then it refuses new requests, also those that
+ * wait, finishes those in flight, and ends within the grace period.
  */
 final class GracefulShutdown {
 
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/CallerConnectionTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/CallerConnectionTests.java
@@ -3,6 +3,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import org.junit.jupiter.api.Test;
 
@@ -19,7 +22,7 @@
 	private static final String FOLDED = "GET /folded HTTP/1.1\r\nHost: test\r\nX-Key: a\r\n b\r\n\r\n";
 
 	private static String request(String target, String body, boolean chunked) {
-		String head = "POST " + target + " HTTP/1.1\r\nHost: test\r\n";
+		String head = "POST " + target + " HTTP/1.1\r\nHost: test\r\nX-Key: " + GatewayFixture.KEY + "\r\n";
 		if (!chunked || body.isEmpty()) {
 			return head + "Content-Length: " + body.length() + "\r\n\r\n" + body;
 		}
@@ -84,6 +87,79 @@
 		assertThat(holding).isEmpty();
 	}
 
+	private static boolean endAnnounced(List<String> answers) {
+		return !answers.isEmpty() && answers.get(answers.size() - 1).startsWith("200 close ");
+	}
+
+	// Guards against requests that get no answer because the gateway stops while they
+	// wait behind another one.
+	@Test
+	void answersAllThatWasReadBeforeItEndsTheConnectionAtAStop() {
+		Set<Integer> lost = new TreeSet<>();
+		Set<Integer> wrong = new TreeSet<>();
+		for (int seed = 0; seed < SEEDS; seed++) {
+			Random random = new Random(seed);
+			PipeliningCaller caller = new PipeliningCaller();
+			List<String> due = sendRequests(caller, random);
+			List<String> answers = caller.answers();
+			int answeredBefore = 0;
+			int drainStep = random.nextInt(200);
+			for (int step = 0; step < 600 && !endAnnounced(answers); step++) {
+				if (step == drainStep) {
+					answeredBefore = answers.size();
+					caller.gateway().drain();
+				}
+				act(caller, random);
+				boolean waits = caller.requestsRead() > caller.answers().size();
+				if (waits && (endAnnounced(answers) || !caller.connection().busy())) {
+					lost.add(seed);
+				}
+			}
+			caller.finish();
+			List<String> expected = new ArrayList<>(due.subList(0, caller.answers().size()));
+			if (answers.size() > answeredBefore) {
+				expected.set(answers.size() - 1, expected.get(answers.size() - 1).replace("200 ", "200 close "));
+			}
+			if (!answers.equals(expected) || caller.connection().busy() || caller.gateway().heldBytes() != 0) {
+				wrong.add(seed);
+			}
+		}
+		assertThat(lost).isEmpty();
+		assertThat(wrong).isEmpty();
+	}
+
+	// Guards against a request that is dropped when its turn comes after a stop has begun
+	// to refuse requests.
+	@Test
+	void refusesARequestWhoseTurnComesLateInAStopAsNotRun() throws Exception {
+		AtomicBoolean refusing = new AtomicBoolean();
+		try (ScriptedUpstream upstream = ScriptedUpstream.start((number, request, reply) -> {
+			while (!refusing.get()) {
+				Thread.onSpinWait();
+			}
+			reply.write("HTTP/1.1 200 OK\r\nX-Stamp: s\r\nContent-Length: 1\r\n\r\na");
+		}); GatewayFixture gateway = new GatewayFixture(upstream); GatewayFixture.Caller caller = gateway.caller()) {
+			caller.send(request("/read/a", "a", false) + request("/write/b", "b", false));
+			while (upstream.requests().isEmpty()) {
+				Thread.onSpinWait();
+			}
+			gateway.read((context) -> {
+				context.drain();
+				context.refuseRequests();
+				return 0;
+			});
+			refusing.set(true);
+			String first = caller.readResponse();
+			assertThat(first).startsWith("HTTP/1.1 200 OK\r\n");
+			assertThat(first).doesNotContain("close");
+			String second = caller.readToEnd();
+			assertThat(second).startsWith("HTTP/1.1 503 ");
+			assertThat(second).contains("\r\nconnection: close\r\n");
+			assertThat(second).contains("\"error\":\"draining\",\"verdict\":\"not-run\"");
+			assertThat(upstream.requests()).hasSize(1);
+		}
+	}
+
 	// Guards against a malformed request that ends the connection before the answers to
 	// those ahead of it.
 	@Test
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/PipeliningCaller.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/PipeliningCaller.java
@@ -45,17 +45,21 @@
 
 	private final List<String> answers = new ArrayList<>();
 
+	private final CallerConnection connection;
+
 	private final ByteArrayOutputStream sent = new ByteArrayOutputStream();
 
+	private final List<Integer> ends = new ArrayList<>();
+
 	private int read;
 
 	private Exchange open;
 
 	PipeliningCaller() {
 		StrictRequestDecoder decoder = new StrictRequestDecoder(4_096);
-		CallerConnection connection = new CallerConnection(this.context,
+		this.connection = new CallerConnection(this.context,
 				(request, writer, onComplete) -> Optional.of(new Exchange(request, writer, onComplete)), decoder);
-		this.channel.pipeline().addLast(decoder, connection);
+		this.channel.pipeline().addLast(decoder, this.connection);
 		this.channel.pipeline().fireChannelActive();
 	}
 
@@ -84,6 +88,7 @@
 	 */
 	PipeliningCaller send(String request) {
 		this.sent.writeBytes(request.getBytes(StandardCharsets.ISO_8859_1));
+		this.ends.add(this.sent.size());
 		return this;
 	}
 
@@ -100,6 +105,14 @@
 		}
 	}
 
+	/**
+	 * Returns how many requests have been read to their end.
+	 * @return the number
+	 */
+	int requestsRead() {
+		return (int) this.ends.stream().filter((end) -> end <= this.read).count();
+	}
+
 	/**
 	 * Ends the exchange that is open, if any, with its answer.
 	 * @param streamed whether the answer is sent in parts
@@ -141,6 +154,10 @@
 		return this.channel.isOpen();
 	}
 
+	CallerConnection connection() {
+		return this.connection;
+	}
+
 	GatewayContext gateway() {
 		return this.context;
 	}
