Count requests that upstreams have answered but not read

Callers: while three upstreams answered uploads of 300,000 bytes early and read on 8 s later, an entry hung for good.

Cause: the answer to the caller ended the account of its request, but the body stayed in the write queue of the upstream's connection for up to 10 s, beyond the memory bound.

Ruled out: responses that callers do not read (some tens of bytes, all read), and the copies of arriving bodies (made as before, no error).

Fix: when a response ends and its request is not written, the account of the upstream's connection takes the bytes over until they are written or the connection closes. At the bound these connections are reset, the one answered first before the others, before a request is refused or a response is cut: nobody waits for them. So the bound holds whoever has been answered, and costs no caller an answer.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/GatewayContext.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/GatewayContext.java
@@ -122,7 +122,7 @@
 		this.crashEvidence = crashEvidence;
 		this.notices = new UpstreamNotices(membership, random, this::warmupSpec);
 		this.noticeDecoder = new UpstreamNoticeDecoder(headers);
-		this.pool = new UpstreamConnectionPool(loop, clock, metrics.upstreamConnects());
+		this.pool = new UpstreamConnectionPool(loop, clock, metrics.upstreamConnects(), this.memory);
 		this.warmup = new WarmupCoordinator(loop, clock, directory, this.notices.warmup(), this.pool, this::warmupSpec,
 				this.noticeDecoder, metrics);
 		this.warmFirst = new WarmFirst(upstreamSelector, this.notices.warmup(), membership::size);
@@ -377,7 +377,7 @@
 	}
 
 	/**
-	 * Returns what all connections of callers hold.
+	 * Returns what all connections hold.
 	 * @return the number of bytes
 	 */
 	public long heldBytes() {
@@ -392,6 +392,15 @@
 		return this.memory.cuts();
 	}
 
+	/**
+	 * Returns how many requests with an ended response were dropped unread because the
+	 * memory bound was reached.
+	 * @return the number since the start
+	 */
+	public long droppedRequests() {
+		return this.memory.drops();
+	}
+
 	/**
 	 * Returns the memory that a request takes at an engine of a service.
 	 * @param request the request
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/MemoryLedger.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/MemoryLedger.java
@@ -5,12 +5,15 @@
 import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 
 /**
- * Bounds what all connections of callers hold together: request bodies, responses that
- * are buffered, and bytes in write queues. If the bound is exceeded, the response whose
- * caller has read nothing for the longest time is cut. Decides only; not thread-safe.
+ * Bounds what all connections hold together: request bodies, responses that are buffered,
+ * and bytes in write queues. At the bound, requests whose response has ended and that
+ * their upstream has not read are dropped first, since nobody waits for them. If it is
+ * still exceeded, the response whose caller has read nothing for the longest time is cut.
+ * Decides only; not thread-safe.
  */
 final class MemoryLedger {
 
@@ -43,12 +46,16 @@
 
 	private final Set<Account> waiting = new LinkedHashSet<>();
 
+	private final Set<UnreadRequest> unreadRequests = new LinkedHashSet<>();
+
 	private long requestBytes;
 
 	private long responseBytes;
 
 	private long cuts;
 
+	private long drops;
+
 	/**
 	 * Creates a ledger.
 	 * @param limit the bound in bytes, which may change when the settings are reloaded
@@ -67,6 +74,16 @@
 		return new Account(onCut);
 	}
 
+	/**
+	 * Opens the account of one connection to an upstream, for requests that are not
+	 * written when their response ends.
+	 * @param onDrop closes the connection; the account holds nothing by then
+	 * @return the account
+	 */
+	UnreadRequest openUpstream(Runnable onDrop) {
+		return new UnreadRequest(onDrop);
+	}
+
 	/**
 	 * Returns what all connections hold.
 	 * @return the number of bytes
@@ -83,7 +100,28 @@
 		return this.cuts;
 	}
 
-	private void cutUnread(Account grown) {
+	/**
+	 * Returns how many requests with an ended response were dropped since the start
+	 * because the bound was reached.
+	 * @return the number
+	 */
+	long drops() {
+		return this.drops;
+	}
+
+	private boolean fits(long bytes) {
+		long bound = this.limit.getAsLong();
+		return heldBytes() + bytes <= bound && this.requestBytes + bytes <= REQUEST_SHARE * bound;
+	}
+
+	private void dropUnreadRequests(BooleanSupplier enough) {
+		while (!enough.getAsBoolean() && !this.unreadRequests.isEmpty()) {
+			this.unreadRequests.iterator().next().drop();
+		}
+	}
+
+	private void cutUnreadResponses(Account grown) {
+		dropUnreadRequests(() -> heldBytes() <= this.limit.getAsLong());
 		while (heldBytes() > this.limit.getAsLong() && !this.waiting.isEmpty()) {
 			longestUnread().cut();
 		}
@@ -134,12 +172,12 @@
 		 */
 		boolean reserveRequest(long bytes, long nowNanos) {
 			MemoryLedger ledger = MemoryLedger.this;
-			long bound = ledger.limit.getAsLong();
-			if (heldBytes() + bytes > bound) {
+			dropUnreadRequests(() -> fits(bytes));
+			if (heldBytes() + bytes > ledger.limit.getAsLong()) {
 				cutStopped(nowNanos);
 				return false;
 			}
-			if (this.closed || ledger.requestBytes + bytes > REQUEST_SHARE * bound) {
+			if (this.closed || !fits(bytes)) {
 				return false;
 			}
 			this.ownRequestBytes += bytes;
@@ -174,7 +212,7 @@
 			if (!this.closed) {
 				MemoryLedger.this.responseBytes += bytes - this.bufferedBytes;
 				this.bufferedBytes = bytes;
-				cutUnread(this);
+				cutUnreadResponses(this);
 			}
 		}
 
@@ -195,7 +233,7 @@
 			this.queuedBytes = bytes;
 			if (bytes > 0) {
 				MemoryLedger.this.waiting.add(this);
-				cutUnread(this);
+				cutUnreadResponses(this);
 			}
 			else if (!MemoryLedger.this.waiting.isEmpty()) {
 				MemoryLedger.this.waiting.remove(this);
@@ -239,4 +277,47 @@
 
 	}
 
+	/**
+	 * A request that waits for its upstream to read although its response has ended. Its
+	 * bytes count after the caller's account has released them.
+	 */
+	final class UnreadRequest {
+
+		private final Runnable onDrop;
+
+		private long bytes;
+
+		private UnreadRequest(Runnable onDrop) {
+			this.onDrop = onDrop;
+		}
+
+		/**
+		 * Holds the bytes of a request until it is released or dropped.
+		 * @param bytes the number of bytes
+		 */
+		void hold(long bytes) {
+			this.bytes = bytes;
+			MemoryLedger.this.requestBytes += bytes;
+			MemoryLedger.this.unreadRequests.add(this);
+			dropUnreadRequests(() -> fits(0));
+		}
+
+		/**
+		 * Releases the request, if one is held, once it is written or its connection has
+		 * closed.
+		 */
+		void release() {
+			MemoryLedger.this.requestBytes -= this.bytes;
+			this.bytes = 0;
+			MemoryLedger.this.unreadRequests.remove(this);
+		}
+
+		private void drop() {
+			MemoryLedger.this.drops++;
+			release();
+			this.onDrop.run();
+		}
+
+	}
+
 }
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/RequestBody.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/RequestBody.java
@@ -19,7 +19,7 @@
 	 * Bytes reserved for a request besides its body, so that requests without one also
 	 * count.
 	 */
-	private static final int REQUEST_OVERHEAD_BYTES = 1_024;
+	static final int REQUEST_OVERHEAD_BYTES = 1_024;
 
 	private final MemoryLedger.Account account;
 
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamConnection.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamConnection.java
@@ -17,6 +17,8 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 import io.bulrushrouter.kernel.ErrorCode;
 import io.bulrushrouter.kernel.TimeSource;
@@ -28,6 +30,8 @@
  */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
 
+	private static final Logger logger = LoggerFactory.getLogger(UpstreamConnection.class);
+
 	/**
 	 * Limit of what may arrive before the head of a response is complete, informational
 	 * responses included.
@@ -52,6 +56,8 @@
 
 	private final TimeSource clock;
 
+	private final MemoryLedger.UnreadRequest unreadRequest;
+
 	private ReadPause pause = new ReadPause();
 
 	private ResponseHandler responseHandler;
@@ -66,6 +72,10 @@
 
 	private boolean written;
 
+	private long requestBytes;
+
+	private long endedNanos;
+
 	private boolean ended;
 
 	private int requests;
@@ -80,11 +90,15 @@
 	 * @param onIdle called when the connection can carry the next request
 	 * @param onClosed called when the connection has closed
 	 * @param clock the monotonic clock
+	 * @param memory counts requests that the upstream has not read when their response
+	 * ends
 	 */
 	UpstreamConnection(Channel channel, Consumer<UpstreamConnection> onIdle, Consumer<UpstreamConnection> onClosed,
-			TimeSource clock) {
+			TimeSource clock, MemoryLedger memory) {
 		this.channel = channel;
 		this.clock = clock;
+		this.unreadRequest = memory
+			.openUpstream(() -> dropUnreadRequest("the memory bound of all connections is reached"));
 		this.onIdle = onIdle;
 		this.onClosed = onClosed;
 	}
@@ -101,12 +115,14 @@
 		this.bodyBytes = 0;
 		this.ended = false;
 		this.written = false;
+		this.requestBytes = RequestBody.REQUEST_OVERHEAD_BYTES + request.content().readableBytes();
 		this.reusable = true;
 		this.pause = new ReadPause();
 		this.requests++;
 		this.channel.config().setAutoRead(true);
 		this.channel.writeAndFlush(request).addListener((ChannelFutureListener) (future) -> {
 			this.written = future.isSuccess();
+			this.unreadRequest.release();
 			if (!future.isSuccess()) {
 				fail(ErrorCode.CONNECTION_LOST, "write failed: " + future.cause());
 			}
@@ -271,14 +287,28 @@
 
 	// An upstream that has answered before it read the request may never read on.
 	private void scheduleCloseIfUnwritten() {
+		if (this.written || !this.channel.isActive()) {
+			return;
+		}
 		int request = this.requests;
-		if (!this.written) {
-			this.channel.eventLoop().schedule(() -> {
-				if (!this.written && this.requests == request) {
-					this.channel.close();
-				}
-			}, MAX_WRITE_AFTER_END_MILLIS, TimeUnit.MILLISECONDS);
+		this.endedNanos = this.clock.nanos();
+		this.channel.eventLoop().schedule(() -> {
+			if (!this.written && this.requests == request && this.channel.isActive()) {
+				dropUnreadRequest("the upstream has not read the request in time");
+			}
+		}, MAX_WRITE_AFTER_END_MILLIS, TimeUnit.MILLISECONDS);
+		this.unreadRequest.hold(this.requestBytes);
+	}
+
+	private void dropUnreadRequest(String reason) {
+		logger.info("event=unread-request-dropped address={} bytes={} unread-ms={} detail=\"{}\"",
+				this.channel.remoteAddress(), this.requestBytes,
+				TimeUnit.NANOSECONDS.toMillis(this.clock.nanos() - this.endedNanos), reason);
+		// A reset also frees what the operating system holds for the connection.
+		if (this.channel.isActive()) {
+			this.channel.config().setOption(ChannelOption.SO_LINGER, 0);
 		}
+		this.channel.close();
 	}
 
 	@Override
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamConnectionPool.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamConnectionPool.java
@@ -57,13 +57,16 @@
 
 	private final Counter connects;
 
+	private final MemoryLedger memory;
+
 	private Consumer<String> onIdleClosed = (id) -> {
 	};
 
 	private final Map<String, Deque<UpstreamConnection>> idle = new HashMap<>();
 
-	UpstreamConnectionPool(EventLoop loop, TimeSource clock, Counter connects) {
+	UpstreamConnectionPool(EventLoop loop, TimeSource clock, Counter connects, MemoryLedger memory) {
 		this.clock = clock;
+		this.memory = memory;
 		this.connects = connects;
 		this.bootstrap = new Bootstrap().group(loop)
 			.channel(NioSocketChannel.class)
@@ -136,7 +139,7 @@
 			Channel channel = connecting.channel();
 			UpstreamConnection connection = new UpstreamConnection(channel,
 					(released) -> addIdle(upstream.id(), released), (closed) -> removeIdle(upstream.id(), closed),
-					this.clock);
+					this.clock, this.memory);
 			channel.pipeline()
 				.addLast(connection.byteLimiter(),
 						new HttpClientCodec(MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES, false, true),
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/GatewayFixture.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/GatewayFixture.java
@@ -148,6 +148,17 @@
 			.get(10, TimeUnit.SECONDS);
 	}
 
+	/**
+	 * Replaces the limit of a request body.
+	 * @param bytes the limit
+	 * @throws Exception if the event loop fails
+	 */
+	void bodyLimit(int bytes) throws Exception {
+		GatewayConfiguration base = configuration(Duration.ofSeconds(15), Map.of());
+		configure(new GatewayConfiguration(base.version(), base.routes(), base.services(),
+				new CallerLimits(4_096, bytes, Duration.ofSeconds(3), Duration.ofSeconds(15)), base.organisations()));
+	}
+
 	private static Route route(String prefix, RouteKind kind, Duration timeout) {
 		return new Route(prefix, "test", prefix, kind, timeout, Duration.ofMillis(300), 1,
 				List.of(new WeightedService("service", 1)), 2, false, kind == RouteKind.STREAM);
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/MemoryLedgerTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/MemoryLedgerTests.java
@@ -94,4 +94,35 @@
 		assertThat(this.ledger.heldBytes()).isEqualTo(LIMIT / 4);
 	}
 
+	private MemoryLedger.UnreadRequest unread(String name) {
+		return this.ledger.openUpstream(() -> this.cut.add(name));
+	}
+
+	@Test
+	void dropsTheLongestAnsweredRequestsThatUpstreamsHaveNotReadBeforeItRefusesARequest() {
+		unread("first").hold(LIMIT / 4);
+		MemoryLedger.UnreadRequest written = unread("written");
+		written.hold(LIMIT / 4);
+		unread("last").hold(LIMIT / 4);
+		written.release();
+		assertThat(account("fits").reserveRequest(LIMIT / 4, 0)).isTrue();
+		assertThat(this.cut).isEmpty();
+		assertThat(account("request").reserveRequest(1, 0)).isTrue();
+		assertThat(this.cut).containsExactly("first");
+		assertThat(this.ledger.heldBytes()).isEqualTo(LIMIT / 2 + 1);
+		assertThat(this.ledger.drops()).isEqualTo(1);
+	}
+
+	@Test
+	void dropsRequestsThatUpstreamsHaveNotReadBeforeItCutsAResponse() {
+		unread("unread").hold(LIMIT / 2);
+		account("reader").queued(LIMIT / 2, false, 0);
+		assertThat(this.cut).isEmpty();
+		account("new").queued(1, false, 1);
+		assertThat(this.cut).containsExactly("unread");
+		unread("too large").hold(LIMIT);
+		assertThat(this.cut).containsExactly("unread", "too large").inOrder();
+		assertThat(this.ledger.heldBytes()).isEqualTo(LIMIT / 2 + 1);
+	}
+
 }
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/ScriptedUpstream.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/ScriptedUpstream.java
@@ -41,6 +41,8 @@
 
 	private volatile String probeHeader = "";
 
+	private volatile boolean readsHeadsOnly;
+
 	private ScriptedUpstream(Script script) throws IOException {
 		this.script = script;
 		this.serverSocket = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
@@ -63,6 +65,21 @@
 		return new ScriptedUpstream(script);
 	}
 
+	/**
+	 * Starts an upstream that reads the heads of requests and leaves their bodies to the
+	 * script.
+	 * @param script the script
+	 * @return the upstream
+	 * @throws IOException if no port is free
+	 */
+	static ScriptedUpstream startReadingHeads(Script script) throws IOException {
+		ScriptedUpstream upstream = new ScriptedUpstream(script);
+		upstream.readsHeadsOnly = true;
+		upstream.serverSocket.setReceiveBufferSize(4_096);
+		upstream.resume();
+		return upstream;
+	}
+
 	/**
 	 * Resumes a suspended upstream.
 	 */
@@ -173,7 +190,7 @@
 	private void serve(Socket connection) {
 		try (connection) {
 			InputStream in = connection.getInputStream();
-			String request = Messages.readMessage(in);
+			String request = readRequest(in);
 			while (!request.isEmpty()) {
 				Reply reply = new Reply(connection);
 				if (request.startsWith("GET " + GatewayFixture.PROBE_PATH + " ")) {
@@ -183,7 +200,7 @@
 					this.requests.add(request);
 					this.script.respond(this.requests.size(), request, reply);
 				}
-				request = Messages.readMessage(in);
+				request = readRequest(in);
 			}
 		}
 		catch (IOException ex) {
@@ -193,6 +210,10 @@
 		}
 	}
 
+	private String readRequest(InputStream in) throws IOException {
+		return this.readsHeadsOnly ? Messages.readHead(in) : Messages.readMessage(in);
+	}
+
 	@Override
 	public void close() throws IOException {
 		this.serverSocket.close();
@@ -237,6 +258,15 @@
 			return this;
 		}
 
+		/**
+		 * Reads the body of a request.
+		 * @param length the number of its bytes
+		 * @throws IOException if the connection ends before
+		 */
+		void skipBody(int length) throws IOException {
+			this.connection.getInputStream().skipNBytes(length);
+		}
+
 		void close() throws IOException {
 			this.connection.close();
 		}
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/UpstreamConnectionTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/UpstreamConnectionTests.java
@@ -31,7 +31,7 @@
 
 	private UpstreamConnection receive(String response) {
 		UpstreamConnection connection = new UpstreamConnection(this.channel, (idle) -> this.reported.add("idle"),
-				(closed) -> this.reported.add("closed"), System::nanoTime);
+				(closed) -> this.reported.add("closed"), System::nanoTime, new MemoryLedger(() -> 0));
 		this.channel.pipeline().addLast(connection);
 		connection.send(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"), new Recorder());
 		this.channel.writeInbound(Unpooled.copiedBuffer(response, StandardCharsets.ISO_8859_1));
