--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/Gateway.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/Gateway.java
@@ -33,6 +33,8 @@
 import io.bulrushrouter.gateway.upstream.EvacuatedDataCentres;
 import io.bulrushrouter.gateway.upstream.UpstreamDirectory;
 import io.bulrushrouter.gateway.upstream.UpstreamSelector;
+import io.bulrushrouter.kernel.BulrushException;
+import io.bulrushrouter.kernel.ErrorCode;
 import io.bulrushrouter.kernel.TimeSource;
 import io.bulrushrouter.kernel.plugin.PluginRegistry;
 
@@ -114,6 +116,8 @@
 		this.settings = settings;
 		this.group = new NioEventLoopGroup(1, new DefaultThreadFactory("gateway"));
 		this.loop = this.group.next();
+		// Without its event loop the process cannot serve, nor stop in an orderly way.
+		this.loop.terminationFuture().addListener((ended) -> this.stopped.complete(null));
 		this.membership = new EntryMembership(settings.instance());
 		this.evacuated = settings.evacuation().isPresent() ? EvacuatedDataCentres.ofUnknown()
 				: EvacuatedDataCentres.ofNone();
@@ -245,9 +249,13 @@
 
 	/**
 	 * Blocks until the entry has stopped.
+	 * @throws BulrushException if its event loop has ended before a stop
 	 */
 	public void awaitStopped() {
 		this.stopped.join();
+		if (this.loop.isTerminated()) {
+			throw new BulrushException(ErrorCode.INTERNAL, "the event loop has ended");
+		}
 	}
 
 	/**
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/node/GatewayStopTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/node/GatewayStopTests.java
@@ -16,8 +16,12 @@
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 import io.netty.channel.EventLoopGroup;
+import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.api.Test;
 
 import io.bulrushrouter.gateway.config.CallerLimits;
@@ -159,6 +163,22 @@
 		}
 	}
 
+	// Guards against a process that stays alive, and so is not restarted, but cannot
+	// serve.
+	@Test
+	void failsOnceItsEventLoopHasEnded() throws Exception {
+		CompletableFuture<EventLoopGroup> loops = new CompletableFuture<>();
+		FleetSource.Factory fleet = new FixedFleet(freePort(), loops::complete);
+		PluginRegistry plugins = PluginRegistry.of(List.of(Plugin.of(FleetSource.Factory.class, "test", fleet)));
+		try (Gateway gateway = Gateway.start(settings(freePort(), freePort()), plugins, new Random(1))) {
+			loops.join().next().shutdownGracefully();
+			CompletableFuture<Void> awaited = CompletableFuture.runAsync(gateway::awaitStopped);
+			ExecutionException ended = Assertions.assertThrows(ExecutionException.class,
+					() -> awaited.get(20, TimeUnit.SECONDS));
+			assertThat(ended).hasCauseThat().hasMessageThat().contains("event loop");
+		}
+	}
+
 	private static String slowRequest(Socket caller) {
 		try {
 			return exchange(caller,
@@ -186,7 +206,12 @@
 	}
 
 	// A fleet with a single upstream that never changes.
-	private record FixedFleet(int port) implements FleetSource, FleetSource.Factory {
+	private record FixedFleet(int port, Consumer<EventLoopGroup> loops) implements FleetSource, FleetSource.Factory {
+
+		private FixedFleet(int port) {
+			this(port, (group) -> {
+			});
+		}
 
 		@Override
 		public HeaderNames headers() {
@@ -200,6 +225,7 @@
 
 		@Override
 		public FleetSource connect(String host, int storePort, EventLoopGroup group) {
+			this.loops.accept(group);
 			return this;
 		}
 
--- a/bulrushrouter-launcher/src/main/java/io/bulrushrouter/launcher/Main.java
+++ b/bulrushrouter-launcher/src/main/java/io/bulrushrouter/launcher/Main.java
@@ -15,6 +15,7 @@
 import io.bulrushrouter.gateway.node.Gateway;
 import io.bulrushrouter.gateway.node.GatewaySettings;
 import io.bulrushrouter.kernel.BulrushException;
+import io.bulrushrouter.kernel.ErrorCode;
 import io.bulrushrouter.kernel.plugin.PluginRegistry;
 import io.bulrushrouter.kernel.settings.Settings;
 import io.bulrushrouter.ranks.RankSettings;
@@ -25,6 +26,9 @@
  */
 public final class Main {
 
+	/** Exit code for a process that can no longer serve. */
+	private static final int FAILURE = 1;
+
 	/** Exit code for invalid arguments or settings. */
 	private static final int USAGE_ERROR = 2;
 
@@ -80,7 +84,7 @@
 		}
 		catch (BulrushException ex) {
 			logger().error("event=failed code={} detail=\"{}\"", ex.code().text(), ex.getMessage());
-			return USAGE_ERROR;
+			return (ex.code() == ErrorCode.INTERNAL) ? FAILURE : USAGE_ERROR;
 		}
 		finally {
 			logSetup.close();
--- a/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/RankSidecar.java
+++ b/bulrushrouter-ranks/src/main/java/io/bulrushrouter/ranks/RankSidecar.java
@@ -13,6 +13,8 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import io.bulrushrouter.kernel.BulrushException;
+import io.bulrushrouter.kernel.ErrorCode;
 import io.bulrushrouter.kernel.plugin.PluginRegistry;
 
 /**
@@ -34,6 +36,8 @@
 
 	private RankSidecar(RankSettings settings, PluginRegistry plugins, RandomGenerator random) {
 		this.loop = this.eventLoops.next();
+		// Without its event loop the process cannot serve, nor stop in an orderly way.
+		this.loop.terminationFuture().addListener((ended) -> this.stopped.complete(null));
 		this.source = plugins.require(RankSource.Factory.class, settings.source())
 			.connect(settings.engine(), settings.store(), this.eventLoops);
 		FleetView fleet = new FleetView(this.loop, this.source.fleet(), settings.service(), settings.address(), random);
@@ -97,9 +101,13 @@
 
 	/**
 	 * Waits until the sidecar has stopped.
+	 * @throws BulrushException if its event loop has ended before a stop
 	 */
 	public void awaitStopped() {
 		this.stopped.join();
+		if (this.loop.isTerminated()) {
+			throw new BulrushException(ErrorCode.INTERNAL, "the event loop has ended");
+		}
 	}
 
 	@Override
--- a/bulrushrouter-ranks/src/test/java/io/bulrushrouter/ranks/RankSidecarTests.java
+++ b/bulrushrouter-ranks/src/test/java/io/bulrushrouter/ranks/RankSidecarTests.java
@@ -12,8 +12,11 @@
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 
+import io.netty.channel.EventLoopGroup;
+import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -145,6 +148,27 @@
 		}
 	}
 
+	// Guards against a process that stays alive, and so is not restarted, but cannot
+	// serve.
+	@Test
+	void failOnceTheirEventLoopHasEnded() throws Exception {
+		CompletableFuture<EventLoopGroup> started = new CompletableFuture<>();
+		PluginRegistry plugins = PluginRegistry
+			.of(List.of(Plugin.of(RankSource.Factory.class, "test", (engine, store, loops) -> {
+				started.complete(loops);
+				return new FakeSource(new FakeGroup(RANKS, Integer.MAX_VALUE), RANKS, 0);
+			})));
+		RankSettings settings = new RankSettings("rank-0", address(0), freePort(), new InetSocketAddress(address(0), 1),
+				"service", "test", new InetSocketAddress("127.0.0.1", 1), 500_000);
+		try (RankSidecar sidecar = RankSidecar.start(settings, plugins, new Random(0))) {
+			started.join().next().shutdownGracefully();
+			CompletableFuture<Void> awaited = CompletableFuture.runAsync(sidecar::awaitStopped);
+			ExecutionException ended = Assertions.assertThrows(ExecutionException.class,
+					() -> awaited.get(20, TimeUnit.SECONDS));
+			assertThat(ended).hasCauseThat().hasMessageThat().contains("event loop");
+		}
+	}
+
 	/**
 	 * The sidecars of all ranks of a group.
 	 */
