--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamConnectionPool.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamConnectionPool.java
@@ -52,13 +52,16 @@
 
 	private final Counter connects;
 
+	private final MemoryLedger memory;
+
 	private Consumer<String> onIdleClosed = (id) -> {
 	};
 
 	private final Map<String, Deque<UpstreamConnection>> idle = new HashMap<>();
 
-	UpstreamConnectionPool(EventLoop loop, TimeSource clock, Counter connects) {
+	UpstreamConnectionPool(EventLoop loop, TimeSource clock, Counter connects, MemoryLedger memory) {
 		this.clock = clock;
+		this.memory = memory;
 		this.connects = connects;
 		this.bootstrap = new Bootstrap().group(loop)
 			.channel(NioSocketChannel.class)
@@ -135,7 +138,7 @@
 			Channel channel = connecting.channel();
 			UpstreamConnection connection = new UpstreamConnection(upstream.id(), channel,
 					(released) -> addIdle(upstream.id(), released), (closed) -> removeIdle(upstream.id(), closed),
-					this.clock);
+					this.clock, this.memory);
 			channel.pipeline().addLast(connection.handlers());
 			onReady.accept(connection);
 		});
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/Gateway.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/Gateway.java
@@ -33,6 +33,8 @@
 import io.bulrushrouter.gateway.upstream.EvacuatedDataCentres;
 import io.bulrushrouter.gateway.upstream.UpstreamDirectory;
 import io.bulrushrouter.gateway.upstream.UpstreamSelector;
+import io.bulrushrouter.kernel.BulrushException;
+import io.bulrushrouter.kernel.ErrorCode;
 import io.bulrushrouter.kernel.TimeSource;
 import io.bulrushrouter.kernel.plugin.PluginRegistry;
 
@@ -114,6 +116,8 @@
 		this.settings = settings;
 		this.group = new NioEventLoopGroup(1, new DefaultThreadFactory("gateway"));
 		this.loop = this.group.next();
+		// Without its event loop the process cannot serve, nor stop in an orderly way.
+		this.loop.terminationFuture().addListener((ended) -> this.stopped.complete(null));
 		this.membership = new EntryMembership(settings.instance());
 		this.evacuated = settings.evacuation().isPresent() ? EvacuatedDataCentres.ofUnknown()
 				: EvacuatedDataCentres.ofNone();
@@ -167,6 +171,7 @@
 		this.registry.gauge("bulrush.gateway.crash.cleared", crashEvidence, CrashEvidence::clearedFingerprints);
 		this.registry.gauge("bulrush.gateway.held.bytes", this.context, GatewayContext::heldBytes);
 		this.registry.gauge("bulrush.gateway.readers.cut", this.context, GatewayContext::cutReaders);
+		this.registry.gauge("bulrush.gateway.unread.requests.dropped", this.context, GatewayContext::droppedRequests);
 		this.registry.gauge("bulrush.gateway.evacuated.data.centres", this.evacuated, EvacuatedDataCentres::size);
 		this.registry.gauge("bulrush.gateway.cold.upstreams", this.context, GatewayContext::coldUpstreams);
 		this.registry.gauge("bulrush.gateway.callers", this.callers, CallerServer::connections);
@@ -244,9 +249,13 @@
 
 	/**
 	 * Blocks until the entry has stopped.
+	 * @throws BulrushException if its event loop has ended before a stop
 	 */
 	public void awaitStopped() {
 		this.stopped.join();
+		if (this.loop.isTerminated()) {
+			throw new BulrushException(ErrorCode.INTERNAL, "the event loop has ended");
+		}
 	}
 
 	/**
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/UpstreamConnectionTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/UpstreamConnectionTests.java
@@ -32,7 +32,8 @@
 
 	private UpstreamConnection receive(String response) {
 		UpstreamConnection connection = new UpstreamConnection("up-a", this.channel,
-				(idle) -> this.reported.add("idle"), (closed) -> this.reported.add("closed"), System::nanoTime);
+				(idle) -> this.reported.add("idle"), (closed) -> this.reported.add("closed"), System::nanoTime,
+				new MemoryLedger(() -> 0));
 		this.channel.pipeline().addLast(connection.handlers());
 		connection.send(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"), Optional.empty(),
 				new Recorder());
