Accept the next request as soon as a response is written

Change: the state changes at once, and only what waits is processed in a task. The order follows from the queue, not from when the task runs.

Evidence: SlowCallerTests and CallerConnectionTests pass.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/CallerConnection.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/CallerConnection.java
@@ -339,13 +339,12 @@
 		}
 	}
 
-	// In a task, since the exchange of the request ends after its response.
+	// What waits is processed in a task, since the exchange of the request ends after its
+	// response.
 	private void awaitRequest() {
-		this.context.loop().execute(() -> {
-			this.responding = false;
-			this.waitingSinceNanos = this.context.nowNanos();
-			processMessages();
-		});
+		this.responding = false;
+		this.waitingSinceNanos = this.context.nowNanos();
+		this.context.loop().execute(this::processMessages);
 	}
 
 	// The linger time begins when the caller has been sent everything, however slowly it
