List the objects when their changes exceed the limit of an answer

What callers saw: an entry that froze for 4 s while 22 versions of a configuration of 230 KB were written never took the newest one.

Cause: the answer to the watch held all missed versions, 5 MB, over the limit of 4 MiB. The follower took that for a store that is away and sent the same watch again, each half second, with the same answer.

Ruled out: that the entry does not notice, and a time-out of the large answer; the log had store-lost for the feed with the limit as its reason. A higher limit: four versions near the store's limit for a value, taken as changes, run out of 36 MB of heap, and a rank has 40 MB.

Change: an answer over the limit is a result of its own and no outage. After a watch the objects are listed at once, after a list the next call watches. If two watches in a row fail for any other reason, the third call lists.

Why this works: changes grow with the time that was missed, the pages of a list do not, and no call is repeated for ever.

The store of LostConnectionTests answered lists while it was away, since none was sent then; it treats them like watches now, and the bounds are as they were.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/Gateway.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/Gateway.java
@@ -161,6 +161,7 @@
 		this.registry.gauge("bulrush.gateway.store.feed.errors", this.feedCounters, FeedCounters::errors);
 		this.registry.gauge("bulrush.gateway.store.lost.connections", this.feedCounters, FeedCounters::lostConnections);
 		this.registry.gauge("bulrush.gateway.store.outages", this.feedCounters, FeedCounters::outages);
+		this.registry.gauge("bulrush.gateway.store.large.answers", this.feedCounters, FeedCounters::largeAnswers);
 		this.registry.gauge("bulrush.gateway.configuration", this, (gateway) -> gateway.configurationVersion);
 		this.registry.gauge("bulrush.gateway.crash.suspects", crashEvidence, CrashEvidence::suspects);
 		this.registry.gauge("bulrush.gateway.crash.quarantines", crashEvidence, CrashEvidence::quarantines);
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/FeedCounters.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/FeedCounters.java
@@ -11,6 +11,8 @@
 
 	private long outages;
 
+	private long largeAnswers;
+
 	void recordError() {
 		this.errors++;
 	}
@@ -23,6 +25,10 @@
 		this.outages++;
 	}
 
+	void recordLargeAnswer() {
+		this.largeAnswers++;
+	}
+
 	/**
 	 * Returns the number of errors of this process, after each of which a feed was listed
 	 * again.
@@ -49,4 +55,12 @@
 		return this.outages;
 	}
 
+	/**
+	 * Returns the number of answers of the store that exceeded the limit of the client.
+	 * @return the number of answers, over all feeds
+	 */
+	public long largeAnswers() {
+		return this.largeAnswers;
+	}
+
 }
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/FeedFollower.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/FeedFollower.java
@@ -16,10 +16,12 @@
 
 /**
  * Keeps a listener up to date with a {@link Feed}: lists it once, then watches it, and
- * lists it again when the store no longer has the history or was restored from a copy.
- * Failed calls are retried with exponential backoff and jitter. Whatever the feed or the
- * listener throws, the objects are listed again after a delay. Runs on a single thread,
- * on which the stages of the feed must complete too.
+ * lists it again when the store no longer has the history, was restored from a copy, or
+ * has more changes than fit into an answer. After two watches have failed in a row, the
+ * third call lists, in case the store serves only that. Failed calls are retried with
+ * exponential backoff and jitter. Whatever the feed or the listener throws, the objects
+ * are listed again after a delay. Runs on a single thread, on which the stages of the
+ * feed must complete too.
  * <p>
  * A call that is not answered says nothing about the store. It is repeated at once on a
  * new connection: if that is answered, only a connection was lost.
@@ -50,6 +52,9 @@
 
 	private static final long UNKNOWN_ERA = -1;
 
+	/** The number of calls in a row, while all fail, of which the last one lists. */
+	private static final int CALLS_PER_LIST = 3;
+
 	private final String name;
 
 	private final Feed<T> feed;
@@ -78,6 +83,12 @@
 
 	private int errors;
 
+	private int largeAnswers;
+
+	private boolean listing;
+
+	private boolean changesTooLarge;
+
 	private long answeredNanos;
 
 	private long overdueNanos = MIN_OVERDUE.toNanos();
@@ -129,13 +140,17 @@
 	}
 
 	private CompletionStage<FeedCall.Outcome<T>> listOrWatch() {
-		boolean list = this.revision < 0;
-		FeedCall<T> call = list ? FeedCall.ofList(this.feed, this.loop, this.clock)
+		this.listing = listsNext();
+		FeedCall<T> call = this.listing ? FeedCall.ofList(this.feed, this.loop, this.clock)
 				: FeedCall.ofWatch(this.feed, this.revision, this.loop, this.clock);
-		Duration wait = list ? Duration.ZERO : this.watchTimeout.get();
+		Duration wait = this.listing ? Duration.ZERO : this.watchTimeout.get();
 		// While the store is unavailable a repetition would only double the calls.
 		return (this.failures > 0) ? call.send(wait)
-				: call.sendRepeatable(wait, list ? MAX_OVERDUE : Duration.ofNanos(this.overdueNanos));
+				: call.sendRepeatable(wait, this.listing ? MAX_OVERDUE : Duration.ofNanos(this.overdueNanos));
+	}
+
+	private boolean listsNext() {
+		return this.revision < 0 || this.changesTooLarge || this.failures % CALLS_PER_LIST == CALLS_PER_LIST - 1;
 	}
 
 	private void requestAfter(long delayNanos) {
@@ -170,6 +185,11 @@
 			logger.info("event=store-regained feed={} failed-calls={}", this.name, this.failures);
 			this.failures = 0;
 		}
+		if (result instanceof FeedResult.TooLarge<T> tooLarge) {
+			return tooLarge(tooLarge.reason());
+		}
+		this.largeAnswers = 0;
+		this.changesTooLarge = false;
 		long delayNanos = (result instanceof FeedResult.Changed<T> changed)
 				? acceptChanges(changed, outcome.requestedNanos())
 				: acceptList((FeedResult.Listed<T>) result, outcome.requestedNanos());
@@ -200,6 +220,18 @@
 		}
 	}
 
+	// The store is not lost. Changes that are too large are listed at once; after a list
+	// that is too large, a watch may bring changes that are not.
+	private long tooLarge(String reason) {
+		this.counters.recordLargeAnswer();
+		if (this.largeAnswers++ == 0) {
+			logger.warn("event=store-answer-too-large feed={} call={} revision={} reason=\"{}\"", this.name,
+					this.listing ? "list" : "watch", this.revision, reason);
+		}
+		this.changesTooLarge = !this.listing;
+		return this.listing ? TimeUnit.MILLISECONDS.toNanos(BACKOFF.delayMillis(this.largeAnswers, this.random)) : 0;
+	}
+
 	private long acceptList(FeedResult.Listed<T> listed, long requestedNanos) {
 		if (fromOlderEra(listed.era())) {
 			return olderEra(listed.era());
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/FeedResult.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/FeedResult.java
@@ -43,6 +43,16 @@
 	record HistoryLost<T>(String reason) implements FeedResult<T> {
 	}
 
+	/**
+	 * The store answered, but the answer exceeds the limit of the client. That says
+	 * nothing against the store.
+	 *
+	 * @param reason the reason, for logs
+	 * @param <T> the type that objects are decoded into
+	 */
+	record TooLarge<T>(String reason) implements FeedResult<T> {
+	}
+
 	/**
 	 * The connection was lost after the call was sent, or silent until it timed out. That
 	 * says nothing about the store.
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/source/FeedFollowerTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/source/FeedFollowerTests.java
@@ -286,6 +286,37 @@
 		assertThat(this.notifications).doesNotContain("unavailable");
 	}
 
+	// Guards against asking for the same changes without end when they exceed the limit.
+	@Test
+	void listsAtOnceWhenTheChangesAreTooLarge() {
+		FeedCounters counters = new FeedCounters();
+		startWatching(counters);
+		complete(new FeedResult.TooLarge<>("too large"));
+		assertThat(this.calls).containsExactly("list", "watch 40", "list").inOrder();
+		complete(new FeedResult.TooLarge<>("too large"));
+		advance(1_000);
+		complete(new FeedResult.TooLarge<>("too large"));
+		complete(new FeedResult.Listed<>(List.of(new Item<>("a", Optional.of("1"))), 44, 0));
+		assertThat(this.calls).containsExactly("list", "watch 40", "list", "watch 40", "list", "watch 44").inOrder();
+		assertThat(this.notifications).containsExactly("listed []", "listed [a]").inOrder();
+		assertThat(counters.largeAnswers()).isEqualTo(3);
+		assertThat(counters.outages()).isEqualTo(0);
+	}
+
+	// Guards against a feed that stays behind because the store answers lists only.
+	@Test
+	void listsWithTheThirdCallAfterTwoWatchesHaveFailed() {
+		startWatching(new FeedCounters());
+		for (int call = 0; call < 5; call++) {
+			complete(new FeedResult.Unavailable<>("status 500"));
+			advance(1_000);
+		}
+		assertThat(this.calls).containsExactly("list", "watch 40", "watch 40", "list", "watch 40", "watch 40", "list")
+			.inOrder();
+		complete(new FeedResult.Listed<>(List.of(), 44, 0));
+		assertThat(this.calls.get(this.calls.size() - 1)).isEqualTo("watch 44");
+	}
+
 	private void startWithMinWatchInterval() {
 		this.channel.freezeTime();
 		FeedFollower.builder("test", new RecordingFeed(), new RecordingListener())
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/upstream/LostConnectionTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/upstream/LostConnectionTests.java
@@ -43,6 +43,9 @@
 
 	private static final int UPSTREAMS = 8;
 
+	/** The revision of a call that lists. */
+	private static final long LIST = -1;
+
 	private final EmbeddedChannel channel = new EmbeddedChannel();
 
 	private long millis;
@@ -180,13 +183,15 @@
 
 		@Override
 		public CompletionStage<FeedResult<UpstreamRecord>> list() {
-			return CompletableFuture.completedFuture(new FeedResult.Listed<>(
-					this.entries.values().stream().map((entry) -> new Item<>(entry.id(), Optional.of(entry))).toList(),
-					this.history.size(), 0));
+			return call(LIST, Duration.ZERO);
 		}
 
 		@Override
 		public CompletionStage<FeedResult<UpstreamRecord>> watch(long revision, Duration wait) {
+			return call(revision, wait);
+		}
+
+		private CompletionStage<FeedResult<UpstreamRecord>> call(long revision, Duration wait) {
 			Watch watch = new Watch(revision, wait.toMillis());
 			if (this.outage.equals("refusing")) {
 				watch.after(10, () -> new FeedResult.Unavailable<>("refused"));
@@ -199,7 +204,7 @@
 			}
 			else {
 				this.watches.add(watch);
-				watch.after(wait.toMillis(), watch::changes);
+				watch.after(wait.toMillis(), watch::current);
 				if (revision < this.history.size()) {
 					watch.answer();
 				}
@@ -213,7 +218,7 @@
 		}
 
 		/**
-		 * A watch that waits for changes.
+		 * A list, or a watch that waits for changes.
 		 */
 		private final class Watch {
 
@@ -233,12 +238,18 @@
 			}
 
 			private void answer() {
-				after(10, this::changes);
+				after(10, this::current);
 			}
 
-			private FeedResult<UpstreamRecord> changes() {
+			private FeedResult<UpstreamRecord> current() {
 				SimulatedStore.this.watches.remove(this);
 				List<Item<UpstreamRecord>> known = SimulatedStore.this.history;
+				if (this.revision == LIST) {
+					return new FeedResult.Listed<>(SimulatedStore.this.entries.values()
+						.stream()
+						.map((entry) -> new Item<>(entry.id(), Optional.of(entry)))
+						.toList(), known.size(), 0);
+				}
 				return new FeedResult.Changed<>(List.copyOf(known.subList((int) this.revision, known.size())),
 						known.size(), 0);
 			}
