Take no line break behind a body for the begin of a request

Cause: the decoder noted an incomplete head for any byte between requests, and an end is announced only if no head has arrived in part.

Ruled out: a request that waits. Nothing was in the queue.

Change: only bytes other than those of a line break begin a head. Why it works: the decoder skips line breaks before a head, so none of them belongs to a request.

Evidence: the same assertion failed on the code before ("200" instead of "200 close") and passes as endsTheConnectionAtAStopDespiteALineBreakBehindABody. Comments on the tests are cut to a line each.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/StrictRequestDecoder.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/StrictRequestDecoder.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ByteProcessor;
 
 /**
  * Netty's request decoder without the leniency that allows request smuggling: header
@@ -32,7 +33,8 @@
 			throw new IllegalArgumentException("a header is folded over several lines");
 		}
 		int before = out.size();
-		boolean read = buffer.isReadable();
+		// A line break behind a body, which some callers send, begins no head.
+		boolean read = buffer.forEachByte(ByteProcessor.FIND_NON_CRLF) >= 0;
 		super.decode(context, buffer, out);
 		for (Object message : out.subList(before, out.size())) {
 			this.expectsHead = message instanceof LastHttpContent;
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/CallerConnectionTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/CallerConnectionTests.java
@@ -57,8 +57,7 @@
 		}
 	}
 
-	// Guards against answers that change places and bodies that lose a part when bytes
-	// are read before a task of the event loop runs.
+	// Guards against answers that change places and bodies that lose a part.
 	@Test
 	void answersPipelinedRequestsInTheirOrderWithTheirOwnBodies() {
 		List<Integer> mixed = new ArrayList<>();
@@ -91,8 +90,7 @@
 		return !answers.isEmpty() && answers.get(answers.size() - 1).startsWith("200 close ");
 	}
 
-	// Guards against requests that get no answer because the gateway stops while they
-	// wait behind another one.
+	// Guards against requests that wait and get no answer since the gateway stops.
 	@Test
 	void answersAllThatWasReadBeforeItEndsTheConnectionAtAStop() {
 		Set<Integer> lost = new TreeSet<>();
@@ -128,8 +126,7 @@
 		assertThat(wrong).isEmpty();
 	}
 
-	// Guards against a request that is dropped when its turn comes after a stop has begun
-	// to refuse requests.
+	// Guards against a request that is dropped when a stop refuses requests.
 	@Test
 	void refusesARequestWhoseTurnComesLateInAStopAsNotRun() throws Exception {
 		AtomicBoolean refusing = new AtomicBoolean();
@@ -160,8 +157,17 @@
 		}
 	}
 
-	// Guards against a malformed request that ends the connection before the answers to
-	// those ahead of it.
+	// Guards against a stop that waits for a request of which only a line break has come.
+	@Test
+	void endsTheConnectionAtAStopDespiteALineBreakBehindABody() {
+		PipeliningCaller caller = new PipeliningCaller();
+		caller.gateway().drain();
+		caller.send(request("/1", "a", false) + "\r\n").finish();
+		assertThat(caller.answers()).containsExactly("200 close /1a");
+		assertThat(caller.connection().busy()).isFalse();
+	}
+
+	// Guards against a malformed request that cuts off the answers to those before it.
 	@Test
 	void refusesAMalformedRequestInItsTurn() {
 		PipeliningCaller caller = new PipeliningCaller();
@@ -171,8 +177,7 @@
 		assertThat(caller.gateway().heldBytes()).isEqualTo(0);
 	}
 
-	// Guards against memory without bound for a caller that sends on while its first
-	// request is served.
+	// Guards against memory without bound for a caller that sends on.
 	@Test
 	void pausesReadingWhileTooMuchWaitsAndThenResumes() {
 		PipeliningCaller caller = new PipeliningCaller();
