Wait until queues are full before a test lowers the memory bound

It lowered the bound while the queues still grew; the next growth cut the first caller, rightly, before the request that was to be refused came.

Change: the test waits until what is held no longer changes. All assertions stay.

--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/SlowReaderTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/SlowReaderTests.java
@@ -42,6 +42,17 @@
 		}
 	}
 
+	// Waits until the queues are full and no upstream is read.
+	private static void awaitPaused(GatewayFixture gateway) throws Exception {
+		long before = -1;
+		long held = gateway.read(GatewayContext::heldBytes);
+		while (held != before) {
+			TimeUnit.MILLISECONDS.sleep(200);
+			before = held;
+			held = gateway.read(GatewayContext::heldBytes);
+		}
+	}
+
 	private static void assertComplete(String response) {
 		assertThat(response.endsWith("\r\n0\r\n\r\n")).isTrue();
 		assertThat(response.split("\ndata: ", -1)).hasLength(EVENTS + 1);
@@ -141,6 +152,7 @@
 			awaitHeld(gateway, 60_000);
 			second.get("/stream/second", "Connection: close\r\n");
 			awaitHeld(gateway, 120_000);
+			awaitPaused(gateway);
 			gateway.bound(100_000);
 			assertThat(late.get("/read/x").readResponse()).startsWith("HTTP/1.1 503");
 			assertThat(upstream.requests()).hasSize(2);
