Keep hash codes of the identifiers that a connection has carried

Cause: a connection kept up to 128 identifiers as they were. Callers choose them, up to the limit of a head each, and they count in no memory bound.

Change: it keeps their hash codes. Two identifiers with one hash code cost a new connection, nothing else. Found by a review; LateResponseTests and StutteringUpstreamTests pass.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamConnection.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamConnection.java
@@ -64,7 +64,8 @@
 
 	private final String upstreamId;
 
-	private final Set<String> carriedIdentifiers = new HashSet<>();
+	/** Hash codes, since callers choose the length of identifiers. */
+	private final Set<Integer> carriedIdentifiers = new HashSet<>();
 
 	private final HeaderNameScanner headerNames = new HeaderNameScanner();
 
@@ -134,7 +135,7 @@
 	 * @param responseHandler receives the response
 	 */
 	void send(FullHttpRequest request, Optional<String> identifier, ResponseHandler responseHandler) {
-		identifier.ifPresent(this.carriedIdentifiers::add);
+		identifier.map(String::hashCode).ifPresent(this.carriedIdentifiers::add);
 		this.responseHandler = responseHandler;
 		this.headSeen = false;
 		this.bytesBeforeBody = 0;
@@ -215,8 +216,8 @@
 	 * @return whether a request with it, or one with the same hash code, was sent on this
 	 * connection
 	 */
-	boolean hasCarried(String identifier) {
-		return this.carriedIdentifiers.contains(identifier);
+	boolean mayHaveCarried(String identifier) {
+		return this.carriedIdentifiers.contains(identifier.hashCode());
 	}
 
 	/**
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamConnectionPool.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamConnectionPool.java
@@ -116,7 +116,7 @@
 				latestFirst.remove();
 				connection.abandon();
 			}
-			else if (!connection.hasCarried(identifier)) {
+			else if (!connection.mayHaveCarried(identifier)) {
 				latestFirst.remove();
 				return Optional.of(connection);
 			}
