Scan header names without inner assignments

Checkstyle refuses an assignment as the value of a switch rule; was committed after tests that skip it. No behaviour changes: the tests of UpstreamConnectionTests and LateResponseTests pass.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/HeaderNameScanner.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/HeaderNameScanner.java
@@ -50,11 +50,16 @@
 			return true;
 		}
 		boolean whitespace = value == ' ' || value == '\t';
-		boolean lineBegins = this.lineLength++ == 0;
+		boolean lineBegins = this.lineLength == 0;
+		this.lineLength++;
 		switch (this.part) {
-			case VERSION -> this.part = (whitespace && !lineBegins) ? Part.STATUS : Part.VERSION;
+			case VERSION -> {
+				if (whitespace && !lineBegins) {
+					this.part = Part.STATUS;
+				}
+			}
 			case STATUS -> {
-				this.informational = value == '1';
+				this.informational = (value == '1');
 				this.part = whitespace ? Part.STATUS : Part.REST;
 			}
 			case NAME -> {
