Wait until queues are full before a test counts the pause of reading

The test slept 1.3 s from the moment at which 200,000 bytes were held, while the last of four queues could still be filling; a stream whose reading paused later than 0.3 s into the sleep is a failure of the upstream, as the product means it. On untouched code beside twelve busy processes it fails 1 of 25 times, beside three 0 of 25.

Change: the test first waits until what is held no longer changes. Assertions, times and bounds stay.

--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/SlowReaderTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/SlowReaderTests.java
@@ -110,6 +110,7 @@
 				callers.add(gateway.slowCaller().get("/stream/" + index, "Connection: close\r\n"));
 			}
 			awaitHeld(gateway, 200_000);
+			awaitPaused(gateway);
 			// Longer than the pause after which a loss counts as a cut.
 			TimeUnit.MILLISECONDS.sleep(1_300);
 			assertThat(cutting.requests().size()).isAtLeast(2);
