--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
@@ -279,8 +279,10 @@
 		endObservation(verdict);
 		this.context.warmup().attemptFailed(this.upstream, verdict);
 		this.mayHaveRun |= verdict.mayHaveRun();
-		logger.info("event=attempt-failed request={} upstream={} attempt={} verdict={} code={} detail=\"{}\" "
-				+ "millis-left={} events-sent={} attempt-events={} prompt-parts={} request-digest={} connection-requests={} upstream-status=\"{}\" retrying={}",
+		logger.info(
+				"event=attempt-failed request={} upstream={} attempt={} verdict={} code={} detail=\"{}\" "
+						+ "millis-left={} events-sent={} attempt-events={} prompt-parts={} request-digest={} "
+						+ "connection-requests={} upstream-status=\"{}\" retrying={}",
 				attemptId(), this.upstream.id(), this.attempts, verdict.text(), code, detail, remainingMillis(),
 				this.relay.eventsSent(), this.relay.attemptEvents(),
 				verdict.mayHaveRun() ? this.fingerprints.loggedParts() : "-",
@@ -439,9 +441,11 @@
 		long millis = TimeUnit.NANOSECONDS.toMillis(this.context.nowNanos() - this.request.arrivedNanos());
 		String code = verdict.failure().map(ErrorCode::text).orElse("none");
 		this.context.metrics().countResponse(status, code);
-		logger.info("event={} request={} route={} organisation={} service={} upstream={} attempts={} connects={} "
-				+ "status={} verdict={} code={} millis={} attempt-millis={} silent-millis={} connection={} "
-				+ "connection-requests={} upstream-status=\"{}\" framing={} events={} unfinished-bytes={} configuration={} proof-age-ms={} {}detail=\"{}\"",
+		logger.info(
+				"event={} request={} route={} organisation={} service={} upstream={} attempts={} connects={} "
+						+ "status={} verdict={} code={} millis={} attempt-millis={} silent-millis={} connection={} "
+						+ "connection-requests={} upstream-status=\"{}\" framing={} events={} unfinished-bytes={} "
+						+ "configuration={} proof-age-ms={} {}detail=\"{}\"",
 				event, attemptId(), this.route.name(), this.organisation.map(Organisation::name).orElse("-"),
 				this.service, (this.upstream != null) ? this.upstream.id() : "-", this.attempts, this.connects, status,
 				verdict.text(), code, millis, millisSince(this.sentNanos), millisSince(this.heardNanos),
