--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/StutteringUpstreamTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/StutteringUpstreamTests.java
@@ -1,6 +1,5 @@
 package io.bulrushrouter.gateway.forward;
 
-import java.util.HashMap;
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.ConcurrentHashMap;
@@ -77,7 +76,7 @@
 	void givesEachRequestItsOwnAnswerOrNone(long seed) throws Exception {
 		Random random = new Random(seed);
 		Random repetitions = new Random(-seed);
-		Map<String, Integer> statuses = new HashMap<>();
+		Map<String, Integer> statuses = new ConcurrentHashMap<>();
 		try (ScriptedUpstream first = stuttering(random, statuses);
 				ScriptedUpstream second = stuttering(random, statuses);
 				GatewayFixture gateway = new GatewayFixture(first, second);
