Review case 6: an answer to another call arms a rank, and a pass runs on two maps

It takes the place of the least case of part one, which moves to extra-2; the cases before are now 7 to 10, the gravest first, unchanged.

Cause: PlatformRankEngine takes any answer on a reused channel for the answer to its order, so a second answer to an earlier call counts as the answer to an arm that the engine left unanswered; the leader then commits a switch for which one rank is not armed.

The test runs twelve rank processes beside engines that send 3 in 100 answers again, late (7 of 12), and carry out half of the orders late, for 5.5 s at a time, and compares the maps of the ranks as each pass begins.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of cases 6 to 10 into review/out-2. Needs a JDK and nothing else.
+# Builds the stand-ins of cases 6 to 10 and of extra-2 into review/out-2. Needs a JDK and nothing else.
 set -eu
 cd "$(dirname "$0")"
 rm -rf out-2
--- a/review/extra-2/huge-chunk/run.sh
+++ b/review/extra-2/huge-chunk/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
 # See claim.txt. TROUBLE=0 leaves the disruption out.
-exec "$(dirname "$0")/../run-case-2.sh" 10 HugeChunk
+exec "$(dirname "$0")/../../run-case-2.sh" extra-2/huge-chunk HugeChunk
