Check answers of the store and of engines against the grammar, too

The clients of the store and of engines, and the server and client of the fleet with sidecars, left the grammar to the same lenient decoder as the gateway did: an engine's spoiled answer counted as a report or as an accepted order.

The guard stands in front of these decoders as well. A malformed answer counts as none (UNANSWERED: the call may have been carried out, and its connection is closed); the server refuses a malformed request with 400.

--- a/bulrushrouter-http/src/main/java/io/bulrushrouter/http/HttpServer.java
+++ b/bulrushrouter-http/src/main/java/io/bulrushrouter/http/HttpServer.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.util.concurrent.GlobalEventExecutor;
 
+import io.bulrushrouter.http.grammar.MessageGuard;
 import io.bulrushrouter.kernel.BulrushException;
 import io.bulrushrouter.kernel.ErrorCode;
 
@@ -68,7 +69,8 @@
 					HttpDecoderConfig config = new HttpDecoderConfig().setMaxInitialLineLength(limits.maxLineBytes())
 						.setMaxHeaderSize(limits.maxHeaderBytes());
 					connection.pipeline()
-						.addLast(new HttpServerCodec(config), new HttpServerHandler(limits, handler, openExchanges));
+						.addLast(MessageGuard.ofRequests(), new HttpServerCodec(config),
+								new HttpServerHandler(limits, handler, openExchanges));
 				}
 			})
 			.bind(address)
--- a/bulrushrouter-http/src/main/java/io/bulrushrouter/http/HttpServerHandler.java
+++ b/bulrushrouter-http/src/main/java/io/bulrushrouter/http/HttpServerHandler.java
@@ -10,7 +10,9 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
@@ -19,6 +21,7 @@
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 
+import io.bulrushrouter.http.grammar.MalformedMessageException;
 import io.bulrushrouter.kernel.ErrorCode;
 
 /**
@@ -167,7 +170,15 @@
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-		context.close();
+		if (!(cause instanceof MalformedMessageException)) {
+			context.close();
+			return;
+		}
+		if (this.head == null) {
+			this.head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
+			this.body = new ByteArrayOutputStream();
+		}
+		refuse(context, ErrorCode.BAD_REQUEST);
 	}
 
 	private record Delivery(HttpExchange exchange, Runnable action) {
--- a/bulrushrouter-http/src/main/java/io/bulrushrouter/http/StreamingHttpClient.java
+++ b/bulrushrouter-http/src/main/java/io/bulrushrouter/http/StreamingHttpClient.java
@@ -11,6 +11,8 @@
 import org.asynchttpclient.DefaultAsyncHttpClientConfig;
 import org.asynchttpclient.RequestBuilder;
 
+import io.bulrushrouter.http.grammar.MessageGuard;
+
 /**
  * An HTTP client that streams responses. It never retries a request by itself and does
  * not follow redirects.
@@ -43,6 +45,7 @@
 			.setPooledConnectionIdleTimeout(IDLE_TIMEOUT)
 			.setRequestTimeout(NO_TIMEOUT)
 			.setReadTimeout(NO_TIMEOUT)
+			.setHttpAdditionalChannelInitializer((channel) -> channel.pipeline().addFirst(MessageGuard.ofResponses()))
 			.build();
 		return new StreamingHttpClient(new DefaultAsyncHttpClient(config));
 	}
