Tell an empty list of organisations from none

Cause: whether a request needs a key was decided by "the list is not empty", and an absent field decoded to the same empty list.

Access says who may use the routes that are not anonymous: everyone, or the holders of keys, of whom there may be none. A line says when a version takes the last key away.

--- a/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/gateway/RouteBenchmark.java
+++ b/bulrushrouter-bench/src/main/java/io/bulrushrouter/bench/gateway/RouteBenchmark.java
@@ -18,6 +18,7 @@
 import org.openjdk.jmh.annotations.State;
 import org.openjdk.jmh.annotations.Warmup;
 
+import io.bulrushrouter.gateway.config.Access;
 import io.bulrushrouter.gateway.config.ActiveConfiguration;
 import io.bulrushrouter.gateway.config.CallerLimits;
 import io.bulrushrouter.gateway.config.GatewayConfiguration;
@@ -55,8 +56,8 @@
 		for (int index = 0; index < ORGANISATIONS; index++) {
 			organisations.add(new Organisation("o-" + index, List.of("key-" + index), OptionalInt.empty()));
 		}
-		return ActiveConfiguration
-			.of(new GatewayConfiguration(1, routes, Map.of(), CallerLimits.DEFAULTS, organisations));
+		return ActiveConfiguration.of(new GatewayConfiguration(1, routes, Map.of(), CallerLimits.DEFAULTS,
+				Access.ofOrganisations(organisations)));
 	}
 
 	/**
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/config/ActiveConfiguration.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/config/ActiveConfiguration.java
@@ -25,7 +25,7 @@
 			.stream()
 			.sorted(longestFirst)
 			.collect(Collectors.groupingBy(Route::host));
-		for (Organisation organisation : configuration.organisations()) {
+		for (Organisation organisation : configuration.access().organisations()) {
 			organisation.keys().forEach((key) -> this.organisationsByKey.put(key, organisation));
 		}
 	}
@@ -88,7 +88,7 @@
 	 * @return the organisations
 	 */
 	public List<Organisation> organisations() {
-		return this.configuration.organisations();
+		return this.configuration.access().organisations();
 	}
 
 	/**
@@ -102,10 +102,18 @@
 
 	/**
 	 * Returns whether requests need a key unless their route is anonymous.
-	 * @return whether the configuration defines any organisation
+	 * @return whether the configuration has a list of organisations, even an empty one
 	 */
 	public boolean requiresKeys() {
-		return !this.configuration.organisations().isEmpty();
+		return this.configuration.access().requiresKey();
+	}
+
+	/**
+	 * Returns the number of keys that give access.
+	 * @return the number
+	 */
+	public int keys() {
+		return this.organisationsByKey.size();
 	}
 
 	/**
@@ -123,10 +131,7 @@
 	 * @return the organisation, or empty if the configuration has none of that name
 	 */
 	public Optional<Organisation> organisationNamed(String name) {
-		return this.configuration.organisations()
-			.stream()
-			.filter((organisation) -> organisation.name().equals(name))
-			.findFirst();
+		return organisations().stream().filter((organisation) -> organisation.name().equals(name)).findFirst();
 	}
 
 }
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/config/GatewayConfiguration.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/config/GatewayConfiguration.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 
 /**
  * A complete version of the gateway's configuration.
@@ -10,10 +11,10 @@
  * @param routes the routes
  * @param services the services by name
  * @param limits the limits of callers' requests
- * @param organisations the organisations; if there are none, requests need no key
+ * @param access who may use the routes that are not anonymous
  */
 public record GatewayConfiguration(long version, List<Route> routes, Map<String, ServiceSpec> services,
-		CallerLimits limits, List<Organisation> organisations) {
+		CallerLimits limits, Access access) {
 
 	/**
 	 * Makes defensive copies of the collections.
@@ -21,7 +22,7 @@
 	public GatewayConfiguration {
 		routes = List.copyOf(routes);
 		services = Map.copyOf(services);
-		organisations = List.copyOf(organisations);
+		Objects.requireNonNull(access);
 	}
 
 }
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/AdmissionHandler.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/AdmissionHandler.java
@@ -54,8 +54,9 @@
 			return refuseUnknown(request, responseWriter, ErrorCode.NOT_FOUND,
 					"no route matches " + host + request.path());
 		}
-		Optional<Organisation> organisation = configuration.organisation(request.header(this.context.headers().key()));
-		if (lacksKey(configuration, route.get(), organisation)) {
+		String key = request.header(this.context.headers().key());
+		Optional<Organisation> organisation = configuration.organisation(key);
+		if (organisation.isEmpty() && lacksKey(configuration, route.get(), Optional.ofNullable(key))) {
 			return refuseUnknown(request, responseWriter, ErrorCode.UNAUTHORISED, "the key is missing or unknown");
 		}
 		return Optional.of(new AdmittedRequest(request, route.get(), organisation, configuration.version(),
@@ -74,14 +75,16 @@
 	}
 
 	/**
-	 * Returns whether a request is refused because it has no known key.
+	 * Returns whether a request whose key belongs to no organisation is refused. A key
+	 * that is not known, as one that was taken away, gives no access where none is needed
+	 * either.
 	 * @param configuration the active configuration
 	 * @param route the request's route
-	 * @param organisation the organisation that owns its key
-	 * @return whether it needs a key and has none
+	 * @param key the key that it has, or empty
+	 * @return whether it needs a key or has an unknown one
 	 */
-	static boolean lacksKey(ActiveConfiguration configuration, Route route, Optional<Organisation> organisation) {
-		return organisation.isEmpty() && configuration.requiresKeys() && !route.anonymous();
+	static boolean lacksKey(ActiveConfiguration configuration, Route route, Optional<String> key) {
+		return !route.anonymous() && (configuration.requiresKeys() || key.isPresent());
 	}
 
 	private static String withoutPort(String host) {
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ChoiceExplainer.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ChoiceExplainer.java
@@ -63,7 +63,8 @@
 			.or(() -> configuration.organisation(query.get("key")));
 		List<String> lines = new ArrayList<>();
 		lines.add(describe(configuration, route.get(), organisation, priority));
-		if (AdmissionHandler.lacksKey(configuration, route.get(), organisation)) {
+		if (organisation.isEmpty()
+				&& AdmissionHandler.lacksKey(configuration, route.get(), Optional.ofNullable(query.get("key")))) {
 			lines.add("decision=refuse reason=no-known-key");
 			return lines;
 		}
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/Gateway.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/Gateway.java
@@ -308,11 +308,21 @@
 			if (configuration.version() <= Gateway.this.configurationVersion) {
 				return;
 			}
+			logLastKey(configuration);
 			Gateway.this.context.configuration(ActiveConfiguration.of(configuration));
 			Gateway.this.configurationVersion = configuration.version();
 			logger.info("event=configuration-adopted version={} routes={} services={} organisations={}",
 					configuration.version(), configuration.routes().size(), configuration.services().size(),
-					configuration.organisations().size());
+					configuration.access().organisations().size());
+		}
+
+		private void logLastKey(GatewayConfiguration next) {
+			int keysBefore = Gateway.this.context.keys();
+			if (keysBefore > 0 && next.access().keys() == 0) {
+				logger.warn("event=last-key-removed version={} previous-version={} keys-before={} routes={}",
+						next.version(), Gateway.this.configurationVersion, keysBefore,
+						next.access().requiresKey() ? "closed" : "open-without-key");
+			}
 		}
 
 		@Override
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/config/ActiveConfigurationTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/config/ActiveConfigurationTests.java
@@ -16,8 +16,9 @@
 
 	private static final Organisation BAKERS = new Organisation("bakers", List.of("k1", "k2"), OptionalInt.empty());
 
-	private final ActiveConfiguration configuration = ActiveConfiguration.of(new GatewayConfiguration(3,
-			List.of(route("short", "/a/"), route("long", "/a/b/")), Map.of(), CallerLimits.DEFAULTS, List.of(BAKERS)));
+	private final ActiveConfiguration configuration = ActiveConfiguration
+		.of(new GatewayConfiguration(3, List.of(route("short", "/a/"), route("long", "/a/b/")), Map.of(),
+				CallerLimits.DEFAULTS, Access.ofOrganisations(List.of(BAKERS))));
 
 	private static Route route(String name, String prefix) {
 		return new Route(name, "host", prefix, RouteKind.IDEMPOTENT, Duration.ofSeconds(1), Duration.ofMillis(300), 1,
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/EnginePriorityTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/EnginePriorityTests.java
@@ -9,6 +9,7 @@
 
 import org.junit.jupiter.api.Test;
 
+import io.bulrushrouter.gateway.config.Access;
 import io.bulrushrouter.gateway.config.CallerLimits;
 import io.bulrushrouter.gateway.config.EngineSpec;
 import io.bulrushrouter.gateway.config.GatewayConfiguration;
@@ -36,8 +37,8 @@
 				Optional.of(new EngineSpec(8, 5, 0.5, 70_000, 6, 800, 150, OptionalLong.empty(), Optional.empty())));
 		return new GatewayConfiguration(2,
 				List.of(route("/urgent/", 0, maxEventGap), route("/batch/", leastUrgent, maxEventGap)),
-				Map.of("service", service), CallerLimits.DEFAULTS,
-				List.of(new Organisation("bakers", List.of(GatewayFixture.KEY), OptionalInt.empty())));
+				Map.of("service", service), CallerLimits.DEFAULTS, Access.ofOrganisations(
+						List.of(new Organisation("bakers", List.of(GatewayFixture.KEY), OptionalInt.empty()))));
 	}
 
 	private static Route route(String prefix, int priority, Optional<Duration> maxEventGap) {
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/GatewayFixture.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/GatewayFixture.java
@@ -19,6 +19,7 @@
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.netty.channel.nio.NioEventLoopGroup;
 
+import io.bulrushrouter.gateway.config.Access;
 import io.bulrushrouter.gateway.config.ActiveConfiguration;
 import io.bulrushrouter.gateway.config.CallerLimits;
 import io.bulrushrouter.gateway.config.EngineSpec;
@@ -134,7 +135,7 @@
 		return new GatewayConfiguration(1, List.of(route("/read/", RouteKind.IDEMPOTENT, timeout),
 				route("/write/", RouteKind.NON_IDEMPOTENT, timeout), route("/stream/", RouteKind.STREAM, timeout)),
 				services, new CallerLimits(4_096, 10_000, Duration.ofSeconds(3), Duration.ofSeconds(15)),
-				List.of(new Organisation("bakers", List.of(KEY), OptionalInt.empty())));
+				Access.ofOrganisations(List.of(new Organisation("bakers", List.of(KEY), OptionalInt.empty()))));
 	}
 
 	/**
@@ -148,6 +149,16 @@
 			.get(10, TimeUnit.SECONDS);
 	}
 
+	/**
+	 * Changes who may send requests, in a new version of the configuration.
+	 * @param access who may
+	 * @throws Exception if the event loop fails
+	 */
+	void access(Access access) throws Exception {
+		GatewayConfiguration base = configuration(Duration.ofSeconds(15), Map.of());
+		configure(new GatewayConfiguration(base.version() + 1, base.routes(), base.services(), base.limits(), access));
+	}
+
 	/**
 	 * Replaces the limit of a request body.
 	 * @param bytes the limit
@@ -156,7 +167,7 @@
 	void bodyLimit(int bytes) throws Exception {
 		GatewayConfiguration base = configuration(Duration.ofSeconds(15), Map.of());
 		configure(new GatewayConfiguration(base.version(), base.routes(), base.services(),
-				new CallerLimits(4_096, bytes, Duration.ofSeconds(3), Duration.ofSeconds(15)), base.organisations()));
+				new CallerLimits(4_096, bytes, Duration.ofSeconds(3), Duration.ofSeconds(15)), base.access()));
 	}
 
 	private static Route route(String prefix, RouteKind kind, Duration timeout) {
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/PipeliningCaller.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/PipeliningCaller.java
@@ -19,6 +19,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 
+import io.bulrushrouter.gateway.config.Access;
 import io.bulrushrouter.gateway.config.ActiveConfiguration;
 import io.bulrushrouter.gateway.config.CallerLimits;
 import io.bulrushrouter.gateway.config.GatewayConfiguration;
@@ -78,7 +79,7 @@
 				new ForwardMetrics(new SimpleMeterRegistry()), membership,
 				new CrashEvidence("entry", 1, membership::position), GatewayFixture.PROBE_PATH);
 		created.configuration(ActiveConfiguration.of(new GatewayConfiguration(1, List.of(), Map.of(),
-				new CallerLimits(4_096, 10_000, Duration.ofSeconds(3), Duration.ofSeconds(15)), List.of())));
+				new CallerLimits(4_096, 10_000, Duration.ofSeconds(3), Duration.ofSeconds(15)), Access.ofEveryone())));
 		return created;
 	}
 
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/node/GatewayStopTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/node/GatewayStopTests.java
@@ -24,6 +24,7 @@
 import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.api.Test;
 
+import io.bulrushrouter.gateway.config.Access;
 import io.bulrushrouter.gateway.config.CallerLimits;
 import io.bulrushrouter.gateway.config.GatewayConfiguration;
 import io.bulrushrouter.gateway.config.Route;
@@ -234,7 +235,7 @@
 			Route route = new Route("r", "test", "/write/", RouteKind.NON_IDEMPOTENT, Duration.ofSeconds(30),
 					Duration.ofSeconds(1), 1, List.of(new WeightedService("s", 1)), 1, true, false);
 			return fixed("main",
-					new GatewayConfiguration(1, List.of(route), Map.of(), CallerLimits.DEFAULTS, List.of()));
+					new GatewayConfiguration(1, List.of(route), Map.of(), CallerLimits.DEFAULTS, Access.ofEveryone()));
 		}
 
 		@Override
--- a/bulrushrouter-ranks/src/test/java/io/bulrushrouter/ranks/RankSidecarTests.java
+++ b/bulrushrouter-ranks/src/test/java/io/bulrushrouter/ranks/RankSidecarTests.java
@@ -21,6 +21,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
+import io.bulrushrouter.gateway.config.Access;
 import io.bulrushrouter.gateway.config.CallerLimits;
 import io.bulrushrouter.gateway.config.EngineSpec;
 import io.bulrushrouter.gateway.config.ExpertSpec;
@@ -242,7 +243,7 @@
 					Optional.of(experts));
 			ServiceSpec service = new ServiceSpec("service", 100, Optional.of(engine));
 			return fixed(List.of(new FeedResult.Item<>("main", Optional.of(new GatewayConfiguration(1, List.of(),
-					Map.of("service", service), CallerLimits.DEFAULTS, List.of())))));
+					Map.of("service", service), CallerLimits.DEFAULTS, Access.ofEveryone())))));
 		}
 
 		@Override
