Look at the key again where a waiting request is about to be sent

The key was matched once, at admission; behind each wait only the age of the configuration was checked.

The present owner of the key is the one that upstreams are told.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
@@ -17,6 +17,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import io.bulrushrouter.gateway.config.ActiveConfiguration;
 import io.bulrushrouter.gateway.config.Organisation;
 import io.bulrushrouter.gateway.config.Route;
 import io.bulrushrouter.gateway.config.RouteKind;
@@ -44,6 +45,8 @@
 	 */
 	private static final int MAX_CONNECTS = 4;
 
+	private static final Set<ErrorCode> FINAL_REFUSALS = Set.of(ErrorCode.TOO_LARGE, ErrorCode.UNAUTHORISED);
+
 	private final GatewayContext context;
 
 	private final ResponseWriter responseWriter;
@@ -58,11 +61,11 @@
 
 	private final Route route;
 
-	private final Optional<Organisation> organisation;
+	private Optional<Organisation> organisation;
 
 	private final String service;
 
-	private final long configurationVersion;
+	private long configurationVersion;
 
 	private final long deadlineNanos;
 
@@ -155,8 +158,9 @@
 		if (refusedAsQuarantined()) {
 			return;
 		}
-		if (!keyStillValid()) {
-			giveUp(Verdict.ofNotRun(ErrorCode.STORE_UNAVAILABLE), "configuration too old for keys");
+		Optional<ErrorCode> withdrawn = findWithdrawnAccess();
+		if (withdrawn.isPresent()) {
+			giveUp(Verdict.ofNotRun(withdrawn.get()), describe(withdrawn.get()));
 			return;
 		}
 		Optional<String> oversize = this.tokens.oversize();
@@ -198,8 +202,25 @@
 		return this.coldDelayEndNanos;
 	}
 
-	private boolean keyStillValid() {
-		return this.organisation.isEmpty() || this.context.keysVerified();
+	// The key may be taken away, or the configuration become too old, while the request
+	// waits.
+	private Optional<ErrorCode> findWithdrawnAccess() {
+		ActiveConfiguration current = this.context.configuration().orElseThrow();
+		if (current.version() != this.configurationVersion) {
+			this.configurationVersion = current.version();
+			Optional<String> key = Optional.ofNullable(this.request.header(this.context.headers().key()));
+			this.organisation = key.flatMap(current::organisation);
+			if (this.organisation.isEmpty() && AdmissionHandler.lacksKey(current, this.route, key)) {
+				return Optional.of(ErrorCode.UNAUTHORISED);
+			}
+		}
+		return (this.organisation.isEmpty() || this.context.keysVerified()) ? Optional.empty()
+				: Optional.of(ErrorCode.STORE_UNAVAILABLE);
+	}
+
+	private static String describe(ErrorCode withdrawn) {
+		return (withdrawn == ErrorCode.UNAUTHORISED) ? "the key was taken away while the request waited"
+				: "configuration too old for keys";
 	}
 
 	private void connected(UpstreamConnection ready, int current) {
@@ -212,9 +233,10 @@
 			attemptFailed(Verdict.ofNotRun(ErrorCode.DRAINING), "the upstream started to drain or pushed back");
 			return;
 		}
-		if (!keyStillValid()) {
+		Optional<ErrorCode> withdrawn = findWithdrawnAccess();
+		if (withdrawn.isPresent()) {
 			ready.abandon();
-			attemptFailed(Verdict.ofNotRun(ErrorCode.STORE_UNAVAILABLE), "configuration too old for keys");
+			attemptFailed(Verdict.ofNotRun(withdrawn.get()), Outcome.NEUTRAL, describe(withdrawn.get()), false);
 			return;
 		}
 		Optional<Quarantine> quarantine = this.fingerprints.quarantine();
@@ -385,9 +407,11 @@
 		return verdict.failure().filter(ErrorCode.DEADLINE_EXCEEDED::equals).isPresent() ? 504 : 502;
 	}
 
-	// A request that is too large for every upstream is not worth another try.
+	// A request that is too large for every upstream, or that nobody may send, is not
+	// worth
+	// another try.
 	private static int statusForNotRun(Verdict verdict) {
-		return verdict.failure().filter(ErrorCode.TOO_LARGE::equals).map(ErrorCode::httpStatus).orElse(503);
+		return verdict.failure().filter(FINAL_REFUSALS::contains).map(ErrorCode::httpStatus).orElse(503);
 	}
 
 	private void timedOut() {
