Refuse what a configuration does not say readably

A version that cannot be read was left out, but its arrival still proved the keys of the version in use, of which it may have taken some away.

Cause: optional fields were read leniently, and any answer of the store counted as a proof. The listener is a class of its own ( ConfigurationAdoption), so that this can be tested. Settings that switch a bound off by a typing error end the start.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/config/ActiveConfiguration.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/config/ActiveConfiguration.java
@@ -108,14 +108,6 @@
 		return this.configuration.access().requiresKey();
 	}
 
-	/**
-	 * Returns the number of keys that give access.
-	 * @return the number
-	 */
-	public int keys() {
-		return this.organisationsByKey.size();
-	}
-
 	/**
 	 * Finds the organisation that owns a key.
 	 * @param key the key, or {@code null} if the request has none
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/GatewayContext.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/GatewayContext.java
@@ -349,14 +349,6 @@
 		return serving() && (keysVerified() || !this.configuration.requiresKeys());
 	}
 
-	/**
-	 * Returns the number of keys that give access.
-	 * @return the number, 0 without a configuration
-	 */
-	public int keys() {
-		return (this.configuration != null) ? this.configuration.keys() : 0;
-	}
-
 	/**
 	 * Returns whether the keys of the configuration are known to be still valid.
 	 * @return whether the freshness proof is recent enough
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/Gateway.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/Gateway.java
@@ -16,7 +16,6 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-import io.bulrushrouter.gateway.config.ActiveConfiguration;
 import io.bulrushrouter.gateway.config.GatewayConfiguration;
 import io.bulrushrouter.gateway.forward.CallerServer;
 import io.bulrushrouter.gateway.forward.ChoiceExplainer;
@@ -106,9 +105,7 @@
 
 	private final GracefulShutdown shutdown;
 
-	private long configurationVersion = -1;
-
-	private long proofsFromNanos = Long.MIN_VALUE;
+	private final ConfigurationAdoption adoption;
 
 	private boolean wasReady;
 
@@ -129,6 +126,7 @@
 		this.context = new GatewayContext(this.loop, this.clock, random, factory.headers(), settings.forward(),
 				this.directory, selector, this.freshness, new ForwardMetrics(this.registry), this.membership,
 				crashEvidence, factory.probePath());
+		this.adoption = new ConfigurationAdoption(this.context::configuration, this.freshness, this.clock);
 		this.callers = new CallerServer(this.context, settings.maxConnections());
 		this.readiness = new StatusServer(this.loop, this::readinessPage);
 		MetricsPage metricsPage = new MetricsPage(this.registry, () -> selector.capacities(this.clock.nanos()));
@@ -136,8 +134,7 @@
 		this.metrics = new StatusServer(this.loop,
 				(uri) -> ExplainPage.matches(uri) ? explainPage.page(uri) : metricsPage.page());
 		this.source = factory.connect(settings.store().getHostString(), settings.store().getPort(), this.group);
-		this.configurations = FeedFollower
-			.builder("configuration", this.source.configuration(), new ConfigurationListener())
+		this.configurations = FeedFollower.builder("configuration", this.source.configuration(), this.adoption)
 			.watchTimeout(WATCH_TIMEOUT)
 			.minWatchInterval(MIN_WATCH_INTERVAL)
 			.loop(this.loop)
@@ -166,7 +163,7 @@
 		this.registry.gauge("bulrush.gateway.store.lost.connections", this.feedCounters, FeedCounters::lostConnections);
 		this.registry.gauge("bulrush.gateway.store.outages", this.feedCounters, FeedCounters::outages);
 		this.registry.gauge("bulrush.gateway.store.large.answers", this.feedCounters, FeedCounters::largeAnswers);
-		this.registry.gauge("bulrush.gateway.configuration", this, (gateway) -> gateway.configurationVersion);
+		this.registry.gauge("bulrush.gateway.configuration", this.adoption, ConfigurationAdoption::version);
 		this.registry.gauge("bulrush.gateway.crash.suspects", crashEvidence, CrashEvidence::suspects);
 		this.registry.gauge("bulrush.gateway.crash.quarantines", crashEvidence, CrashEvidence::quarantines);
 		this.registry.gauge("bulrush.gateway.crash.cleared", crashEvidence, CrashEvidence::clearedFingerprints);
@@ -281,57 +278,6 @@
 		this.group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
 	}
 
-	/**
-	 * Adopts each newer configuration as a whole and never reverts to an older version.
-	 */
-	private final class ConfigurationListener implements FeedFollower.Listener<GatewayConfiguration> {
-
-		@Override
-		public void changed(List<Item<GatewayConfiguration>> changes, long requestedNanos) {
-			for (Item<GatewayConfiguration> item : changes) {
-				item.value().ifPresent(this::adopt);
-			}
-			if (requestedNanos >= Gateway.this.proofsFromNanos) {
-				Gateway.this.freshness.prove(requestedNanos);
-			}
-		}
-
-		// The newest configuration may be missing in the copy until the operator has
-		// written it again, and with it the revocation of a key.
-		@Override
-		public void restored() {
-			Gateway.this.proofsFromNanos = Gateway.this.clock.nanos()
-					+ UpstreamDirectory.REREGISTRATION_WINDOW.toNanos();
-		}
-
-		private void adopt(GatewayConfiguration configuration) {
-			if (configuration.version() <= Gateway.this.configurationVersion) {
-				return;
-			}
-			logLastKey(configuration);
-			Gateway.this.context.configuration(ActiveConfiguration.of(configuration));
-			Gateway.this.configurationVersion = configuration.version();
-			logger.info("event=configuration-adopted version={} routes={} services={} organisations={}",
-					configuration.version(), configuration.routes().size(), configuration.services().size(),
-					configuration.access().organisations().size());
-		}
-
-		private void logLastKey(GatewayConfiguration next) {
-			int keysBefore = Gateway.this.context.keys();
-			if (keysBefore > 0 && next.access().keys() == 0) {
-				logger.warn("event=last-key-removed version={} previous-version={} keys-before={} routes={}",
-						next.version(), Gateway.this.configurationVersion, keysBefore,
-						next.access().requiresKey() ? "closed" : "open-without-key");
-			}
-		}
-
-		@Override
-		public void unavailable() {
-			// Nothing to do: the freshness proof ages until the store answers again.
-		}
-
-	}
-
 	/**
 	 * Keeps the directory of upstreams up to date.
 	 */
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/GatewaySettings.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/GatewaySettings.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -82,10 +83,10 @@
 		int memoryMegabytes = settings.integer("instance", "memory-mb", 32, 1 << 20);
 		int descriptors = settings.integer("instance", "descriptors", 64, 1 << 24);
 		ForwardSettings forward = new ForwardSettings(
-				USED_RETRY_BUDGET * settings.value("retry", "ratio", Double::parseDouble),
-				USED_RETRY_BUDGET * settings.value("retry", "spare", Double::parseDouble),
+				USED_RETRY_BUDGET * settings.value("retry", "ratio", GatewaySettings::bound),
+				USED_RETRY_BUDGET * settings.value("retry", "spare", GatewaySettings::bound),
 				settings.duration("retry", "window", Duration.ofSeconds(10)),
-				settings.value("keys", "fail-closed", true, Boolean::parseBoolean)
+				settings.value("keys", "fail-closed", true, GatewaySettings::flag)
 						? revocation.minus(KEY_REVOCATION_MARGIN) : Duration.ofDays(365),
 				settings.duration("configuration", "apply", Duration.ofSeconds(2)).plus(WATCH_SLACK),
 				Math.min(MAX_BUFFER_BYTES, (long) (BUFFER_MEMORY_SHARE * memoryMegabytes * 1024 * 1024)));
@@ -97,4 +98,21 @@
 					.map((text) -> settings.duration("evacuation", "within", Duration.ZERO)));
 	}
 
+	private static double bound(String text) {
+		double value = Double.parseDouble(text);
+		if (!Double.isFinite(value) || value < 0) {
+			throw new IllegalArgumentException("not a number from 0");
+		}
+		return value;
+	}
+
+	// Any other word would switch off what it was meant to keep on.
+	private static boolean flag(String text) {
+		return switch (text.strip().toLowerCase(Locale.ROOT)) {
+			case "true" -> true;
+			case "false" -> false;
+			default -> throw new IllegalArgumentException("neither 'true' nor 'false'");
+		};
+	}
+
 }
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/node/GatewaySettingsTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/node/GatewaySettingsTests.java
@@ -5,8 +5,12 @@
 import java.time.Duration;
 import java.util.Optional;
 
+import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
+import io.bulrushrouter.kernel.BulrushException;
 import io.bulrushrouter.kernel.settings.Settings;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -38,6 +42,21 @@
 		return GatewaySettings.of(Settings.ofReader("test", new StringReader(text)));
 	}
 
+	// Guards against a malformed setting that lifts the bound that it sets.
+	@ParameterizedTest
+	@ValueSource(strings = { "[keys]\nfail-closed = treu\n", "[keys]\nfail-closed = 1\n" })
+	void refusesAFlagThatIsNeitherTrueNorFalse(String text) {
+		Assertions.assertThrows(BulrushException.class, () -> read(REQUIRED + text));
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "NaN", "Infinity", "-1" })
+	void refusesABudgetThatBoundsNothing(String value) {
+		Assertions.assertThrows(BulrushException.class,
+				() -> read(REQUIRED.replace("ratio = 0.2", "ratio = " + value)));
+		Assertions.assertThrows(BulrushException.class, () -> read(REQUIRED.replace("spare = 20", "spare = " + value)));
+	}
+
 	@Test
 	void watchesEvacuationsOnlyWhereTheirBoundIsSet() throws IOException {
 		assertThat(read(REQUIRED).evacuation()).isEqualTo(Optional.empty());
