Take a status below 100 or above 599 for no response

Users saw on other systems that an answer with the status 000 reached a client.

Cause: the decoder takes any number for a status, and whatever is below 200 was waited for as an interim response. The grammar now has statuses from 100 to 599 in three digits, in the place where the rest of it is checked, so the attempt fails at once as one whose response is malformed.

The connections of scripted upstreams send their segments at once now, which shortens the tests that split responses.

--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/ScriptedUpstream.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/ScriptedUpstream.java
@@ -177,6 +177,7 @@
 		while (!accepting.isClosed()) {
 			try {
 				Socket connection = accepting.accept();
+				connection.setTcpNoDelay(true);
 				this.connections.add(connection);
 				this.threads.execute(() -> serve(connection));
 			}
--- a/bulrushrouter-http/src/main/java/io/bulrushrouter/http/grammar/MessageScanner.java
+++ b/bulrushrouter-http/src/main/java/io/bulrushrouter/http/grammar/MessageScanner.java
@@ -292,7 +292,8 @@
 	}
 
 	private void status(byte character) {
-		if (!isDigit(character)) {
+		boolean valid = isDigit(character) && (this.length > 0 || (character >= '1' && character <= '5'));
+		if (!valid) {
 			reject(Violation.STATUS_LINE);
 			return;
 		}
--- a/bulrushrouter-http/src/main/java/io/bulrushrouter/http/grammar/Violation.java
+++ b/bulrushrouter-http/src/main/java/io/bulrushrouter/http/grammar/Violation.java
@@ -10,7 +10,7 @@
 	/** The request line is not a method, a target and a version. */
 	REQUEST_LINE("the request line is malformed"),
 
-	/** The status line is not a version, a status of three digits and a reason. */
+	/** The status line is not a version, a status from 100 to 599 and a reason. */
 	STATUS_LINE("the status line is malformed"),
 
 	/** The name of a field is empty, no token, or not followed by a colon. */
--- a/bulrushrouter-standin/src/main/java/io/bulrushrouter/standin/ResponseDefect.java
+++ b/bulrushrouter-standin/src/main/java/io/bulrushrouter/standin/ResponseDefect.java
@@ -16,6 +16,9 @@
 	/** A status of two or four digits. */
 	STATUS_LENGTH,
 
+	/** A status that HTTP does not define. */
+	STATUS_RANGE,
+
 	/** A field name with whitespace or a control character. */
 	FIELD_NAME,
 
@@ -118,6 +121,7 @@
 		return switch (this) {
 			case VERSION -> head.replaceFirst("HTTP/1.1", either ? "HTTP/1.7" : "HTTP/2.0");
 			case STATUS_LENGTH -> head.replaceFirst(" (\\d\\d)\\d ", either ? " $1 " : " $100 ");
+			case STATUS_RANGE -> head.replaceFirst(" \\d{3} ", either ? " 000 " : " 600 ");
 			case FIELD_NAME -> head + (either ? "Some Name: a\r\n" : "Some\u0001Name: a\r\n");
 			case FIELD_WITHOUT_COLON -> head + "Some-Name\r\n";
 			case FIELD_VALUE -> head + (either ? "Some-Name: a\u0000b\r\n" : "Some-Name: a\rb\r\n");
