Split the framing of bodies from the scanner; count all malformed heads

Heads that are put together from two, and those that the library itself rejects, are counted and logged as the others are; their attempts no longer count as evidence of a crash, since an upstream that responds has not crashed.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/MalformedResponses.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/MalformedResponses.java
@@ -6,7 +6,6 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-import io.bulrushrouter.http.grammar.Violation;
 import io.bulrushrouter.kernel.TimeSource;
 
 /**
@@ -39,13 +38,14 @@
 
 	/**
 	 * Records a malformed response.
-	 * @param violation what is malformed
+	 * @param reason a short name of what is malformed
+	 * @param detail a description
 	 * @param upstream the upstream that sent it
 	 * @param identifier the identifier of the request, or empty
 	 * @param connectionRequests the number of the request on its connection
 	 */
-	void record(Violation violation, String upstream, Optional<String> identifier, int connectionRequests) {
-		this.metrics.countMalformedResponse(violation.text());
+	void record(String reason, String detail, String upstream, Optional<String> identifier, int connectionRequests) {
+		this.metrics.countMalformedResponse(reason);
 		if (!mayLog()) {
 			this.unlogged++;
 			return;
@@ -53,8 +53,7 @@
 		logger.warn(
 				"event=malformed-response request={} upstream={} connection-requests={} reason={} unlogged={} "
 						+ "detail=\"{}\"",
-				identifier.orElse("-"), upstream, connectionRequests, violation.text(), this.unlogged,
-				violation.detail());
+				identifier.orElse("-"), upstream, connectionRequests, reason, this.unlogged, detail);
 		this.unlogged = 0;
 	}
 
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamConnection.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamConnection.java
@@ -280,12 +280,12 @@
 
 	private void readHead(HttpResponse head) {
 		if (head.decoderResult().isFailure()) {
-			fail(ErrorCode.CONNECTION_LOST, "malformed response head: " + head.decoderResult().cause());
+			failAsMalformed("decoder", "head: " + head.decoderResult().cause(), 0);
 			return;
 		}
 		Optional<String> problem = ResponseChecks.findProblem(head);
 		if (problem.isPresent()) {
-			fail(ErrorCode.CONNECTION_LOST, "malformed response head: " + problem.get());
+			failAsMalformed("two-heads", problem.get(), 0);
 			return;
 		}
 		int status = head.status().code();
@@ -309,7 +309,7 @@
 		boolean last = content instanceof LastHttpContent;
 		if (content.decoderResult().isFailure()) {
 			content.release();
-			fail(ErrorCode.CONNECTION_LOST, "malformed response body");
+			failAsMalformed("decoder", "body: " + content.decoderResult().cause(), 0);
 			return;
 		}
 		if (!this.headSeen) {
@@ -333,7 +333,7 @@
 			fail(ErrorCode.CONNECTION_LOST, "the connection was closed on this side");
 		}
 		else if (last && this.responseHandler != null && !this.guard.responseMayEnd()) {
-			fail(ErrorCode.CONNECTION_LOST, "the decoder ended the response before its end");
+			failAsMalformed("decoder", "the response was taken for complete before its end", 0);
 		}
 		else if (last && this.responseHandler != null) {
 			ResponseHandler done = this.responseHandler;
@@ -424,18 +424,18 @@
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
 		if (cause instanceof MalformedMessageException malformed) {
-			failAsMalformed(malformed);
+			failAsMalformed(malformed.violation().text(), malformed.violation().detail(), malformed.unverifiedBytes());
 		}
 		else {
 			fail(ErrorCode.CONNECTION_LOST, cause.toString());
 		}
 	}
 
-	private void failAsMalformed(MalformedMessageException malformed) {
+	private void failAsMalformed(String reason, String detail, long unverifiedBytes) {
 		ResponseHandler failed = takeHandler();
 		if (failed != null) {
-			this.malformedResponses.record(malformed.violation(), this.upstreamId, this.identifier, this.requests);
-			failed.onMalformed(malformed.violation().detail(), malformed.unverifiedBytes());
+			this.malformedResponses.record(reason, detail, this.upstreamId, this.identifier, this.requests);
+			failed.onMalformed(detail, unverifiedBytes);
 		}
 	}
 
--- a/bulrushrouter-http/src/main/java/io/bulrushrouter/http/grammar/MessageScanner.java
+++ b/bulrushrouter-http/src/main/java/io/bulrushrouter/http/grammar/MessageScanner.java
@@ -18,21 +18,13 @@
 
 	private static final byte[] VERSION_START = { 'H', 'T', 'T', 'P', '/', '1', '.' };
 
-	private static final byte DELETE = 0x7f;
-
-	private static final boolean[] TOKEN_CHARACTERS = tokenCharacters();
-
 	private static final int STATUS_DIGITS = 3;
 
-	private static final int NO_CONTENT = 204;
-
-	private static final int NOT_MODIFIED = 304;
-
 	private final boolean requests;
 
 	private final FieldLine field = new FieldLine();
 
-	private HttpMethod requestMethod = HttpMethod.GET;
+	private final BodyFraming framing = new BodyFraming();
 
 	private State state;
 
@@ -44,14 +36,6 @@
 	/** Characters of the current element so far. */
 	private int length;
 
-	private int status;
-
-	private boolean version10;
-
-	private long contentLength;
-
-	private boolean chunked;
-
 	private long remaining;
 
 	private long chunkSize;
@@ -93,17 +77,14 @@
 	public void expectResponseTo(HttpMethod method) {
 		startMessage();
 		this.violation = null;
-		this.requestMethod = method;
+		this.framing.expectResponseTo(method);
 		this.completed = 0;
 	}
 
 	private void startMessage() {
 		this.state = this.requests ? State.BEFORE_REQUEST : State.VERSION;
 		this.length = 0;
-		this.status = 0;
-		this.version10 = false;
-		this.contentLength = -1;
-		this.chunked = false;
+		this.framing.startMessage();
 		this.remaining = 0;
 		this.chunkSize = 0;
 		this.inTrailers = false;
@@ -141,7 +122,7 @@
 	}
 
 	private boolean inChunk() {
-		return this.chunked && (this.state == State.BODY || this.state == State.CHUNK_END
+		return this.framing.chunked() && (this.state == State.BODY || this.state == State.CHUNK_END
 				|| (this.state == State.LINE_FEED && this.afterLine == State.CHUNK_START));
 	}
 
@@ -149,7 +130,7 @@
 		int skipped = (int) Math.min(this.remaining, available);
 		this.remaining -= skipped;
 		if (this.remaining == 0) {
-			if (this.chunked) {
+			if (this.framing.chunked()) {
 				this.state = State.CHUNK_END;
 			}
 			else {
@@ -242,7 +223,7 @@
 		if (character == ' ' && this.length > 0) {
 			enter(State.TARGET);
 		}
-		else if (isToken(character)) {
+		else if (Characters.isToken(character)) {
 			this.length++;
 		}
 		else {
@@ -254,7 +235,7 @@
 		if (character == ' ' && this.length > 0) {
 			enter(State.VERSION);
 		}
-		else if (character > ' ' && character < DELETE) {
+		else if (Characters.isVisible(character)) {
 			this.length++;
 		}
 		else {
@@ -271,7 +252,7 @@
 			this.length++;
 		}
 		else if (this.length == VERSION_START.length && (character == '0' || character == '1')) {
-			this.version10 = (character == '0');
+			this.framing.version10(character == '0');
 			enter(State.AFTER_VERSION);
 		}
 		else {
@@ -292,12 +273,12 @@
 	}
 
 	private void status(byte character) {
-		boolean valid = isDigit(character) && (this.length > 0 || (character >= '1' && character <= '5'));
+		boolean valid = Characters.isDigit(character) && (this.length > 0 || (character >= '1' && character <= '5'));
 		if (!valid) {
 			reject(Violation.STATUS_LINE);
 			return;
 		}
-		this.status = 10 * this.status + character - '0';
+		this.framing.statusDigit(character - '0');
 		if (++this.length == STATUS_DIGITS) {
 			enter(State.AFTER_STATUS);
 		}
@@ -319,7 +300,7 @@
 		if (character == '\r') {
 			endLine(next);
 		}
-		else if (!isText(character)) {
+		else if (!Characters.isText(character)) {
 			reject((character == '\n') ? Violation.LINE_END : otherwise);
 		}
 	}
@@ -339,7 +320,7 @@
 	}
 
 	private void name(byte character) {
-		if (isToken(character)) {
+		if (Characters.isToken(character)) {
 			this.field.appendName(character);
 		}
 		else if (character == ':' && !this.field.nameEmpty()) {
@@ -358,39 +339,10 @@
 		}
 		// The framing of a body is not changed behind it.
 		else if (this.field.framesBody() && !this.inTrailers) {
-			frame();
+			this.framing.accept(this.field).ifPresent(this::reject);
 		}
 	}
 
-	private void frame() {
-		if (!this.field.isContentLength()) {
-			if (this.chunked || this.version10 || !this.field.value().equalsIgnoreCase("chunked")) {
-				reject(Violation.TRANSFER_CODING);
-			}
-			this.chunked = true;
-			return;
-		}
-		if (this.contentLength >= 0) {
-			reject(Violation.CONTENT_LENGTH);
-			return;
-		}
-		this.contentLength = number(this.field.value());
-		if (this.contentLength < 0) {
-			reject(Violation.CONTENT_LENGTH);
-		}
-	}
-
-	// Returns a decimal number, or -1 if it is none or has more than 63 bits.
-	private static long number(String text) {
-		long number = text.isEmpty() ? -1 : 0;
-		for (int index = 0; index < text.length() && number >= 0; index++) {
-			int digit = text.charAt(index) - '0';
-			boolean valid = digit >= 0 && digit <= 9 && number <= (Long.MAX_VALUE - digit) / 10;
-			number = valid ? 10 * number + digit : -1;
-		}
-		return number;
-	}
-
 	private void lineFeed(byte character) {
 		if (character == '\n') {
 			endOfLine();
@@ -424,53 +376,20 @@
 	}
 
 	private void endHead() {
-		if (this.chunked && this.contentLength >= 0) {
-			reject(Violation.LENGTH_AND_CODING);
-		}
-		else if (!this.requests && hasNoBody()) {
-			endHeadWithoutBody();
-		}
-		else if (this.chunked) {
-			enter(State.CHUNK_START);
-		}
-		else if (this.contentLength > 0) {
-			enterBody(State.BODY, this.contentLength);
-		}
-		else if (this.requests || this.contentLength == 0) {
-			complete();
-		}
-		else {
-			enterBody(State.BODY_TO_CLOSE, 0);
-		}
-	}
-
-	private boolean hasNoBody() {
-		return interim() || this.status == NO_CONTENT || this.status == NOT_MODIFIED
-				|| this.requestMethod.equals(HttpMethod.HEAD);
-	}
-
-	private boolean interim() {
-		return this.status / 100 == 1;
-	}
-
-	// What a response to HEAD or with status 304 says about a body is that of another
-	// response.
-	private void endHeadWithoutBody() {
-		boolean describesOther = this.status == NOT_MODIFIED || this.requestMethod.equals(HttpMethod.HEAD);
-		if ((interim() || !describesOther) && (this.chunked || this.contentLength > 0)) {
-			reject(Violation.BODY_NOT_ALLOWED);
-		}
-		else if (interim()) {
-			startMessage();
-		}
-		else {
-			complete();
+		switch (this.requests ? this.framing.ofRequest() : this.framing.ofResponse()) {
+			case NONE -> complete();
+			case INTERIM -> startMessage();
+			case CHUNKS -> enter(State.CHUNK_START);
+			case LENGTH -> enterBody(State.BODY, this.framing.contentLength());
+			case TO_CLOSE -> enterBody(State.BODY_TO_CLOSE, 0);
+			case LENGTH_AND_CODING -> reject(Violation.LENGTH_AND_CODING);
+			case NOT_ALLOWED -> reject(Violation.BODY_NOT_ALLOWED);
 		}
 	}
 
 	private void complete() {
 		startMessage();
-		this.requestMethod = HttpMethod.GET;
+		this.framing.expectResponseTo(HttpMethod.GET);
 		this.completed++;
 		this.stopped = true;
 	}
@@ -519,27 +438,6 @@
 		}
 	}
 
-	private static boolean[] tokenCharacters() {
-		boolean[] characters = new boolean[DELETE + 1];
-		for (char character = ' ' + 1; character < DELETE; character++) {
-			characters[character] = "\"(),/:;<=>?@[\\]{}".indexOf(character) < 0;
-		}
-		return characters;
-	}
-
-	private static boolean isDigit(byte character) {
-		return character >= '0' && character <= '9';
-	}
-
-	private static boolean isToken(byte character) {
-		return character > 0 && TOKEN_CHARACTERS[character];
-	}
-
-	// Bytes above 0x7f are negative here and belong to text.
-	private static boolean isText(byte character) {
-		return character < 0 || character == '\t' || (character >= ' ' && character != DELETE);
-	}
-
 	/**
 	 * What the next byte belongs to.
 	 */
