--- a/bulrushrouter-http/src/main/java/io/bulrushrouter/http/grammar/Characters.java
+++ b/bulrushrouter-http/src/main/java/io/bulrushrouter/http/grammar/Characters.java
@@ -1,5 +1,7 @@
 package io.bulrushrouter.http.grammar;
 
+import io.netty.util.ByteProcessor;
+
 /**
  * The classes of characters of the grammar.
  */
@@ -9,6 +11,9 @@
 
 	private static final boolean[] TOKEN = token();
 
+	/** Finds the end of text. */
+	static final ByteProcessor TEXT = Characters::isText;
+
 	private Characters() {
 	}
 
--- /dev/null
+++ b/bulrushrouter-http/src/main/java/io/bulrushrouter/http/grammar/GrammarTrainingRun.java
@@ -0,0 +1,35 @@
+package io.bulrushrouter.http.grammar;
+
+import java.nio.charset.StandardCharsets;
+
+import io.netty.buffer.Unpooled;
+
+/**
+ * Scans a request and a response, so that the class-data archive of the programs has the
+ * classes that the first connections need.
+ */
+public final class GrammarTrainingRun {
+
+	private static final String REQUEST = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{}";
+
+	private static final String RESPONSE = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;a\r\n{}\r\n0\r\n\r\n";
+
+	private GrammarTrainingRun() {
+	}
+
+	/**
+	 * Scans the messages.
+	 */
+	public static void run() {
+		scan(MessageScanner.ofRequests(), REQUEST);
+		scan(MessageScanner.ofResponses(), RESPONSE);
+	}
+
+	private static void scan(MessageScanner scanner, String message) {
+		scanner.scan(Unpooled.copiedBuffer(message, StandardCharsets.US_ASCII));
+		scanner.violation().ifPresent((found) -> {
+			throw new MalformedMessageException(found, 0);
+		});
+	}
+
+}
--- a/bulrushrouter-http/src/main/java/io/bulrushrouter/http/grammar/MessageScanner.java
+++ b/bulrushrouter-http/src/main/java/io/bulrushrouter/http/grammar/MessageScanner.java
@@ -4,6 +4,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.util.ByteProcessor;
 
 /**
  * Checks the bytes of a connection against the grammar of HTTP/1.1 (RFC 9112): start
@@ -26,6 +27,8 @@
 
 	private final BodyFraming framing = new BodyFraming();
 
+	private final ByteProcessor accept = this::accept;
+
 	private State state;
 
 	/** Where to continue after a line feed. */
@@ -111,7 +114,8 @@
 				index = end;
 			}
 			else {
-				int last = bytes.forEachByte(index, end - index, this::accept);
+				index = skipText(bytes, index, end);
+				int last = bytes.forEachByte(index, end - index, this.accept);
 				index = (last < 0) ? end : last + 1;
 			}
 			if (this.completed != before) {
@@ -121,6 +125,13 @@
 		return endOfMessages - start;
 	}
 
+	// Most bytes of a head are text that only ends.
+	private int skipText(ByteBuf bytes, int from, int end) {
+		boolean inText = this.state == State.REASON || (this.state == State.VALUE && !this.field.framesBody());
+		int next = inText ? bytes.forEachByte(from, end - from, Characters.TEXT) : from;
+		return (next < 0) ? end : next;
+	}
+
 	private boolean inChunk() {
 		return this.framing.chunked() && (this.state == State.BODY || this.state == State.CHUNK_END
 				|| (this.state == State.LINE_FEED && this.afterLine == State.CHUNK_START));
@@ -287,6 +298,7 @@
 	private void afterStatus(byte character) {
 		if (character == ' ') {
 			enter(State.REASON);
+			this.stopped = true;
 		}
 		else if (character == '\r') {
 			endLine(State.LINE_START);
@@ -326,6 +338,7 @@
 		else if (character == ':' && !this.field.nameEmpty()) {
 			this.field.endName();
 			this.state = State.VALUE;
+			this.stopped = true;
 		}
 		else {
 			reject((character == '\n') ? Violation.LINE_END : Violation.FIELD_NAME);
--- a/bulrushrouter-launcher/src/main/java/io/bulrushrouter/launcher/CdsTrainingRun.java
+++ b/bulrushrouter-launcher/src/main/java/io/bulrushrouter/launcher/CdsTrainingRun.java
@@ -9,6 +9,7 @@
 import io.bulrushrouter.gateway.admission.AdmissionTrainingRun;
 import io.bulrushrouter.gateway.node.Gateway;
 import io.bulrushrouter.gateway.node.GatewaySettings;
+import io.bulrushrouter.http.grammar.GrammarTrainingRun;
 import io.bulrushrouter.kernel.plugin.PluginRegistry;
 import io.bulrushrouter.kernel.settings.Settings;
 import io.bulrushrouter.ranks.RankSettings;
@@ -75,6 +76,7 @@
 		try (Gateway gateway = Gateway.start(gatewaySettings, plugins, random);
 				RankSidecar sidecar = RankSidecar.start(rankSettings, plugins, random)) {
 			AdmissionTrainingRun.run();
+			GrammarTrainingRun.run();
 			LockSupport.parkNanos(RUN_NANOS);
 			LoggerFactory.getLogger(CdsTrainingRun.class)
 				.info("event=classes-loaded entry={} rank={}", gateway.callersAddress(), sidecar);
