--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
@@ -407,9 +407,8 @@
 		return verdict.failure().filter(ErrorCode.DEADLINE_EXCEEDED::equals).isPresent() ? 504 : 502;
 	}
 
-	// A request that is too large for every upstream, or that nobody may send, is not
-	// worth
-	// another try.
+	// A request that is too large for every upstream, or whose key was taken away, is not
+	// worth another try.
 	private static int statusForNotRun(Verdict verdict) {
 		return verdict.failure().filter(FINAL_REFUSALS::contains).map(ErrorCode::httpStatus).orElse(503);
 	}
--- a/bulrushrouter-http/src/main/java/io/bulrushrouter/http/grammar/MessageScanner.java
+++ b/bulrushrouter-http/src/main/java/io/bulrushrouter/http/grammar/MessageScanner.java
@@ -125,7 +125,7 @@
 		return endOfMessages - start;
 	}
 
-	// Most bytes of a head are text that only ends.
+	// Most of a head is text, of which only the end matters.
 	private int skipText(ByteBuf bytes, int from, int end) {
 		boolean inText = this.state == State.REASON || (this.state == State.VALUE && !this.field.framesBody());
 		int next = inText ? bytes.forEachByte(from, end - from, Characters.TEXT) : from;
