Bound the lines of malformed responses and of capacities in one class

MalformedResponses had written again what CapacityLog had: a limit of log lines in a second. LineRate serves both; the limit of 10 lines a second stays. The lengths that FieldLine compared before it compared the texts were redundant.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/MalformedResponses.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/MalformedResponses.java
@@ -1,11 +1,11 @@
 package io.bulrushrouter.gateway.forward;
 
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import io.bulrushrouter.gateway.upstream.LineRate;
 import io.bulrushrouter.kernel.TimeSource;
 
 /**
@@ -15,25 +15,20 @@
 
 	private static final Logger logger = LoggerFactory.getLogger(MalformedResponses.class);
 
-	/** Lines in one interval; further responses are counted in the next line. */
+	/** Lines in a second; further responses are counted in the next line. */
 	static final int MAX_LINES = 10;
 
-	private static final long INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
-
 	private final ForwardMetrics metrics;
 
 	private final TimeSource clock;
 
-	private long intervalStartNanos;
-
-	private int lines;
+	private final LineRate lines = new LineRate(MAX_LINES);
 
 	private long unlogged;
 
 	MalformedResponses(ForwardMetrics metrics, TimeSource clock) {
 		this.metrics = metrics;
 		this.clock = clock;
-		this.intervalStartNanos = clock.nanos();
 	}
 
 	/**
@@ -46,7 +41,7 @@
 	 */
 	void record(String reason, String detail, String upstream, Optional<String> identifier, int connectionRequests) {
 		this.metrics.countMalformedResponse(reason);
-		if (!mayLog()) {
+		if (!this.lines.tryLine(this.clock.nanos())) {
 			this.unlogged++;
 			return;
 		}
@@ -57,13 +52,4 @@
 		this.unlogged = 0;
 	}
 
-	private boolean mayLog() {
-		long nowNanos = this.clock.nanos();
-		if (nowNanos - this.intervalStartNanos >= INTERVAL_NANOS) {
-			this.intervalStartNanos = nowNanos;
-			this.lines = 0;
-		}
-		return ++this.lines <= MAX_LINES;
-	}
-
 }
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/CapacityLog.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/upstream/CapacityLog.java
@@ -25,9 +25,7 @@
 	 */
 	private static final int MAX_LINES_PER_SECOND = 10;
 
-	private long secondStartNanos = Long.MIN_VALUE;
-
-	private int lines;
+	private final LineRate lines = new LineRate(MAX_LINES_PER_SECOND);
 
 	/**
 	 * Logs the capacity of an upstream if it is due.
@@ -43,7 +41,7 @@
 			return false;
 		}
 		boolean tooSoon = before != 1 && nowNanos - capacity.loggedNanos() < MIN_UPSTREAM_INTERVAL_NANOS;
-		if (tooSoon || !lineLeft(nowNanos)) {
+		if (tooSoon || !this.lines.tryLine(nowNanos)) {
 			return false;
 		}
 		capacity.logged(slowness, nowNanos);
@@ -56,13 +54,4 @@
 		return String.format(Locale.ROOT, "%.2f", 1 / slowness);
 	}
 
-	private boolean lineLeft(long nowNanos) {
-		if (this.secondStartNanos == Long.MIN_VALUE
-				|| nowNanos - this.secondStartNanos >= TimeUnit.SECONDS.toNanos(1)) {
-			this.secondStartNanos = nowNanos;
-			this.lines = 0;
-		}
-		return this.lines++ < MAX_LINES_PER_SECOND;
-	}
-
 }
--- a/bulrushrouter-http/src/main/java/io/bulrushrouter/http/grammar/FieldLine.java
+++ b/bulrushrouter-http/src/main/java/io/bulrushrouter/http/grammar/FieldLine.java
@@ -38,9 +38,7 @@
 	}
 
 	void endName() {
-		int length = this.name.length();
-		this.framesBody = (length == CONTENT_LENGTH.length() && isContentLength())
-				|| (length == TRANSFER_ENCODING.length() && TRANSFER_ENCODING.contentEquals(this.name));
+		this.framesBody = isContentLength() || TRANSFER_ENCODING.contentEquals(this.name);
 	}
 
 	void appendValue(byte character) {
