Read the failures of an upstream where a test counts them, not the next choice

Cause: the choice of an upstream also depends on how fast the upstreams were. On a busy machine the first events of up-a came late, so it took part in a twentieth of the choices. The two hypotheses, a counted failure and a learned speed, are told apart by the gateway's own explanation, printed before the last request: in the failed runs failure-cost=0.00 excluded=none choice-share=0.06 and 0.21.

The test now requires that the upstream is not excluded and has a failure cost of 0.00. That is as strict: one failure costs 1.80, two eject.

--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/SlowReaderTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/SlowReaderTests.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.Assertions;
@@ -98,7 +99,9 @@
 		}
 	}
 
-	// Two failures in a row would eject the upstream.
+	// A single failure shows in the cost of the upstream, two in a row eject it. Where
+	// the
+	// next request goes would not tell: it also depends on how fast the upstreams were.
 	@Test
 	void resumesStreamsThatTheirUpstreamCutUnreadAndCountsNoFailure() throws Exception {
 		try (ScriptedUpstream cutting = ScriptedUpstream.start((number, request, reply) -> stream(request, reply));
@@ -121,8 +124,9 @@
 			}
 			assertThat(other.requests()).hasSize(4);
 			assertThat(gateway.connectionsChecked()).isTrue();
+			assertThat(gateway.explain(Map.of("host", "test", "path", "/stream/", "key", GatewayFixture.KEY)))
+				.containsMatch("upstream=up-a .* excluded=none in-flight=0 .* failure-cost=0\\.00 ");
 			assertComplete(later.get("/stream/later", "Connection: close\r\n").readToEnd());
-			assertThat(cutting.requests().get(cutting.requests().size() - 1)).startsWith("GET /stream/later ");
 		}
 	}
 
