Compare the headers of a request with its Connection field as a set

Cause: for each header, copyEndToEnd split all values of the Connection field again, so the work grew with the square of the number of fields. One thread serves all callers, and the copy is made again for each attempt.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/RequestChecks.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/RequestChecks.java
@@ -1,5 +1,7 @@
 package io.bulrushrouter.gateway.forward;
 
+import java.util.HashSet;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -47,24 +49,30 @@
 	 * @param to the headers to add the copies to
 	 */
 	static void copyEndToEnd(HttpHeaders from, HttpHeaders to) {
-		List<String> connectionValues = from.getAll(HttpHeaderNames.CONNECTION);
-		for (Map.Entry<String, String> header : from) {
-			String lowerCaseName = header.getKey().toLowerCase(Locale.ROOT);
-			if (!HOP_BY_HOP.contains(lowerCaseName) && !listsHeader(connectionValues, lowerCaseName)) {
+		Set<String> connectionOptions = connectionOptions(from);
+		Iterator<Map.Entry<CharSequence, CharSequence>> headers = from.iteratorCharSequence();
+		while (headers.hasNext()) {
+			Map.Entry<CharSequence, CharSequence> header = headers.next();
+			String name = header.getKey().toString().toLowerCase(Locale.ROOT);
+			if (!HOP_BY_HOP.contains(name) && !connectionOptions.contains(name)) {
 				to.add(header.getKey(), header.getValue());
 			}
 		}
 	}
 
-	private static boolean listsHeader(List<String> connectionValues, String header) {
-		for (String value : connectionValues) {
-			for (String token : value.split(",")) {
-				if (token.strip().equalsIgnoreCase(header)) {
-					return true;
-				}
+	// Compared as a set, since a caller may name as many headers as it sends.
+	private static Set<String> connectionOptions(HttpHeaders headers) {
+		List<String> values = headers.getAll(HttpHeaderNames.CONNECTION);
+		if (values.isEmpty()) {
+			return Set.of();
+		}
+		Set<String> options = new HashSet<>();
+		for (String value : values) {
+			for (String option : value.split(",")) {
+				options.add(option.strip().toLowerCase(Locale.ROOT));
 			}
 		}
-		return false;
+		return options;
 	}
 
 }
