Let the upstream of the crowd tests repeat the identifier of a request

The stand-in did not repeat Bulrushrouter-Attempt-Id, so requests with one ended as 502 and the crowd of ordinary requests was none. Now it does, as upstreams do. Bounds, crowd and shapes are the same.

--- a/bulrushrouter-launcher/src/test/java/io/bulrushrouter/launcher/FixedUpstream.java
+++ b/bulrushrouter-launcher/src/test/java/io/bulrushrouter/launcher/FixedUpstream.java
@@ -7,7 +7,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.Locale;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
@@ -16,9 +16,7 @@
  */
 final class FixedUpstream implements AutoCloseable {
 
-	private static final byte[] RESPONSE = ("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nBulrushrouter-Server-Stamp: s\r\n"
-			+ "\r\nok")
-		.getBytes(StandardCharsets.ISO_8859_1);
+	private static final String IDENTIFIER = "Bulrushrouter-Attempt-Id";
 
 	private final ServerSocket server = new ServerSocket(0, 1_024, InetAddress.getLoopbackAddress());
 
@@ -61,10 +59,12 @@
 	private void serve(Socket socket) {
 		try (socket) {
 			InputStream in = new BufferedInputStream(socket.getInputStream());
-			while (readRequest(in)) {
+			Optional<String> identifier = readRequest(in);
+			while (identifier.isPresent()) {
 				if (!this.silent) {
-					socket.getOutputStream().write(RESPONSE);
+					socket.getOutputStream().write(response(identifier.get()));
 				}
+				identifier = readRequest(in);
 			}
 		}
 		catch (IOException ex) {
@@ -73,20 +73,30 @@
 		this.sockets.remove(socket);
 	}
 
-	private static boolean readRequest(InputStream in) throws IOException {
+	private static byte[] response(String identifier) {
+		String echo = identifier.isEmpty() ? "" : IDENTIFIER + ": " + identifier + "\r\n";
+		return ("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nBulrushrouter-Server-Stamp: s\r\n" + echo + "\r\nok")
+			.getBytes(StandardCharsets.ISO_8859_1);
+	}
+
+	// Returns the identifier of a request, empty text if it has none, or empty at the
+	// end.
+	private static Optional<String> readRequest(InputStream in) throws IOException {
 		long contentLength = 0;
+		String identifier = "";
 		String line = readLine(in);
-		if (line == null) {
-			return false;
-		}
 		while (line != null && !line.isEmpty()) {
-			if (line.toLowerCase(Locale.ROOT).startsWith("content-length:")) {
-				contentLength = Long.parseLong(line.substring(line.indexOf(':') + 1).strip());
+			int colon = Math.max(0, line.indexOf(':'));
+			if (line.substring(0, colon).equalsIgnoreCase("Content-Length")) {
+				contentLength = Long.parseLong(line.substring(colon + 1).strip());
+			}
+			else if (line.substring(0, colon).equalsIgnoreCase(IDENTIFIER)) {
+				identifier = line.substring(colon + 1).strip();
 			}
 			line = readLine(in);
 		}
 		in.skipNBytes(contentLength);
-		return line != null;
+		return (line != null) ? Optional.of(identifier) : Optional.empty();
 	}
 
 	private static String readLine(InputStream in) throws IOException {
