Read connections one after the other whose reads take much work

Cause: one thread serves all callers, and the work of a read grows with its lines, not with its bytes: a head of 15,500 bytes has 3,875 lines, and one read may hold 2,700 chunks. The event loop reads up to 16 buffers of 16 KB of each connection before it looks at the next one, and looks at all of them before the first one again.

Now the scanner of the grammar counts lines, and a connection whose read held more than 128 is read again in its turn, one such connection in a millisecond. All others are read in between. Weighed: a limit of chunks or lines (a single request within the limits would be refused), measuring time (differs with the machine), and threads for each connection (memory).

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/CallerConnection.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/CallerConnection.java
@@ -66,6 +66,8 @@
 
 	private final ExchangeFactory exchanges;
 
+	private final MessageGuard guard = MessageGuard.ofRequests();
+
 	private final RequestDecoder decoder;
 
 	private final PipelinedMessages pipelinedMessages;
@@ -94,6 +96,12 @@
 
 	private boolean awaitingReader;
 
+	private boolean takingMessages = true;
+
+	private boolean awaitingTurn;
+
+	private long linesRead;
+
 	private String closeReason = "the caller closed the connection";
 
 	CallerConnection(GatewayContext context, ExchangeFactory exchanges) {
@@ -102,8 +110,7 @@
 		this.decoder = new RequestDecoder(context.limits().headerBytes(), this::bytesRead);
 		this.account = context.memory()
 			.open(() -> context.loop().execute(this::cutForMemory), () -> context.loop().execute(this::evict));
-		this.pipelinedMessages = new PipelinedMessages(this.account,
-				(reading) -> this.channel.config().setAutoRead(reading));
+		this.pipelinedMessages = new PipelinedMessages(this.account, this::takesMessages);
 	}
 
 	/**
@@ -111,11 +118,30 @@
 	 * @return the handlers, to be added to the pipeline in this order
 	 */
 	ChannelHandler[] handlers() {
-		return new ChannelHandler[] { MessageGuard.ofRequests(), this.decoder, new HttpResponseEncoder(), this };
+		return new ChannelHandler[] { this.guard, this.decoder, new HttpResponseEncoder(), this };
 	}
 
 	private void bytesRead(RequestDecoder reader) {
 		this.account.arriving(reader.heldBytes());
+		long lines = this.guard.lines() - this.linesRead;
+		this.linesRead += lines;
+		if (lines > ReadTurns.MAX_LINES && !this.awaitingTurn) {
+			this.awaitingTurn = true;
+			updateReading();
+			this.context.readTurns().await(() -> {
+				this.awaitingTurn = false;
+				updateReading();
+			});
+		}
+	}
+
+	private void takesMessages(boolean taking) {
+		this.takingMessages = taking;
+		updateReading();
+	}
+
+	private void updateReading() {
+		this.channel.config().setAutoRead((this.takingMessages || this.closing) && !this.awaitingTurn);
 	}
 
 	@Override
@@ -370,7 +396,7 @@
 	private void closeAfterLinger() {
 		this.closing = true;
 		this.pipelinedMessages.release();
-		this.channel.config().setAutoRead(true);
+		updateReading();
 		this.channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener((ChannelFutureListener) (done) -> {
 			if (this.channel instanceof SocketChannel socket && socket.isActive()) {
 				socket.shutdownOutput();
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/GatewayContext.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/GatewayContext.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
 import io.netty.channel.EventLoop;
@@ -38,6 +39,9 @@
  */
 public final class GatewayContext {
 
+	/** A timer lets the event loop look at its connections before it is due. */
+	private static final long READ_TURN_INTERVAL_MILLIS = 1;
+
 	private final EventLoop loop;
 
 	private final TimeSource clock;
@@ -76,6 +80,8 @@
 
 	private final MemoryLedger memory = new MemoryLedger(() -> settings().maxBufferedBytes());
 
+	private final ReadTurns readTurns;
+
 	private final TokensInFlight tokensInFlight = new TokensInFlight();
 
 	private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
@@ -120,6 +126,7 @@
 		this.metrics = metrics;
 		this.membership = membership;
 		this.crashEvidence = crashEvidence;
+		this.readTurns = new ReadTurns((turn) -> loop.schedule(turn, READ_TURN_INTERVAL_MILLIS, TimeUnit.MILLISECONDS));
 		this.notices = new UpstreamNotices(membership, random, this::warmupSpec);
 		this.noticeDecoder = new UpstreamNoticeDecoder(headers);
 		this.pool = new UpstreamConnectionPool(loop, clock, metrics.upstreamConnects(), this.memory,
@@ -377,6 +384,19 @@
 		return this.memory;
 	}
 
+	ReadTurns readTurns() {
+		return this.readTurns;
+	}
+
+	/**
+	 * Returns how many connections of callers wait for their turn to be read, since what
+	 * they send takes much work.
+	 * @return the number
+	 */
+	public int waitingReads() {
+		return this.readTurns.size();
+	}
+
 	/**
 	 * Returns what all connections hold.
 	 * @return the number of bytes
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/Gateway.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/Gateway.java
@@ -170,6 +170,7 @@
 		this.registry.gauge("bulrush.gateway.held.bytes", this.context, GatewayContext::heldBytes);
 		this.registry.gauge("bulrush.gateway.readers.cut", this.context, GatewayContext::cutReaders);
 		this.registry.gauge("bulrush.gateway.callers.evicted", this.context, GatewayContext::evictedCallers);
+		this.registry.gauge("bulrush.gateway.callers.waiting.reads", this.context, GatewayContext::waitingReads);
 		this.registry.gauge("bulrush.gateway.unread.requests.dropped", this.context, GatewayContext::droppedRequests);
 		this.registry.gauge("bulrush.gateway.evacuated.data.centres", this.evacuated, EvacuatedDataCentres::size);
 		this.registry.gauge("bulrush.gateway.cold.upstreams", this.context, GatewayContext::coldUpstreams);
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/PipeliningCaller.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/PipeliningCaller.java
@@ -128,6 +128,7 @@
 	}
 
 	void runTasks() {
+		this.tasks.advanceTimeBy(1, TimeUnit.MILLISECONDS);
 		this.tasks.runPendingTasks();
 	}
 
--- a/bulrushrouter-http/src/main/java/io/bulrushrouter/http/grammar/MessageGuard.java
+++ b/bulrushrouter-http/src/main/java/io/bulrushrouter/http/grammar/MessageGuard.java
@@ -48,6 +48,15 @@
 		this.scanner.expectResponseTo(method);
 	}
 
+	/**
+	 * Returns how many lines were scanned, of heads, trailers and those that frame
+	 * chunks.
+	 * @return the number since the start
+	 */
+	public long lines() {
+		return this.scanner.lines();
+	}
+
 	/**
 	 * Returns whether a response has ended, or ends with the connection.
 	 * @return whether the end of the connection would cut nothing off
--- a/bulrushrouter-http/src/main/java/io/bulrushrouter/http/grammar/MessageScanner.java
+++ b/bulrushrouter-http/src/main/java/io/bulrushrouter/http/grammar/MessageScanner.java
@@ -49,6 +49,8 @@
 
 	private boolean stopped;
 
+	private long lines;
+
 	/** Bytes of the current chunk that earlier calls have scanned. */
 	private long unverifiedBytes;
 
@@ -159,6 +161,15 @@
 		return Optional.ofNullable(this.violation);
 	}
 
+	/**
+	 * Returns how many lines were scanned, of heads, trailers and those that frame
+	 * chunks.
+	 * @return the number since the start
+	 */
+	public long lines() {
+		return this.lines;
+	}
+
 	/**
 	 * Returns whether a response has ended, or ends with the connection.
 	 * @return whether the end of the connection would cut nothing off
@@ -366,6 +377,7 @@
 	}
 
 	private void endOfLine() {
+		this.lines++;
 		switch (this.afterLine) {
 			case BODY -> enterBody(State.BODY, this.chunkSize);
 			case CHUNK_START -> {
