Never let a log call wait for the writer of the log

What callers saw: an entry whose standard output is read slowly answers nobody.

Cause: AppenderBase of the library calls append under the lock of the appender, and the thread that writes the queued lines held the same lock while it wrote. A stack dump shows the caller in AppenderBase.doAppend, waiting for the lock of AsyncJsonAppender, which the thread "log" holds in PrintStream.write. A crowd that makes the entry log some megabytes a second fills the pipe, and the event loop then stands still until somebody reads.

Now the appender is the unsynchronised one of the library, whose queue takes lines from any thread, and the writer has a lock of its own.

--- a/bulrushrouter-launcher/src/main/java/io/bulrushrouter/launcher/AsyncJsonAppender.java
+++ b/bulrushrouter-launcher/src/main/java/io/bulrushrouter/launcher/AsyncJsonAppender.java
@@ -10,14 +10,14 @@
 import java.util.concurrent.locks.LockSupport;
 
 import ch.qos.logback.classic.spi.ILoggingEvent;
-import ch.qos.logback.core.AppenderBase;
+import ch.qos.logback.core.UnsynchronizedAppenderBase;
 
 /**
  * Writes the log as JSON lines. A log call never blocks: it adds its line to a bounded
  * queue or, if the queue is full, counts the line as dropped. One thread writes the
  * queued lines in batches.
  */
-final class AsyncJsonAppender extends AppenderBase<ILoggingEvent> {
+final class AsyncJsonAppender extends UnsynchronizedAppenderBase<ILoggingEvent> {
 
 	/** Capacity of the queue; at 300 bytes a line, a full queue takes about 2 MB. */
 	private static final int MAX_QUEUED_LINES = 8_192;
@@ -27,6 +27,8 @@
 
 	private final OutputStream out;
 
+	private final Object writing = new Object();
+
 	private final BlockingQueue<String> queue = new ArrayBlockingQueue<>(MAX_QUEUED_LINES);
 
 	private final AtomicLong dropped = new AtomicLong();
@@ -62,7 +64,14 @@
 		}
 	}
 
-	private synchronized void flush() {
+	// A log call must not wait for this lock.
+	private void flush() {
+		synchronized (this.writing) {
+			writeQueued();
+		}
+	}
+
+	private void writeQueued() {
 		StringBuilder lines = new StringBuilder();
 		long droppedLines = this.dropped.getAndSet(0);
 		if (droppedLines > 0) {
