Bound what the queue of the log holds by characters, and cut long values

Cause: the queue was bounded by lines alone.

Now a value is cut at 1,024 characters, the queue holds 2.4 million characters at most, as 8,192 lines of usual length have, and lines are written in batches of 64 KB.

Evidence: AsyncJsonAppenderTests.cutLongValues and dropLinesOnceTheQueueHoldsItsLimitOfCharacters.

--- a/bulrushrouter-launcher/src/main/java/io/bulrushrouter/launcher/AsyncJsonAppender.java
+++ b/bulrushrouter-launcher/src/main/java/io/bulrushrouter/launcher/AsyncJsonAppender.java
@@ -19,9 +19,14 @@
  */
 final class AsyncJsonAppender extends UnsynchronizedAppenderBase<ILoggingEvent> {
 
-	/** Capacity of the queue; at 300 bytes a line, a full queue takes about 2 MB. */
 	private static final int MAX_QUEUED_LINES = 8_192;
 
+	/** Limit of the characters of all queued lines, some 300 for each. */
+	static final long MAX_QUEUED_CHARACTERS = 300L * MAX_QUEUED_LINES;
+
+	/** Characters of the lines that are encoded and written at once. */
+	private static final int MAX_BATCH_CHARACTERS = 64 * 1024;
+
 	/** Time between two batches: each wake-up of the writer costs processor time. */
 	private static final long FLUSH_INTERVAL_NANOS = 200_000_000;
 
@@ -31,6 +36,8 @@
 
 	private final BlockingQueue<String> queue = new ArrayBlockingQueue<>(MAX_QUEUED_LINES);
 
+	private final AtomicLong queuedCharacters = new AtomicLong();
+
 	private final AtomicLong dropped = new AtomicLong();
 
 	private volatile boolean running;
@@ -52,7 +59,10 @@
 
 	@Override
 	protected void append(ILoggingEvent event) {
-		if (!this.queue.offer(JsonLine.of(event))) {
+		String line = JsonLine.of(event);
+		boolean fits = this.queuedCharacters.addAndGet(line.length()) <= MAX_QUEUED_CHARACTERS;
+		if (!fits || !this.queue.offer(line)) {
+			this.queuedCharacters.addAndGet(-line.length());
 			this.dropped.incrementAndGet();
 		}
 	}
@@ -77,17 +87,17 @@
 		if (droppedLines > 0) {
 			lines.append("{\"event\":\"log-lines-dropped\",\"count\":").append(droppedLines).append("}\n");
 		}
-		String line = this.queue.poll();
-		while (line != null) {
-			lines.append(line);
-			line = this.queue.poll();
-		}
-		if (lines.length() == 0) {
-			return;
-		}
 		try {
-			this.out.write(lines.toString().getBytes(StandardCharsets.UTF_8));
-			this.out.flush();
+			String line = this.queue.poll();
+			while (line != null) {
+				lines.append(line);
+				this.queuedCharacters.addAndGet(-line.length());
+				if (lines.length() > MAX_BATCH_CHARACTERS) {
+					write(lines);
+				}
+				line = this.queue.poll();
+			}
+			write(lines);
 		}
 		catch (IOException ex) {
 			// The log cannot be written, so there is nowhere to report the failure.
@@ -95,6 +105,14 @@
 		}
 	}
 
+	private void write(StringBuilder lines) throws IOException {
+		if (lines.length() > 0) {
+			this.out.write(lines.toString().getBytes(StandardCharsets.UTF_8));
+			this.out.flush();
+			lines.setLength(0);
+		}
+	}
+
 	@Override
 	public void stop() {
 		this.running = false;
--- a/bulrushrouter-launcher/src/main/java/io/bulrushrouter/launcher/JsonLine.java
+++ b/bulrushrouter-launcher/src/main/java/io/bulrushrouter/launcher/JsonLine.java
@@ -13,6 +13,11 @@
 
 	private static final int MAX_STACK_FRAMES = 12;
 
+	/** Limit of the characters of a value, since callers choose some of them. */
+	static final int MAX_VALUE_LENGTH = 1_024;
+
+	private static final String CUT = "...";
+
 	private JsonLine() {
 	}
 
@@ -73,8 +78,9 @@
 			return;
 		}
 		line.append('"');
-		JsonStringEncoder.getInstance().quoteAsString(value, line);
-		line.append('"');
+		boolean cut = value.length() > MAX_VALUE_LENGTH;
+		JsonStringEncoder.getInstance().quoteAsString(cut ? value.substring(0, MAX_VALUE_LENGTH) : value, line);
+		line.append(cut ? CUT : "").append('"');
 	}
 
 	private static boolean isNumber(String value) {
--- a/bulrushrouter-launcher/src/test/java/io/bulrushrouter/launcher/AsyncJsonAppenderTests.java
+++ b/bulrushrouter-launcher/src/test/java/io/bulrushrouter/launcher/AsyncJsonAppenderTests.java
@@ -15,10 +15,12 @@
 import static com.google.common.truth.Truth.assertThat;
 
 /**
- * Tests for {@link AsyncJsonAppender}.
+ * Guards against a log that fills the heap with what callers send.
  */
 class AsyncJsonAppenderTests {
 
+	private static final String LONG_VALUE = "x".repeat(16_000);
+
 	private final LoggerContext context = new LoggerContext();
 
 	private final Logger logger = this.context.getLogger("test");
@@ -64,4 +66,29 @@
 		assertThat(out.toString(StandardCharsets.UTF_8)).contains("\"event\":\"log-lines-dropped\"");
 	}
 
+	@Test
+	void cutLongValues() {
+		ByteArrayOutputStream out = new ByteArrayOutputStream();
+		AsyncJsonAppender appender = start(out);
+		this.logger.info("event=refused request={} status={} detail=\"{}\"", LONG_VALUE, 404, LONG_VALUE);
+		appender.stop();
+		String line = out.toString(StandardCharsets.UTF_8);
+		String cut = "x".repeat(JsonLine.MAX_VALUE_LENGTH) + "...";
+		assertThat(line).contains("\"request\":\"" + cut + "\",\"status\":404,\"detail\":\"" + cut + "\"}\n");
+	}
+
+	@Test
+	void dropLinesOnceTheQueueHoldsItsLimitOfCharacters() {
+		CountDownLatch writable = new CountDownLatch(1);
+		ByteArrayOutputStream out = blockedUntil(writable);
+		AsyncJsonAppender appender = start(out);
+		for (int line = 0; line < 8_000; line++) {
+			this.logger.info("event=refused request={} detail=\"{}\"", LONG_VALUE, LONG_VALUE);
+		}
+		writable.countDown();
+		appender.stop();
+		assertThat((long) out.size()).isLessThan(2 * AsyncJsonAppender.MAX_QUEUED_CHARACTERS);
+		assertThat(out.toString(StandardCharsets.UTF_8)).contains("\"event\":\"log-lines-dropped\"");
+	}
+
 }
