Keep the heads of responses in one byte array, too

An upstream may send a head of 32,768 bytes, which as lines of four bytes took 1 MB in the table of the library, and twice more in the copies for the caller, for each response at once. Read in the code; no run showed a process that ended of it.

The decoder of responses uses CompactHeaders, and the head for the caller is built from the copy instead of copying it once more.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ResponseDecoder.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ResponseDecoder.java
@@ -6,6 +6,8 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 
+import io.bulrushrouter.http.CompactHeaders;
+
 /**
  * Decodes the responses on one connection and tells whether bytes are left that belong to
  * none of them.
@@ -23,7 +25,9 @@
 	ResponseDecoder() {
 		super(new HttpDecoderConfig().setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
 			.setMaxHeaderSize(MAX_HEADER_BYTES)
-			.setMaxChunkSize(MAX_CHUNK_BYTES));
+			.setMaxChunkSize(MAX_CHUNK_BYTES)
+			.setHeadersFactory(CompactHeaders.FACTORY)
+			.setTrailersFactory(CompactHeaders.FACTORY));
 	}
 
 	/**
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ResponseHeads.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ResponseHeads.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -27,7 +28,8 @@
 	 * Creates a complete response.
 	 * @param request the head of the request
 	 * @param status the status
-	 * @param headers the headers, without those that frame the body
+	 * @param headers the headers, without those that frame the body; the response owns
+	 * them
 	 * @param content the body, left out in the response to a HEAD request
 	 * @return the response
 	 */
@@ -35,8 +37,7 @@
 			ByteBuf content) {
 		boolean headOnly = request != null && request.method().equals(HttpMethod.HEAD);
 		FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
-				headOnly ? Unpooled.EMPTY_BUFFER : content);
-		response.headers().set(headers);
+				headOnly ? Unpooled.EMPTY_BUFFER : content, headers, EmptyHttpHeaders.INSTANCE);
 		if (status.code() != 204 && status.code() != 304) {
 			response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
 		}
@@ -47,12 +48,12 @@
 	 * Creates the head of a response of unknown length.
 	 * @param request the head of the request
 	 * @param status the status
-	 * @param headers the headers, without those that frame the body
+	 * @param headers the headers, without those that frame the body; the response owns
+	 * them
 	 * @return the head
 	 */
 	static HttpResponse ofStreamed(HttpRequest request, HttpResponseStatus status, HttpHeaders headers) {
-		HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, status);
-		response.headers().set(headers);
+		HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, status, headers);
 		if (!readsToEndOfConnection(request)) {
 			response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
 		}
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ResponseRelay.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ResponseRelay.java
@@ -7,7 +7,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
@@ -18,6 +17,7 @@
 import io.bulrushrouter.gateway.source.HeaderNames;
 import io.bulrushrouter.gateway.stream.EventSplitter;
 import io.bulrushrouter.gateway.stream.EventSplitter.Event;
+import io.bulrushrouter.http.CompactHeaders;
 import io.bulrushrouter.kernel.ErrorCode;
 import io.bulrushrouter.kernel.Verdict;
 
@@ -348,7 +348,7 @@
 	}
 
 	private HttpHeaders endToEndHeaders() {
-		HttpHeaders headers = new DefaultHttpHeaders();
+		HttpHeaders headers = new CompactHeaders();
 		RequestChecks.copyEndToEnd(this.responseHead.headers(), headers);
 		return headers;
 	}
