Keep no copies of header values for the time that a request is served

A request kept the list of its prompt parts and up to 64 fingerprints of them until it ended, and a connection to an upstream kept the identifier of its last request while it was idle, up to 16 KB each and not in the ledger. Found by walking through what a request holds after its head.

Now the parts are read from the head where they are needed, which is once for most requests, and a connection keeps the 64 characters that the log names.

Evidence: the tests of crash evidence, late and malformed responses hold.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/RequestFingerprints.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/RequestFingerprints.java
@@ -22,10 +22,6 @@
 
 	private final CallerRequest request;
 
-	private final Optional<String> parts;
-
-	private final List<Fingerprint> sharedParts;
-
 	private String digest;
 
 	private List<Fingerprint> all;
@@ -33,8 +29,15 @@
 	RequestFingerprints(GatewayContext context, CallerRequest request) {
 		this.context = context;
 		this.request = request;
-		this.parts = Optional.ofNullable(request.header(context.headers().promptParts()));
-		this.sharedParts = this.parts.map(Fingerprint::ofSharedParts).orElse(List.of());
+	}
+
+	// Read where they are needed: the head holds them already.
+	private Optional<String> parts() {
+		return Optional.ofNullable(this.request.header(this.context.headers().promptParts()));
+	}
+
+	private List<Fingerprint> sharedParts() {
+		return parts().map(Fingerprint::ofSharedParts).orElse(List.of());
 	}
 
 	/**
@@ -42,8 +45,7 @@
 	 * @return the parts as the caller states them, or a hyphen if it states none
 	 */
 	String loggedParts() {
-		return this.parts.map((text) -> text.substring(0, Math.min(text.length(), MAX_LOGGED_PARTS_LENGTH)))
-			.orElse("-");
+		return parts().map((text) -> text.substring(0, Math.min(text.length(), MAX_LOGGED_PARTS_LENGTH))).orElse("-");
 	}
 
 	/**
@@ -60,7 +62,7 @@
 
 	private List<Fingerprint> all() {
 		if (this.all == null) {
-			this.all = new ArrayList<>(this.sharedParts);
+			this.all = new ArrayList<>(sharedParts());
 			this.all.add(Fingerprint.ofRequest(digest()));
 		}
 		return this.all;
@@ -92,7 +94,7 @@
 	 * whole.
 	 */
 	void succeeded() {
-		evidence().succeeded(evidence().suspicious() ? all() : this.sharedParts, this.context.nowNanos());
+		evidence().succeeded(evidence().suspicious() ? all() : sharedParts(), this.context.nowNanos());
 	}
 
 	/**
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamConnection.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/UpstreamConnection.java
@@ -48,6 +48,9 @@
 	/** Logged bytes of what arrives while no response is due: a status line. */
 	private static final int LOGGED_STRAY_BYTES = 32;
 
+	/** Characters of an identifier that are kept for the log. */
+	private static final int MAX_LOGGED_IDENTIFIER_LENGTH = 64;
+
 	/**
 	 * Limit of what may arrive before the head of a response is complete, informational
 	 * responses included.
@@ -145,7 +148,7 @@
 	 */
 	void send(FullHttpRequest request, Optional<String> identifier, ResponseHandler responseHandler) {
 		identifier.map(String::hashCode).ifPresent(this.carriedIdentifiers::add);
-		this.identifier = identifier;
+		this.identifier = identifier.map(UpstreamConnection::logged);
 		this.responseHandler = responseHandler;
 		this.headSeen = false;
 		this.bytesBeforeBody = 0;
@@ -171,6 +174,10 @@
 		});
 	}
 
+	private static String logged(String identifier) {
+		return identifier.substring(0, Math.min(identifier.length(), MAX_LOGGED_IDENTIFIER_LENGTH));
+	}
+
 	/**
 	 * Closes the connection and abandons the request in flight; its handler is not called
 	 * again. With a request in flight the connection is reset: an orderly close would
