Free what a refused caller sent, and decode nothing of what it still sends

Cause: after a refusal that ends the connection, what arrived until it closed 400 ms later was still scanned and decoded, and the part of a head that was there stayed in memory; the ledger counted it, but a crowd that is refused costs as much work as one that is served.

Now the guard and the decoder leave the pipeline with the refusal, so that their buffers are freed and later bytes are discarded as they come.

Evidence: RefusedCallerTests fails on the code before.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/CallerConnection.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/CallerConnection.java
@@ -396,6 +396,7 @@
 	private void closeAfterLinger() {
 		this.closing = true;
 		this.pipelinedMessages.release();
+		stopDecoding();
 		updateReading();
 		this.channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener((ChannelFutureListener) (done) -> {
 			if (this.channel instanceof SocketChannel socket && socket.isActive()) {
@@ -405,6 +406,15 @@
 		});
 	}
 
+	// What still arrives is discarded undecoded, and what is not decoded is freed.
+	private void stopDecoding() {
+		if (this.channel.pipeline().context(this.decoder) != null) {
+			this.channel.pipeline().remove(this.guard);
+			this.channel.pipeline().remove(this.decoder);
+		}
+		this.account.arriving(0);
+	}
+
 	private void callerHasRead() {
 		if (this.exchange != null) {
 			this.exchange.callerWritabilityChanged(true);
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/RequestDecoder.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/RequestDecoder.java
@@ -109,6 +109,13 @@
 		return internalBuffer().capacity() + this.arriving.heldBytes();
 	}
 
+	@Override
+	protected void handlerRemoved0(ChannelHandlerContext context) throws Exception {
+		super.handlerRemoved0(context);
+		this.arriving.clear();
+		this.headIncomplete = false;
+	}
+
 	/**
 	 * The fields of the message that arrives.
 	 */
