--- a/bulrushrouter-http/src/main/java/io/bulrushrouter/http/grammar/GrammarTrainingRun.java
+++ b/bulrushrouter-http/src/main/java/io/bulrushrouter/http/grammar/GrammarTrainingRun.java
@@ -4,9 +4,11 @@
 
 import io.netty.buffer.Unpooled;
 
+import io.bulrushrouter.http.CompactHeaders;
+
 /**
- * Scans a request and a response, so that the class-data archive of the programs has the
- * classes that the first connections need.
+ * Scans a request and a response and reads headers, so that the class-data archive of the
+ * programs has the classes that the first connections need.
  */
 public final class GrammarTrainingRun {
 
@@ -18,11 +20,12 @@
 	}
 
 	/**
-	 * Scans the messages.
+	 * Scans the messages and reads headers.
 	 */
 	public static void run() {
 		scan(MessageScanner.ofRequests(), REQUEST);
 		scan(MessageScanner.ofResponses(), RESPONSE);
+		new CompactHeaders().add("Host", "a").iteratorCharSequence().next();
 	}
 
 	private static void scan(MessageScanner scanner, String message) {
