Evict no ordinary request for responses that fill the memory bound

Cause: evicts whoever holds most unserved while the bound is passed, also where slow readers' responses fill it and requests are far from their share. A caller whose head comes in two parts was then reset for them, where it used to be read and refused as not run. Found by reading the diff.

Evidence: MemoryLedgerTests.evictsNoOrdinaryRequestWhileResponsesFillTheBound.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/MemoryLedger.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/MemoryLedger.java
@@ -136,19 +136,22 @@
 	}
 
 	private boolean fits(long bytes, double share) {
-		long bound = this.limit.getAsLong();
-		return heldBytes() + bytes <= bound && this.requestBytes + bytes <= share * bound;
+		return heldBytes() + bytes <= this.limit.getAsLong() && requestsFit(bytes, share);
 	}
 
-	private void evictUnserved(BooleanSupplier enough) {
-		while (!enough.getAsBoolean() && !this.unserved.isEmpty()) {
+	private boolean requestsFit(long bytes, double share) {
+		return this.requestBytes + bytes <= share * this.limit.getAsLong();
+	}
+
+	// Where responses fill the bound, ordinary requests are not evicted for them.
+	private void evictUnserved(long bytes) {
+		while (!fits(bytes, REQUEST_SHARE) && !this.unserved.isEmpty()) {
 			Account largest = Collections.max(this.unserved, Comparator.comparingLong(Account::unservedBytes));
-			if (largest.unservedBytes() == 0) {
-				this.unserved.clear();
-			}
-			else {
-				largest.evict();
+			long smallest = requestsFit(bytes, REQUEST_SHARE) ? MAX_ORDINARY_BYTES : 0;
+			if (largest.unservedBytes() <= smallest) {
+				return;
 			}
+			largest.evict();
 		}
 	}
 
@@ -218,7 +221,7 @@
 			boolean ordinary = this.ownRequestBytes + bytes <= MAX_ORDINARY_BYTES;
 			dropUnreadRequests(() -> fits(bytes, REQUEST_SHARE));
 			if (ordinary) {
-				evictUnserved(() -> fits(bytes, REQUEST_SHARE));
+				evictUnserved(bytes);
 			}
 			if (heldBytes() + bytes > ledger.limit.getAsLong()) {
 				cutStopped(nowNanos);
@@ -266,7 +269,7 @@
 			if (unservedBytes() > 0) {
 				MemoryLedger.this.unserved.add(this);
 				dropUnreadRequests(() -> fits(0, REQUEST_SHARE));
-				evictUnserved(() -> fits(0, REQUEST_SHARE));
+				evictUnserved(0);
 			}
 		}
 
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/MemoryLedgerTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/MemoryLedgerTests.java
@@ -181,4 +181,17 @@
 		assertThat(served).isAtLeast(400);
 	}
 
+	// Guards against callers whose heads come in parts and are evicted for slow readers.
+	@Test
+	void evictsNoOrdinaryRequestWhileResponsesFillTheBound() {
+		account("reader").queued(LIMIT, false, 0);
+		MemoryLedger.Account ordinary = account("ordinary");
+		ordinary.arriving(2_000);
+		assertThat(ordinary.reserveRequest(2_000, 0)).isFalse();
+		assertThat(this.evicted).isEmpty();
+		account("large").arriving(20_000);
+		assertThat(this.evicted).containsExactly("large");
+		assertThat(this.cut).isEmpty();
+	}
+
 }
