Derive whether a caller is read, and parse header values in one place

CallerConnection kept a flag that mirrored the limits of PipelinedMessages; the decoder handed itself to a callback whose owner holds it; CompactHeaders had the variants of its number getters written out twice; constants of RequestBody stood among its fields.

Now PipelinedMessages is asked whether it has room, the callback takes nothing, and the getters with a default call those without. No behaviour changes, and no test of them does.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/CallerConnection.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/CallerConnection.java
@@ -99,8 +99,6 @@
 
 	private boolean awaitingReader;
 
-	private boolean takingMessages = true;
-
 	private boolean awaitingTurn;
 
 	private boolean renewingDecoder;
@@ -115,7 +113,7 @@
 		this.decoder = newDecoder();
 		this.account = context.memory()
 			.open(() -> context.loop().execute(this::cutForMemory), () -> context.loop().execute(this::evict));
-		this.pipelinedMessages = new PipelinedMessages(this.account, this::takesMessages);
+		this.pipelinedMessages = new PipelinedMessages(this.account, this::updateReading);
 	}
 
 	private RequestDecoder newDecoder() {
@@ -130,8 +128,8 @@
 		return new ChannelHandler[] { this.guard, this.decoder, new HttpResponseEncoder(), this };
 	}
 
-	private void bytesRead(RequestDecoder reader) {
-		this.account.arriving(reader.heldBytes());
+	private void bytesRead() {
+		this.account.arriving(this.decoder.heldBytes());
 		long lines = this.guard.lines() - this.linesRead;
 		this.linesRead += lines;
 		if (lines > ReadTurns.MAX_LINES && !this.awaitingTurn) {
@@ -144,13 +142,8 @@
 		}
 	}
 
-	private void takesMessages(boolean taking) {
-		this.takingMessages = taking;
-		updateReading();
-	}
-
 	private void updateReading() {
-		this.channel.config().setAutoRead((this.takingMessages || this.closing) && !this.awaitingTurn);
+		this.channel.config().setAutoRead((this.pipelinedMessages.hasRoom() || this.closing) && !this.awaitingTurn);
 	}
 
 	@Override
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/PipelinedMessages.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/PipelinedMessages.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.function.Consumer;
 
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
@@ -27,7 +26,7 @@
 
 	private final MemoryLedger.Account account;
 
-	private final Consumer<Boolean> reading;
+	private final Runnable onChange;
 
 	private final Deque<HttpObject> messages = new ArrayDeque<>();
 
@@ -38,11 +37,11 @@
 	/**
 	 * Creates an empty queue.
 	 * @param account the account of the connection
-	 * @param reading pauses or resumes reading from the caller
+	 * @param onChange called when a message was added or taken
 	 */
-	PipelinedMessages(MemoryLedger.Account account, Consumer<Boolean> reading) {
+	PipelinedMessages(MemoryLedger.Account account, Runnable onChange) {
 		this.account = account;
-		this.reading = reading;
+		this.onChange = onChange;
 	}
 
 	/**
@@ -69,6 +68,14 @@
 		return this.messages.isEmpty();
 	}
 
+	/**
+	 * Returns whether more may be read from the caller.
+	 * @return whether the queue is below its limits and nothing malformed was read
+	 */
+	boolean hasRoom() {
+		return !this.malformed && this.messages.size() < MAX_MESSAGES && this.bytes < MAX_BYTES;
+	}
+
 	/**
 	 * Discards all messages.
 	 */
@@ -88,7 +95,7 @@
 	private void count(long change) {
 		this.bytes += change;
 		this.account.pipelined(this.bytes);
-		this.reading.accept(!this.malformed && this.messages.size() < MAX_MESSAGES && this.bytes < MAX_BYTES);
+		this.onChange.run();
 	}
 
 }
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/RequestBody.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/RequestBody.java
@@ -22,17 +22,17 @@
 	 */
 	static final int REQUEST_OVERHEAD_BYTES = 1_024;
 
+	/** The smallest block, for bodies that come in small parts. */
+	private static final int MIN_BLOCK_BYTES = 256;
+
+	private static final int MAX_BLOCK_BYTES = 16 * 1024;
+
 	private final MemoryLedger.Account account;
 
 	private final long maxBytes;
 
 	private final LongSupplier nanoClock;
 
-	/** The smallest block, for bodies that come in small parts. */
-	private static final int MIN_BLOCK_BYTES = 256;
-
-	private static final int MAX_BLOCK_BYTES = 16 * 1024;
-
 	private final List<byte[]> fullBlocks = new ArrayList<>();
 
 	private byte[] block = new byte[0];
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/RequestDecoder.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/RequestDecoder.java
@@ -1,7 +1,6 @@
 package io.bulrushrouter.gateway.forward;
 
 import java.util.List;
-import java.util.function.Consumer;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
@@ -31,7 +30,7 @@
 
 	private final Arriving arriving;
 
-	private final Consumer<RequestDecoder> onRead;
+	private final Runnable onRead;
 
 	private boolean expectsHead = true;
 
@@ -42,11 +41,11 @@
 	 * @param headerBytes the limit of a head
 	 * @param onRead called when the bytes of a read are decoded
 	 */
-	RequestDecoder(int headerBytes, Consumer<RequestDecoder> onRead) {
+	RequestDecoder(int headerBytes, Runnable onRead) {
 		this(headerBytes, onRead, new Arriving());
 	}
 
-	private RequestDecoder(int headerBytes, Consumer<RequestDecoder> onRead, Arriving arriving) {
+	private RequestDecoder(int headerBytes, Runnable onRead, Arriving arriving) {
 		super(new HttpDecoderConfig().setMaxInitialLineLength(Math.min(headerBytes, MAX_REQUEST_LINE_BYTES))
 			.setMaxHeaderSize(headerBytes)
 			.setMaxChunkSize(MAX_CHUNK_BYTES)
@@ -68,7 +67,7 @@
 	@Override
 	public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
 		super.channelRead(context, message);
-		this.onRead.accept(this);
+		this.onRead.run();
 	}
 
 	@Override
--- a/bulrushrouter-http/src/main/java/io/bulrushrouter/http/CompactHeaders.java
+++ b/bulrushrouter-http/src/main/java/io/bulrushrouter/http/CompactHeaders.java
@@ -79,40 +79,43 @@
 		return (field != null) ? field.value() : null;
 	}
 
+	private <T> T get(CharSequence name, Function<String, T> parser) {
+		String value = get(name);
+		return (value != null) ? parser.apply(value) : null;
+	}
+
+	private static <T> T orDefault(T value, T defaultValue) {
+		return (value != null) ? value : defaultValue;
+	}
+
 	@Override
 	public Integer getInt(CharSequence name) {
-		String value = get(name);
-		return (value != null) ? Integer.valueOf(value) : null;
+		return get(name, Integer::valueOf);
 	}
 
 	@Override
 	public int getInt(CharSequence name, int defaultValue) {
-		String value = get(name);
-		return (value != null) ? Integer.parseInt(value) : defaultValue;
+		return orDefault(getInt(name), defaultValue);
 	}
 
 	@Override
 	public Short getShort(CharSequence name) {
-		String value = get(name);
-		return (value != null) ? Short.valueOf(value) : null;
+		return get(name, Short::valueOf);
 	}
 
 	@Override
 	public short getShort(CharSequence name, short defaultValue) {
-		String value = get(name);
-		return (value != null) ? Short.parseShort(value) : defaultValue;
+		return orDefault(getShort(name), defaultValue);
 	}
 
 	@Override
 	public Long getTimeMillis(CharSequence name) {
-		String value = get(name);
-		return (value != null) ? Long.valueOf(DateFormatter.parseHttpDate(value).getTime()) : null;
+		return get(name, (value) -> DateFormatter.parseHttpDate(value).getTime());
 	}
 
 	@Override
 	public long getTimeMillis(CharSequence name, long defaultValue) {
-		Long value = getTimeMillis(name);
-		return (value != null) ? value : defaultValue;
+		return orDefault(getTimeMillis(name), defaultValue);
 	}
 
 	@Override
