--- /dev/null
+++ b/bulrushrouter-launcher/src/test/java/io/bulrushrouter/launcher/EntryProcess.java
@@ -0,0 +1,181 @@
+package io.bulrushrouter.launcher;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+
+/**
+ * An entry in a process of its own, with the command of the deploy file and half of an
+ * edge instance: half of the heap, memory and descriptors.
+ */
+final class EntryProcess implements AutoCloseable {
+
+	/** Memory of the instance, which the process must not exceed. */
+	static final int MEMORY_MB = 215;
+
+	/** Descriptors of the instance, of which half are for callers. */
+	static final int DESCRIPTORS = 2_100;
+
+	private static final String HEAP = "-Xmx48m";
+
+	private static final String RUN = "run = \"java ";
+
+	/** Time for one ordinary request to be served after the crowd has left. */
+	private static final Duration RECOVERY_LIMIT = Duration.ofSeconds(60);
+
+	private final HttpClient client = HttpClient.newHttpClient();
+
+	private final Process process;
+
+	private final Path log;
+
+	private final int callersPort = freePort();
+
+	private final int readinessPort = freePort();
+
+	/**
+	 * Starts an entry and waits until it serves.
+	 * @param directory receives the settings and the log
+	 * @param storePort the port of the store
+	 */
+	EntryProcess(Path directory, int storePort) throws IOException {
+		Path settings = Files.writeString(directory.resolve("entry.ini"), settings(storePort));
+		this.log = directory.resolve("entry.log");
+		this.process = new ProcessBuilder(command(settings)).redirectErrorStream(true)
+			.redirectOutput(this.log.toFile())
+			.start();
+		if (!serves()) {
+			close();
+			throw new IllegalStateException("the entry does not serve: " + Files.readString(this.log));
+		}
+	}
+
+	private static List<String> command(Path settings) throws IOException {
+		String run = Files.readAllLines(Path.of("..", "deploy", "system.toml"))
+			.stream()
+			.filter((line) -> line.startsWith(RUN) && line.contains(" gateway "))
+			.findFirst()
+			.orElseThrow();
+		List<String> command = new ArrayList<>();
+		command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+		Arrays.stream(run.substring(RUN.length(), run.indexOf(" -jar ")).split(" "))
+			.filter((flag) -> !flag.startsWith("-Xmx") && !flag.contains("SharedArchiveFile"))
+			.forEach(command::add);
+		command.addAll(List.of(HEAP, "-cp", System.getProperty("java.class.path"), Main.class.getName(), "gateway",
+				"--settings", settings.toString()));
+		return command;
+	}
+
+	private String settings(int storePort) throws IOException {
+		return String.join("\n", "[instance]", "name = entry", "data-centre = a", "memory-mb = " + MEMORY_MB,
+				"descriptors = " + DESCRIPTORS, "[listen]", "callers = 127.0.0.1:" + this.callersPort,
+				"readiness = 127.0.0.1:" + this.readinessPort, "metrics = 127.0.0.1:" + freePort(), "[source]",
+				"kind = platform", "store = 127.0.0.1:" + storePort, "[retry]", "ratio = 0.2", "spare = 92", "");
+	}
+
+	private static int freePort() throws IOException {
+		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			return socket.getLocalPort();
+		}
+	}
+
+	InetSocketAddress callers() {
+		return new InetSocketAddress(InetAddress.getLoopbackAddress(), this.callersPort);
+	}
+
+	boolean alive() {
+		return this.process.isAlive();
+	}
+
+	/**
+	 * Returns the largest resident memory of the process so far.
+	 * @return the memory in megabytes, 0 if the process has ended
+	 */
+	long peakMemoryMb() throws IOException {
+		return Files.readAllLines(Path.of("/proc", Long.toString(this.process.pid()), "status"))
+			.stream()
+			.filter((line) -> line.startsWith("VmHWM:"))
+			.mapToLong((line) -> Long.parseLong(line.replaceAll("\\D", "")) / 1_024)
+			.findFirst()
+			.orElse(0);
+	}
+
+	long descriptors() throws IOException {
+		try (Stream<Path> open = Files.list(Path.of("/proc", Long.toString(this.process.pid()), "fd"))) {
+			return open.count();
+		}
+	}
+
+	/**
+	 * Returns whether one ordinary request is answered by an upstream. A caller returns
+	 * after a refusal that promises that its request has not run.
+	 * @return whether it was answered
+	 */
+	boolean serves() {
+		long deadline = System.nanoTime() + RECOVERY_LIMIT.toNanos();
+		while (alive() && System.nanoTime() < deadline) {
+			if (ordinaryRequest()) {
+				return true;
+			}
+			pause();
+		}
+		return false;
+	}
+
+	private boolean ordinaryRequest() {
+		URI target = URI.create("http://127.0.0.1:" + this.callersPort + "/work/ordinary");
+		HttpRequest request = HttpRequest.newBuilder(target)
+			.header("Bulrushrouter-Deadline-Ms", "8000")
+			.timeout(Duration.ofSeconds(10))
+			.POST(HttpRequest.BodyPublishers.ofString("{}"))
+			.build();
+		try {
+			return this.client.send(request, HttpResponse.BodyHandlers.ofString()).statusCode() == 200;
+		}
+		catch (IOException ex) {
+			return false;
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return false;
+		}
+	}
+
+	private static void pause() {
+		try {
+			TimeUnit.MILLISECONDS.sleep(100);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	/**
+	 * Returns the end of the log, for the message of a failure.
+	 * @return at most 2,000 characters
+	 */
+	String endOfLog() throws IOException {
+		String text = Files.readString(this.log);
+		return text.substring(Math.max(0, text.length() - 2_000));
+	}
+
+	@Override
+	public void close() {
+		this.process.destroyForcibly();
+		this.process.onExit().join();
+	}
+
+}
--- /dev/null
+++ b/bulrushrouter-launcher/src/test/java/io/bulrushrouter/launcher/MisbehavingClientsTests.java
@@ -0,0 +1,100 @@
+package io.bulrushrouter.launcher;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Supplier;
+
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.FieldSource;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+/**
+ * Guards against clients that end or hang an entry, or make it exceed the memory or the
+ * descriptors of its instance, with requests that are within the limits.
+ */
+class MisbehavingClientsTests {
+
+	private static final int CLIENTS = 200;
+
+	/** Nearly all that the descriptors of the instance allow. */
+	private static final int MANY_CLIENTS = 1_000;
+
+	private static final Duration TIME = Duration.ofSeconds(4);
+
+	private static final long SEED = 62;
+
+	/** Shapes that end the process or exceed a bound, see KNOWN-RED.txt. */
+	private static final Set<String> KNOWN_RED = Set.of("unfinished-head", "unfinished-trailers",
+			"whole-head-silent-upstream", "pipelined-heads", "no-identifier", "large-bodies");
+
+	static final List<ClientShape> ENDURED = ClientShape.MISBEHAVING.stream()
+		.filter((shape) -> !KNOWN_RED.contains(shape.name()))
+		.toList();
+
+	static final List<ClientShape> NOT_ENDURED = ClientShape.MISBEHAVING.stream()
+		.filter((shape) -> KNOWN_RED.contains(shape.name()))
+		.toList();
+
+	@TempDir
+	private Path directory;
+
+	@Test
+	void serveAnOrdinaryRequestAfterACrowdOfOrdinaryOnes() throws Exception {
+		endure(CLIENTS, () -> ClientShape.USUAL);
+	}
+
+	@ParameterizedTest
+	@FieldSource("ENDURED")
+	void serveAnOrdinaryRequestAfterACrowdThatSends(ClientShape shape) throws Exception {
+		endure(CLIENTS, () -> shape);
+	}
+
+	@Tag("known-red")
+	@ParameterizedTest
+	@FieldSource("NOT_ENDURED")
+	void serveAnOrdinaryRequestAlsoAfterACrowdThatSends(ClientShape shape) throws Exception {
+		endure(CLIENTS, () -> shape);
+	}
+
+	@Tag("known-red")
+	@Test
+	void serveAnOrdinaryRequestAfterUnfinishedHeadsOnNearlyAllConnections() throws Exception {
+		endure(MANY_CLIENTS, () -> ClientShape.UNFINISHED_HEAD);
+	}
+
+	@Test
+	void serveAnOrdinaryRequestAfterAMixedCrowd() throws Exception {
+		Random random = new Random(SEED);
+		endure(CLIENTS, () -> ClientShape.MISBEHAVING.get(random.nextInt(ClientShape.MISBEHAVING.size())));
+	}
+
+	private void endure(int clients, Supplier<ClientShape> shapes) throws IOException {
+		try (FixedUpstream work = new FixedUpstream(false);
+				FixedUpstream silent = new FixedUpstream(true);
+				StoreFiles store = new StoreFiles(Map.of("work", work.port(), "silent", silent.port()));
+				EntryProcess entry = new EntryProcess(this.directory, store.port())) {
+			try (ClientCrowd crowd = new ClientCrowd(entry.callers(), shapes)) {
+				crowd.run(clients, TIME, () -> check(entry));
+			}
+			assertWithMessage("an ordinary request is answered; %s", entry.endOfLog()).that(entry.serves()).isTrue();
+			check(entry);
+		}
+	}
+
+	private static void check(EntryProcess entry) throws IOException {
+		long memoryMb = entry.peakMemoryMb();
+		assertWithMessage("the process lives; %s", entry.endOfLog()).that(entry.alive()).isTrue();
+		assertWithMessage("memory in megabytes").that(memoryMb).isAtMost(EntryProcess.MEMORY_MB);
+		assertWithMessage("descriptors").that(entry.descriptors()).isAtMost(EntryProcess.DESCRIPTORS);
+	}
+
+}
