Review: show that a number written with a point voids a manifest

Cause: the decoder takes 1250.0 for no whole number and gives up the whole manifest; the entries go on with the last one that they could read.

The test: a manifest moves an anonymous route to another service and changes its time-out, written as 1250.0.

--- a/review/lab3/src/Cases.java
+++ b/review/lab3/src/Cases.java
@@ -15,7 +15,7 @@
 				case "strange-entry" -> StrangeEntry.main(files);
 				case "run-then-unavailable" -> RunThenUnavailable.main(files);
 				case "raised-limit" -> RaisedLimit.main(files);
-				case "tenant-names" -> TenantNames.main(files);
+				case "written-with-a-point" -> WrittenWithAPoint.main(files);
 				default -> throw new IllegalArgumentException("unknown case " + args[0]);
 			}
 		}
--- a/review/lab3/src/Manifest.java
+++ b/review/lab3/src/Manifest.java
@@ -14,29 +14,24 @@
 
 	private final List<String> services = new ArrayList<>();
 
-	private final List<String> tenants = new ArrayList<>(List.of(tenant(TENANT, KEY)));
-
 	private int headerBytes = 16_384;
 
-	private static String tenant(String name, String key) {
-		return "{\"name\":\"" + name + "\",\"api-keys\":[\"" + key + "\"]}";
-	}
-
-	Manifest addTenant(String name, String key) {
-		this.tenants.add(tenant(name, key));
-		return this;
-	}
-
 	Manifest headerBytes(int bytes) {
 		this.headerBytes = bytes;
 		return this;
 	}
 
-	Manifest route(String name, String prefix, String kind, int timeoutMillis, String service, int maxAttempts) {
+	Manifest route(String name, String prefix, String kind, Object timeoutMillis, String service,
+			int maxAttempts) {
+		return route(name, prefix, kind, timeoutMillis, service, maxAttempts, false);
+	}
+
+	Manifest route(String name, String prefix, String kind, Object timeoutMillis, String service, int maxAttempts,
+			boolean anonymous) {
 		this.routes.add("{\"name\":\"" + name + "\",\"host\":\"" + HOST + "\",\"path-prefix\":\"" + prefix
 				+ "\",\"route-kind\":\"" + kind + "\",\"timeout-ms\":" + timeoutMillis
 				+ ",\"goal-ms\":401,\"priority\":1,\"service\":\"" + service + "\",\"max-attempts\":" + maxAttempts
-				+ ",\"anonymous\":false,\"sticky\":false,\"resumable\":" + kind.equals("streaming") + "}");
+				+ ",\"anonymous\":" + anonymous + ",\"sticky\":false,\"resumable\":" + kind.equals("streaming") + "}");
 		return this;
 	}
 
@@ -64,7 +59,8 @@
 				+ String.join(",", this.services)
 				+ "],\"limits\":{\"max-header-bytes\":" + this.headerBytes
 				+ ",\"max-body-bytes\":4194304,\"header-timeout-ms\":5000,"
-				+ "\"idle-timeout-ms\":10000},\"tenants\":[" + String.join(",", this.tenants) + "]}";
+				+ "\"idle-timeout-ms\":10000},\"tenants\":[{\"name\":\"" + TENANT + "\",\"api-keys\":[\"" + KEY
+				+ "\"]}]}";
 	}
 
 }
--- a/review/lab3/src/Requester.java
+++ b/review/lab3/src/Requester.java
@@ -37,8 +37,8 @@
 			channel.setSoTimeout(limitMillis + 500);
 			channel.getOutputStream()
 				.write((method + " " + path + " HTTP/1.1\r\nHost: " + Manifest.HOST + "\r\nBulrushrouter-Attempt-Id: "
-						+ attempt + "\r\nBulrushrouter-Deadline-Ms: " + limitMillis + "\r\nBulrushrouter-Key: "
-						+ key + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
+						+ attempt + "\r\nBulrushrouter-Deadline-Ms: " + limitMillis
+						+ (key.isEmpty() ? "" : "\r\nBulrushrouter-Key: " + key) + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
 					.getBytes(StandardCharsets.ISO_8859_1));
 			InputStream in = new BufferedInputStream(channel.getInputStream());
 			Map<String, String> head = AppServer.readHead(in);
