--- a/review/lab3/src/AppServer.java
+++ b/review/lab3/src/AppServer.java
@@ -38,6 +38,9 @@
 	/** How often each request of a user has run, over all of its attempts. */
 	static final Map<String, AtomicInteger> RUNS_BY_BODY = new ConcurrentHashMap<>();
 
+	/** The tenant that the runner was told, by attempt, one character for each byte. */
+	static final Map<String, String> TENANTS = new ConcurrentHashMap<>();
+
 	/** The service that has run an attempt. */
 	static final Map<String, String> SERVICES = new ConcurrentHashMap<>();
 
@@ -141,6 +144,7 @@
 		if (!body.isEmpty()) {
 			RUNS_BY_BODY.computeIfAbsent(body, (key) -> new AtomicInteger()).incrementAndGet();
 		}
+		TENANTS.put(attempt, head.getOrDefault("bulrushrouter-tenant", ""));
 		SERVICES.put(attempt, this.service);
 		pause(this.workMillis);
 		boolean fails = this.trouble != Trouble.NONE && ThreadLocalRandom.current().nextDouble() < this.troubleShare;
--- a/review/lab3/src/Cases.java
+++ b/review/lab3/src/Cases.java
@@ -16,6 +16,7 @@
 				case "run-then-unavailable" -> RunThenUnavailable.main(files);
 				case "raised-limit" -> RaisedLimit.main(files);
 				case "written-with-a-point" -> WrittenWithAPoint.main(files);
+				case "tenant-names" -> TenantNames.main(files);
 				default -> throw new IllegalArgumentException("unknown case " + args[0]);
 			}
 		}
--- a/review/lab3/src/Manifest.java
+++ b/review/lab3/src/Manifest.java
@@ -14,8 +14,19 @@
 
 	private final List<String> services = new ArrayList<>();
 
+	private final List<String> tenants = new ArrayList<>(List.of(tenant(TENANT, KEY)));
+
 	private int headerBytes = 16_384;
 
+	private static String tenant(String name, String key) {
+		return "{\"name\":\"" + name + "\",\"api-keys\":[\"" + key + "\"]}";
+	}
+
+	Manifest addTenant(String name, String key) {
+		this.tenants.add(tenant(name, key));
+		return this;
+	}
+
 	Manifest headerBytes(int bytes) {
 		this.headerBytes = bytes;
 		return this;
@@ -59,8 +70,7 @@
 				+ String.join(",", this.services)
 				+ "],\"limits\":{\"max-header-bytes\":" + this.headerBytes
 				+ ",\"max-body-bytes\":4194304,\"header-timeout-ms\":5000,"
-				+ "\"idle-timeout-ms\":10000},\"tenants\":[{\"name\":\"" + TENANT + "\",\"api-keys\":[\"" + KEY
-				+ "\"]}]}";
+				+ "\"idle-timeout-ms\":10000},\"tenants\":[" + String.join(",", this.tenants) + "]}";
 	}
 
 }
