Pass on no status of an upstream that would say "not run" without its word

Change: such an answer leads to another upstream if the request may run again, else to a 502 without stamp and Retry-After. What promises nothing passes as it came. The same for engines behind sidecars, whose 408 and 429 were passed on.

--- a/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/EngineClient.java
+++ b/bulrushrouter-daemon/src/main/java/io/bulrushrouter/daemon/sidecar/EngineClient.java
@@ -13,6 +13,7 @@
 import io.bulrushrouter.http.StreamingHttpClient;
 import io.bulrushrouter.kernel.AttemptId;
 import io.bulrushrouter.kernel.ErrorCode;
+import io.bulrushrouter.kernel.NotRunStatus;
 import io.bulrushrouter.request.CallKind;
 import io.bulrushrouter.request.RequestSpec;
 import io.bulrushrouter.request.SidecarEvent;
@@ -104,7 +105,8 @@
 
 		@Override
 		public void head(HttpResponseHead head) {
-			if (head.status() >= SERVER_ERROR) {
+			// A caller would take such a status for a promise of this product.
+			if (head.status() >= SERVER_ERROR || NotRunStatus.includes(head.status())) {
 				fail(ErrorCode.ENGINE_ERROR, true);
 			}
 			else {
--- a/bulrushrouter-daemon/src/test/java/io/bulrushrouter/daemon/sidecar/EngineClientTests.java
+++ b/bulrushrouter-daemon/src/test/java/io/bulrushrouter/daemon/sidecar/EngineClientTests.java
@@ -14,6 +14,8 @@
 
 import io.netty.channel.nio.NioEventLoopGroup;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import io.bulrushrouter.http.StreamingHttpClient;
 import io.bulrushrouter.kernel.AttemptId;
@@ -76,6 +78,14 @@
 		}
 	}
 
+	// Guards against a status of an engine that a caller takes for "has not run".
+	@ParameterizedTest
+	@ValueSource(ints = { 408, 421, 429, 503, 500 })
+	void neverPassesOnAStatusThatSaysNotRun(int status) throws Exception {
+		assertThat(eventsOfStream("HTTP/1.1 " + status + " Failed\r\nContent-Length: 0\r\n\r\n"))
+			.containsExactly(new SidecarEvent.EngineFailed(ATTEMPT, ErrorCode.ENGINE_ERROR, true));
+	}
+
 	@Test
 	void neverEndsAStreamThatBreaksInsideAnEventAsComplete() throws Exception {
 		List<SidecarEvent> events = eventsOfStream(
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
@@ -562,7 +562,7 @@
 			int completed = exchange.relay.attemptEvents() + (exchange.relay.headReceived() ? 1 : 0);
 			if (exchange.progress.bytesArrived(completed, exchange.connection.readingClock())) {
 				failIfRejected(Optional.of(new ResponseRelay.Rejection(Verdict.ofMayHaveRun(ErrorCode.STREAM_BROKEN),
-						"the upstream sends bytes but completes no event")));
+						RejectionReason.BROKEN_STREAM, "the upstream sends bytes but completes no event")));
 			}
 		}
 
@@ -638,6 +638,7 @@
 		private void failIfRejected(Optional<ResponseRelay.Rejection> rejected) {
 			rejected.ifPresent((reason) -> {
 				Exchange.this.connection.abandon();
+				Exchange.this.context.metrics().countRejectedResponse(reason.reason().text());
 				attemptFailed(reason.verdict(), reason.detail());
 			});
 		}
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ForwardMetrics.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ForwardMetrics.java
@@ -70,6 +70,10 @@
 		this.registry.counter(PREFIX + "malformed.responses", "reason", reason).increment();
 	}
 
+	void countRejectedResponse(String reason) {
+		this.registry.counter(PREFIX + "rejected.responses", "reason", reason).increment();
+	}
+
 	void countColdWait(String outcome) {
 		this.registry.counter(PREFIX + "cold.waits", "outcome", outcome).increment();
 	}
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ResponseRelay.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ResponseRelay.java
@@ -19,6 +19,7 @@
 import io.bulrushrouter.gateway.stream.EventSplitter.Event;
 import io.bulrushrouter.http.CompactHeaders;
 import io.bulrushrouter.kernel.ErrorCode;
+import io.bulrushrouter.kernel.NotRunStatus;
 import io.bulrushrouter.kernel.Verdict;
 
 /**
@@ -171,7 +172,8 @@
 	 * @param received the head
 	 * @param reusedConnection whether the connection carried another request before
 	 * @param retryPossible whether the request may be retried at another upstream; if
-	 * not, an error response of the upstream is relayed to the caller
+	 * not, an error response of the upstream is relayed to the caller, unless its status
+	 * would say that the request has not run
 	 * @return why the response cannot be used, or empty
 	 */
 	Optional<Rejection> relayHead(HttpResponse received, boolean reusedConnection, boolean retryPossible) {
@@ -196,31 +198,41 @@
 		String requestedId = this.request.header(names.attemptId());
 		String echoedId = headers.get(names.attemptId());
 		if (requestedId != null && echoedId != null && !requestedId.equals(echoedId)) {
-			return mayHaveRun(ErrorCode.CONNECTION_LOST, "the response belongs to another request");
+			return mayHaveRun(RejectionReason.OTHER_REQUEST, ErrorCode.CONNECTION_LOST,
+					"the response belongs to another request");
 		}
 		if (headers.contains(names.notRun()) || status == MISDIRECTED_REQUEST) {
 			return classifyRefusal(received, echoedId != null || !reusedConnection);
 		}
 		if (isSuccess(received)) {
 			if (requestedId != null && echoedId == null) {
-				return mayHaveRun(ErrorCode.ENGINE_ERROR, "the response does not name its request");
+				return mayHaveRun(RejectionReason.NO_IDENTIFIER, ErrorCode.ENGINE_ERROR,
+						"the response does not name its request");
 			}
 			if (!headers.contains(names.stamp())) {
-				return mayHaveRun(ErrorCode.ENGINE_ERROR, "the response has no stamp of its upstream");
+				return mayHaveRun(RejectionReason.NO_STAMP, ErrorCode.ENGINE_ERROR,
+						"the response has no stamp of its upstream");
 			}
 			if (headers.contains(HttpHeaderNames.CONTENT_ENCODING)) {
-				return mayHaveRun(ErrorCode.ENGINE_ERROR, "the response has a content coding that was not requested");
+				return mayHaveRun(RejectionReason.CONTENT_CODING, ErrorCode.ENGINE_ERROR,
+						"the response has a content coding that was not requested");
 			}
 		}
 		else if (requestedId != null && echoedId == null && reusedConnection) {
-			return mayHaveRun(ErrorCode.CONNECTION_LOST,
+			return mayHaveRun(RejectionReason.NO_IDENTIFIER, ErrorCode.CONNECTION_LOST,
 					"the response on a reused connection does not name its request");
 		}
 		else if (this.started) {
-			return mayHaveRun(ErrorCode.STREAM_BROKEN, "the stream cannot be resumed: status " + status);
+			return mayHaveRun(RejectionReason.BROKEN_STREAM, ErrorCode.STREAM_BROKEN,
+					"the stream cannot be resumed: status " + status);
+		}
+		else if (NotRunStatus.includes(status)) {
+			return mayHaveRun(RejectionReason.UNFOUNDED_PROMISE, ErrorCode.ENGINE_ERROR,
+					"the upstream responded with " + status + " and does not say that it has not run the request");
 		}
 		else if (status >= 500 && retryPossible) {
-			return mayHaveRun(ErrorCode.ENGINE_ERROR, "the upstream responded with status " + status);
+			return mayHaveRun(RejectionReason.ERROR_STATUS, ErrorCode.ENGINE_ERROR,
+					"the upstream responded with status " + status);
 		}
 		return Optional.empty();
 	}
@@ -230,15 +242,19 @@
 		String detail = "the upstream refused with " + status + " "
 				+ received.headers().get(this.context.headers().faultyUpstream(), "");
 		if (!belongsToRequest) {
-			return mayHaveRun(ErrorCode.CONNECTION_LOST,
+			return mayHaveRun(RejectionReason.NO_IDENTIFIER, ErrorCode.CONNECTION_LOST,
 					detail + " on a reused connection, without naming the request");
 		}
 		ErrorCode code = (status == MISDIRECTED_REQUEST) ? ErrorCode.ENGINE_UNREACHABLE : ErrorCode.OVERLOADED;
-		return Optional.of(new Rejection(Verdict.ofNotRun(code), detail));
+		return Optional.of(new Rejection(Verdict.ofNotRun(code), RejectionReason.NOT_RUN, detail));
+	}
+
+	private static Optional<Rejection> mayHaveRun(RejectionReason reason, ErrorCode code, String detail) {
+		return Optional.of(new Rejection(Verdict.ofMayHaveRun(code), reason, detail));
 	}
 
-	private static Optional<Rejection> mayHaveRun(ErrorCode code, String detail) {
-		return Optional.of(new Rejection(Verdict.ofMayHaveRun(code), detail));
+	private static Optional<Rejection> broken(String detail) {
+		return mayHaveRun(RejectionReason.BROKEN_STREAM, ErrorCode.STREAM_BROKEN, detail);
 	}
 
 	private static boolean isSuccess(HttpResponse received) {
@@ -261,7 +277,7 @@
 			events = this.splitter.split(part);
 		}
 		catch (IllegalStateException ex) {
-			return mayHaveRun(ErrorCode.STREAM_BROKEN, ex.getMessage());
+			return broken(ex.getMessage());
 		}
 		finally {
 			part.release();
@@ -270,7 +286,7 @@
 		List<ByteBuf> forwarded = new ArrayList<>(events.size());
 		for (Event event : events) {
 			if (!follows(event)) {
-				rejected = mayHaveRun(ErrorCode.STREAM_BROKEN,
+				rejected = broken(
 						"event " + event.id().orElse("-") + " does not follow " + this.lastEventId.orElse("-"));
 				break;
 			}
@@ -361,7 +377,7 @@
 		this.responseWriter.buffered(0);
 		// The upstream may have cut the response because it was not read.
 		if (this.framing == ResponseFraming.CONNECTION && this.connection.unreadLoss()) {
-			return mayHaveRun(ErrorCode.STREAM_BROKEN, "the connection ended after the response was not read for "
+			return broken("the connection ended after the response was not read for "
 					+ this.connection.longestPauseMillis() + " ms");
 		}
 		if (this.splitter != null) {
@@ -393,11 +409,11 @@
 
 	private Optional<Rejection> findBreak() {
 		if (this.splitter.unfinishedBytes() > 0) {
-			return mayHaveRun(ErrorCode.STREAM_BROKEN,
+			return broken(
 					"the stream ended inside an event, after " + this.splitter.unfinishedBytes() + " bytes of it");
 		}
 		if (this.framing == ResponseFraming.CONNECTION && this.attemptEvents == 0) {
-			return mayHaveRun(ErrorCode.STREAM_BROKEN, "the connection ended before the first event of the stream");
+			return broken("the connection ended before the first event of the stream");
 		}
 		return Optional.empty();
 	}
@@ -406,9 +422,10 @@
 	 * Reason why a response cannot be used.
 	 *
 	 * @param verdict whether the request may have run, and the error code
+	 * @param reason the kind of the reason
 	 * @param detail a description for the log
 	 */
-	record Rejection(Verdict verdict, String detail) {
+	record Rejection(Verdict verdict, RejectionReason reason, String detail) {
 	}
 
 }
