Release what was buffered of a response that is not passed on

Callers would lose an entry after some 1,500 plain responses that upstreams break off.

Cause: ResponseRelay dropped the list of buffered parts at the next attempt and at the end of the request without releasing them, and a part that came behind the end of its attempt was not released either. Buffers outside the heap are not returned by the garbage collector.

Change: ResponseRelay.discard, called at the next attempt and at the end of the request; a stale part is released. Parts that go to the caller leave the list first, as a write may end the request.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
@@ -462,6 +462,7 @@
 
 	private void end(String event, int status, Verdict verdict, String detail) {
 		this.ended = true;
+		this.relay.discard();
 		this.timeout.cancel(false);
 		this.tokens.release();
 		this.ticket.requestEnded();
@@ -535,7 +536,10 @@
 
 		@Override
 		public void onContent(ByteBuf part) {
-			if (!stale()) {
+			if (stale()) {
+				part.release();
+			}
+			else {
 				heard();
 				boolean begun = responseBegun();
 				int eventsBefore = Exchange.this.relay.attemptEvents();
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ResponseRelay.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ResponseRelay.java
@@ -55,7 +55,7 @@
 
 	private EventSplitter splitter;
 
-	private List<ByteBuf> bufferedParts = new ArrayList<>();
+	private final List<ByteBuf> bufferedParts = new ArrayList<>();
 
 	private int bufferedBytes;
 
@@ -83,8 +83,7 @@
 		this.framing = ResponseFraming.NONE;
 		this.receivedStatus = Optional.empty();
 		this.splitter = null;
-		this.bufferedParts = new ArrayList<>();
-		this.bufferedBytes = 0;
+		discard();
 		this.responseWriter.buffered(0);
 		this.attemptEvents = 0;
 		if (!this.started) {
@@ -92,6 +91,15 @@
 		}
 	}
 
+	/**
+	 * Releases what was buffered of a response that is not passed on.
+	 */
+	void discard() {
+		this.bufferedParts.forEach(ByteBuf::release);
+		this.bufferedParts.clear();
+		this.bufferedBytes = 0;
+	}
+
 	/**
 	 * Returns whether a part of the response has been sent to the caller.
 	 * @return whether the response has started
@@ -339,8 +347,10 @@
 			startIfNeeded();
 			this.passThrough = true;
 			this.responseWriter.buffered(0);
-			this.bufferedParts.forEach(this.responseWriter::writePart);
+			// A write may reveal that the caller has left, which discards the rest.
+			List<ByteBuf> parts = List.copyOf(this.bufferedParts);
 			this.bufferedParts.clear();
+			parts.forEach(this.responseWriter::writePart);
 			applyBackpressure();
 		}
 	}
@@ -398,8 +408,9 @@
 		else {
 			HttpResponseStatus status = this.responseHead.status();
 			this.started = true;
-			this.responseWriter.respond(status, endToEndHeaders(),
-					Unpooled.wrappedBuffer(this.bufferedParts.toArray(ByteBuf[]::new)));
+			ByteBuf body = Unpooled.wrappedBuffer(this.bufferedParts.toArray(ByteBuf[]::new));
+			this.bufferedParts.clear();
+			this.responseWriter.respond(status, endToEndHeaders(), body);
 		}
 		this.context.metrics()
 			.completeResponse()
