Test a long malformed response also if its request is moved first

The scripted upstream got no processor time for 0.6 s, so that the request moved to the other upstream, as it should, and the test waited for the end of a connection that a whole response keeps open. The product is right and the test assumed a fast machine.

The test now sends such a request again. It is as strict: each response of the malformed upstream is checked as before, and the other upstream must have been asked exactly as often as requests were moved.

--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/SpoiledResponseTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/SpoiledResponseTests.java
@@ -1,5 +1,6 @@
 package io.bulrushrouter.gateway.forward;
 
+import java.io.IOException;
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
@@ -20,6 +21,8 @@
  */
 class SpoiledResponseTests {
 
+	private static final int MAX_MOVED = 20;
+
 	private static final int VARIANTS = 6;
 
 	private static final String HEAD = "HTTP/1.1 200 OK\r\nX-Attempt: id-1\r\nX-Stamp: s\r\n";
@@ -79,18 +82,31 @@
 		}
 	}
 
+	// On a busy machine the upstream may be silent for so long that the request is moved
+	// before anything was forwarded; it is then answered by the other one, and sent
+	// again.
 	@Test
 	void breaksALongResponseOffWhoseChunkIsMalformed() throws Exception {
 		String begin = HEAD + "Transfer-Encoding: chunked\r\n\r\n" + StreamText.chunk("a".repeat(100_000));
 		try (ScriptedUpstream spoiling = ScriptedUpstream
 			.start((number, request, reply) -> reply.write(begin + "4\r\nbytes\r\n0\r\n\r\n"));
 				ScriptedUpstream other = sound();
-				GatewayFixture gateway = new GatewayFixture(spoiling, other);
-				GatewayFixture.Caller caller = gateway.caller()) {
-			String response = caller.get("/read/x").readToEnd();
+				GatewayFixture gateway = new GatewayFixture(spoiling, other)) {
+			String response = readToEnd(gateway);
+			int moved = 0;
+			while (moved < MAX_MOVED && response.endsWith("sound")) {
+				moved++;
+				response = readToEnd(gateway);
+			}
 			assertThat(response).contains("aaa");
 			assertThat(response).doesNotContain("\r\n0\r\n\r\n");
-			assertThat(other.requests()).isEmpty();
+			assertThat(other.requests()).hasSize(moved);
+		}
+	}
+
+	private static String readToEnd(GatewayFixture gateway) throws IOException {
+		try (GatewayFixture.Caller caller = gateway.caller()) {
+			return caller.get("/read/x", "Connection: close\r\n").readToEnd();
 		}
 	}
 
