--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/Exchange.java
@@ -565,8 +565,7 @@
 			}
 			int completed = exchange.relay.attemptEvents() + (exchange.relay.headReceived() ? 1 : 0);
 			if (exchange.progress.bytesArrived(completed, exchange.connection.readingClock())) {
-				failIfRejected(Optional.of(new ResponseRelay.Rejection(Verdict.ofMayHaveRun(ErrorCode.STREAM_BROKEN),
-						RejectionReason.BROKEN_STREAM, "the upstream sends bytes but completes no event")));
+				failIfRejected(ResponseRelay.broken("the upstream sends bytes but completes no event"));
 			}
 		}
 
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ResponseRelay.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ResponseRelay.java
@@ -231,8 +231,7 @@
 					"the response on a reused connection does not name its request");
 		}
 		else if (this.started) {
-			return mayHaveRun(RejectionReason.BROKEN_STREAM, ErrorCode.STREAM_BROKEN,
-					"the stream cannot be resumed: status " + status);
+			return broken("the stream cannot be resumed: status " + status);
 		}
 		else if (NotRunStatus.includes(status)) {
 			return mayHaveRun(RejectionReason.UNFOUNDED_PROMISE, ErrorCode.ENGINE_ERROR,
@@ -261,7 +260,7 @@
 		return Optional.of(new Rejection(Verdict.ofMayHaveRun(code), reason, detail));
 	}
 
-	private static Optional<Rejection> broken(String detail) {
+	static Optional<Rejection> broken(String detail) {
 		return mayHaveRun(RejectionReason.BROKEN_STREAM, ErrorCode.STREAM_BROKEN, detail);
 	}
 
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/ScriptedUpstream.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/ScriptedUpstream.java
@@ -54,6 +54,17 @@
 		return upstream;
 	}
 
+	/**
+	 * Returns a header of a request.
+	 * @param request the request
+	 * @param name the name of the header
+	 * @return the value, empty if the request has no such header
+	 */
+	static String header(String request, String name) {
+		int start = request.indexOf("\r\n" + name + ": ");
+		return (start < 0) ? "" : request.substring(start + name.length() + 4, request.indexOf('\r', start + 2));
+	}
+
 	/**
 	 * Starts an upstream whose instance is suspended: its kernel accepts connections and
 	 * receives requests, which are read after {@link #resume()}.
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/SpoilingUpstreamTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/SpoilingUpstreamTests.java
@@ -32,11 +32,6 @@
 		return LongStream.rangeClosed(1, Integer.getInteger("bulrush.seeds", 6));
 	}
 
-	private static String header(String message, String name) {
-		int start = message.indexOf("\r\n" + name + ": ");
-		return (start < 0) ? "" : message.substring(start + name.length() + 4, message.indexOf('\r', start + 2));
-	}
-
 	private static String event(String id, int number) {
 		return "id: " + number + "\ndata: " + id + " " + number + "\n\n";
 	}
@@ -45,7 +40,7 @@
 		if (!request.startsWith("POST /stream/")) {
 			return List.of("the whole", " body of ", id);
 		}
-		String last = header(request, "Last-Event-Id");
+		String last = ScriptedUpstream.header(request, "Last-Event-Id");
 		int from = last.isEmpty() ? 1 : Integer.parseInt(last) + 1;
 		return IntStream.rangeClosed(from, EVENTS).mapToObj((number) -> event(id, number)).toList();
 	}
@@ -53,7 +48,7 @@
 	private static ScriptedUpstream spoiling(long seed) throws IOException {
 		Random random = new Random(seed);
 		return ScriptedUpstream.start((number, request, reply) -> {
-			String id = header(request, "X-Attempt");
+			String id = ScriptedUpstream.header(request, "X-Attempt");
 			String head = "HTTP/1.1 200 OK\r\nX-Attempt: " + id + "\r\nX-Stamp: s\r\n";
 			List<String> body = body(id, request);
 			boolean spoils = random.nextDouble() < SPOILED && !body.isEmpty();
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/UpstreamStatusTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/UpstreamStatusTests.java
@@ -49,12 +49,6 @@
 		return LongStream.rangeClosed(1, Integer.getInteger("bulrush.seeds", 6));
 	}
 
-	private static String identifier(String request) {
-		String name = "\r\nX-Attempt: ";
-		int start = request.indexOf(name) + name.length();
-		return request.substring(start, request.indexOf('\r', start));
-	}
-
 	private static String request(String route, String id) {
 		String method = route.equals("/read/") ? "GET" : "POST";
 		return method + " " + route + "x HTTP/1.1\r\nHost: test\r\nX-Key: " + GatewayFixture.KEY + "\r\nX-Attempt: "
@@ -72,12 +66,13 @@
 				case NOT_RUN -> reply.write("HTTP/1.1 503 Full\r\n" + NOT_RUN + "Content-Length: 0\r\n\r\n");
 				case MAY_HAVE_RUN -> reply.reset();
 				case SAME_CONNECTION ->
-					reply.write((identifier(request).equals("id-0") ? OK : failure).formatted(identifier(request)));
-				default -> reply.write(failure.formatted(identifier(request)));
+					reply.write((ScriptedUpstream.header(request, "X-Attempt").equals("id-0") ? OK : failure)
+						.formatted(ScriptedUpstream.header(request, "X-Attempt")));
+				default -> reply.write(failure.formatted(ScriptedUpstream.header(request, "X-Attempt")));
 			}
 		});
-				ScriptedUpstream second = ScriptedUpstream
-					.start((number, request, reply) -> reply.write(failure.formatted(identifier(request))));
+				ScriptedUpstream second = ScriptedUpstream.start((number, request, reply) -> reply
+					.write(failure.formatted(ScriptedUpstream.header(request, "X-Attempt"))));
 				GatewayFixture gateway = each.earlier.attempt() ? new GatewayFixture(first, second)
 						: new GatewayFixture(first);
 				GatewayFixture.Caller caller = gateway.caller()) {
@@ -102,7 +97,7 @@
 	private static ScriptedUpstream failing(long seed, Map<String, Integer> runs) throws IOException {
 		Random random = new Random(seed);
 		return ScriptedUpstream.start((number, request, reply) -> {
-			String id = identifier(request);
+			String id = ScriptedUpstream.header(request, "X-Attempt");
 			double choice = random.nextDouble();
 			if (choice < 0.2) {
 				int status = STATUSES.get(random.nextInt(STATUSES.size()));
--- a/bulrushrouter-launcher/src/test/java/io/bulrushrouter/launcher/EntryProcess.java
+++ b/bulrushrouter-launcher/src/test/java/io/bulrushrouter/launcher/EntryProcess.java
@@ -18,6 +18,8 @@
 import java.util.concurrent.locks.LockSupport;
 import java.util.stream.Stream;
 
+import static com.google.common.truth.Truth.assertWithMessage;
+
 /**
  * An entry in a process of its own, with the command of the deploy file and half of an
  * edge instance: half of the heap, memory and descriptors.
@@ -25,10 +27,10 @@
 final class EntryProcess implements AutoCloseable {
 
 	/** Memory of the instance, which the process must not exceed. */
-	static final int MEMORY_MB = 215;
+	private static final int MEMORY_MB = 215;
 
 	/** Descriptors of the instance, of which half are for callers. */
-	static final int DESCRIPTORS = 2_100;
+	private static final int DESCRIPTORS = 2_100;
 
 	private static final String HEAP = "-Xmx48m";
 
@@ -158,6 +160,17 @@
 		}
 	}
 
+	/**
+	 * Checks that the process lives and has exceeded neither the memory nor the
+	 * descriptors of its instance.
+	 */
+	void assertWithinInstance() throws IOException {
+		long memoryMb = peakMemoryMb();
+		assertWithMessage("the process lives; %s", endOfLog()).that(alive()).isTrue();
+		assertWithMessage("memory in megabytes").that(memoryMb).isAtMost(MEMORY_MB);
+		assertWithMessage("descriptors").that(descriptors()).isAtMost(DESCRIPTORS);
+	}
+
 	/**
 	 * Returns the end of the log, for the message of a failure.
 	 * @return at most 2,000 characters
--- a/bulrushrouter-launcher/src/test/java/io/bulrushrouter/launcher/ForeignEntriesTests.java
+++ b/bulrushrouter-launcher/src/test/java/io/bulrushrouter/launcher/ForeignEntriesTests.java
@@ -1,6 +1,5 @@
 package io.bulrushrouter.launcher;
 
-import java.io.IOException;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.Map;
@@ -49,14 +48,8 @@
 				assertWithMessage("an ordinary request is answered; %s", entry.endOfLog()).that(entry.serves())
 					.isTrue();
 			}
-			check(entry);
+			entry.assertWithinInstance();
 		}
 	}
 
-	private static void check(EntryProcess entry) throws IOException {
-		long memoryMb = entry.peakMemoryMb();
-		assertWithMessage("the process lives; %s", entry.endOfLog()).that(entry.alive()).isTrue();
-		assertWithMessage("memory in megabytes").that(memoryMb).isAtMost(EntryProcess.MEMORY_MB);
-	}
-
 }
--- a/bulrushrouter-launcher/src/test/java/io/bulrushrouter/launcher/MisbehavingClientsTests.java
+++ b/bulrushrouter-launcher/src/test/java/io/bulrushrouter/launcher/MisbehavingClientsTests.java
@@ -63,18 +63,11 @@
 				StoreFiles store = new StoreFiles(Map.of("work", work.port(), "silent", silent.port()));
 				EntryProcess entry = new EntryProcess(this.directory, store.port())) {
 			try (ClientCrowd crowd = new ClientCrowd(entry.callers(), shapes)) {
-				crowd.run(clients, TIME, () -> check(entry));
+				crowd.run(clients, TIME, entry::assertWithinInstance);
 			}
 			assertWithMessage("an ordinary request is answered; %s", entry.endOfLog()).that(entry.serves()).isTrue();
-			check(entry);
+			entry.assertWithinInstance();
 		}
 	}
 
-	private static void check(EntryProcess entry) throws IOException {
-		long memoryMb = entry.peakMemoryMb();
-		assertWithMessage("the process lives; %s", entry.endOfLog()).that(entry.alive()).isTrue();
-		assertWithMessage("memory in megabytes").that(memoryMb).isAtMost(EntryProcess.MEMORY_MB);
-		assertWithMessage("descriptors").that(entry.descriptors()).isAtMost(EntryProcess.DESCRIPTORS);
-	}
-
 }
