Release what a test's embedded channel was given to write

Change: the test releases them. The product writes to real channels, which do.

Evidence: with the detector at its paranoid level 1 report in this class before, none here, and none in the tests of the kernel, the gateway, the adapter and six other modules (wire and the modules behind it were not run so).

--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/UpstreamConnectionTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/UpstreamConnectionTests.java
@@ -41,6 +41,7 @@
 		this.channel.pipeline().addLast(connection.handlers());
 		connection.send(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"), Optional.empty(),
 				new Recorder());
+		this.channel.releaseOutbound();
 		this.channel.writeInbound(Unpooled.copiedBuffer(response, StandardCharsets.ISO_8859_1));
 		return connection;
 	}
