Pass on no failure that names neither its request nor its upstream

Cause: a response was asked for its stamp and its identifier if it was a success or came on a reused connection. The 404 of any server at the address of an upstream was passed on, and counted as a success of the upstream, which went on getting requests.

Change: a response of 300 to 499 with neither field is no answer of an upstream: another one is asked, or the caller gets 502, may-have-run, and the upstream has failed. Either field keeps the answer as it came.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ResponseRelay.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ResponseRelay.java
@@ -230,6 +230,10 @@
 			return mayHaveRun(RejectionReason.NO_IDENTIFIER, ErrorCode.CONNECTION_LOST,
 					"the response on a reused connection does not name its request");
 		}
+		else if (requestedId != null && echoedId == null && status < 500 && !headers.contains(names.stamp())) {
+			return mayHaveRun(RejectionReason.NO_IDENTIFIER, ErrorCode.ENGINE_ERROR,
+					"the response with status " + status + " names neither its request nor its upstream");
+		}
 		else if (this.started) {
 			return broken("the stream cannot be resumed: status " + status);
 		}
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/UpstreamStatusTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/UpstreamStatusTests.java
@@ -11,6 +11,7 @@
 
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import io.bulrushrouter.kernel.NotRunStatus;
 import io.bulrushrouter.standin.FailureAfterRun;
@@ -94,6 +95,41 @@
 		}
 	}
 
+	// Guards against a server at the address of an upstream whose 404 ends requests.
+	@ParameterizedTest
+	@ValueSource(ints = { 302, 400, 401, 404, 410, 499 })
+	void neverPassesOnAFailureWithoutStampAndIdentifier(int status) throws Exception {
+		String failure = "HTTP/1.1 " + status + " Other\r\nContent-Length: 3\r\n\r\nwhy";
+		try (ScriptedUpstream other = ScriptedUpstream.start((number, request, reply) -> reply.write(failure));
+				ScriptedUpstream sound = ScriptedUpstream.start((number, request, reply) -> reply
+					.write(OK.formatted(ScriptedUpstream.header(request, "X-Attempt"))))) {
+			try (GatewayFixture gateway = new GatewayFixture(other); GatewayFixture.Caller caller = gateway.caller()) {
+				String response = caller.send(request("/write/", "id-1")).readResponse();
+				assertThat(response).startsWith("HTTP/1.1 502 ");
+				assertThat(response).contains("\"may-have-run\"");
+			}
+			try (GatewayFixture gateway = new GatewayFixture(other, sound);
+					GatewayFixture.Caller caller = gateway.caller()) {
+				for (int number = 0; number < 10; number++) {
+					assertThat(caller.send(request("/read/", "id-" + number)).readResponse()).endsWith("ok");
+				}
+			}
+		}
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "X-Stamp: s\r\n", "X-Attempt: id-1\r\n" })
+	void passesOnAFailureWithEither(String field) throws Exception {
+		try (ScriptedUpstream upstream = ScriptedUpstream.start((number, request,
+				reply) -> reply.write("HTTP/1.1 404 Unknown\r\n" + field + "Content-Length: 3\r\n\r\nwhy"));
+				GatewayFixture gateway = new GatewayFixture(upstream);
+				GatewayFixture.Caller caller = gateway.caller()) {
+			String response = caller.send(request("/write/", "id-1")).readResponse();
+			assertThat(response).startsWith("HTTP/1.1 404 ");
+			assertThat(response).endsWith("why");
+		}
+	}
+
 	private static ScriptedUpstream failing(long seed, Map<String, Integer> runs) throws IOException {
 		Random random = new Random(seed);
 		return ScriptedUpstream.start((number, request, reply) -> {
