Apply changed limits of heads to connections that callers keep

Cause: a connection makes its decoder, with the limit of that moment, when it is accepted. The library's decoder has its limits for good.

Why it works: a decoder is replaced only where all that has arrived is decoded and a head follows, so that no byte of a body is read as a request.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/CallerConnection.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/CallerConnection.java
@@ -155,8 +155,9 @@
 
 	/**
 	 * Refuses a request that takes too long to arrive and closes a connection that is
-	 * idle, or whose caller reads nothing more of a finished response. While an upstream
-	 * still sends the response, only its deadline ends it.
+	 * idle, or whose caller reads nothing more of a finished response. Changed limits
+	 * apply to the next request. While an upstream still sends the response, only its
+	 * deadline ends it.
 	 * @param nowNanos the time on the monotonic clock, in nanoseconds
 	 */
 	void sweep(long nowNanos) {
@@ -189,6 +190,9 @@
 			this.closing = true;
 			this.channel.close();
 		}
+		else {
+			renewDecoder();
+		}
 	}
 
 	// A request may be on its way on a connection that was accepted just before a stop.
@@ -397,10 +401,11 @@
 		});
 	}
 
-	// A decoder of the library keeps a buffer as long as the longest line.
+	// A decoder of the library keeps a buffer as long as the longest line, and its limit.
 	private void renewDecoder() {
-		boolean atRest = !this.closing && !nextRequestBegun() && this.decoder.heldBytes() == 0;
-		if (this.renewingDecoder && atRest && this.channel.isActive()) {
+		boolean due = this.renewingDecoder || this.decoder.headerBytes() != this.context.limits().headerBytes();
+		boolean atRest = !this.closing && this.pipelinedMessages.isEmpty() && this.decoder.atRest();
+		if (due && atRest && this.channel.isActive()) {
 			RequestDecoder renewed = newDecoder();
 			this.channel.pipeline().replace(this.decoder, null, renewed);
 			this.decoder = renewed;
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/RequestDecoder.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/RequestDecoder.java
@@ -28,6 +28,8 @@
 	/** Memory of a request line and its objects besides its characters. */
 	private static final int REQUEST_LINE_BYTES = 128;
 
+	private final int headerBytes;
+
 	private final Arriving arriving;
 
 	private final Runnable onRead;
@@ -51,6 +53,7 @@
 			.setMaxChunkSize(MAX_CHUNK_BYTES)
 			.setHeadersFactory(arriving)
 			.setTrailersFactory(arriving));
+		this.headerBytes = headerBytes;
 		this.arriving = arriving;
 		this.onRead = onRead;
 	}
@@ -100,6 +103,22 @@
 		return this.headIncomplete;
 	}
 
+	/**
+	 * Returns the limit of a head.
+	 * @return the number of bytes
+	 */
+	int headerBytes() {
+		return this.headerBytes;
+	}
+
+	/**
+	 * Returns whether all that has arrived is decoded and a head follows.
+	 * @return whether another decoder may take the place of this one
+	 */
+	boolean atRest() {
+		return this.expectsHead && !this.headIncomplete && heldBytes() == 0;
+	}
+
 	/**
 	 * Returns the memory of what has arrived and does not yet make up a message.
 	 * @return the number of bytes
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/GatewayFixture.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/GatewayFixture.java
@@ -176,6 +176,17 @@
 				new CallerLimits(4_096, bytes, Duration.ofSeconds(3), Duration.ofSeconds(15)), base.access()));
 	}
 
+	/**
+	 * Replaces the limit of a request head.
+	 * @param bytes the limit
+	 * @throws Exception if the event loop fails
+	 */
+	void headLimit(int bytes) throws Exception {
+		GatewayConfiguration base = configuration(Duration.ofSeconds(15), Map.of());
+		configure(new GatewayConfiguration(base.version(), base.routes(), base.services(),
+				new CallerLimits(bytes, 10_000, Duration.ofSeconds(3), Duration.ofSeconds(15)), base.access()));
+	}
+
 	private static Route route(String prefix, RouteKind kind, Duration timeout) {
 		return new Route(prefix, "test", prefix, kind, timeout, Duration.ofMillis(300), 1,
 				List.of(new WeightedService("service", 1)), 2, false, kind == RouteKind.STREAM);
@@ -301,6 +312,15 @@
 			.get(10, TimeUnit.SECONDS);
 	}
 
+	/**
+	 * Waits until the tasks that are due have run.
+	 * @throws Exception if the event loop fails
+	 */
+	void runTasks() throws Exception {
+		this.group.next().submit(() -> {
+		}).get(10, TimeUnit.SECONDS);
+	}
+
 	Caller caller() throws IOException {
 		return new Caller(new Socket());
 	}
