Give a process that starts again no spare retries for a window

Cause: the share of the spare retries is counted in the memory of a process, so that each new process of an entry has it again within the same window.

Change: a process has none until its first heartbeat turns out to be the first of its entry's name in the store, or until it has run for a window. Why it works: what an earlier process may have sent has left the window by then, and the ratio of a process's own requests needs no memory of the one before. Heartbeats say whether they created their object; checks of them that were "accepted" now say which, and are stricter.

--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/GatewayContext.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/GatewayContext.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 
 import io.bulrushrouter.gateway.admission.RetryBudget;
+import io.bulrushrouter.gateway.admission.SpareRetries;
 import io.bulrushrouter.gateway.admission.StreamAdmission;
 import io.bulrushrouter.gateway.config.ActiveConfiguration;
 import io.bulrushrouter.gateway.config.CallerLimits;
@@ -84,6 +85,8 @@
 
 	private final TokensInFlight tokensInFlight = new TokensInFlight();
 
+	private final SpareRetries spareRetries;
+
 	private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
 
 	private final ServiceAdmissions admissions = new ServiceAdmissions(this);
@@ -125,6 +128,8 @@
 		this.freshness = freshness;
 		this.metrics = metrics;
 		this.membership = membership;
+		this.spareRetries = SpareRetries.of(() -> membership.equalShare(settings.spareRetriesPerWindow()),
+				this::nowNanos, settings.retryWindow().toMillis());
 		this.crashEvidence = crashEvidence;
 		this.readTurns = new ReadTurns((turn) -> loop.schedule(turn, READ_TURN_INTERVAL_MILLIS, TimeUnit.MILLISECONDS));
 		this.notices = new UpstreamNotices(membership, random, this::warmupSpec);
@@ -283,11 +288,16 @@
 		return this.metrics;
 	}
 
+	/**
+	 * Records that this process is the first one of the entry.
+	 */
+	public void firstProcess() {
+		this.spareRetries.firstProcess();
+	}
+
 	RetryBudget retryBudget(String service) {
-		return this.retryBudgets.computeIfAbsent(service,
-				(key) -> RetryBudget.of(this.settings.retryRatio(),
-						() -> this.membership.equalShare(this.settings.spareRetriesPerWindow()),
-						this.settings.retryWindow().toMillis()));
+		return this.retryBudgets.computeIfAbsent(service, (key) -> RetryBudget.of(this.settings.retryRatio(),
+				this.spareRetries, this.settings.retryWindow().toMillis()));
 	}
 
 	/**
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/Gateway.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/Gateway.java
@@ -151,7 +151,7 @@
 		this.evacuations = new EvacuationFollower(this.loop, random, this.source.evacuations(), this.evacuated,
 				settings.evacuation(), this.feedCounters);
 		this.membershipDuty = new MembershipDuty(this.loop, settings.instance(), this.source.entries(), this.membership,
-				random);
+				random, this.context::firstProcess);
 		this.crashReporter = new CrashReporter(this.loop, this.clock, random, settings.instance(),
 				this.source.crashReports(), crashEvidence, this.feedCounters);
 		this.shutdown = new GracefulShutdown(this.loop, this.context, this.callers, settings.grace(), this.stopped);
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/MembershipDuty.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/MembershipDuty.java
@@ -13,6 +13,7 @@
 import io.bulrushrouter.gateway.membership.EntryMembership;
 import io.bulrushrouter.gateway.source.EntryHeartbeat;
 import io.bulrushrouter.gateway.source.EntryRegistry;
+import io.bulrushrouter.gateway.source.HeartbeatResult;
 
 /**
  * Writes this entry's heartbeat and reads those of the others. Runs on the event loop.
@@ -47,6 +48,8 @@
 
 	private final EntryMembership membership;
 
+	private final Runnable onFirst;
+
 	private long sequence;
 
 	private int listings;
@@ -55,12 +58,22 @@
 
 	private boolean closed;
 
+	/**
+	 * Creates the duty of an entry.
+	 * @param loop the event loop
+	 * @param instance the name of the entry
+	 * @param registry the heartbeats in the store
+	 * @param membership receives the heartbeats of the others
+	 * @param random the random source
+	 * @param onFirst called if no earlier process of the entry has written a heartbeat
+	 */
 	MembershipDuty(EventLoop loop, String instance, EntryRegistry registry, EntryMembership membership,
-			RandomGenerator random) {
+			RandomGenerator random, Runnable onFirst) {
 		this.loop = loop;
 		this.instance = instance;
 		this.registry = registry;
 		this.membership = membership;
+		this.onFirst = onFirst;
 		this.sequence = random.nextLong(Long.MAX_VALUE / 2);
 	}
 
@@ -71,16 +84,20 @@
 
 	private void heartbeat() {
 		long written = ++this.sequence;
+		boolean first = this.listings == 0;
 		CompletableFuture.completedStage(null)
 			.thenCompose((start) -> this.registry.heartbeat(this.instance, written))
-			.whenComplete((accepted, error) -> {
+			.whenComplete((result, error) -> {
 				if (error != null) {
 					logger.error("event=heartbeat-failed instance={} sequence={} detail=\"{}\"", this.instance, written,
 							error.toString(), error);
 				}
-				else if (!accepted) {
+				else if (result == HeartbeatResult.FAILED) {
 					logger.info("event=heartbeat-failed instance={} sequence={}", this.instance, written);
 				}
+				else if (first && result == HeartbeatResult.CREATED) {
+					this.onFirst.run();
+				}
 			});
 	}
 
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/EntryRegistry.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/EntryRegistry.java
@@ -14,9 +14,9 @@
 	 * Writes a heartbeat.
 	 * @param instance the entry's name
 	 * @param sequence a number that differs from that of the previous heartbeat
-	 * @return whether the store accepted it
+	 * @return what became of it
 	 */
-	CompletionStage<Boolean> heartbeat(String instance, long sequence);
+	CompletionStage<HeartbeatResult> heartbeat(String instance, long sequence);
 
 	/**
 	 * Reads the heartbeats of all entries. They may be a few seconds old.
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/admission/RetryBudgetTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/admission/RetryBudgetTests.java
@@ -48,6 +48,49 @@
 		}
 	}
 
+	// Guards against spare retries that each process of an entry has again.
+	@Test
+	void staysWithinTheBudgetOfAllEntriesWhileTheyStartAgainAndAgain() {
+		double spare = 92;
+		int entries = 3;
+		for (int seed = 0; seed < 50; seed++) {
+			Random random = new Random(seed);
+			List<Long> requests = new ArrayList<>();
+			List<Long> retries = new ArrayList<>();
+			long[] now = new long[1];
+			RetryBudget[] budgets = new RetryBudget[entries];
+			for (int index = 0; index < entries; index++) {
+				budgets[index] = budgetOfProcess(spare / entries, now, true);
+			}
+			for (int iteration = 0; iteration < 4_000; iteration++) {
+				now[0] += (long) (random.nextDouble() * 10 * NANOS_PER_MILLI);
+				int index = random.nextInt(entries);
+				if (random.nextInt(200) == 0) {
+					budgets[index] = budgetOfProcess(spare / entries, now, false);
+				}
+				budgets[index].recordRequest(now[0]);
+				requests.add(now[0]);
+				if (budgets[index].tryRetry(now[0])) {
+					retries.add(now[0]);
+				}
+			}
+			assertThat(retries.size()).isGreaterThan((int) spare);
+			for (long start : retries) {
+				long sent = retries.stream().filter((at) -> at >= start && at < start + WINDOW_NANOS).count();
+				long requested = requests.stream().filter((at) -> at >= start && at < start + WINDOW_NANOS).count();
+				assertThat((double) sent).isAtMost(0.2 * requested + spare);
+			}
+		}
+	}
+
+	private static RetryBudget budgetOfProcess(double share, long[] now, boolean first) {
+		SpareRetries spare = SpareRetries.of(() -> share, () -> now[0], 10_000);
+		if (first) {
+			spare.firstProcess();
+		}
+		return RetryBudget.of(0.16, spare, 10_000);
+	}
+
 	@Test
 	void givesAllSpareRetriesToFewEntriesAndNeverMoreWhileOneIsNotSeenYet() {
 		double spare = 90;
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/GatewayFixture.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/GatewayFixture.java
@@ -115,6 +115,7 @@
 		this.context = new GatewayContext(this.group.next(), TimeSource.ofSystem(), new Random(1), HEADERS, settings,
 				this.directory, new UpstreamSelector("a", new Random(1)), freshness,
 				new ForwardMetrics(new SimpleMeterRegistry()), this.membership, evidence, PROBE_PATH);
+		this.context.firstProcess();
 		char id = 'a';
 		for (ScriptedUpstream each : scripted) {
 			// Only the first is in the gateway's data centre, so that it is selected
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/node/GatewayStopTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/node/GatewayStopTests.java
@@ -39,6 +39,7 @@
 import io.bulrushrouter.gateway.source.FeedResult;
 import io.bulrushrouter.gateway.source.FleetSource;
 import io.bulrushrouter.gateway.source.HeaderNames;
+import io.bulrushrouter.gateway.source.HeartbeatResult;
 import io.bulrushrouter.gateway.source.UpstreamRecord;
 import io.bulrushrouter.kernel.plugin.Plugin;
 import io.bulrushrouter.kernel.plugin.PluginRegistry;
@@ -243,8 +244,8 @@
 			return new EntryRegistry() {
 
 				@Override
-				public CompletionStage<Boolean> heartbeat(String instance, long sequence) {
-					return CompletableFuture.completedFuture(true);
+				public CompletionStage<HeartbeatResult> heartbeat(String instance, long sequence) {
+					return CompletableFuture.completedFuture(HeartbeatResult.CREATED);
 				}
 
 				@Override
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/node/MembershipDutyTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/node/MembershipDutyTests.java
@@ -17,6 +17,7 @@
 import io.bulrushrouter.gateway.membership.EntryMembership;
 import io.bulrushrouter.gateway.source.EntryHeartbeat;
 import io.bulrushrouter.gateway.source.EntryRegistry;
+import io.bulrushrouter.gateway.source.HeartbeatResult;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -39,9 +40,13 @@
 
 	private final EntryMembership membership = new EntryMembership("entry-0");
 
+	private int firstProcesses;
+
 	private void run() {
 		this.channel.freezeTime();
-		new MembershipDuty(this.channel.eventLoop(), "entry-0", this.registry, this.membership, new Random(1)).start();
+		new MembershipDuty(this.channel.eventLoop(), "entry-0", this.registry, this.membership, new Random(1),
+				() -> this.firstProcesses++)
+			.start();
 		for (int second = 0; second < SECONDS; second++) {
 			this.channel.advanceTimeBy(1, TimeUnit.SECONDS);
 			this.channel.runScheduledPendingTasks();
@@ -73,6 +78,16 @@
 		assertThat(this.registry.listings).isAtLeast(SECONDS / 25);
 	}
 
+	// Guards against a process that uses what an earlier one of its entry has used.
+	@Test
+	void isTheFirstProcessOnlyIfItsFirstHeartbeatCreatedTheObject() {
+		run();
+		assertThat(this.firstProcesses).isEqualTo(0);
+		this.registry.result = HeartbeatResult.CREATED;
+		run();
+		assertThat(this.firstProcesses).isEqualTo(1);
+	}
+
 	// Guards against an entry that never lists the others again after a call that threw.
 	@ParameterizedTest
 	@ValueSource(booleans = { true, false })
@@ -94,6 +109,8 @@
 
 		private boolean available = true;
 
+		private HeartbeatResult result = HeartbeatResult.REPLACED;
+
 		private Optional<RuntimeException> error = Optional.empty();
 
 		private boolean thrown;
@@ -107,9 +124,9 @@
 		}
 
 		@Override
-		public CompletionStage<Boolean> heartbeat(String instance, long sequence) {
+		public CompletionStage<HeartbeatResult> heartbeat(String instance, long sequence) {
 			this.sequences.add(sequence);
-			return answer(this.available);
+			return answer(this.available ? this.result : HeartbeatResult.FAILED);
 		}
 
 		@Override
