Give each entry of the soak its own name

Cause: the entries of EntrySoakTests wrote one heartbeat together, so that each took the others for itself, and the second one for a process started again.

Change: the name is a parameter of EntryProcess.

--- a/bulrushrouter-launcher/src/test/java/io/bulrushrouter/launcher/EntryProcess.java
+++ b/bulrushrouter-launcher/src/test/java/io/bulrushrouter/launcher/EntryProcess.java
@@ -55,7 +55,17 @@
 	 * @param storePort the port of the store
 	 */
 	EntryProcess(Path directory, int storePort) throws IOException {
-		Path settings = Files.writeString(directory.resolve("entry.ini"), settings(storePort));
+		this("entry", directory, storePort);
+	}
+
+	/**
+	 * Starts an entry and waits until it serves.
+	 * @param name the name of the entry
+	 * @param directory receives the settings and the log
+	 * @param storePort the port of the store
+	 */
+	EntryProcess(String name, Path directory, int storePort) throws IOException {
+		Path settings = Files.writeString(directory.resolve("entry.ini"), settings(name, storePort));
 		this.log = directory.resolve("entry.log");
 		this.process = new ProcessBuilder(ProgramCommand.of("gateway", HEAP, settings)).redirectErrorStream(true)
 			.redirectOutput(this.log.toFile())
@@ -66,8 +76,8 @@
 		}
 	}
 
-	private String settings(int storePort) throws IOException {
-		return String.join("\n", "[instance]", "name = entry", "data-centre = a", "memory-mb = " + MEMORY_MB,
+	private String settings(String name, int storePort) throws IOException {
+		return String.join("\n", "[instance]", "name = " + name, "data-centre = a", "memory-mb = " + MEMORY_MB,
 				"descriptors = " + DESCRIPTORS, "[listen]", "callers = 127.0.0.1:" + this.callersPort,
 				"readiness = 127.0.0.1:" + this.readinessPort, "metrics = 127.0.0.1:" + freePort(), "[source]",
 				"kind = platform", "store = 127.0.0.1:" + storePort, "[retry]", "ratio = 0.2", "spare = 92", "");
--- a/bulrushrouter-launcher/src/test/java/io/bulrushrouter/launcher/SoakEntry.java
+++ b/bulrushrouter-launcher/src/test/java/io/bulrushrouter/launcher/SoakEntry.java
@@ -44,7 +44,7 @@
 	}
 
 	private void start() throws IOException {
-		this.process = new EntryProcess(this.directory, this.storePort);
+		this.process = new EntryProcess(this.name, this.directory, this.storePort);
 		this.disturbedNanos = System.nanoTime();
 		this.signalled = false;
 	}
