--- a/bulrushrouter-launcher/src/test/java/io/bulrushrouter/launcher/EntrySoakTests.java
+++ b/bulrushrouter-launcher/src/test/java/io/bulrushrouter/launcher/EntrySoakTests.java
@@ -72,9 +72,10 @@
 		try (Soak soak = new Soak(seed)) {
 			soak.run();
 			soak.settle();
-			assertWithMessage("requests that were answered").that(soak.log.answers()).isAtLeast(1_000);
-			assertWithMessage("requests that were served").that(soak.log.successes()).isAtLeast(soak.log.answers() / 2);
-			List<String> faults = soak.log.faults();
+			assertWithMessage("requests that were answered").that(soak.outcomes.answers()).isAtLeast(1_000);
+			assertWithMessage("requests that were served").that(soak.outcomes.successes())
+				.isAtLeast(soak.outcomes.answers() / 2);
+			List<String> faults = soak.outcomes.faults();
 			assertWithMessage("%s broken promises, such as", faults.size())
 				.that(faults.subList(0, Math.min(20, faults.size())))
 				.isEmpty();
@@ -94,7 +95,7 @@
 
 		private final ForeignWriter writer;
 
-		private final SoakRecord log = new SoakRecord();
+		private final SoakOutcomes outcomes = new SoakOutcomes();
 
 		private final ChangingStore store = new ChangingStore();
 
@@ -133,14 +134,14 @@
 			for (int index = 0; index < Integer.getInteger("bulrush.entries", 2); index++) {
 				SoakEntry entry = new SoakEntry("e" + index, EntrySoakTests.this.directory, this.store.port());
 				this.entries.add(entry);
-				this.log.entry(entry.name(), entry);
+				this.outcomes.entry(entry.name(), entry);
 			}
 		}
 
 		private void run() throws IOException, InterruptedException {
 			for (SoakEntry entry : this.entries) {
 				for (int index = 0; index < CALLERS; index++) {
-					this.callers.add(new SoakCaller(entry, this.log));
+					this.callers.add(new SoakCaller(entry, this.outcomes));
 				}
 			}
 			long end = System.nanoTime() + TIME.toNanos();
@@ -181,7 +182,7 @@
 		}
 
 		private SoakUpstream join(String service, boolean sound) throws IOException {
-			SoakUpstream upstream = new SoakUpstream(this.log, this.random.nextLong(), sound);
+			SoakUpstream upstream = new SoakUpstream(this.outcomes, this.random.nextLong(), sound);
 			this.upstreams.add(upstream);
 			this.store.put("servers", upstream.name(), upstream.spec(service, "ready"));
 			if (!sound) {
@@ -231,7 +232,7 @@
 					Optional<SoakCaller.Answer> answer = SoakCaller.send(connection, route,
 							entry.name() + "-ask-" + wrongStatus + route);
 					if (entry.inTouch() && answer.map(SoakCaller.Answer::status).orElse(wrongStatus) == wrongStatus) {
-						this.log.fault(entry.name() + " does not serve " + route + ": " + answer);
+						this.outcomes.fault(entry.name() + " does not serve " + route + ": " + answer);
 					}
 				}
 				catch (IOException ex) {
--- a/bulrushrouter-launcher/src/test/java/io/bulrushrouter/launcher/SoakCaller.java
+++ b/bulrushrouter-launcher/src/test/java/io/bulrushrouter/launcher/SoakCaller.java
@@ -32,15 +32,15 @@
 
 	private final SoakEntry entry;
 
-	private final SoakRecord log;
+	private final SoakOutcomes outcomes;
 
 	private final Thread thread = new Thread(this::run, "caller");
 
 	private volatile boolean closing;
 
-	SoakCaller(SoakEntry entry, SoakRecord log) {
+	SoakCaller(SoakEntry entry, SoakOutcomes outcomes) {
 		this.entry = entry;
-		this.log = log;
+		this.outcomes = outcomes;
 		this.thread.setDaemon(true);
 		this.thread.start();
 	}
@@ -86,10 +86,10 @@
 		}
 		finally {
 			if (answer.isEmpty() && !this.entry.brokenSince(sentNanos)) {
-				this.log.unanswered(id);
+				this.outcomes.unanswered(id);
 			}
 		}
-		answer.ifPresent((each) -> this.log.answered(id, each.status(), each.head, each.body));
+		answer.ifPresent((each) -> this.outcomes.answered(id, each.status(), each.head, each.body));
 		return answer.filter((each) -> !field(each.head, "Connection").equalsIgnoreCase("close")).isPresent();
 	}
 
--- a/bulrushrouter-launcher/src/test/java/io/bulrushrouter/launcher/SoakRecord.java
+++ b/bulrushrouter-launcher/src/test/java/io/bulrushrouter/launcher/SoakOutcomes.java
@@ -12,7 +12,7 @@
 /**
  * What upstreams ran and callers were told in a soak, and which promises were broken.
  */
-final class SoakRecord {
+final class SoakOutcomes {
 
 	/** Attempts that the configuration allows for a request. */
 	private static final int MAX_ATTEMPTS = 2;
--- a/bulrushrouter-launcher/src/test/java/io/bulrushrouter/launcher/SoakUpstream.java
+++ b/bulrushrouter-launcher/src/test/java/io/bulrushrouter/launcher/SoakUpstream.java
@@ -26,7 +26,7 @@
 
 	private final String name = "i-" + NUMBERS.incrementAndGet();
 
-	private final SoakRecord log;
+	private final SoakOutcomes outcomes;
 
 	private final Random random;
 
@@ -36,12 +36,12 @@
 
 	/**
 	 * Starts an upstream.
-	 * @param log records what runs
+	 * @param outcomes records what runs
 	 * @param seed the seed of its failures
 	 * @param sound whether it never fails
 	 */
-	SoakUpstream(SoakRecord log, long seed, boolean sound) throws IOException {
-		this.log = log;
+	SoakUpstream(SoakOutcomes outcomes, long seed, boolean sound) throws IOException {
+		this.outcomes = outcomes;
 		this.random = new Random(seed);
 		this.sound = sound;
 	}
@@ -81,7 +81,7 @@
 			return;
 		}
 		if (System.nanoTime() - this.goneNanos > SoakEntry.DRAIN_NANOS) {
-			this.log.late(id);
+			this.outcomes.late(id);
 		}
 		if (!this.sound && choice < 0.1) {
 			int status = NOT_RUN_STATUSES.get((int) (choice * 10 * NOT_RUN_STATUSES.size()));
@@ -89,13 +89,13 @@
 					+ STAMP + "s-" + status + "\r\nContent-Length: 0\r\n\r\n");
 			return;
 		}
-		this.log.ran(id);
+		this.outcomes.ran(id);
 		if (!this.sound && choice < 0.25) {
 			String failure = failure(names);
 			write(connection, failure.replaceFirst("\r\n", "\r\n" + STAMP + "s-" + failure.substring(9, 12) + "\r\n"));
 		}
 		else if (!this.sound && choice < 0.28) {
-			this.log.reset(id);
+			this.outcomes.reset(id);
 			connection.setSoLinger(true, 0);
 			connection.close();
 		}
