--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/admission/SpareRetries.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/admission/SpareRetries.java
@@ -17,7 +17,7 @@
 
 	private final long unusedNanos;
 
-	private boolean unused;
+	private boolean firstProcess;
 
 	private SpareRetries(DoubleSupplier share, LongSupplier nanoTime, long windowMillis) {
 		this.share = share;
@@ -40,13 +40,13 @@
 	 * Records that this is the first process of the entry.
 	 */
 	public void firstProcess() {
-		this.unused = true;
+		this.firstProcess = true;
 	}
 
 	@Override
 	public double getAsDouble() {
-		this.unused |= this.nanoTime.getAsLong() - this.unusedNanos >= 0;
-		return this.unused ? this.share.getAsDouble() : 0;
+		boolean unused = this.firstProcess || this.nanoTime.getAsLong() - this.unusedNanos >= 0;
+		return unused ? this.share.getAsDouble() : 0;
 	}
 
 }
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ResponseRelay.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/forward/ResponseRelay.java
@@ -205,6 +205,7 @@
 		int status = received.status().code();
 		String requestedId = this.request.header(names.attemptId());
 		String echoedId = headers.get(names.attemptId());
+		boolean unnamed = requestedId != null && echoedId == null;
 		if (requestedId != null && echoedId != null && !requestedId.equals(echoedId)) {
 			return mayHaveRun(RejectionReason.OTHER_REQUEST, ErrorCode.CONNECTION_LOST,
 					"the response belongs to another request");
@@ -213,7 +214,7 @@
 			return classifyRefusal(received, echoedId != null || !reusedConnection);
 		}
 		if (isSuccess(received)) {
-			if (requestedId != null && echoedId == null) {
+			if (unnamed) {
 				return mayHaveRun(RejectionReason.NO_IDENTIFIER, ErrorCode.ENGINE_ERROR,
 						"the response does not name its request");
 			}
@@ -226,11 +227,11 @@
 						"the response has a content coding that was not requested");
 			}
 		}
-		else if (requestedId != null && echoedId == null && reusedConnection) {
+		else if (unnamed && reusedConnection) {
 			return mayHaveRun(RejectionReason.NO_IDENTIFIER, ErrorCode.CONNECTION_LOST,
 					"the response on a reused connection does not name its request");
 		}
-		else if (requestedId != null && echoedId == null && status < 500 && !headers.contains(names.stamp())) {
+		else if (unnamed && status < 500 && !headers.contains(names.stamp())) {
 			return mayHaveRun(RejectionReason.NO_IDENTIFIER, ErrorCode.ENGINE_ERROR,
 					"the response with status " + status + " names neither its request nor its upstream");
 		}
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/MembershipDuty.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/node/MembershipDuty.java
@@ -13,7 +13,7 @@
 import io.bulrushrouter.gateway.membership.EntryMembership;
 import io.bulrushrouter.gateway.source.EntryHeartbeat;
 import io.bulrushrouter.gateway.source.EntryRegistry;
-import io.bulrushrouter.gateway.source.HeartbeatResult;
+import io.bulrushrouter.gateway.source.WriteOutcome;
 
 /**
  * Writes this entry's heartbeat and reads those of the others. Runs on the event loop.
@@ -92,10 +92,10 @@
 					logger.error("event=heartbeat-failed instance={} sequence={} detail=\"{}\"", this.instance, written,
 							error.toString(), error);
 				}
-				else if (result == HeartbeatResult.FAILED) {
+				else if (result == WriteOutcome.FAILED) {
 					logger.info("event=heartbeat-failed instance={} sequence={}", this.instance, written);
 				}
-				else if (first && result == HeartbeatResult.CREATED) {
+				else if (first && result == WriteOutcome.CREATED) {
 					this.onFirst.run();
 				}
 			});
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/EntryRegistry.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/EntryRegistry.java
@@ -16,7 +16,7 @@
 	 * @param sequence a number that differs from that of the previous heartbeat
 	 * @return what became of it
 	 */
-	CompletionStage<HeartbeatResult> heartbeat(String instance, long sequence);
+	CompletionStage<WriteOutcome> heartbeat(String instance, long sequence);
 
 	/**
 	 * Reads the heartbeats of all entries. They may be a few seconds old.
--- a/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/HeartbeatResult.java
+++ b/bulrushrouter-gateway/src/main/java/io/bulrushrouter/gateway/source/WriteOutcome.java
@@ -1,14 +1,14 @@
 package io.bulrushrouter.gateway.source;
 
 /**
- * What became of the heartbeat of an entry.
+ * What became of an object that an entry writes under its own name.
  */
-public enum HeartbeatResult {
+public enum WriteOutcome {
 
 	/** The store has not accepted it, or has not answered. */
 	FAILED,
 
-	/** It is the first one under the entry's name. */
+	/** There was none of its name. */
 	CREATED,
 
 	/** It has replaced one of this process or of an earlier one of the entry. */
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/GatewayFixture.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/forward/GatewayFixture.java
@@ -63,6 +63,10 @@
 
 	private static final int MAX_UPSTREAM_CONNECTIONS = 100;
 
+	private static final int HEAD_BYTES = 4_096;
+
+	private static final int BODY_BYTES = 10_000;
+
 	private static final int READ_TIMEOUT_MILLIS = 20_000;
 
 	private final NioEventLoopGroup group = new NioEventLoopGroup(1);
@@ -141,7 +145,7 @@
 	private static GatewayConfiguration configuration(Duration timeout, Map<String, ServiceSpec> services) {
 		return new GatewayConfiguration(1, List.of(route("/read/", RouteKind.IDEMPOTENT, timeout),
 				route("/write/", RouteKind.NON_IDEMPOTENT, timeout), route("/stream/", RouteKind.STREAM, timeout)),
-				services, new CallerLimits(4_096, 10_000, Duration.ofSeconds(3), Duration.ofSeconds(15)),
+				services, callerLimits(HEAD_BYTES, BODY_BYTES),
 				Access.ofOrganisations(List.of(new Organisation("bakers", List.of(KEY), OptionalInt.empty()))));
 	}
 
@@ -172,9 +176,7 @@
 	 * @throws Exception if the event loop fails
 	 */
 	void bodyLimit(int bytes) throws Exception {
-		GatewayConfiguration base = configuration(Duration.ofSeconds(15), Map.of());
-		configure(new GatewayConfiguration(base.version(), base.routes(), base.services(),
-				new CallerLimits(4_096, bytes, Duration.ofSeconds(3), Duration.ofSeconds(15)), base.access()));
+		limits(HEAD_BYTES, bytes);
 	}
 
 	/**
@@ -183,9 +185,17 @@
 	 * @throws Exception if the event loop fails
 	 */
 	void headLimit(int bytes) throws Exception {
+		limits(bytes, BODY_BYTES);
+	}
+
+	private void limits(int headBytes, int bodyBytes) throws Exception {
 		GatewayConfiguration base = configuration(Duration.ofSeconds(15), Map.of());
 		configure(new GatewayConfiguration(base.version(), base.routes(), base.services(),
-				new CallerLimits(bytes, 10_000, Duration.ofSeconds(3), Duration.ofSeconds(15)), base.access()));
+				callerLimits(headBytes, bodyBytes), base.access()));
+	}
+
+	private static CallerLimits callerLimits(int headBytes, int bodyBytes) {
+		return new CallerLimits(headBytes, bodyBytes, Duration.ofSeconds(3), Duration.ofSeconds(15));
 	}
 
 	private static Route route(String prefix, RouteKind kind, Duration timeout) {
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/node/GatewayStopTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/node/GatewayStopTests.java
@@ -39,8 +39,8 @@
 import io.bulrushrouter.gateway.source.FeedResult;
 import io.bulrushrouter.gateway.source.FleetSource;
 import io.bulrushrouter.gateway.source.HeaderNames;
-import io.bulrushrouter.gateway.source.HeartbeatResult;
 import io.bulrushrouter.gateway.source.UpstreamRecord;
+import io.bulrushrouter.gateway.source.WriteOutcome;
 import io.bulrushrouter.kernel.plugin.Plugin;
 import io.bulrushrouter.kernel.plugin.PluginRegistry;
 import io.bulrushrouter.kernel.settings.Settings;
@@ -244,8 +244,8 @@
 			return new EntryRegistry() {
 
 				@Override
-				public CompletionStage<HeartbeatResult> heartbeat(String instance, long sequence) {
-					return CompletableFuture.completedFuture(HeartbeatResult.CREATED);
+				public CompletionStage<WriteOutcome> heartbeat(String instance, long sequence) {
+					return CompletableFuture.completedFuture(WriteOutcome.CREATED);
 				}
 
 				@Override
--- a/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/node/MembershipDutyTests.java
+++ b/bulrushrouter-gateway/src/test/java/io/bulrushrouter/gateway/node/MembershipDutyTests.java
@@ -17,7 +17,7 @@
 import io.bulrushrouter.gateway.membership.EntryMembership;
 import io.bulrushrouter.gateway.source.EntryHeartbeat;
 import io.bulrushrouter.gateway.source.EntryRegistry;
-import io.bulrushrouter.gateway.source.HeartbeatResult;
+import io.bulrushrouter.gateway.source.WriteOutcome;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -83,7 +83,7 @@
 	void isTheFirstProcessOnlyIfItsFirstHeartbeatCreatedTheObject() {
 		run();
 		assertThat(this.firstProcesses).isEqualTo(0);
-		this.registry.result = HeartbeatResult.CREATED;
+		this.registry.result = WriteOutcome.CREATED;
 		run();
 		assertThat(this.firstProcesses).isEqualTo(1);
 	}
@@ -109,7 +109,7 @@
 
 		private boolean available = true;
 
-		private HeartbeatResult result = HeartbeatResult.REPLACED;
+		private WriteOutcome result = WriteOutcome.REPLACED;
 
 		private Optional<RuntimeException> error = Optional.empty();
 
@@ -124,9 +124,9 @@
 		}
 
 		@Override
-		public CompletionStage<HeartbeatResult> heartbeat(String instance, long sequence) {
+		public CompletionStage<WriteOutcome> heartbeat(String instance, long sequence) {
 			this.sequences.add(sequence);
-			return answer(this.available ? this.result : HeartbeatResult.FAILED);
+			return answer(this.available ? this.result : WriteOutcome.FAILED);
 		}
 
 		@Override
