--- /dev/null
+++ b/bulrushrouter-launcher/src/test/java/io/bulrushrouter/launcher/EntrySoakTests.java
@@ -0,0 +1,277 @@
+package io.bulrushrouter.launcher;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.LongStream;
+
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+/**
+ * Guards against broken promises of entries beside objects of another writer and
+ * upstreams that fail behind runs, while upstreams, the configuration and the entries
+ * themselves change. The properties {@code bulrush.seeds}, {@code bulrush.first-seed} and
+ * {@code bulrush.entries} ask for more than CI plays.
+ */
+class EntrySoakTests {
+
+	private static final Duration TIME = Duration.ofSeconds(18);
+
+	private static final int CALLERS = 6;
+
+	private static final int UPSTREAMS = 3;
+
+	private static final int LONGEST_PAUSE_MILLIS = 400;
+
+	/** Time after which a new configuration is in force. */
+	private static final long APPLY_MILLIS = 2_000;
+
+	/** Time after which a new upstream serves. */
+	private static final long CATCH_UP_MILLIS = 4_000;
+
+	private static final String CONFIGURATION = """
+			{"version":%d,"routes":[
+			{"name":"work","host":"127.0.0.1","path-prefix":"/work/","route-kind":"idempotent",%s"service":"work"},
+			{"name":"once","host":"127.0.0.1","path-prefix":"/soak-once/","route-kind":"non_idempotent",%s"service":"soak"},
+			{"name":"again","host":"127.0.0.1","path-prefix":"/soak-again/","route-kind":"idempotent",%s"service":"soak"}
+			%s],"services":[
+			{"name":"work","health-path":"/healthz","max-conns":400},
+			{"name":"soak","health-path":"/healthz","max-conns":400}
+			%s],"limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,
+			"idle-timeout-ms":15000}}""";
+
+	private static final String ROUTE = """
+			"timeout-ms":5000,"goal-ms":400,"priority":1,"max-attempts":2,"anonymous":true,"resumable":false,""";
+
+	@TempDir
+	private Path directory;
+
+	static LongStream seeds() {
+		long first = Long.getLong("bulrush.first-seed", 1);
+		return LongStream.range(first, first + Integer.getInteger("bulrush.seeds", 1));
+	}
+
+	@ParameterizedTest
+	@MethodSource("seeds")
+	void keepAllPromisesWhileAllChanges(long seed) throws Exception {
+		try (Soak soak = new Soak(seed)) {
+			soak.run();
+			soak.settle();
+			assertWithMessage("requests that were answered").that(soak.log.answers()).isAtLeast(1_000);
+			assertWithMessage("requests that were served").that(soak.log.successes()).isAtLeast(soak.log.answers() / 2);
+			List<String> faults = soak.log.faults();
+			assertWithMessage("%s broken promises, such as", faults.size())
+				.that(faults.subList(0, Math.min(20, faults.size())))
+				.isEmpty();
+		}
+	}
+
+	private static byte[] bytes(String text) {
+		return text.getBytes(StandardCharsets.ISO_8859_1);
+	}
+
+	/**
+	 * One play of a seed.
+	 */
+	private final class Soak implements AutoCloseable {
+
+		private final Random random;
+
+		private final ForeignWriter writer;
+
+		private final SoakRecord log = new SoakRecord();
+
+		private final ChangingStore store = new ChangingStore();
+
+		private final UpstreamStandin work = UpstreamStandin.fixed();
+
+		private final List<SoakUpstream> upstreams = new ArrayList<>();
+
+		private final List<SoakUpstream> current = new ArrayList<>();
+
+		private final List<SoakEntry> entries = new ArrayList<>();
+
+		private final List<SoakCaller> callers = new ArrayList<>();
+
+		private final ScheduledExecutorService executor = Executors.newScheduledThreadPool(16);
+
+		private final List<Future<?>> tasks = new ArrayList<>();
+
+		private final StringBuilder routes = new StringBuilder();
+
+		private final StringBuilder services = new StringBuilder();
+
+		private int version;
+
+		private Soak(long seed) throws IOException {
+			this.random = new Random(seed);
+			this.store.put("servers", "i-work", bytes("""
+					{"service":"work","address":"127.0.0.1:%d","zone":"a","version":"v1","slots":64,"state":"ready",
+					"warmup-left-ms":0,"sequence":1}""".formatted(this.work.port())));
+			for (int index = 0; index < UPSTREAMS; index++) {
+				join("soak", false);
+			}
+			this.writer = this.random.nextBoolean()
+					? new ForeignWriter(this.store, seed, 8 + this.random.nextInt(24), 1_000_000)
+					: new ForeignWriter(this.store, seed, 2_000 + this.random.nextInt(4_000), 400);
+			configure();
+			for (int index = 0; index < Integer.getInteger("bulrush.entries", 2); index++) {
+				SoakEntry entry = new SoakEntry("e" + index, EntrySoakTests.this.directory, this.store.port());
+				this.entries.add(entry);
+				this.log.entry(entry.name(), entry);
+			}
+		}
+
+		private void run() throws IOException, InterruptedException {
+			for (SoakEntry entry : this.entries) {
+				for (int index = 0; index < CALLERS; index++) {
+					this.callers.add(new SoakCaller(entry, this.log));
+				}
+			}
+			long end = System.nanoTime() + TIME.toNanos();
+			while (System.nanoTime() < end) {
+				switch (this.random.nextInt(8)) {
+					case 0, 1, 2 -> this.writer.change();
+					case 3 -> this.writer.remove();
+					case 4, 5 -> replaceUpstream();
+					case 6 -> addService();
+					default -> signal(this.entries.get(this.random.nextInt(this.entries.size())));
+				}
+				Thread.sleep(this.random.nextInt(LONGEST_PAUSE_MILLIS));
+				assertNoneEndedByItself();
+			}
+		}
+
+		// Waits until nothing changes any longer, and checks what holds then.
+		private void settle() throws Exception {
+			for (Future<?> task : this.tasks) {
+				task.get();
+			}
+			assertNoneEndedByItself();
+			for (SoakEntry entry : this.entries) {
+				assertWithMessage("an ordinary request is answered; %s", entry.endOfLog())
+					.that(entry.process().serves())
+					.isTrue();
+				entry.process().assertWithinInstance();
+			}
+			for (SoakCaller caller : this.callers) {
+				caller.close();
+			}
+		}
+
+		private void assertNoneEndedByItself() throws IOException {
+			for (SoakEntry entry : this.entries) {
+				assertWithMessage("%s ended; %s", entry.name(), entry.endOfLog()).that(entry.endedByItself()).isFalse();
+			}
+		}
+
+		private SoakUpstream join(String service, boolean sound) throws IOException {
+			SoakUpstream upstream = new SoakUpstream(this.log, this.random.nextLong(), sound);
+			this.upstreams.add(upstream);
+			this.store.put("servers", upstream.name(), upstream.spec(service, "ready"));
+			if (!sound) {
+				this.current.add(upstream);
+			}
+			return upstream;
+		}
+
+		private void replaceUpstream() throws IOException {
+			SoakUpstream leaving = this.current.remove(0);
+			join("soak", false);
+			if (this.random.nextBoolean()) {
+				this.store.remove("servers", leaving.name());
+			}
+			else {
+				this.store.put("servers", leaving.name(), leaving.spec("soak", "draining"));
+			}
+			leaving.leave();
+		}
+
+		private void addService() throws IOException {
+			String name = "new-" + this.version;
+			this.routes
+				.append("""
+						,{"name":"%s","host":"127.0.0.1","path-prefix":"/soak-%s/","route-kind":"idempotent",%s"service":"%s"}"""
+					.formatted(name, name, ROUTE, name));
+			this.services.append(",{\"name\":\"" + name + "\",\"health-path\":\"/healthz\",\"max-conns\":400}");
+			join(name, true);
+			configure();
+			for (SoakEntry entry : this.entries) {
+				this.tasks
+					.add(this.executor.schedule(() -> ask(entry, name, 404), APPLY_MILLIS, TimeUnit.MILLISECONDS));
+				this.tasks
+					.add(this.executor.schedule(() -> ask(entry, name, 503), CATCH_UP_MILLIS, TimeUnit.MILLISECONDS));
+			}
+		}
+
+		private void configure() {
+			this.version++;
+			this.store.put("config", "main",
+					bytes(CONFIGURATION.formatted(this.version, ROUTE, ROUTE, ROUTE, this.routes, this.services)));
+		}
+
+		private Void ask(SoakEntry entry, String route, int wrongStatus) throws IOException {
+			if (entry.inTouch()) {
+				try (Socket connection = entry.connect()) {
+					Optional<SoakCaller.Answer> answer = SoakCaller.send(connection, route,
+							entry.name() + "-ask-" + wrongStatus + route);
+					if (entry.inTouch() && answer.map(SoakCaller.Answer::status).orElse(wrongStatus) == wrongStatus) {
+						this.log.fault(entry.name() + " does not serve " + route + ": " + answer);
+					}
+				}
+				catch (IOException ex) {
+					assertWithMessage("%s is in touch", entry.name()).that(entry.inTouch()).isFalse();
+				}
+			}
+			return null;
+		}
+
+		private void signal(SoakEntry entry) {
+			int choice = this.random.nextInt(3);
+			this.tasks.add(this.executor.submit(() -> {
+				synchronized (entry) {
+					switch (choice) {
+						case 0 -> entry.restart();
+						case 1 -> entry.crash();
+						default -> entry.suspend();
+					}
+				}
+				return null;
+			}));
+		}
+
+		@Override
+		public void close() throws IOException, InterruptedException, ExecutionException {
+			this.executor.shutdownNow();
+			this.executor.awaitTermination(1, TimeUnit.MINUTES);
+			for (SoakEntry entry : this.entries) {
+				entry.close();
+			}
+			for (SoakCaller caller : this.callers) {
+				caller.close();
+			}
+			for (SoakUpstream upstream : this.upstreams) {
+				upstream.close();
+			}
+			this.work.close();
+			this.store.close();
+		}
+
+	}
+
+}
